--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN := $(VENV)/bin
+SEED ?= 1
+
+.PHONY: demo test lint format bench bench-routing soak chaos dist
+
+$(VENV)/.installed: requirements.txt requirements-dev.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	touch $@
+
+demo: $(VENV)/.installed
+	$(BIN)/python scripts/demo.py
+
+test: $(VENV)/.installed
+	$(BIN)/python scripts/run_tests.py
+
+lint: $(VENV)/.installed
+	$(BIN)/black --check --quiet sassafrashook fakes scripts benchmarks examples
+	$(BIN)/ruff check --quiet sassafrashook fakes scripts benchmarks examples
+
+format: $(VENV)/.installed
+	$(BIN)/black --quiet sassafrashook fakes scripts benchmarks examples
+	$(BIN)/ruff check --fix --quiet sassafrashook fakes scripts benchmarks examples
--- /dev/null
+++ b/sassafrashook/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the command line: ``python -m sassafrashook``."""
+
+from sassafrashook.operations import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/sassafrashook/outcomes/_outcomes.py
@@ -0,0 +1,68 @@
+"""What is known of whether a request ran, and why one was refused or tried again."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class Verdict(StrEnum):
+    """Whether a request may have run at an upstream."""
+
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+    RAN = "ran"
+
+
+class RefusalReason(StrEnum):
+    """Why a request was given up; one counter attribute each."""
+
+    ACCOUNT_SHARE = "account_share"
+    BAD_REQUEST = "bad_request"
+    BODY_TOO_LARGE = "body_too_large"
+    CLAIM_CONFLICT = "claim_conflict"
+    CLAIM_RUNNING = "claim_running"
+    CLAIM_UNKNOWN = "claim_unknown"
+    CLOCK_OUT_OF_RANGE = "clock_out_of_range"
+    DEADLINE_MISSING = "deadline_missing"
+    DEADLINE_PASSED = "deadline_passed"
+    KEY_MISSING = "key_missing"
+    NO_CAPACITY = "no_capacity"
+    NO_CONFIGURATION = "no_configuration"
+    NO_OWNER = "no_owner"
+    NO_UPSTREAM = "no_upstream"
+    QUARANTINED = "quarantined"
+    QUEUE_FULL = "queue_full"
+    RETRY_BUDGET = "retry_budget"
+    STALE_VIEW = "stale_view"
+    STOPPING = "stopping"
+    UNAUTHENTICATED = "unauthenticated"
+    UNKNOWN_SERVICE = "unknown_service"
+    UPSTREAM_BROKE = "upstream_broke"
+    UPSTREAM_SILENT = "upstream_silent"
+    WAITING_TARGET = "waiting_target"
+
+
+class RetryReason(StrEnum):
+    """Why a request was sent again; one counter attribute each."""
+
+    CONNECT_FAILED = "connect_failed"
+    PERMIT_EXPIRED = "permit_expired"
+    STREAM_CUT = "stream_cut"
+    STREAM_SILENT = "stream_silent"
+    UPSTREAM_BUSY = "upstream_busy"
+    UPSTREAM_LEFT = "upstream_left"
+
+
+@dataclass(slots=True, frozen=True)
+class Refusal:
+    """The final answer to a request that was given up.
+
+    :param verdict: whether the request may have run.
+    :param reason: why it was given up.
+    :param retry_after_ms: when to come back, milliseconds from the answer; 0 if never.
+    :param detail: one sentence for the caller.
+    """
+
+    verdict: Verdict
+    reason: RefusalReason
+    retry_after_ms: int = 0
+    detail: str = ""
