Permit ledger: placement under the load bound, admission, sessions, takeover

One exact count of running requests for each upstream is held by the owner of a term, so the bound ceil(c * (running + 1) / live) holds over all routers by construction.

The event and action types are in place for the router's side as well.

--- /dev/null
+++ b/sassafrashook/routing/__init__.py
@@ -0,0 +1,50 @@
+"""Routing decisions, without input or output: which request runs where, and when.
+
+The owner of the running counts drives a :class:`PermitLedger`; each router drives a
+:class:`PermitClient` against it and a :class:`RetryBudgets`. Both cores take events and the
+current time and return actions; any driver, test or bench can run them.
+"""
+
+from sassafrashook.routing._actions import Acquired, Count, Quarantine, Refused, Send
+from sassafrashook.routing._events import (
+    AcquireRequested,
+    ControllerLost,
+    FleetStateChanged,
+    FromController,
+    FromRouter,
+    KnownRouter,
+    ReleaseRequested,
+    RoutersKnown,
+    StopRequested,
+    UpstreamLeft,
+    UpstreamSeen,
+    WithdrawRequested,
+)
+from sassafrashook.routing._invariants import Invariant, InvariantError
+from sassafrashook.routing._ledger import PermitLedger
+from sassafrashook.routing._placement import PlacementGroup, round_bound
+
+__all__ = [
+    "AcquireRequested",
+    "Acquired",
+    "ControllerLost",
+    "Count",
+    "FleetStateChanged",
+    "FromController",
+    "FromRouter",
+    "Invariant",
+    "InvariantError",
+    "KnownRouter",
+    "PermitLedger",
+    "PlacementGroup",
+    "Quarantine",
+    "Refused",
+    "ReleaseRequested",
+    "RoutersKnown",
+    "Send",
+    "StopRequested",
+    "UpstreamLeft",
+    "UpstreamSeen",
+    "WithdrawRequested",
+    "round_bound",
+]
--- /dev/null
+++ b/sassafrashook/routing/_actions.py
@@ -0,0 +1,51 @@
+"""What the routing cores ask their drivers to do."""
+
+from dataclasses import dataclass
+
+from sassafrashook.base import Action
+from sassafrashook.gateways import Permit
+from sassafrashook.messages import Message
+from sassafrashook.outcomes import Refusal
+
+
+@dataclass(slots=True, frozen=True)
+class Send(Action):
+    """Send a message to a named process."""
+
+    peer: str
+    message: Message
+
+
+@dataclass(slots=True, frozen=True)
+class Quarantine(Action):
+    """Have a fingerprint added to the replicated quarantine list; repeated until it is there."""
+
+    fingerprint: int
+
+
+@dataclass(slots=True, frozen=True)
+class Count(Action):
+    """Count one event.
+
+    :param name: metric name.
+    :param attribute: value of the metric's one attribute, such as a refusal reason.
+    """
+
+    name: str
+    attribute: str
+
+
+@dataclass(slots=True, frozen=True)
+class Acquired(Action):
+    """A wait ended with a permit."""
+
+    token: object
+    permit: Permit
+
+
+@dataclass(slots=True, frozen=True)
+class Refused(Action):
+    """A wait ended without a permit; the verdict is ``not_run``."""
+
+    token: object
+    refusal: Refusal
--- /dev/null
+++ b/sassafrashook/routing/_poison.py
@@ -0,0 +1,129 @@
+"""Requests that crash the upstreams that run them.
+
+Suspicion follows the fingerprint of the content, whatever the request id or the router.
+"""
+
+from sassafrashook.routing._deadlines import DeadlineTable
+
+CRASHES_TO_QUARANTINE = 2
+UPSTREAMS_AT_RISK_MAX = 2
+BREAK_KEPT_S = 10.0
+SUSPICION_KEPT_S = 3600.0
+PROVEN_MAX = 16_384
+
+
+class SuspectTable:
+    """Fingerprints that ran at a crash, and those that are quarantined.
+
+    Attributes
+    ----------
+    crashes_ : crashes at which each suspect ran.
+    quarantined_ : fingerprints that the replicated state holds as quarantined.
+    pending_ : fingerprints to be added to it.
+    """
+
+    def __init__(self):
+        self.crashes_ = {}
+        self.quarantined_ = frozenset()
+        self.pending_ = set()
+        self.running_ = {}
+        self.proven_ = {}
+        self.expiries_ = DeadlineTable()
+
+    def is_quarantined(self, fingerprint):
+        """Return whether a fingerprint is refused everywhere."""
+        return fingerprint in self.quarantined_ or fingerprint in self.pending_
+
+    def is_suspect(self, fingerprint):
+        """Return whether a fingerprint may only run alone."""
+        return fingerprint in self.crashes_
+
+    def may_run(self, fingerprint, upstream):
+        """Return whether one more run could cost too many upstreams.
+
+        :param upstream: the :class:`UpstreamState` where it would run.
+        """
+        if fingerprint in self.proven_:
+            return True
+        at_risk = self.running_.get(fingerprint)
+        if not at_risk:
+            return True
+        if fingerprint in self.crashes_:
+            return False
+        others = len(at_risk) - (upstream in at_risk)
+        return others < UPSTREAMS_AT_RISK_MAX
+
+    def note_started(self, fingerprint, upstream):
+        """Count a run."""
+        at_risk = self.running_.setdefault(fingerprint, {})
+        at_risk[upstream] = at_risk.get(upstream, 0) + 1
+
+    def note_ended(self, fingerprint, upstream):
+        """Count the end of a run, however it ended."""
+        at_risk = self.running_.get(fingerprint, {})
+        at_risk[upstream] = at_risk.get(upstream, 0) - 1
+        if at_risk[upstream] <= 0:
+            del at_risk[upstream]
+        if not at_risk:
+            self.running_.pop(fingerprint, None)
+
+    def note_broken(self, fingerprint, upstream, now):
+        """Hold a run as undecided: its answer broke, and the upstream may have crashed."""
+        if fingerprint in upstream.broken_:
+            return
+        upstream.broken_[fingerprint] = now
+        self.note_started(fingerprint, upstream)
+        self.expiries_.add((fingerprint, upstream), now + BREAK_KEPT_S)
+
+    def note_alive(self, upstream):
+        """Clear what broke at an upstream that was seen to live on."""
+        for fingerprint in upstream.broken_:
+            self.expiries_.remove((fingerprint, upstream))
+            self.note_ended(fingerprint, upstream)
+        upstream.broken_.clear()
+
+    def note_finished(self, fingerprint):
+        """Clear a fingerprint whose answer was whole."""
+        self.crashes_.pop(fingerprint, None)
+        self.expiries_.remove(fingerprint)
+        self.proven_.pop(fingerprint, None)
+        self.proven_[fingerprint] = None
+        if len(self.proven_) > PROVEN_MAX:
+            del self.proven_[next(iter(self.proven_))]
+
+    def note_crash(self, upstream, now):
+        """Count a crash against everything that ran or broke at the upstream.
+
+        :returns: the fingerprints to be quarantined.
+        """
+        suspects = {record.fingerprint for record in upstream.permits_} | set(upstream.broken_)
+        self.note_alive(upstream)
+        repeated = []
+        for fingerprint in sorted(suspects):
+            self.proven_.pop(fingerprint, None)
+            self.expiries_.add(fingerprint, now + SUSPICION_KEPT_S)
+            crashes = self.crashes_[fingerprint] = self.crashes_.get(fingerprint, 0) + 1
+            if crashes >= CRASHES_TO_QUARANTINE:
+                repeated.append(fingerprint)
+        if len(repeated) > 1:
+            return []
+        self.pending_.update(repeated)
+        return repeated
+
+    def set_quarantined(self, fingerprints):
+        """Take the replicated list; what an operator removed from it may run alone again."""
+        quarantined = frozenset(fingerprints)
+        for fingerprint in self.quarantined_ - quarantined:
+            self.crashes_.pop(fingerprint, None)
+        self.quarantined_ = quarantined
+        self.pending_ -= quarantined
+
+    def advance(self, now):
+        """Forget what is too old to matter."""
+        for item in self.expiries_.pop_due(now):
+            if isinstance(item, tuple):
+                fingerprint, upstream = item
+                upstream.broken_.pop(fingerprint, None)
+                self.note_ended(fingerprint, upstream)
+            else:
+                self.crashes_.pop(item, None)
--- /dev/null
+++ b/sassafrashook/routing/_sessions.py
@@ -0,0 +1,129 @@
+"""Sessions between routers and one owner's term, and the permits in use."""
+
+from dataclasses import dataclass
+
+from sassafrashook.routing._services import ServiceState
+from sassafrashook.routing._upstreams import UpstreamState
+
+
+@dataclass(slots=True, eq=False)
+class PermitRecord:
+    """One permit in use.
+
+    :param upstream: the state under which it is counted, of one boot.
+    :param service: the :class:`ServiceState` that it is counted for.
+    :param granted: seconds when it was granted or taken over.
+    :param isolated: whether nothing else may run beside it.
+    :param grant: the message that granted it, ``None`` if an earlier owner did.
+    """
+
+    session: object
+    request_id: int
+    upstream: UpstreamState
+    service: ServiceState
+    account: str
+    fingerprint: int
+    granted: float
+    isolated: bool = False
+    grant: object = None
+
+
+class Session:
+    """One router's session in one term.
+
+    :param router: the router's name.
+    :param boot_id: of the router's process.
+
+    Attributes
+    ----------
+    reported_ : whether its permits of earlier terms are known.
+    permits_ : permits in use, by request id.
+    waiting_ : queue entries, by request id.
+    ended_ : request ids that were released or withdrawn before they were known.
+    """
+
+    __slots__ = (
+        "router",
+        "boot_id",
+        "lease_until_",
+        "sequence_",
+        "reported_",
+        "permits_",
+        "waiting_",
+        "ended_",
+    )
+
+    def __init__(self, router, boot_id):
+        self.router = router
+        self.boot_id = boot_id
+        self.lease_until_ = 0.0
+        self.sequence_ = -1
+        self.reported_ = False
+        self.permits_ = {}
+        self.waiting_ = {}
+        self.ended_ = set()
+
+    def note_ended(self, request_id):
+        """Remember a release that came before the permit was known to this term."""
+        if not self.reported_:
+            self.ended_.add(request_id)
+
+
+class SessionTable:
+    """All sessions of one term.
+
+    :param epoch: number of the term.
+    :param lease_ms: length of a session unless renewed.
+
+    Attributes
+    ----------
+    sessions_ : the sessions, by router name.
+    retired_ : boot ids of routers' processes that were replaced, by router name.
+    """
+
+    def __init__(self, epoch, lease_ms):
+        self.epoch = epoch
+        self.lease_ms = lease_ms
+        self.sessions_ = {}
+        self.retired_ = {}
+
+    def get(self, router):
+        """Return a router's session, or ``None``."""
+        return self.sessions_.get(router)
+
+    def get_active(self, router, now):
+        """Return a router's session if its lease runs and its holdings are known."""
+        session = self.sessions_.get(router)
+        if session is None or not session.reported_ or now > session.lease_until_:
+            return None
+        return session
+
+    def open(self, router, message, now):
+        """Open or renew a session.
+
+        :param message: a :class:`~sassafrashook.messages.SessionOpened`.
+        :returns: the session, or ``None`` if the message is of a replaced process or late; and the
+            holdings that are new to this term.
+        """
+        session = self.sessions_.get(router)
+        if message.boot_id in self.retired_.get(router, ()):
+            return None, ()
+        if session is None or session.boot_id != message.boot_id:
+            if session is not None:
+                self.retired_.setdefault(router, []).append(session.boot_id)
+            session = self.sessions_[router] = Session(router, message.boot_id)
+        if message.sequence <= session.sequence_:
+            return None, ()
+        session.sequence_ = message.sequence
+        session.lease_until_ = now + self.lease_ms / 1000
+        if message.epoch != self.epoch:
+            session.reported_ = False
+        if session.reported_ or message.epoch != self.epoch:
+            return session, ()
+        session.reported_ = True
+        return session, message.holdings
+
+    def close(self, router):
+        """Forget a session."""
+        session = self.sessions_.pop(router)
+        self.retired_.setdefault(router, []).append(session.boot_id)
--- /dev/null
+++ b/sassafrashook/routing/_waiting.py
@@ -0,0 +1,167 @@
+"""Admission: grants, queues or refuses each request that reaches the owner."""
+
+from sassafrashook.outcomes import RefusalReason
+from sassafrashook.routing._admission import QueueEntry
+from sassafrashook.routing._assignment import ABSENT_RETRY_S
+from sassafrashook.routing._deadlines import DeadlineTable
+
+PLACEMENT_ATTEMPTS = 8
+
+
+class Waiting:
+    """The requests that wait for permits, over all services.
+
+    :param state: the :class:`OwnerState`.
+    :param assigner: the :class:`Assigner`.
+    :param isolation: the :class:`Isolation`.
+    """
+
+    def __init__(self, state, assigner, isolation):
+        self.state = state
+        self.assigner = assigner
+        self.isolation = isolation
+        self.deadlines_ = DeadlineTable()
+        self.sequence_ = 0
+
+    def request(self, session, query, now):
+        """Grant, queue or refuse one request.
+
+        :param session: the router's :class:`Session`.
+        :param query: a :class:`~sassafrashook.messages.PermitRequested`.
+        """
+        state, entry = self.state, self._make_entry(session, query, now)
+        if state.suspects_.is_quarantined(query.fingerprint):
+            self.assigner.refuse(entry, RefusalReason.QUARANTINED, 0)
+        elif not state.may_grant():
+            self._add(entry)
+        elif not self._is_served(query):
+            self.assigner.refuse(entry, RefusalReason.NO_UPSTREAM, self._spread(ABSENT_RETRY_S))
+        elif state.suspects_.is_suspect(query.fingerprint):
+            self._add_suspect(entry)
+            self.drain(entry.service, now)
+        elif self._must_wait(entry) or not self.assigner.try_grant(entry, now):
+            self._admit(entry, now)
+
+    def withdraw(self, entry):
+        """Forget an entry."""
+        self._unlist(entry)
+        if entry in entry.service.suspects_:
+            entry.service.suspects_.remove(entry)
+        else:
+            entry.service.queue_.remove(entry)
+
+    def drain(self, service, now):
+        """Grant what can be granted of a service's queues."""
+        if not self.state.may_grant():
+            return
+        if service.suspects_ or service.reserved_:
+            for entry in self.isolation.run(service, now):
+                self._unlist(entry)
+        deferred = []
+        while len(service.queue_) and len(deferred) < PLACEMENT_ATTEMPTS:
+            entry = self._pop(service)
+            if entry is None:
+                break
+            if not self._settle(entry, now):
+                deferred.append(entry)
+        for entry in deferred:
+            service.queue_.push(entry)
+
+    def expire(self, now):
+        """Refuse the entries whose waiting target has passed."""
+        for entry in self.deadlines_.pop_due(now):
+            self.withdraw(entry)
+            self._refuse_late(entry, 0.0, now)
+
+    def _settle(self, entry, now):
+        if self.state.suspects_.is_suspect(entry.query.fingerprint):
+            self.isolation.add(entry)
+            return True
+        if self.state.suspects_.is_quarantined(entry.query.fingerprint):
+            self.assigner.refuse(entry, RefusalReason.QUARANTINED, 0)
+        elif self.assigner.try_grant(entry, now):
+            entry.service.queue_.charge(entry)
+        else:
+            return False
+        self._unlist(entry)
+        return True
+
+    def _pop(self, service):
+        group = self.state.upstreams_.find_group(service.name, "")
+        if group is None or not group.has_room():
+            return None
+        blocked = {
+            account
+            for account in service.accounts_
+            if service.is_at_ceiling(account, group, self.state.rules.account_ceiling)
+        }
+        return service.queue_.pop(blocked)
+
+    def _must_wait(self, entry):
+        group = self.state.find_group(entry.query)
+        service, ceiling = entry.service, self.state.rules.account_ceiling
+        return len(service.queue_) > 0 or service.is_at_ceiling(entry.query.account, group, ceiling)
+
+    def _admit(self, entry, now):
+        service, rules = entry.service, self.state.rules
+        wait_s = service.queue_.estimate_wait(entry, service.running_)
+        if len(service.queue_) >= rules.queue_max:
+            self._refuse_late(entry, wait_s, now, RefusalReason.QUEUE_FULL)
+        elif service.queue_.count_waiting(entry.query.account) >= rules.account_queue_max:
+            self._refuse_late(entry, wait_s, now, RefusalReason.ACCOUNT_SHARE)
+        elif now + wait_s > entry.deadline:
+            self._refuse_late(entry, now + wait_s - entry.deadline, now)
+        else:
+            self._add(entry)
+            self.drain(service, now)
+
+    def _refuse_late(self, entry, excess_s, now, reason=RefusalReason.WAITING_TARGET):
+        service = entry.service
+        retry_s = service.queue_.schedule_return(
+            entry, excess_s, service.running_, now, self.state.rules.rng
+        )
+        self.assigner.refuse(entry, reason, retry_s)
+
+    def _add(self, entry):
+        self._list(entry)
+        entry.service.queue_.push(entry)
+
+    def _add_suspect(self, entry):
+        self._list(entry)
+        self.isolation.add(entry)
+
+    def _list(self, entry):
+        entry.session.waiting_[entry.query.request_id] = entry
+        self.deadlines_.add(entry, entry.deadline)
+
+    def _unlist(self, entry):
+        del entry.session.waiting_[entry.query.request_id]
+        self.deadlines_.remove(entry)
+
+    def _is_served(self, query):
+        group = self.state.find_group(query)
+        if group is None or not group.points_:
+            return False
+        if len(group.points_) > len(query.tried):
+            return True
+        names = {upstream.upstream_id for upstream in group.upstreams_.values()}
+        return not names.issubset(query.tried)
+
+    def _spread(self, seconds):
+        return seconds * self.state.rules.rng.uniform(1, 2)
+
+    def _make_entry(self, session, query, now):
+        state = self.state
+        service = state.get_service(query.service)
+        self.sequence_ += 1
+        return QueueEntry(
+            session=session,
+            service=service,
+            query=query,
+            arrived=now,
+            deadline=service.queue_deadline(now, state.waiting_s(query)),
+            priority=state.rank(query.work_class),
+            sequence=self.sequence_,
+            share=state.shares_.get(query.account, 1.0),
+            completion_s=state.completion_s(query),
+        )
--- /dev/null
+++ b/sassafrashook/routing/tests/test_placement.py
@@ -0,0 +1,79 @@
+"""Placement by conversation under the load bound."""
+
+import random
+
+import pytest
+
+from sassafrashook.messages import PermitGranted
+from sassafrashook.routing import UpstreamLeft, UpstreamSeen, round_bound
+from sassafrashook.routing.tests.builders import LedgerDriver, make_announcement
+
+
+@pytest.mark.parametrize(
+    ("running", "upstreams", "bound"), [(0, 3, 1), (2, 3, 2), (9, 10, 2), (39, 10, 5), (7, 1, 10)]
+)
+def test_bound_is_rounded_up(running, upstreams, bound):
+    assert round_bound(1.25, running, upstreams) == bound
+
+
+def test_no_upstream_over_bound_of_mean():
+    driver = LedgerDriver(engines=10)
+    rng = random.Random(3)
+    held = []
+    for request_id in range(1, 600):
+        if held and rng.random() < 0.4:
+            driver.release(held.pop(rng.randrange(len(held))))
+        grant = driver.ask(request_id, key=rng.randrange(5) << 60)
+        if not isinstance(grant, PermitGranted):
+            continue
+        held.append(request_id)
+        running = [driver.ledger.count_running(f"e{index}") for index in range(10)]
+        assert sum(running) == len(held)
+        load = driver.ledger.count_running(grant.upstream_id)
+        assert load <= round_bound(1.25, len(held) - 1, 10)
+
+
+def test_return_goes_to_same_upstream_through_churn():
+    driver = LedgerDriver(engines=10)
+    homes = {}
+    for request_id in range(1, 201):
+        homes[request_id] = driver.ask(request_id).upstream_id
+        driver.release(request_id)
+    driver.ledger.state_.hints_.holders_.clear()
+    driver.tell(UpstreamLeft("e3"))
+    driver.tell(UpstreamSeen(make_announcement("e99")))
+    moved = 0
+    for request_id, home in homes.items():
+        key = request_id * 0x9E3779B97F4A7C15 % 2**64
+        answer = driver.ask(request_id + 1000, key=key)
+        driver.release(request_id + 1000)
+        moved += home != "e3" and answer.upstream_id != home
+    assert moved < 40
+
+
+def test_conversations_spread_evenly():
+    driver = LedgerDriver(engines=10)
+    counts = dict.fromkeys((f"e{index}" for index in range(10)), 0)
+    for request_id in range(1, 2001):
+        counts[driver.ask(request_id).upstream_id] += 1
+        driver.release(request_id)
+    assert max(counts.values()) < 1.35 * 200
+
+
+def test_tried_upstreams_are_not_chosen_again():
+    driver = LedgerDriver(engines=3)
+    assert driver.ask(1, tried=["e0", "e2"]).upstream_id == "e1"
+    assert driver.ask(2, tried=["e0", "e1", "e2"]).reason == "no_upstream"
+
+
+def test_preferred_upstream_is_first_while_it_has_room():
+    driver = LedgerDriver(engines=3)
+    for request_id, name in enumerate(["e0", "e1", "e2"], start=1):
+        assert driver.ask(request_id, preferred=name).upstream_id == name
+
+
+def test_model_must_be_held():
+    driver = LedgerDriver(engines=3)
+    driver.tell(UpstreamSeen(make_announcement("e7", models=["flour@2"])))
+    assert driver.ask(1, model="flour").upstream_id == "e7"
+    assert driver.ask(2, model="butter").reason == "no_upstream"
