--- a/sassafrashook/routing/__init__.py
+++ b/sassafrashook/routing/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from sassafrashook.routing._actions import Acquired, Count, Quarantine, Refused, Send
+from sassafrashook.routing._client import PermitClient
 from sassafrashook.routing._events import (
     AcquireRequested,
     ControllerLost,
@@ -23,6 +24,7 @@
 from sassafrashook.routing._invariants import Invariant, InvariantError
 from sassafrashook.routing._ledger import PermitLedger
 from sassafrashook.routing._placement import PlacementGroup, round_bound
+from sassafrashook.routing._retries import RetryBudgets
 
 __all__ = [
     "AcquireRequested",
@@ -35,11 +37,13 @@
     "Invariant",
     "InvariantError",
     "KnownRouter",
+    "PermitClient",
     "PermitLedger",
     "PlacementGroup",
     "Quarantine",
     "Refused",
     "ReleaseRequested",
+    "RetryBudgets",
     "RoutersKnown",
     "Send",
     "StopRequested",
--- a/sassafrashook/routing/_ledger.py
+++ b/sassafrashook/routing/_ledger.py
@@ -199,10 +199,8 @@
         if session is None:
             self.state_.count("sessions_ignored", router)
             return
-        for holding in holdings:
-            self.takeover_.adopt(session, holding, now)
-        if session.reported_:
-            self.takeover_.note_reported(session, now)
+        if holdings is not None:
+            self._take_holdings(session, holdings, now)
         accepted = SessionAccepted(
             sequence=message.sequence,
             epoch=self.epoch,
@@ -213,6 +211,18 @@
         self.state_.actions_.append(Send(router, accepted))
         self._drain_all(now)
 
+    def _take_holdings(self, session, holdings, now):
+        held = {holding.request_id for holding in holdings}
+        for entry in list(session.waiting_.values()):
+            self.waiting_.withdraw(entry)
+        for record in list(session.permits_.values()):
+            if record.request_id not in held:
+                self.assigner_.release(record, PermitOutcome.UNUSED, -1, now)
+        for holding in holdings:
+            self.takeover_.adopt(session, holding, now)
+        session.ended_.clear()
+        self.takeover_.note_reported(session, now)
+
     def _close_session(self, router, message, now):
         session = self.sessions_.get(router)
         if session is None or session.boot_id != message.boot_id:
--- a/sassafrashook/routing/_sessions.py
+++ b/sassafrashook/routing/_sessions.py
@@ -103,23 +103,24 @@
 
         :param message: a :class:`~sassafrashook.messages.SessionOpened`.
         :returns: the session, or ``None`` if the message is of a replaced process or late; and the
-            holdings that are new to this term.
+            holdings if they were not known, else
+            ``None``.
         """
         session = self.sessions_.get(router)
         if message.boot_id in self.retired_.get(router, ()):
-            return None, ()
+            return None, None
         if session is None or session.boot_id != message.boot_id:
             if session is not None:
                 self.retired_.setdefault(router, []).append(session.boot_id)
             session = self.sessions_[router] = Session(router, message.boot_id)
         if message.sequence <= session.sequence_:
-            return None, ()
+            return None, None
         session.sequence_ = message.sequence
         session.lease_until_ = now + self.lease_ms / 1000
         if message.epoch != self.epoch:
             session.reported_ = False
         if session.reported_ or message.epoch != self.epoch:
-            return session, ()
+            return session, None
         session.reported_ = True
         return session, message.holdings
 
