Placement: constant-cost hint table, permits carried over to a new boot

The hint table dropped its oldest key by next(iter(dict)), which scanned the deleted slots: 20 of 107 us a decision at 10,000 upstreams.

Permits granted just before an upstream's new boot was seen may still be used there, so they count against the new boot's cold capacity.

--- a/sassafrashook/routing/_assignment.py
+++ b/sassafrashook/routing/_assignment.py
@@ -68,6 +68,7 @@
             session=entry.session,
             request_id=query.request_id,
             upstream=upstream,
+            boot_id=upstream.announcement.boot_id,
             service=entry.service,
             account=query.account,
             fingerprint=query.fingerprint,
@@ -125,7 +126,8 @@
     def release(self, record, outcome, first_token_ms, now):
         """Stop counting a permit and act on how its use ended."""
         upstream = record.upstream
-        if outcome == PermitOutcome.CRASHED:
+        is_same_boot = record.boot_id == upstream.announcement.boot_id
+        if outcome == PermitOutcome.CRASHED and is_same_boot:
             self.note_crash(upstream, now)
         self.forget(record)
         if outcome == PermitOutcome.FINISHED:
@@ -140,6 +142,15 @@
             upstream.warm_up_.restart()
         self.state.upstreams_.refresh(upstream)
 
+    def carry_over(self, old, new, since):
+        """Count at a new boot the permits that may yet be used there.
+
+        :param since: seconds; what was granted before can't reach the new boot.
+        """
+        for record in [record for record in old.permits_ if record.granted >= since]:
+            self.move(record, new)
+        self.state.upstreams_.refresh(new)
+
     def note_crash(self, upstream, now):
         """Act on the crash of an upstream, once for each boot."""
         if upstream.crashed_:
--- a/sassafrashook/routing/_hints.py
+++ b/sassafrashook/routing/_hints.py
@@ -1,5 +1,7 @@
 """Hints on which upstream holds a conversation's cached prefix."""
 
+from sassafrashook.routing._recent import RecentMap
+
 
 class HolderHints:
     """The last known holder of each of the latest conversations.
@@ -9,23 +11,19 @@
     :param size_max: number of conversations remembered.
     """
 
-    __slots__ = ("size_max", "holders_")
+    __slots__ = ("holders_",)
 
     def __init__(self, size_max):
-        self.size_max = size_max
-        self.holders_ = {}
+        self.holders_ = RecentMap(size_max)
 
     def put(self, key, upstream):
         """Remember that an upstream holds a conversation."""
-        self.holders_.pop(key, None)
-        self.holders_[key] = (upstream, upstream.cache_clears_)
-        if len(self.holders_) > self.size_max:
-            del self.holders_[next(iter(self.holders_))]
+        self.holders_.put(key, (upstream, upstream.cache_clears_))
 
     def drop(self, key, upstream):
         """Forget that an upstream holds a conversation."""
         if self.get(key) is upstream:
-            del self.holders_[key]
+            self.holders_.drop(key)
 
     def get(self, key):
         """Return the upstream believed to hold a conversation, or ``None``."""
--- a/sassafrashook/routing/_invariants.py
+++ b/sassafrashook/routing/_invariants.py
@@ -44,15 +44,17 @@
     limit = upstream.warm_up_.limit_
     if announcement.cold:
         limit = min(limit, announcement.cold_capacity)
-    broken = {
-        Invariant.QUARANTINE: state.suspects_.is_quarantined(fingerprint),
-        Invariant.ZONE: announcement.availability_zone in state.fleet_state_.drained_zones,
-        Invariant.LEAVING: announcement.leaving or upstream.gone_,
-        Invariant.CAPACITY: load >= announcement.capacity,
-        Invariant.COLD_CAPACITY: load >= limit,
-        Invariant.LOAD_BOUND: load >= bound,
-        Invariant.ISOLATION: load > 0 and (is_suspect or upstream.runs_isolated()),
-    }
-    for invariant, is_broken in broken.items():
-        if is_broken:
-            raise InvariantError(invariant)
+    if state.suspects_.is_quarantined(fingerprint):
+        raise InvariantError(Invariant.QUARANTINE)
+    if announcement.availability_zone in state.fleet_state_.drained_zones:
+        raise InvariantError(Invariant.ZONE)
+    if announcement.leaving or upstream.gone_:
+        raise InvariantError(Invariant.LEAVING)
+    if load >= announcement.capacity:
+        raise InvariantError(Invariant.CAPACITY)
+    if load >= limit:
+        raise InvariantError(Invariant.COLD_CAPACITY)
+    if load >= bound:
+        raise InvariantError(Invariant.LOAD_BOUND)
+    if load > 0 and (is_suspect or upstream.runs_isolated()):
+        raise InvariantError(Invariant.ISOLATION)
--- a/sassafrashook/routing/_ledger.py
+++ b/sassafrashook/routing/_ledger.py
@@ -33,6 +33,7 @@
 
 QUARANTINE_RESEND_S = 1.0
 STALE_RETRY_MS = 500
+DELIVERY_MARGIN_S = 0.5
 
 
 class PermitLedger(Core):
@@ -279,10 +280,16 @@
         elif known.announcement.boot_id == announcement.boot_id:
             self.state_.suspects_.note_alive(known)
             known.crashed_ = False
-        elif not known.announcement.leaving and (known.permits_ or known.broken_):
-            self.assigner_.note_crash(known, now)
+        else:
+            self._replace_boot(known, upstreams.get(announcement.upstream_id), now)
         self._drain_all(now)
 
+    def _replace_boot(self, old, new, now):
+        if not old.announcement.leaving and (old.permits_ or old.broken_):
+            self.assigner_.note_crash(old, now)
+        since = now - self.use_within_ms / 1000 - DELIVERY_MARGIN_S
+        self.assigner_.carry_over(old, new, since)
+
     def _lose_upstream(self, event, now):
         self.state_.upstreams_.leave(event.upstream_id)
         self._drain_all(now)
--- a/sassafrashook/routing/_placement.py
+++ b/sassafrashook/routing/_placement.py
@@ -9,8 +9,9 @@
 import math
 from bisect import bisect_left, insort
 
-PROBES = 21
-RING_MASK = 2**64 - 1
+PROBE_FACTORS = range(1, 22)
+RING_BITS = 64
+RING_MASK = 2**RING_BITS - 1
 STEP_MULTIPLIER = 0x9E3779B97F4A7C15
 ROUNDING = 1e-9
 
@@ -25,6 +26,10 @@
     return math.ceil(load_bound * (running + 1) / upstreams - ROUNDING)
 
 
+def _has_room(upstream, bound, excluded):
+    return 0 <= upstream.counted_room < bound and upstream.upstream_id not in excluded
+
+
 def _remove(points, point):
     index = bisect_left(points, point)
     del points[index]
@@ -100,26 +105,31 @@
         bound = self.bound() if self.points_ else 0
         if not any(self.rooms_[:bound]):
             return None
-        for upstream in self.list_preferred(key):
-            room = upstream.counted_room
-            if 0 <= room < bound and upstream.upstream_id not in excluded:
+        probes = self._probe(key)
+        first = self.upstreams_[min(probes) & RING_MASK]
+        if _has_room(first, bound, excluded):
+            return first
+        for probe in sorted(probes):
+            upstream = self.upstreams_[probe & RING_MASK]
+            if _has_room(upstream, bound, excluded):
                 return upstream
         return self._find_nearest(key, bound, excluded)
 
     def list_preferred(self, key):
-        """Return the upstreams at the conversation's probes, most preferred first."""
-        points = self.points_
+        """Return the upstreams at a conversation's probes, most preferred first."""
+        points = dict.fromkeys(probe & RING_MASK for probe in sorted(self._probe(key)))
+        return [self.upstreams_[point] for point in points]
+
+    def _probe(self, key):
+        """Return a number for each probe: its distance to the next point, then that point."""
+        points, size = self.points_, len(self.points_)
         step = (key * STEP_MULTIPLIER & RING_MASK) | 1
-        distances = {}
-        position = key
-        for _ in range(PROBES):
-            position = (position + step) & RING_MASK
-            index = bisect_left(points, position)
-            point = points[index] if index < len(points) else points[0]
-            distance = (point - position) & RING_MASK
-            if distance < distances.get(point, RING_MASK + 1):
-                distances[point] = distance
-        return [self.upstreams_[point] for point in sorted(distances, key=distances.get)]
+        probes = []
+        for factor in PROBE_FACTORS:
+            position = (key + factor * step) & RING_MASK
+            point = points[bisect_left(points, position) - size]
+            probes.append((point - position & RING_MASK) << RING_BITS | point)
+        return probes
 
     def _find_nearest(self, key, bound, excluded):
         best = None
--- a/sassafrashook/routing/_poison.py
+++ b/sassafrashook/routing/_poison.py
@@ -4,6 +4,7 @@
 """
 
 from sassafrashook.routing._deadlines import DeadlineTable
+from sassafrashook.routing._recent import RecentMap
 
 CRASHES_TO_QUARANTINE = 2
 UPSTREAMS_AT_RISK_MAX = 2
@@ -27,7 +28,7 @@
         self.quarantined_ = frozenset()
         self.pending_ = set()
         self.running_ = {}
-        self.proven_ = {}
+        self.proven_ = RecentMap(PROVEN_MAX)
         self.expiries_ = DeadlineTable()
 
     def is_quarantined(self, fingerprint):
@@ -86,10 +87,7 @@
         """Clear a fingerprint whose answer was whole."""
         self.crashes_.pop(fingerprint, None)
         self.expiries_.remove(fingerprint)
-        self.proven_.pop(fingerprint, None)
-        self.proven_[fingerprint] = None
-        if len(self.proven_) > PROVEN_MAX:
-            del self.proven_[next(iter(self.proven_))]
+        self.proven_.put(fingerprint)
 
     def note_crash(self, upstream, now):
         """Count a crash against everything that ran or broke at the upstream.
@@ -100,7 +98,7 @@
         self.note_alive(upstream)
         repeated = []
         for fingerprint in sorted(suspects):
-            self.proven_.pop(fingerprint, None)
+            self.proven_.drop(fingerprint)
             self.expiries_.add(fingerprint, now + SUSPICION_KEPT_S)
             crashes = self.crashes_[fingerprint] = self.crashes_.get(fingerprint, 0) + 1
             if crashes >= CRASHES_TO_QUARANTINE:
--- a/sassafrashook/routing/_sessions.py
+++ b/sassafrashook/routing/_sessions.py
@@ -10,7 +10,8 @@
 class PermitRecord:
     """One permit in use.
 
-    :param upstream: the state under which it is counted, of one boot.
+    :param upstream: the state under which it is counted.
+    :param boot_id: boot of the upstream that it was granted for.
     :param service: the :class:`ServiceState` that it is counted for.
     :param granted: seconds when it was granted or taken over.
     :param isolated: whether nothing else may run beside it.
@@ -20,6 +21,7 @@
     session: object
     request_id: int
     upstream: UpstreamState
+    boot_id: str
     service: ServiceState
     account: str
     fingerprint: int
--- a/sassafrashook/routing/_takeover.py
+++ b/sassafrashook/routing/_takeover.py
@@ -59,6 +59,7 @@
             session=session,
             request_id=holding.request_id,
             upstream=upstream,
+            boot_id=holding.boot_id,
             service=state.get_service(upstream.announcement.service),
             account=holding.account,
             fingerprint=holding.fingerprint,
--- a/sassafrashook/routing/tests/test_placement.py
+++ b/sassafrashook/routing/tests/test_placement.py
@@ -39,7 +39,7 @@
     for request_id in range(1, 201):
         homes[request_id] = driver.ask(request_id).upstream_id
         driver.release(request_id)
-    driver.ledger.state_.hints_.holders_.clear()
+    driver.ledger.state_.hints_.holders_.__init__(8)
     driver.tell(UpstreamLeft("e3"))
     driver.tell(UpstreamSeen(make_announcement("e99")))
     moved = 0
