--- a/sassafrashook/routing/_assignment.py
+++ b/sassafrashook/routing/_assignment.py
@@ -69,6 +69,7 @@
             request_id=query.request_id,
             upstream=upstream,
             boot_id=upstream.announcement.boot_id,
+            ramp=upstream.warm_up_.ramp_,
             service=entry.service,
             account=query.account,
             fingerprint=query.fingerprint,
@@ -126,20 +127,14 @@
     def release(self, record, outcome, first_token_ms, now):
         """Stop counting a permit and act on how its use ended."""
         upstream = record.upstream
-        is_same_boot = record.boot_id == upstream.announcement.boot_id
-        if outcome == PermitOutcome.CRASHED and is_same_boot:
+        if outcome == PermitOutcome.CRASHED and record.is_of_this_boot():
             self.note_crash(upstream, now)
         self.forget(record)
         if outcome == PermitOutcome.FINISHED:
-            self._note_finished(record, first_token_ms, now)
-        elif outcome in BROKEN_OUTCOMES:
-            upstream.warm_up_.note_failed()
-            if not upstream.crashed_:
-                self.state.suspects_.note_broken(record.fingerprint, upstream, now)
-        elif outcome == PermitOutcome.BUSY:
-            upstream.warm_up_.note_busy(upstream.load)
-        elif outcome == PermitOutcome.CONNECT_FAILED:
-            upstream.warm_up_.restart()
+            record.service.note_finished(now - record.granted, first_token_ms)
+            self.state.suspects_.note_finished(record.fingerprint)
+        if record.is_of_this_boot():
+            self._judge(record, outcome, first_token_ms, now)
         self.state.upstreams_.refresh(upstream)
 
     def carry_over(self, old, new, since):
@@ -152,14 +147,14 @@
         self.state.upstreams_.refresh(new)
 
     def note_crash(self, upstream, now):
-        """Act on the crash of an upstream, once for each boot."""
+        """Act on the crash of an upstream; it may be told several times for each boot."""
+        for fingerprint in self.state.suspects_.note_crash(upstream, now):
+            self.state.actions_.append(Quarantine(fingerprint))
         if upstream.crashed_:
             return
         upstream.crashed_ = True
         upstream.warm_up_.restart()
         self.state.count("upstream_crashes", upstream.upstream_id)
-        for fingerprint in self.state.suspects_.note_crash(upstream, now):
-            self.state.actions_.append(Quarantine(fingerprint))
         if self.state.upstreams_.get(upstream.upstream_id) is upstream:
             self.state.upstreams_.leave(upstream.upstream_id)
 
@@ -192,9 +187,17 @@
             epoch=self.state.rules.epoch,
         )
 
-    def _note_finished(self, record, first_token_ms, now):
+    def _judge(self, record, outcome, first_token_ms, now):
+        """Let the limit of an upstream follow from how a permit's use ended there."""
         upstream = record.upstream
-        upstream.warm_up_.note_finished(first_token_ms)
-        record.service.note_finished(now - record.granted, first_token_ms)
-        self.state.suspects_.note_finished(record.fingerprint)
-        self.state.suspects_.note_alive(upstream)
+        if outcome == PermitOutcome.FINISHED:
+            upstream.warm_up_.note_finished(first_token_ms, record.ramp)
+            self.state.suspects_.note_alive(upstream)
+        elif outcome in BROKEN_OUTCOMES:
+            upstream.warm_up_.note_failed()
+            if not upstream.crashed_:
+                self.state.suspects_.note_broken(record.fingerprint, upstream, now)
+        elif outcome == PermitOutcome.BUSY:
+            upstream.warm_up_.note_busy(upstream.load)
+        elif outcome == PermitOutcome.CONNECT_FAILED:
+            upstream.warm_up_.restart()
--- a/sassafrashook/routing/_client.py
+++ b/sassafrashook/routing/_client.py
@@ -30,10 +30,13 @@
     WithdrawRequested,
 )
 from sassafrashook.routing._owner_session import OwnerSession, SessionPhase
+from sassafrashook.utils import hash_key
 
 ANSWER_MARGIN_MS = 20
 RESEND_S = 0.5
 RETRY_AFTER_MS = 500
+REQUEST_ID_BITS = 16  # ids of two boots must not meet, since old messages may still arrive
+CRASHES_KEPT_S = 30.0
 
 
 @dataclass(slots=True, eq=False)
@@ -82,6 +85,7 @@
     session_ : the :class:`OwnerSession`.
     waits_ : requests that wait, by token.
     held_ : permits in use, by request id.
+    crashed_ : permits whose upstream crashed lately, told again to a new owner.
     closed_ : whether the session was closed after :class:`StopRequested`.
 
     :raises ParameterError: if a parameter is outside its range.
@@ -117,9 +121,11 @@
         self.waits_ = {}
         self.asked_ = {}
         self.held_ = {}
+        self.crashed_ = {}
+        self.replayed_epoch_ = 0
         self.deadlines_ = DeadlineTable()
         self.resends_ = DeadlineTable()
-        self.request_id_ = 0
+        self.request_id_ = hash_key("request", boot_id) >> REQUEST_ID_BITS
         self.stopping_ = False
         self.closed_ = False
         self.actions_ = []
@@ -249,12 +255,24 @@
             return
         held.release = PermitReleased(event.request_id, event.outcome, event.first_token_ms)
         if self.session_.is_open():
-            self._send_release(held)
+            self._send_release(held, now)
 
-    def _send_release(self, held):
+    def _send_release(self, held, now):
         del self.held_[held.release.request_id]
+        if held.release.outcome == PermitOutcome.CRASHED:
+            self.crashed_[held.release.request_id] = held
+            held.deadline = now + CRASHES_KEPT_S
         self.actions_.append(Send(self.session_.owner_, held.release))
 
+    def _replay_crashes(self, now):
+        """Hold again what an earlier owner was told of crashes, so that a new one learns of it."""
+        if self.replayed_epoch_ == self.session_.epoch_:
+            return
+        self.replayed_epoch_ = self.session_.epoch_
+        recent = {key: held for key, held in self.crashed_.items() if held.deadline > now}
+        self.crashed_ = {}
+        self.held_.update(recent)
+
     def _handle_message(self, event, now):
         self._handlers[type(event.message)](event.name, event.message, now)
 
@@ -262,9 +280,10 @@
         phase = self.session_.accept(name, message, now)
         if phase == SessionPhase.OPENING:
             self._unask_all()
+            self._replay_crashes(now)
         elif phase == SessionPhase.OPEN:
             for held in [held for held in self.held_.values() if held.release is not None]:
-                self._send_release(held)
+                self._send_release(held, now)
             for wait in list(self.waits_.values()):
                 self._ask(wait, now)
 
--- a/sassafrashook/routing/_isolation.py
+++ b/sassafrashook/routing/_isolation.py
@@ -37,10 +37,13 @@
 
     def next_deadline(self):
         """Return when an upstream may be kept free no longer, or ``None``."""
+        if not self.state.may_grant():
+            return None
         kept = [
             until
             for service in self.state.services_.values()
-            for until in service.reserved_.values()
+            for upstream, until in service.reserved_.items()
+            if not upstream.load
         ]
         return min(kept, default=None)
 
--- a/sassafrashook/routing/_owner_session.py
+++ b/sassafrashook/routing/_owner_session.py
@@ -112,15 +112,16 @@
         fresh_until = renewal.sent + self.lease_s_ * (1 - CLOCK_DRIFT)
         self.fresh_until_ = max(self.fresh_until_, fresh_until)
         self.revision_ = max(self.revision_, message.revision)
-        interval = self.lease_s_ / RENEWALS_PER_LEASE
-        self.answer_by_ = now + interval * RENEWALS_MISSED_MAX + ANSWER_TIMEOUT_S
         is_known = self.owner_ == name and self.epoch_ == message.epoch
         if message.needs_holdings:
             return self._begin_opening(name, message.epoch, is_known, message.sequence, now)
-        if not is_known or self.phase_ != SessionPhase.OPENING:
+        if not is_known or self.phase_ == SessionPhase.SEARCHING:
+            return None
+        self._expect_answer(now)
+        if self.phase_ == SessionPhase.OPEN:
             return None
         self.phase_ = SessionPhase.OPEN
-        self.next_send_ = now + interval
+        self.next_send_ = now + self.lease_s_ / RENEWALS_PER_LEASE
         return self.phase_
 
     def redirect(self, name, message, now):
@@ -146,8 +147,13 @@
         self.owner_ = name
         self.epoch_ = epoch
         self.next_send_ = now
+        self._expect_answer(now)
         return self.phase_
 
+    def _expect_answer(self, now):
+        renewals_s = self.lease_s_ / RENEWALS_PER_LEASE * RENEWALS_MISSED_MAX
+        self.answer_by_ = now + renewals_s + ANSWER_TIMEOUT_S
+
     def _open(self, controller, epoch, holdings, now):
         self.sequence_ += 1
         self.renewals_[self.sequence_] = Renewal(controller, now)
--- a/sassafrashook/routing/_poison.py
+++ b/sassafrashook/routing/_poison.py
@@ -21,12 +21,15 @@
     crashes_ : crashes at which each suspect ran.
     quarantined_ : fingerprints that the replicated state holds as quarantined.
     pending_ : fingerprints to be added to it.
+    concurrent_ : suspects that ran at several upstreams when one of them crashed; of several
+        suspects of a second crash, only these are quarantined without a run alone.
     """
 
     def __init__(self):
         self.crashes_ = {}
         self.quarantined_ = frozenset()
         self.pending_ = set()
+        self.concurrent_ = set()
         self.running_ = {}
         self.proven_ = RecentMap(PROVEN_MAX)
         self.expiries_ = DeadlineTable()
@@ -85,26 +88,30 @@
 
     def note_finished(self, fingerprint):
         """Clear a fingerprint whose answer was whole."""
-        self.crashes_.pop(fingerprint, None)
+        self._clear(fingerprint)
         self.expiries_.remove(fingerprint)
         self.proven_.put(fingerprint)
 
     def note_crash(self, upstream, now):
-        """Count a crash against everything that ran or broke at the upstream.
+        """Count a crash once against each fingerprint that ran or broke at the upstream.
 
         :returns: the fingerprints to be quarantined.
         """
-        suspects = {record.fingerprint for record in upstream.permits_} | set(upstream.broken_)
+        running = {record.fingerprint for record in upstream.permits_}
+        suspects = (running | upstream.broken_.keys()) - upstream.suspected_
+        upstream.suspected_ |= suspects
         self.note_alive(upstream)
         repeated = []
         for fingerprint in sorted(suspects):
+            if fingerprint in running and len(self.running_[fingerprint]) > 1:
+                self.concurrent_.add(fingerprint)
             self.proven_.drop(fingerprint)
             self.expiries_.add(fingerprint, now + SUSPICION_KEPT_S)
             crashes = self.crashes_[fingerprint] = self.crashes_.get(fingerprint, 0) + 1
             if crashes >= CRASHES_TO_QUARANTINE:
                 repeated.append(fingerprint)
         if len(repeated) > 1:
-            return []
+            repeated = [item for item in repeated if item in self.concurrent_]
         self.pending_.update(repeated)
         return repeated
 
@@ -112,7 +119,7 @@
         """Take the replicated list; what an operator removed from it may run alone again."""
         quarantined = frozenset(fingerprints)
         for fingerprint in self.quarantined_ - quarantined:
-            self.crashes_.pop(fingerprint, None)
+            self._clear(fingerprint)
         self.quarantined_ = quarantined
         self.pending_ -= quarantined
 
@@ -124,4 +131,8 @@
                 upstream.broken_.pop(fingerprint, None)
                 self.note_ended(fingerprint, upstream)
             else:
-                self.crashes_.pop(item, None)
+                self._clear(item)
+
+    def _clear(self, fingerprint):
+        self.crashes_.pop(fingerprint, None)
+        self.concurrent_.discard(fingerprint)
--- a/sassafrashook/routing/_sessions.py
+++ b/sassafrashook/routing/_sessions.py
@@ -12,6 +12,7 @@
 
     :param upstream: the state under which it is counted.
     :param boot_id: boot of the upstream that it was granted for.
+    :param ramp: ``ramp_`` of the upstream's :class:`WarmUp` at that time.
     :param service: the :class:`ServiceState` that it is counted for.
     :param granted: seconds when it was granted or taken over.
     :param isolated: whether nothing else may run beside it.
@@ -22,6 +23,7 @@
     request_id: int
     upstream: UpstreamState
     boot_id: str
+    ramp: int
     service: ServiceState
     account: str
     fingerprint: int
@@ -29,6 +31,10 @@
     isolated: bool = False
     grant: object = None
 
+    def is_of_this_boot(self):
+        """Return whether its upstream has not started anew since it was granted."""
+        return self.boot_id == self.upstream.announcement.boot_id
+
 
 class Session:
     """One router's session in one term.
--- a/sassafrashook/routing/_takeover.py
+++ b/sassafrashook/routing/_takeover.py
@@ -20,10 +20,11 @@
 
     Attributes
     ----------
-    missing_ : boot id of each router that has not reported yet, by name.
+    missing_ : routers that have not reported yet, by boot id; one name may stand there twice.
     deadline_ : seconds after which the missing routers can start nothing more.
     charges_until_ : seconds after which nothing of an earlier term can run any longer.
-    unknown_ : stand-ins for upstreams that routers hold permits of but that were not seen yet.
+    unknown_ : stand-ins for upstreams that routers hold permits of but that were not
+        seen yet, by boot id.
     """
 
     def __init__(self, state, assigner):
@@ -39,7 +40,7 @@
 
         :param routers: :class:`KnownRouter` values.
         """
-        self.missing_ = {router.name: router.boot_id for router in routers}
+        self.missing_ = {router.boot_id: router for router in routers}
         if not self.missing_:
             self.state.taken_over_ = True
             return
@@ -60,13 +61,13 @@
             request_id=holding.request_id,
             upstream=upstream,
             boot_id=holding.boot_id,
+            ramp=upstream.warm_up_.ramp_,
             service=state.get_service(upstream.announcement.service),
             account=holding.account,
             fingerprint=holding.fingerprint,
             granted=now,
         )
-        was_missing = self.missing_.get(session.router) == session.boot_id
-        if upstream.charge_ and was_missing:
+        if upstream.charge_ and session.boot_id in self.missing_:
             upstream.charge_ -= 1
         self.assigner.count_permit(record, holding.running_ms)
         self._keep_warm(upstream, upstream.load)
@@ -75,8 +76,8 @@
         """Count at a newly seen upstream what was held there all along."""
         if self.charges_until_ is not None and self.taken_over_with_missing():
             upstream.charge_ = upstream.announcement.capacity
-        unknown = self.unknown_.pop(upstream.upstream_id, None)
-        if unknown is not None and unknown.announcement.boot_id == upstream.announcement.boot_id:
+        unknown = self.unknown_.pop(upstream.announcement.boot_id, None)
+        if unknown is not None:
             for record in list(unknown.permits_):
                 self.assigner.move(record, upstream)
             self._keep_warm(upstream, upstream.load)
@@ -88,10 +89,7 @@
 
     def note_reported(self, session, now):
         """Count a router's report."""
-        if self.missing_.get(session.router) != session.boot_id:
-            return
-        del self.missing_[session.router]
-        if not self.missing_:
+        if self.missing_.pop(session.boot_id, None) is not None and not self.missing_:
             self.state.taken_over_ = True
             self._clear_charges()
 
@@ -119,9 +117,9 @@
         return self.deadline_ if self.deadline_ is not None else self.charges_until_
 
     def _find_unknown(self, holding):
-        unknown = self.unknown_.get(holding.upstream_id)
-        if unknown is None or unknown.announcement.boot_id != holding.boot_id:
-            unknown = self.unknown_[holding.upstream_id] = _make_unknown(holding)
+        unknown = self.unknown_.get(holding.boot_id)
+        if unknown is None:
+            unknown = self.unknown_[holding.boot_id] = _make_unknown(holding)
         return unknown
 
     def _charge_all(self, now):
--- a/sassafrashook/routing/_upstreams.py
+++ b/sassafrashook/routing/_upstreams.py
@@ -23,6 +23,7 @@
     reported_ : requests running by its last report, ``None`` before one came.
     broken_ : fingerprints whose answers broke there lately, with the time of it.
     crashed_ : whether this boot is known to have crashed.
+    suspected_ : fingerprints against which that crash was counted.
     counted_load, counted_limit, counted_room : the numbers under which the groups hold it.
     """
 
@@ -39,6 +40,7 @@
         "live_",
         "broken_",
         "crashed_",
+        "suspected_",
         "counted_load",
         "counted_limit",
         "counted_room",
@@ -63,6 +65,7 @@
         self.live_ = False
         self.broken_ = {}
         self.crashed_ = False
+        self.suspected_ = set()
         self.counted_load = 0
         self.counted_limit = 0
         self.counted_room = -1
@@ -81,7 +84,9 @@
     def room(self):
         """Its load if it may take one more, else -1."""
         load = self.load
-        return load if self.live_ and not self.reserved_ and load < self.warm_up_.limit_ else -1
+        if not self.live_ or load >= self.warm_up_.limit_:
+            return -1
+        return -1 if self.reserved_ or self.runs_isolated() else load
 
     def takes_new_work(self):
         """Return whether it is there, not leaving, and in an open zone."""
--- a/sassafrashook/routing/_warmup.py
+++ b/sassafrashook/routing/_warmup.py
@@ -19,6 +19,7 @@
     Attributes
     ----------
     limit_ : requests that it may run now.
+    ramp_ : number of times that the limit fell back; answers of an earlier ramp don't raise it.
     stated_cold_ : whether it says of itself that it is cold; the limit does not grow meanwhile.
     usual_first_token_ms_ : moving average of its first-token times, 0 while unknown.
 
@@ -35,6 +36,7 @@
         "capacity",
         "cold_capacity",
         "limit_",
+        "ramp_",
         "stated_cold_",
         "usual_first_token_ms_",
         "slow_",
@@ -45,6 +47,7 @@
         self.capacity = capacity
         self.cold_capacity = cold_capacity
         self.limit_ = min(cold_capacity, capacity)
+        self.ramp_ = 0
         self.stated_cold_ = False
         self.usual_first_token_ms_ = 0.0
         self.slow_ = 0
@@ -57,6 +60,7 @@
     def restart(self):
         """Fall back to the cold capacity."""
         self.limit_ = min(self.cold_capacity, self.capacity)
+        self.ramp_ += 1
         self.slow_ = 0
         self.failed_ = 0
 
@@ -90,10 +94,11 @@
         if self.failed_ >= FAILED_ANSWERS:
             self.restart()
 
-    def note_finished(self, first_token_ms):
+    def note_finished(self, first_token_ms, ramp=0):
         """Count a finished answer.
 
         :param first_token_ms: time to the first token, or -1 if unknown.
+        :param ramp: value of ``ramp_`` when its permit was granted.
         """
         self.failed_ = 0
         if first_token_ms >= 0 and self._is_slow(first_token_ms):
@@ -102,7 +107,7 @@
                 self.restart()
             return
         self.slow_ = 0
-        if not self.stated_cold_:
+        if not self.stated_cold_ and ramp == self.ramp_:
             self.limit_ = min(self.limit_ + 1, self.capacity)
 
     def _is_slow(self, first_token_ms):
--- /dev/null
+++ b/sassafrashook/routing/tests/fleet.py
@@ -0,0 +1,413 @@
+"""A queue of timed events over the cores, with fake engines that check from outside.
+
+The checks use nothing of the ledger but its count of running requests: what truly runs at an
+engine must never be more than what the ledger counts, and the ledger's counts must obey the bound.
+"""
+
+import heapq
+import itertools
+import math
+import random
+from dataclasses import dataclass, field
+
+from sassafrashook.messages import (
+    LoadReport,
+    PermitGranted,
+    PermitOutcome,
+    PermitRequested,
+    SessionOpened,
+    SessionRedirected,
+)
+from sassafrashook.routing import (
+    Acquired,
+    AcquireRequested,
+    FleetStateChanged,
+    FromController,
+    FromRouter,
+    KnownRouter,
+    PermitClient,
+    PermitLedger,
+    Quarantine,
+    Refused,
+    ReleaseRequested,
+    RoutersKnown,
+    Send,
+    UpstreamSeen,
+)
+from sassafrashook.routing.tests.builders import SERVICE, make_announcement, make_fleet_state
+
+ZONES = ("a", "b", "c")
+ZONE_DEADLINE_S = 3.0
+LOAD_BOUND = 1.25
+CAPACITY = 8
+COLD_CAPACITY = 2
+
+
+@dataclass
+class Faults:
+    """What goes wrong, as probabilities for each message, and how it is timed.
+
+    :param late: probability of a delay of up to two seconds.
+    """
+
+    lost: float = 0.0
+    late: float = 0.0
+    duplicated: float = 0.0
+    paused: float = 0.0
+
+
+@dataclass
+class Engine:
+    """A fake engine: it counts, warms with finished answers, and dies of poison."""
+
+    name: str
+    zone: str
+    incarnation: int = 1
+    sequence: int = 0
+    finished: int = 0
+    leaving_since: float = math.inf
+    running: dict = field(default_factory=dict)
+
+    @property
+    def boot(self):
+        return f"{self.name}-{self.incarnation}"
+
+    def bears(self):
+        """Return how many requests it bears now."""
+        return min(CAPACITY, COLD_CAPACITY + self.finished)
+
+
+class Fleet:
+    """Routers, one owner at a time, and engines.
+
+    :param seed: of everything random.
+    :param faults: the :class:`Faults`.
+    :param ledger_class: class of the owner; a test may hand in one with a mechanism off.
+    :param is_dispatch_checked: whether routers check ``use_by`` right before they send.
+    """
+
+    def __init__(
+        self, seed, engines=6, routers=4, faults=None, ledger_class=PermitLedger, config_bound=None
+    ):
+        self.rng = random.Random(seed)
+        self.faults = faults or Faults()
+        self.ledger_class = ledger_class
+        self.now = 0.0
+        self.events_ = []
+        self.order_ = itertools.count()
+        self.epoch = 0
+        self.ledger = None
+        self.owner = ""
+        self.drained = {}
+        self.quarantined = set()
+        self.revision = 0
+        self.load_bound = config_bound or LOAD_BOUND
+        self.engines = {f"e{i}": Engine(f"e{i}", ZONES[i % 3]) for i in range(engines)}
+        self.boots = {f"r{i}": 1 for i in range(routers)}
+        self.clients = {}
+        self.dead_routers = []
+        self.tokens = itertools.count(1)
+        self.fingerprints = itertools.count(1)
+        self.poison = set()
+        self.losses = {}
+        self.answers = {"whole": 0, "refused": 0, "broken": 0}
+        self.violations = []
+        self.checked = set()
+        self.is_dispatch_checked = True
+        for router in self.boots:
+            self.start_router(router)
+        self.start_owner("c1")
+        self.every(0.5, self.announce_all)
+        self.every(1.0, self.report_all)
+
+    # -- time -----------------------------------------------------------------------------------
+    def at(self, delay, action, *arguments):
+        heapq.heappush(self.events_, (self.now + delay, next(self.order_), action, arguments))
+
+    def every(self, interval, action):
+        action()
+        self.at(interval, self.every, interval, action)
+
+    def run(self, seconds):
+        until = self.now + seconds
+        while self.events_ and self.events_[0][0] <= until:
+            self.now, _, action, arguments = heapq.heappop(self.events_)
+            action(*arguments)
+        self.now = until
+
+    def deliver(self, action, *arguments):
+        """Deliver a message: perhaps late, twice or never."""
+        if self.rng.random() < self.faults.lost:
+            return
+        copies = 2 if self.rng.random() < self.faults.duplicated else 1
+        for _ in range(copies):
+            delay = self.rng.uniform(0.001, 0.005)
+            if self.rng.random() < self.faults.late:
+                delay = self.rng.uniform(0.1, 2.0)
+            self.at(delay, action, *arguments)
+
+    # -- owner ----------------------------------------------------------------------------------
+    def start_owner(self, name):
+        self.epoch += 1
+        self.owner = name
+        self.ledger = self.ledger_class(epoch=self.epoch, rng=random.Random(self.epoch))
+        known = [KnownRouter(router, f"{router}-{boot}") for router, boot in self.boots.items()]
+        known += [router for router, until in self.dead_routers if until > self.now]
+        self.tell(self.ledger, FleetStateChanged(self.fleet_state()))
+        self.tell(self.ledger, RoutersKnown(tuple(known) if self.epoch > 1 else ()))
+        self.announce_all()
+
+    def lose_owner(self, silent_s=1.0):
+        """The owner falls silent; another one begins later."""
+        self.ledger, self.owner = None, ""
+        self.at(silent_s, self.start_owner, f"c{self.epoch % 3 + 1}")
+
+    def fleet_state(self):
+        self.revision += 1
+        drained = list(self.drained)
+        return make_fleet_state(
+            self.revision, drained, self.quarantined, [("shop", 1), ("surge", 1)], self.load_bound
+        )
+
+    def tell(self, ledger, event):
+        if ledger is self.ledger is not None:
+            self.act(ledger, ledger.handle(event, self.now))
+            self.wake_owner(ledger)
+
+    def wake_owner(self, ledger):
+        due = ledger.next_deadline()
+        if due is not None:
+            self.at(max(0.0, due - self.now), self.advance_owner, ledger)
+
+    def advance_owner(self, ledger):
+        due = ledger.next_deadline()
+        if ledger is self.ledger and due is not None and due <= self.now:
+            self.act(ledger, ledger.advance(self.now))
+            self.wake_owner(ledger)
+
+    def act(self, ledger, actions):
+        for action in actions:
+            if isinstance(action, Send):
+                if isinstance(action.message, PermitGranted):
+                    self.check_grant(ledger, action.peer, action.message)
+                self.deliver(self.hear_controller, action.peer, self.owner, action.message)
+            elif isinstance(action, Quarantine):
+                self.at(0.05, self.quarantine, action.fingerprint)
+            elif action.name == "invariant_violations":
+                self.violations.append(f"invariant {action.attribute}")
+
+    def quarantine(self, fingerprint):
+        self.quarantined.add(fingerprint)
+        self.tell(self.ledger, FleetStateChanged(self.fleet_state()))
+
+    def hear_router(self, router, controller, message):
+        if controller == self.owner:
+            self.tell(self.ledger, FromRouter(router, message))
+        elif isinstance(message, SessionOpened):
+            redirect = SessionRedirected(message.sequence, self.owner)
+            self.deliver(self.hear_controller, router, controller, redirect)
+
+    # -- routers --------------------------------------------------------------------------------
+    def start_router(self, router):
+        boot_id = f"{router}-{self.boots[router]}"
+        client = PermitClient(router, boot_id, ["c1", "c2", "c3"], random.Random(boot_id))
+        self.clients[router] = client
+        self.advance_router(router, client, always=True)
+
+    def restart_router(self, router):
+        dead = KnownRouter(router, f"{router}-{self.boots[router]}")
+        self.dead_routers.append((dead, self.now + 8.0))
+        self.boots[router] += 1
+        self.start_router(router)
+
+    def hear_controller(self, router, name, message):
+        client = self.clients[router]
+        self.tell_router(router, client, FromController(name, message))
+
+    def tell_router(self, router, client, event):
+        if self.clients[router] is client:
+            self.act_router(router, client, client.handle(event, self.now))
+
+    def advance_router(self, router, client, always=False):
+        if self.clients[router] is client:
+            due = client.next_deadline()
+            if always or (due is not None and due <= self.now):
+                self.act_router(router, client, client.advance(self.now))
+
+    def act_router(self, router, client, actions):
+        for action in actions:
+            if isinstance(action, Send):
+                self.deliver(self.hear_router, router, action.peer, action.message)
+            elif isinstance(action, Acquired):
+                pause = self.rng.uniform(0, 3) if self.rng.random() < self.faults.paused else 0.0
+                self.at(pause, self.dispatch, router, client, action.token, action.permit)
+            elif isinstance(action, Refused):
+                self.answers["refused"] += 1
+        due = client.next_deadline()
+        if due is not None:
+            self.at(max(0.0, due - self.now), self.advance_router, router, client)
+
+    # -- callers --------------------------------------------------------------------------------
+    def call(self, fingerprint=None, tries=3, tried=(), router=None, **options):
+        """One caller's request at a random router."""
+        router = router or self.rng.choice(list(self.clients))
+        fingerprint = fingerprint or next(self.fingerprints)
+        options = {"account": "shop", "work_class": "default"} | options
+        query = PermitRequested(
+            0,
+            SERVICE,
+            options.setdefault("key", self.rng.getrandbits(64)),
+            options["account"],
+            options["work_class"],
+            0,
+            5_000,
+            fingerprint,
+            tried=list(tried),
+        )
+        token = Call(next(self.tokens), query, tries, options)
+        self.tell_router(
+            router, self.clients[router], AcquireRequested(token, query, self.now + 2.0)
+        )
+
+    def dispatch(self, router, client, call, permit):
+        """The first byte of a request leaves a router for an engine."""
+        is_late = self.is_dispatch_checked and self.now >= permit.use_by
+        if self.clients[router] is not client or is_late:
+            self.give_back(router, client, permit, PermitOutcome.UNUSED)
+            return
+        engine = self.engines.get(permit.upstream_id)
+        if engine is None:
+            self.give_back(router, client, permit, PermitOutcome.CONNECT_FAILED)
+            return
+        run = (router, client, call, permit)
+        engine.running[call.number] = run
+        self.check_dispatch(engine, call)
+        if call.query.fingerprint in self.poison:
+            self.at(self.rng.uniform(0.05, 0.6), self.crash, engine, engine.boot, call)
+            return
+        length = self.rng.expovariate(1.0) if self.rng.random() < 0.9 else 3.0
+        self.at(min(0.05 + length, 4.5), self.finish, engine, engine.boot, call)
+
+    def give_back(self, router, client, permit, outcome, first_token_ms=-1):
+        released = ReleaseRequested(permit.request_id, outcome, first_token_ms)
+        self.tell_router(router, client, released)
+
+    # -- engines --------------------------------------------------------------------------------
+    def finish(self, engine, boot, call):
+        run = engine.running.pop(call.number, None) if engine.boot == boot else None
+        if run is not None:
+            engine.finished += 1
+            self.answers["whole"] += 1
+            self.give_back(run[0], run[1], run[3], PermitOutcome.FINISHED, 100)
+
+    def crash(self, engine, boot, call=None):
+        """An engine dies, of a request or by itself; it is back after a while, cold."""
+        if engine.boot != boot or (call is not None and call.number not in engine.running):
+            return
+        if call is not None:
+            fingerprint = call.query.fingerprint
+            self.losses[fingerprint] = self.losses.get(fingerprint, 0) + 1
+        runs, engine.running = list(engine.running.values()), {}
+        del self.engines[engine.name]
+        reborn = Engine(engine.name, engine.zone, engine.incarnation + 1)
+        self.at(self.rng.uniform(0.5, 3.0), self.engines.__setitem__, engine.name, reborn)
+        for router, client, broken, permit in runs:
+            self.at(0.01, self.break_answer, router, client, broken, permit)
+
+    def break_answer(self, router, client, call, permit):
+        self.give_back(router, client, permit, PermitOutcome.CRASHED)
+        if self.clients[router] is client and call.tries > 1:
+            tried = [*call.query.tried, permit.upstream_id]
+            self.call(call.query.fingerprint, call.tries - 1, tried, router=router, **call.options)
+        else:
+            self.answers["broken"] += 1
+
+    def announce_all(self):
+        for engine in list(self.engines.values()):
+            engine.sequence += 1
+            announcement = make_announcement(
+                engine.name,
+                zone=engine.zone,
+                boot=engine.boot,
+                sequence=engine.sequence,
+                incarnation=engine.incarnation,
+                capacity=CAPACITY,
+                cold_capacity=COLD_CAPACITY,
+                leaving=self.now >= engine.leaving_since,
+                valid_ms=3_000,
+            )
+            self.deliver(self.tell, self.ledger, UpstreamSeen(announcement))
+
+    def report_all(self):
+        for engine in list(self.engines.values()):
+            report = LoadReport(
+                engine.name, engine.boot, int(self.now * 10) + 1, len(engine.running), 0
+            )
+            self.deliver(self.tell, self.ledger, FromRouter("r0", report))
+
+    def move_zone(self, zone, out):
+        """An operator takes a zone out or back."""
+        if out:
+            self.drained.setdefault(zone, self.now)
+        else:
+            self.drained.pop(zone, None)
+            for engine in self.engines.values():
+                if engine.zone == zone:
+                    engine.finished = 0
+        self.tell(self.ledger, FleetStateChanged(self.fleet_state()))
+
+    # -- checks ---------------------------------------------------------------------------------
+    def check_grant(self, ledger, router, grant):
+        """The bound, counted by brute force from all permits."""
+        name = (ledger.epoch, router, grant.request_id)
+        if name in self.checked:
+            return
+        self.checked.add(name)
+        live = {
+            name: upstream
+            for name, upstream in ledger.state_.upstreams_.upstreams_.items()
+            if upstream.takes_new_work()
+        }
+        loads = dict.fromkeys(live, 0)
+        for record in ledger.assigner_.deadlines_.slot_of_:
+            if live.get(record.upstream.upstream_id) is record.upstream:
+                loads[record.upstream.upstream_id] += 1
+        loads = {name: load + live[name].charge_ for name, load in loads.items()}
+        bound = math.ceil(LOAD_BOUND * sum(loads.values()) / len(live) - 1e-9)
+        if loads[grant.upstream_id] > bound:
+            self.violations.append(f"bound {loads[grant.upstream_id]} over {bound}")
+
+    def check_dispatch(self, engine, call):
+        """What an engine sees when a request reaches it."""
+        running = len(engine.running)
+        if running > engine.bears():
+            self.violations.append(f"cold {engine.name} runs {running} bears {engine.bears()}")
+        if self.now > self.drained.get(engine.zone, math.inf) + ZONE_DEADLINE_S:
+            self.violations.append(f"zone {engine.zone} late")
+        if self.now > engine.leaving_since + ZONE_DEADLINE_S:
+            self.violations.append(f"{engine.name} leaving")
+        if call.query.fingerprint in self.quarantined:
+            self.violations.append(f"quarantined {call.query.fingerprint}")
+        upstream = self.ledger and self.ledger.state_.upstreams_.get(engine.name)
+        is_known = upstream and upstream.announcement.boot_id == engine.boot
+        if is_known and self.ledger.state_.may_grant() and running > upstream.load:
+            self.violations.append(f"count {engine.name} runs {running} counted {upstream.load}")
+
+    def check_end(self):
+        """Nothing may be counted once everything has ended and every deadline has passed."""
+        counted = {name: self.ledger.count_running(name) for name in self.engines}
+        if any(counted.values()):
+            self.violations.append(f"leaked {counted}")
+        worst = max(self.losses.values(), default=0)
+        if worst > 2:
+            self.violations.append(f"one request cost {worst} engines")
+
+
+@dataclass(frozen=True)
+class Call:
+    """One attempt of a caller's request; it is the token of its wait."""
+
+    number: int
+    query: PermitRequested = field(compare=False)
+    tries: int = field(compare=False)
+    options: dict = field(compare=False)
--- /dev/null
+++ b/sassafrashook/routing/tests/test_random.py
@@ -0,0 +1,70 @@
+"""Randomised runs of ledger, clients and fake engines, two kinds of fault at once."""
+
+import os
+
+import pytest
+
+from sassafrashook.routing.tests.fleet import Faults, Fleet
+
+SEED = int(os.environ.get("SEED", "1"))
+RUNS = int(os.environ.get("SOAK", "40"))
+
+
+def disturb(fleet, rng):
+    """Do one thing that goes wrong in a fleet."""
+    engines = list(fleet.engines.values())
+    zone = rng.choice("abc")
+    kind = rng.randrange(8)
+    if kind == 0:
+        engine = rng.choice(engines)
+        fleet.crash(engine, engine.boot)
+    elif kind == 1:
+        back = next(iter(fleet.drained), None)
+        fleet.move_zone(back or zone, out=back is None)
+    elif kind == 2 and fleet.ledger is not None:
+        fleet.lose_owner(rng.uniform(0.2, 2.5))
+    elif kind == 3:
+        fleet.restart_router(rng.choice(list(fleet.boots)))
+    elif kind == 4:
+        rng.choice(engines).leaving_since = fleet.now
+    elif kind == 5:
+        fingerprint = 10_000_000 + rng.randrange(1_000)
+        fleet.poison.add(fingerprint)
+        for delay in (0, 0.5, 1, 2, 4, 8):
+            fleet.at(delay, fleet.call, fingerprint)
+    else:
+        for _ in range(60):
+            fleet.call(account="surge")
+
+
+def run_fleet(seed, seconds=25.0, **options):
+    """Run a fleet under load and faults, then let it come to rest."""
+    fleet = Fleet(seed, **options)
+    rng = fleet.rng
+    if "faults" not in options:
+        kinds = rng.sample(["lost", "late", "duplicated", "paused"], 2)
+        fleet.faults = Faults(**dict.fromkeys(kinds, 0.03))
+    fleet.run(1.0)
+    end = fleet.now + seconds
+    next_fault = fleet.now + 1.0
+    while fleet.now < end:
+        fleet.call(work_class=rng.choice(["counter", "default", "plan"]))
+        fleet.run(rng.expovariate(rng.choice([10, 30])))
+        if fleet.now >= next_fault:
+            next_fault += rng.uniform(1.0, 5.0)
+            disturb(fleet, rng)
+            disturb(fleet, rng)
+    fleet.faults = Faults()
+    fleet.run(4.0)
+    for zone in list(fleet.drained):
+        fleet.move_zone(zone, out=False)
+    fleet.run(16.0)
+    fleet.check_end()
+    return fleet
+
+
+@pytest.mark.parametrize("seed", range(SEED * 1_000, SEED * 1_000 + RUNS))
+def test_promises_hold(seed):
+    fleet = run_fleet(seed)
+    assert not fleet.violations, f"seed {seed}: {fleet.violations[:5]}"
+    assert fleet.answers["whole"] > 100
