Suspects are recorded by boot of the crashed upstream and may be kept for later owners

The ledger now hands out RecordSuspect actions and takes SuspectsKnown; crashes are counted by boot id, so what routers retell and what was recorded add up to the same.

--- a/sassafrashook/routing/__init__.py
+++ b/sassafrashook/routing/__init__.py
@@ -5,7 +5,7 @@
 current time and return actions; any driver, test or bench can run them.
 """
 
-from sassafrashook.routing._actions import Acquired, Count, Quarantine, Refused, Send
+from sassafrashook.routing._actions import Acquired, Count, Quarantine, RecordSuspect, Refused, Send
 from sassafrashook.routing._client import PermitClient
 from sassafrashook.routing._events import (
     AcquireRequested,
@@ -17,6 +17,8 @@
     ReleaseRequested,
     RoutersKnown,
     StopRequested,
+    Suspect,
+    SuspectsKnown,
     UpstreamLeft,
     UpstreamSeen,
     WithdrawRequested,
@@ -41,12 +43,15 @@
     "PermitLedger",
     "PlacementGroup",
     "Quarantine",
+    "RecordSuspect",
     "Refused",
     "ReleaseRequested",
     "RetryBudgets",
     "RoutersKnown",
     "Send",
     "StopRequested",
+    "Suspect",
+    "SuspectsKnown",
     "UpstreamLeft",
     "UpstreamSeen",
     "WithdrawRequested",
--- a/sassafrashook/routing/_actions.py
+++ b/sassafrashook/routing/_actions.py
@@ -6,6 +6,7 @@
 from sassafrashook.gateways import Permit
 from sassafrashook.messages import Message
 from sassafrashook.outcomes import Refusal
+from sassafrashook.routing._events import Suspect
 
 
 @dataclass(slots=True, frozen=True)
@@ -23,6 +24,18 @@
     fingerprint: int
 
 
+@dataclass(slots=True, frozen=True)
+class RecordSuspect(Action):
+    """Have a suspect recorded for later owners, which are told by :class:`SuspectsKnown`.
+
+    Without it a later owner knows only what the routers retell.
+
+    :param suspect: with all its crashes; without any, its record may be deleted.
+    """
+
+    suspect: Suspect
+
+
 @dataclass(slots=True, frozen=True)
 class Count(Action):
     """Count one event.
--- a/sassafrashook/routing/_events.py
+++ b/sassafrashook/routing/_events.py
@@ -63,6 +63,25 @@
     routers: tuple[KnownRouter, ...]
 
 
+@dataclass(slots=True, frozen=True)
+class Suspect:
+    """A request that ran when upstreams crashed.
+
+    :param fingerprint: of its content.
+    :param boot_ids: boots of the upstreams.
+    """
+
+    fingerprint: int
+    boot_ids: tuple[str, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class SuspectsKnown(Event):
+    """What earlier owners recorded of suspects; told before :class:`RoutersKnown`, if at all."""
+
+    suspects: tuple[Suspect, ...]
+
+
 @dataclass(slots=True, frozen=True)
 class AcquireRequested(Event):
     """A request handler wants a permit.
--- a/sassafrashook/routing/_ledger.py
+++ b/sassafrashook/routing/_ledger.py
@@ -15,12 +15,14 @@
     SessionOpened,
 )
 from sassafrashook.outcomes import RefusalReason
-from sassafrashook.routing._actions import Quarantine, Send
+from sassafrashook.routing._actions import Quarantine, RecordSuspect, Send
 from sassafrashook.routing._assignment import Assigner
 from sassafrashook.routing._events import (
     FleetStateChanged,
     FromRouter,
     RoutersKnown,
+    Suspect,
+    SuspectsKnown,
     UpstreamLeft,
     UpstreamSeen,
 )
@@ -134,6 +136,7 @@
             UpstreamLeft: self._lose_upstream,
             FleetStateChanged: self._configure,
             RoutersKnown: self._begin_takeover,
+            SuspectsKnown: self._learn_suspects,
             SessionOpened: self._open_session,
             SessionClosed: self._close_session,
             PermitRequested: self._request,
@@ -146,7 +149,8 @@
     def handle(self, event, now):
         """Take one event: see :mod:`sassafrashook.routing` for the events.
 
-        :returns: :class:`Send`, :class:`Quarantine` and :class:`Count` actions.
+        :returns: :class:`Send`, :class:`Quarantine`, :class:`RecordSuspect` and :class:`Count`
+            actions.
         """
         self._handlers[type(event)](event, now)
         return self._take_actions()
@@ -184,6 +188,10 @@
         return upstream.load if upstream else 0
 
     def _take_actions(self):
+        suspects = self.state_.suspects_
+        for fingerprint in suspects.take_changed() if suspects.changed_ else ():
+            boot_ids = tuple(sorted(suspects.crashes_.get(fingerprint, ())))
+            self.state_.actions_.append(RecordSuspect(Suspect(fingerprint, boot_ids)))
         actions = self.state_.actions_
         self.state_.actions_ = []
         return actions
@@ -303,6 +311,10 @@
     def _begin_takeover(self, event, now):
         self.takeover_.begin(event.routers, now, self.takeover_ms / 1000)
 
+    def _learn_suspects(self, event, now):
+        for suspect in event.suspects:
+            self.state_.suspects_.learn(suspect.fingerprint, suspect.boot_ids, now)
+
     def _note_load(self, message, now):
         upstream = self.state_.upstreams_.get(message.upstream_id)
         if upstream is None or not upstream.accepts_report(message):
--- a/sassafrashook/routing/_poison.py
+++ b/sassafrashook/routing/_poison.py
@@ -18,7 +18,8 @@
 
     Attributes
     ----------
-    crashes_ : crashes at which each suspect ran.
+    crashes_ : boots of upstreams at whose crash each suspect ran.
+    changed_ : suspects whose crashes are to be recorded.
     quarantined_ : fingerprints that the replicated state holds as quarantined.
     pending_ : fingerprints to be added to it.
     concurrent_ : suspects that ran at several upstreams when one of them crashed; of several
@@ -27,6 +28,7 @@
 
     def __init__(self):
         self.crashes_ = {}
+        self.changed_ = {}
         self.quarantined_ = frozenset()
         self.pending_ = set()
         self.concurrent_ = set()
@@ -98,17 +100,21 @@
         :returns: the fingerprints to be quarantined.
         """
         running = {record.fingerprint for record in upstream.permits_}
-        suspects = (running | upstream.broken_.keys()) - upstream.suspected_
-        upstream.suspected_ |= suspects
+        suspects = running | upstream.broken_.keys()
+        boot_id = upstream.announcement.boot_id
         self.note_alive(upstream)
         repeated = []
         for fingerprint in sorted(suspects):
+            crashes = self.crashes_.setdefault(fingerprint, set())
+            if boot_id in crashes:
+                continue
+            crashes.add(boot_id)
+            self.changed_[fingerprint] = None
             if fingerprint in running and len(self.running_[fingerprint]) > 1:
                 self.concurrent_.add(fingerprint)
             self.proven_.drop(fingerprint)
             self.expiries_.add(fingerprint, now + SUSPICION_KEPT_S)
-            crashes = self.crashes_[fingerprint] = self.crashes_.get(fingerprint, 0) + 1
-            if crashes >= CRASHES_TO_QUARANTINE:
+            if len(crashes) >= CRASHES_TO_QUARANTINE:
                 repeated.append(fingerprint)
         if len(repeated) > 1:
             repeated = [item for item in repeated if item in self.concurrent_]
@@ -133,6 +139,18 @@
             else:
                 self._clear(item)
 
+    def take_changed(self):
+        """Return the suspects whose crashes changed since the last call."""
+        changed = list(self.changed_)
+        self.changed_.clear()
+        return changed
+
+    def learn(self, fingerprint, boot_ids, now):
+        """Take over what an earlier owner recorded of a suspect."""
+        self.crashes_.setdefault(fingerprint, set()).update(boot_ids)
+        self.expiries_.add(fingerprint, now + SUSPICION_KEPT_S)
+
     def _clear(self, fingerprint):
-        self.crashes_.pop(fingerprint, None)
+        if self.crashes_.pop(fingerprint, None) is not None:
+            self.changed_[fingerprint] = None
         self.concurrent_.discard(fingerprint)
--- a/sassafrashook/routing/_upstreams.py
+++ b/sassafrashook/routing/_upstreams.py
@@ -23,7 +23,6 @@
     reported_ : requests running by its last report, ``None`` before one came.
     broken_ : fingerprints whose answers broke there lately, with the time of it.
     crashed_ : whether this boot is known to have crashed.
-    suspected_ : fingerprints against which that crash was counted.
     counted_load, counted_limit, counted_room : the numbers under which the groups hold it.
     """
 
@@ -40,7 +39,6 @@
         "live_",
         "broken_",
         "crashed_",
-        "suspected_",
         "counted_load",
         "counted_limit",
         "counted_room",
@@ -65,7 +63,6 @@
         self.live_ = False
         self.broken_ = {}
         self.crashed_ = False
-        self.suspected_ = set()
         self.counted_load = 0
         self.counted_limit = 0
         self.counted_room = -1
