--- a/sassafrashook/routing/_events.py
+++ b/sassafrashook/routing/_events.py
@@ -68,11 +68,11 @@
     """A request that ran when upstreams crashed.
 
     :param fingerprint: of its content.
-    :param boot_ids: boots of the upstreams.
+    :param boots: names of the upstreams, each with its boot id.
     """
 
     fingerprint: int
-    boot_ids: tuple[str, ...]
+    boots: tuple[str, ...]
 
 
 @dataclass(slots=True, frozen=True)
--- a/sassafrashook/routing/_ledger.py
+++ b/sassafrashook/routing/_ledger.py
@@ -190,8 +190,8 @@
     def _take_actions(self):
         suspects = self.state_.suspects_
         for fingerprint in suspects.take_changed() if suspects.changed_ else ():
-            boot_ids = tuple(sorted(suspects.crashes_.get(fingerprint, ())))
-            self.state_.actions_.append(RecordSuspect(Suspect(fingerprint, boot_ids)))
+            boots = tuple(sorted(suspects.crashes_.get(fingerprint, ())))
+            self.state_.actions_.append(RecordSuspect(Suspect(fingerprint, boots)))
         actions = self.state_.actions_
         self.state_.actions_ = []
         return actions
@@ -313,7 +313,7 @@
 
     def _learn_suspects(self, event, now):
         for suspect in event.suspects:
-            self.state_.suspects_.learn(suspect.fingerprint, suspect.boot_ids, now)
+            self.state_.suspects_.learn(suspect.fingerprint, suspect.boots, now)
 
     def _note_load(self, message, now):
         upstream = self.state_.upstreams_.get(message.upstream_id)
--- a/sassafrashook/routing/_poison.py
+++ b/sassafrashook/routing/_poison.py
@@ -101,14 +101,14 @@
         """
         running = {record.fingerprint for record in upstream.permits_}
         suspects = running | upstream.broken_.keys()
-        boot_id = upstream.announcement.boot_id
+        boot = f"{upstream.upstream_id}/{upstream.announcement.boot_id}"
         self.note_alive(upstream)
         repeated = []
         for fingerprint in sorted(suspects):
             crashes = self.crashes_.setdefault(fingerprint, set())
-            if boot_id in crashes:
+            if boot in crashes:
                 continue
-            crashes.add(boot_id)
+            crashes.add(boot)
             self.changed_[fingerprint] = None
             if fingerprint in running and len(self.running_[fingerprint]) > 1:
                 self.concurrent_.add(fingerprint)
@@ -145,9 +145,9 @@
         self.changed_.clear()
         return changed
 
-    def learn(self, fingerprint, boot_ids, now):
+    def learn(self, fingerprint, boots, now):
         """Take over what an earlier owner recorded of a suspect."""
-        self.crashes_.setdefault(fingerprint, set()).update(boot_ids)
+        self.crashes_.setdefault(fingerprint, set()).update(boots)
         self.expiries_.add(fingerprint, now + SUSPICION_KEPT_S)
 
     def _clear(self, fingerprint):
--- a/sassafrashook/routing/_sessions.py
+++ b/sassafrashook/routing/_sessions.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from sassafrashook.routing._events import KnownRouter
 from sassafrashook.routing._services import ServiceState
 from sassafrashook.routing._upstreams import UpstreamState
 
@@ -71,6 +72,10 @@
         self.waiting_ = {}
         self.ended_ = set()
 
+    def identity(self):
+        """Return the router's process as a :class:`KnownRouter`."""
+        return KnownRouter(self.router, self.boot_id)
+
     def note_ended(self, request_id):
         """Remember a release that came before the permit was known to this term."""
         if not self.reported_:
--- a/sassafrashook/routing/_takeover.py
+++ b/sassafrashook/routing/_takeover.py
@@ -20,17 +20,17 @@
 
     Attributes
     ----------
-    missing_ : routers that have not reported yet, by boot id; one name may stand there twice.
+    missing_ : set of the routers that have not reported yet; one name may be there with two boots.
     deadline_ : seconds after which the missing routers can start nothing more.
     charges_until_ : seconds after which nothing of an earlier term can run any longer.
     unknown_ : stand-ins for upstreams that routers hold permits of but that were not
-        seen yet, by boot id.
+        seen yet, by upstream and boot id.
     """
 
     def __init__(self, state, assigner):
         self.state = state
         self.assigner = assigner
-        self.missing_ = {}
+        self.missing_ = set()
         self.deadline_ = None
         self.charges_until_ = None
         self.unknown_ = {}
@@ -40,7 +40,7 @@
 
         :param routers: :class:`KnownRouter` values.
         """
-        self.missing_ = {router.boot_id: router for router in routers}
+        self.missing_ = set(routers)
         if not self.missing_:
             self.state.taken_over_ = True
             return
@@ -67,7 +67,7 @@
             fingerprint=holding.fingerprint,
             granted=now,
         )
-        if upstream.charge_ and session.boot_id in self.missing_:
+        if upstream.charge_ and session.identity() in self.missing_:
             upstream.charge_ -= 1
         self.assigner.count_permit(record, holding.running_ms)
         self._keep_warm(upstream, upstream.load)
@@ -76,7 +76,7 @@
         """Count at a newly seen upstream what was held there all along."""
         if self.charges_until_ is not None and self.taken_over_with_missing():
             upstream.charge_ = upstream.announcement.capacity
-        unknown = self.unknown_.pop(upstream.announcement.boot_id, None)
+        unknown = self.unknown_.pop((upstream.upstream_id, upstream.announcement.boot_id), None)
         if unknown is not None:
             for record in list(unknown.permits_):
                 self.assigner.move(record, upstream)
@@ -89,7 +89,10 @@
 
     def note_reported(self, session, now):
         """Count a router's report."""
-        if self.missing_.pop(session.boot_id, None) is not None and not self.missing_:
+        if session.identity() not in self.missing_:
+            return
+        self.missing_.remove(session.identity())
+        if not self.missing_:
             self.state.taken_over_ = True
             self._clear_charges()
 
@@ -117,9 +120,10 @@
         return self.deadline_ if self.deadline_ is not None else self.charges_until_
 
     def _find_unknown(self, holding):
-        unknown = self.unknown_.get(holding.boot_id)
+        boot = (holding.upstream_id, holding.boot_id)
+        unknown = self.unknown_.get(boot)
         if unknown is None:
-            unknown = self.unknown_[holding.boot_id] = _make_unknown(holding)
+            unknown = self.unknown_[boot] = _make_unknown(holding)
         return unknown
 
     def _charge_all(self, now):
--- a/sassafrashook/routing/tests/fleet.py
+++ b/sassafrashook/routing/tests/fleet.py
@@ -85,15 +85,26 @@
     :param seed: of everything random.
     :param faults: the :class:`Faults`.
     :param ledger_class: class of the owner; a test may hand in one with a mechanism off.
-    :param is_dispatch_checked: whether routers check ``use_by`` right before they send.
+    :param config_bound: the load bound that the ledger is told, if another than is checked.
+    :param pause_s: longest pause of a router between a permit and its use.
     """
 
+    is_dispatch_checked = True
+
     def __init__(
-        self, seed, engines=6, routers=4, faults=None, ledger_class=PermitLedger, config_bound=None
+        self,
+        seed,
+        engines=6,
+        routers=4,
+        faults=None,
+        ledger_class=PermitLedger,
+        config_bound=None,
+        pause_s=3.0,
     ):
         self.rng = random.Random(seed)
         self.faults = faults or Faults()
         self.ledger_class = ledger_class
+        self.pause_s = pause_s
         self.now = 0.0
         self.events_ = []
         self.order_ = itertools.count()
@@ -116,7 +127,6 @@
         self.answers = {"whole": 0, "refused": 0, "broken": 0}
         self.violations = []
         self.checked = set()
-        self.is_dispatch_checked = True
         for router in self.boots:
             self.start_router(router)
         self.start_owner("c1")
@@ -245,7 +255,11 @@
             if isinstance(action, Send):
                 self.deliver(self.hear_router, router, action.peer, action.message)
             elif isinstance(action, Acquired):
-                pause = self.rng.uniform(0, 3) if self.rng.random() < self.faults.paused else 0.0
+                pause = (
+                    self.rng.uniform(0, self.pause_s)
+                    if self.rng.random() < self.faults.paused
+                    else 0.0
+                )
                 self.at(pause, self.dispatch, router, client, action.token, action.permit)
             elif isinstance(action, Refused):
                 self.answers["refused"] += 1
