--- a/sassafrashook/routing/tests/test_random.py
+++ b/sassafrashook/routing/tests/test_random.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from sassafrashook.routing import _assignment, _upstreams
+from sassafrashook.routing._warmup import WarmUp
 from sassafrashook.routing.tests.fleet import Faults, Fleet
 
 SEED = int(os.environ.get("SEED", "1"))
@@ -68,3 +70,51 @@
     fleet = run_fleet(seed)
     assert not fleet.violations, f"seed {seed}: {fleet.violations[:5]}"
     assert fleet.answers["whole"] > 100
+
+
+def switch_off_bound(monkeypatch):
+    return {"config_bound": 10.0}
+
+
+def switch_off_warm_up(monkeypatch):
+    def make_warm(capacity, cold_capacity):
+        return WarmUp(capacity, capacity)
+
+    monkeypatch.setattr(_upstreams, "WarmUp", make_warm)
+    return {}
+
+
+def switch_off_zones(monkeypatch):
+    monkeypatch.setattr(_upstreams.UpstreamTable, "set_zones", lambda table, zones: None)
+    monkeypatch.setattr(_assignment, "check_grant", lambda *_: None)
+    return {}
+
+
+def switch_off_leaving(monkeypatch):
+    def takes_new_work(upstream):
+        return not upstream.drained_ and not upstream.gone_
+
+    monkeypatch.setattr(_upstreams.UpstreamState, "takes_new_work", takes_new_work)
+    monkeypatch.setattr(_assignment, "check_grant", lambda *_: None)
+    return {}
+
+
+def switch_off_running_deadlines(monkeypatch):
+    monkeypatch.setattr(_assignment, "RUNNING_MARGIN_S", 1e6)
+    return {}
+
+
+@pytest.mark.parametrize(
+    ("switch_off", "word"),
+    [
+        (switch_off_bound, "bound"),
+        (switch_off_warm_up, "cold"),
+        (switch_off_zones, "zone"),
+        (switch_off_leaving, "leaving"),
+        (switch_off_running_deadlines, "leaked"),
+    ],
+)
+def test_check_fails_with_its_mechanism_off(monkeypatch, switch_off, word):
+    options = switch_off(monkeypatch)
+    violations = [run_fleet(seed, **options).violations for seed in range(1_000, 1_006)]
+    assert any(word in violation for run in violations for violation in run)
