--- a/sassafrashook/routing/_takeover.py
+++ b/sassafrashook/routing/_takeover.py
@@ -6,6 +6,7 @@
 from sassafrashook.routing._upstreams import UpstreamState
 
 REPORT_LAG_S = 1.0
+EARLIER_RAMP = -1
 
 
 class Takeover:
@@ -61,7 +62,7 @@
             request_id=holding.request_id,
             upstream=upstream,
             boot_id=holding.boot_id,
-            ramp=upstream.warm_up_.ramp_,
+            ramp=EARLIER_RAMP,
             service=state.get_service(upstream.announcement.service),
             account=holding.account,
             fingerprint=holding.fingerprint,
