--- /dev/null
+++ b/sassafrashook/settings/tests/test_documents.py
@@ -0,0 +1,95 @@
+"""Settings and configuration: each kind of mistake gives file, line, path, value and range."""
+
+import pytest
+from returns.pipeline import is_successful
+
+from sassafrashook.configuration import Configuration
+from sassafrashook.settings import (
+    ControllerSettings,
+    RouterSettings,
+    check_exposure,
+    load_keys,
+    read_document,
+)
+
+ROUTER = """\
+name: router-1
+availability_zone: muscat-a
+peer_endpoint: {host: 127.0.0.1, port: 7001}
+caller_endpoint:
+  host: 127.0.0.1
+  port: 8001
+controllers:
+  - {name: controller-1, host: 127.0.0.1, port: 7101}
+"""
+
+CONFIGURATION = """\
+classes:
+  - name: default
+    waiting_ms: 500
+    completion_ms: 60000
+services:
+  - name: stock-advisory
+    kind: engine
+"""
+
+
+def test_good_documents_are_read():
+    assert read_document(ROUTER, RouterSettings).unwrap().caller_endpoint.port == 8001
+    assert read_document(CONFIGURATION, Configuration).unwrap().load_bound == 1.25
+
+
+@pytest.mark.parametrize(
+    ("text", "kind", "line", "path", "words"),
+    [
+        (ROUTER + "colour: red\n", RouterSettings, 1, "$", "unknown field `colour`"),
+        (ROUTER.replace("8001", "800100"), RouterSettings, 6, "$.caller_endpoint.port", "65535"),
+        (ROUTER.replace("8001", "many"), RouterSettings, 6, "$.caller_endpoint.port", "'many'"),
+        (ROUTER.replace("name: router-1\n", ""), RouterSettings, 1, "$", "`name`"),
+        (ROUTER.replace("host: 127.0.0.1, port: 7101", "host: x, port: 1"), RouterSettings, 8,
+         "$.controllers[0]", "'x' does not appear to be an IPv4 or IPv6 address"),
+        (ROUTER + "name: twice\n", RouterSettings, 9, "$", "'name' stands twice"),
+        (ROUTER + "\t- x", RouterSettings, 9, "$", "not YAML"),
+        (CONFIGURATION.replace("500", "0"), Configuration, 3, "$.classes[0].waiting_ms", ">= 1"),
+        (CONFIGURATION + "load_bound: 0.5\n", Configuration, 8, "$.load_bound", "0.5"),
+        ("", Configuration, 0, "$", "object"),
+    ],
+)  # fmt: skip
+def test_mistake_is_placed(text, kind, line, path, words):
+    error = read_document(text, kind, "file.yaml").failure()
+    assert (error.line, error.path) == (line, path)
+    assert words in str(error)
+    assert str(error).startswith("file.yaml")
+
+
+def test_without_keys_only_loopback_is_listened_on():
+    settings = read_document(ROUTER, RouterSettings).unwrap()
+    assert is_successful(check_exposure(settings))
+    exposed = ROUTER.replace("host: 127.0.0.1\n", "host: 0.0.0.0\n")
+    settings = read_document(exposed, RouterSettings).unwrap()
+    assert "without keys.callers only loopback" in check_exposure(settings).failure()
+
+
+def test_controller_without_operator_keys_stays_on_loopback():
+    text = ROUTER.replace("caller_endpoint", "operator_endpoint") + "data_folder: data\n"
+    settings = read_document(text.replace("host: 127.0.0.1\n", "host: '::'\n"), ControllerSettings)
+    assert "without keys.operators" in check_exposure(settings.unwrap()).failure()
+
+
+def test_keys_are_found_by_value_only(tmp_path):
+    path = tmp_path / "keys.yaml"
+    path.write_text("shop: 0123456789abcdef\n")
+    keys = load_keys(path).unwrap()
+    assert keys.find_name("0123456789abcdef") == "shop"
+    assert keys.find_name("0123456789abcdeF") is None
+
+
+@pytest.mark.parametrize(
+    "text", ["shop: short\n", "- list\n", "a: 0123456789abcdef\nb: 0123456789abcdef\n", "a: 1\n"]
+)
+def test_bad_key_file_is_refused_without_showing_keys(tmp_path, text):
+    path = tmp_path / "keys.yaml"
+    path.write_text(text)
+    error = str(load_keys(path).failure())
+    assert str(path) in error
+    assert "0123456789abcdef" not in error
--- /dev/null
+++ b/sassafrashook/telemetry/_logs.py
@@ -0,0 +1,56 @@
+"""One line of key=value pairs for each event, through absl.logging."""
+
+import json
+import logging as standard_logging
+
+from absl import logging
+
+PLAIN_CHARACTERS = frozenset(
+    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._:/@+,-[]*"
+)
+
+
+class KeyValueFormatter(standard_logging.Formatter):
+    """Formats a record as time, level and the event's pairs."""
+
+    def format(self, record):
+        """Return the line for one record."""
+        moment = self.formatTime(record, "%Y-%m-%dT%H:%M:%S")
+        level = record.levelname.lower()
+        message = record.getMessage()
+        if not message.startswith("event="):
+            message = f"event=message text={quote_value(message)}"
+        line = f"time={moment}.{int(record.msecs):03d} level={level} {message}"
+        if record.exc_info:
+            line += f" error={quote_value(self.formatException(record.exc_info))}"
+        return line
+
+
+def quote_value(value):
+    """Return a value as it stands in a log line: quoted unless it is plain."""
+    text = str(value)
+    if text and PLAIN_CHARACTERS.issuperset(text):
+        return text
+    return json.dumps(text)
+
+
+def configure_logs(level="info"):
+    """Send log lines to the standard error stream.
+
+    :param level: ``debug``, ``info``, ``warning`` or ``error``.
+    """
+    logging.set_verbosity(level)
+    logging.use_absl_handler()
+    logging.get_absl_handler().setFormatter(KeyValueFormatter())
+
+
+def log_event(event, *, level="info", **pairs):
+    """Write one event.
+
+    :param event: its name.
+    :param level: ``debug``, ``info``, ``warning`` or ``error``.
+    :param pairs: its values by key.
+    """
+    text = " ".join(f"{key}={quote_value(value)}" for key, value in pairs.items())
+    line = f"event={event} {text}".rstrip()
+    logging.log(logging.converter.string_to_standard(level), "%s", line)
