--- a/sassafrashook/configuration/_configuration.py
+++ b/sassafrashook/configuration/_configuration.py
@@ -73,6 +73,26 @@
     load_bound: Annotated[float, Meta(ge=1.0, le=10.0)] = 1.25
     zone_deadline_ms: Annotated[int, Meta(ge=1_000, le=60_000)] = 3_000
 
+    def __post_init__(self):
+        _check_unique("classes", [entry.name for entry in self.classes])
+        _check_unique("services", [entry.name for entry in self.services])
+        _check_unique("accounts", [entry.name for entry in self.accounts])
+        _check_unique(
+            "path_prefix", [entry.path_prefix for entry in self.services if entry.path_prefix]
+        )
+        _check_unique("models", [model for entry in self.services for model in entry.models])
+        if self.default_class not in {entry.name for entry in self.classes}:
+            raise ValueError(f"default_class {self.default_class!r} is not among the classes")
+        for entry in self.services:
+            if entry.kind is UpstreamKind.PLAIN and not entry.path_prefix:
+                raise ValueError(f"plain service {entry.name!r} needs a path_prefix")
+
+
+def _check_unique(what, names):
+    for name in names:
+        if names.count(name) > 1:
+            raise ValueError(f"{what}: {name!r} stands twice")
+
 
 class ZoneState(StrEnum):
     """Whether an availability zone takes new work."""
--- /dev/null
+++ b/sassafrashook/router/__init__.py
@@ -0,0 +1,7 @@
+"""What a router process runs between callers, controllers and upstreams."""
+
+from sassafrashook.router._claims import ClaimDriver
+from sassafrashook.router._configuration import ConfigurationHolder
+from sassafrashook.router._permits import PermitDriver
+
+__all__ = ["ClaimDriver", "ConfigurationHolder", "PermitDriver"]
--- a/sassafrashook/settings/tests/test_documents.py
+++ b/sassafrashook/settings/tests/test_documents.py
@@ -52,6 +52,8 @@
         (ROUTER + "\t- x", RouterSettings, 9, "$", "not YAML"),
         (CONFIGURATION.replace("500", "0"), Configuration, 3, "$.classes[0].waiting_ms", ">= 1"),
         (CONFIGURATION + "load_bound: 0.5\n", Configuration, 8, "$.load_bound", "0.5"),
+        (CONFIGURATION + "default_class: x\n", Configuration, 1, "$", "'x' is not among"),
+        (CONFIGURATION.replace("engine", "plain"), Configuration, 1, "$", "needs a path_prefix"),
         ("", Configuration, 0, "$", "object"),
     ],
 )  # fmt: skip
--- /dev/null
+++ b/scripts/entry.py
@@ -0,0 +1,5 @@
+"""Entry point of the shipped file."""
+
+from sassafrashook.operations import main
+
+main()
