Add membership: upstreams and nodes spread by gossip under a byte budget

The list is compared by a digest and buckets of keys, since per-record summaries grow with the list (ruled out).

--- /dev/null
+++ b/sassafrashook/membership/_rumors.py
@@ -0,0 +1,113 @@
+"""What was learned lately and is still to be passed on, and messages of bounded size made of it."""
+
+from sassafrashook.membership._entries import Entry, PastBoot
+from sassafrashook.membership._messages import Departure, Refresh, UpstreamRecord
+from sassafrashook.membership._peers import PastPeer, PeerEntry
+
+HEADER_BYTES = 80
+
+
+class Rumors:
+    """Keys of records to be passed on, each a bounded number of times.
+
+    :param repeats: how often a record is sent, not counting answers to requests.
+
+    Attributes:
+
+    :ivar changes_: new and departed records; sent first and at once.
+    :ivar refreshes_: records of which only the sequence is new; sent with the next round.
+    """
+
+    def __init__(self, repeats):
+        self.repeats = repeats
+        self.changes_ = {}
+        self.refreshes_ = {}
+
+    def add_change(self, key):
+        """Pass on a new record."""
+        self.refreshes_.pop(key, None)
+        self.changes_[key] = self.repeats
+
+    def add_refresh(self, key):
+        """Pass on a newer sequence, unless the whole record is still to be passed on."""
+        if key not in self.changes_:
+            self.refreshes_[key] = self.repeats
+
+    def note_repeat(self, key):
+        """Note that another node passes the same on, so that this one may stop earlier."""
+        for queue in (self.changes_, self.refreshes_):
+            if key in queue:
+                count_sent(queue, key)
+
+
+def count_sent(queue, key):
+    """Count one sending of a key; the key moves to the end or is done."""
+    left = queue.pop(key) - 1
+    if left > 0:
+        queue[key] = left
+
+
+class Bundle:
+    """Parts of one message, within a limit of bytes.
+
+    :param limit: bytes, header included.
+    :param measure: function that returns the encoded size of a message or part.
+    """
+
+    def __init__(self, limit, measure):
+        self.measure = measure
+        self.left_ = limit - HEADER_BYTES
+        self.parts_ = {}
+
+    def add(self, field, part):
+        """Add a part if it fits.
+
+        :param field: name of the message's field.
+        :returns: whether it did.
+        """
+        size = self.measure(part)
+        if size > self.left_:
+            return False
+        self.left_ -= size
+        self.parts_.setdefault(field, []).append(part)
+        return True
+
+    def add_item(self, item, now, refresh_only=False):
+        """Add a record of the key set.
+
+        :returns: whether it was added or needn't be, being about to expire.
+        """
+        field, part = make_part(item, now, refresh_only)
+        if part is None:
+            return True
+        return self.add(field, part)
+
+
+def make_part(item, now, refresh_only=False):
+    """Make the part of a message that tells of a record.
+
+    :param item: what the key set holds.
+    :param refresh_only: whether the receiver is thought to know the content.
+    :returns: the field's name and the part; the part is ``None`` if the record has expired.
+    """
+    if isinstance(item, Entry):
+        return make_upstream_part(item, now, refresh_only)
+    if isinstance(item, PeerEntry):
+        return "peers", item.record
+    remaining_ms = int((item.forget_at - now) * 1000)
+    if remaining_ms <= 0:
+        return "", None
+    if isinstance(item, PastBoot):
+        return "departures", Departure(item.upstream_id, item.boot_id, remaining_ms)
+    assert isinstance(item, PastPeer)
+    return "peer_departures", item.make_departure(remaining_ms)
+
+
+def make_upstream_part(entry, now, refresh_only):
+    """Make the part that tells of a listed upstream."""
+    remaining_ms = int((entry.deadline - now) * 1000)
+    if remaining_ms <= 0:
+        return "", None
+    if refresh_only:
+        return "refreshes", Refresh(entry.key, entry.announcement.sequence, remaining_ms)
+    return "upstreams", UpstreamRecord(entry.announcement, remaining_ms)
--- /dev/null
+++ b/sassafrashook/membership/_service.py
@@ -0,0 +1,173 @@
+"""Runs the membership core in greenlets."""
+
+import time
+
+import gevent
+from absl import logging
+from gevent.queue import Empty, Queue
+
+from sassafrashook.membership._events import (
+    AnnouncementHeard,
+    Count,
+    FromPeer,
+    LeaveHeard,
+    PeerProbed,
+    PeersChanged,
+    ProbePeer,
+    Send,
+    StopRequested,
+)
+
+INBOX_LIMIT = 10_000
+STOP_TIMEOUT_S = 2.0
+
+
+class MembershipService:
+    """Drives one :class:`MembershipCore`; one greenlet owns the core.
+
+    :param core: the core, not yet started.
+    :param sender: a :class:`~sassafrashook.gateways.Sender`.
+    :param probe: function that takes a node's name and returns whether it answered on a new
+        connection; it may block its own greenlet. ``None`` takes every silent node as lost.
+    :param count: function that takes a counter's name, its attribute and an amount, or ``None``.
+    :param clock: function that returns monotonic seconds.
+
+    Attributes:
+
+    :ivar dropped_: messages dropped since the inbox was full.
+
+    :raises ParameterError: from :meth:`start`, if a parameter of the core is out of range.
+
+    See also: :class:`MembershipCore`.
+
+    Example:
+
+    >>> import random
+    >>> from sassafrashook.membership import MembershipCore, MembershipService, PeerRecord
+    >>> own = PeerRecord("r1", "router", "10.0.0.1", 7000, "muscat-a", "b1", 1)
+    >>> service = MembershipService(MembershipCore(own, random.Random(1), len), sender=None)
+    >>> service.start()
+    >>> service.upstreams()
+    []
+    >>> service.stop()
+    """
+
+    def __init__(self, core, sender, probe=None, count=None, clock=time.monotonic):
+        self.core = core
+        self.sender = sender
+        self.probe = probe
+        self.count = count
+        self.clock = clock
+        self.dropped_ = 0
+        self._subscribers = []
+        self._inbox = Queue(maxsize=INBOX_LIMIT)
+        self._greenlet = None
+        self._probes = set()
+
+    def start(self):
+        """Start the owning greenlet."""
+        self._carry_out(self.core.start(self.clock()))
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self):
+        """Tell other nodes that this one leaves, and end all greenlets."""
+        if self._greenlet is None:
+            return
+        self._put(StopRequested())
+        self._greenlet.join(STOP_TIMEOUT_S)
+        gevent.killall([self._greenlet, *self._probes])
+        self._greenlet = None
+
+    def subscribe(self, callback):
+        """Have a function called with each notification; it must not block.
+
+        :param callback: takes an ``UpstreamSeen``, ``UpstreamLeft``, ``PeerSeen`` or ``PeerGone``.
+        """
+        self._subscribers.append(callback)
+
+    def deliver(self, sender, message):
+        """Take a message of another node.
+
+        :param sender: name of the node.
+        :param message: one of :data:`MEMBERSHIP_MESSAGES`.
+        """
+        self._put(FromPeer(sender, message))
+
+    def announce(self, announcement):
+        """Take an announcement that an upstream made at this node."""
+        self._put(AnnouncementHeard(announcement))
+
+    def leave(self, upstream_id, boot_id):
+        """Take an upstream's word that one of its boots leaves."""
+        self._put(LeaveHeard(upstream_id, boot_id))
+
+    def set_peers(self, names):
+        """Set the nodes that the settings name."""
+        self._put(PeersChanged(tuple(names)))
+
+    def upstreams(self):
+        """Return the announcements listed, in no particular order."""
+        return self.core.upstreams()
+
+    def peers(self):
+        """Return the records of the nodes listed, this one's included."""
+        return self.core.peers()
+
+    @property
+    def synchronised(self):
+        """Whether the list was found equal to another node's since the start."""
+        return self.core.synchronised_
+
+    def _put(self, event):
+        try:
+            self._inbox.put_nowait(event)
+        except gevent.queue.Full:
+            self.dropped_ += 1
+
+    def _run(self):
+        while not self.core.stopped_:
+            event = self._wait()
+            now = self.clock()
+            if event is not None:
+                self._carry_out(self.core.handle(event, now))
+            if self.core.next_deadline() <= now:
+                self._carry_out(self.core.advance(now))
+
+    def _wait(self):
+        wait_s = self.core.next_deadline() - self.clock()
+        try:
+            return self._inbox.get(timeout=max(wait_s, 0))
+        except Empty:
+            return None
+
+    def _carry_out(self, actions):
+        for action in actions:
+            if isinstance(action, Send):
+                self.sender.send(action.peer, action.message)
+            elif isinstance(action, Count):
+                if self.count is not None:
+                    self.count(action.name, action.attribute, action.amount)
+            elif isinstance(action, ProbePeer):
+                self._start_probe(action.peer)
+            else:
+                self._notify(action)
+
+    def _notify(self, action):
+        for callback in self._subscribers:
+            try:
+                callback(action)
+            except Exception:
+                logging.exception("event=membership_subscriber_failed")
+
+    def _start_probe(self, peer):
+        greenlet = gevent.spawn(self._probe, peer)
+        self._probes.add(greenlet)
+        greenlet.link(self._probes.discard)
+
+    def _probe(self, peer):
+        alive = False
+        try:
+            alive = self.probe is not None and bool(self.probe(peer))
+        except OSError as error:
+            logging.info("event=peer_probe_failed peer=%s error=%s", peer, error)
+        self._put(PeerProbed(peer, alive))
--- /dev/null
+++ b/sassafrashook/membership/_transit.py
@@ -0,0 +1,44 @@
+"""Estimates how long a message was held up on its way, without agreement on time."""
+
+from dataclasses import dataclass
+
+CLOCK_RATE_MARGIN = 1e-3  # seconds a second by which two clocks may drift apart
+
+
+@dataclass(slots=True)
+class Baseline:
+    """The smallest difference seen between the receiver's and the sender's clock."""
+
+    boot: int
+    offset: float
+    set_at: float
+
+
+class TransitClock:
+    """Compares the sender's time in each message with the fastest message seen from it."""
+
+    def __init__(self):
+        self.baselines_ = {}
+
+    def measure_delay(self, peer, boot, sent_ms, now):
+        """Return by how much a message took longer than the fastest from the same sender.
+
+        :param peer: name of the sender.
+        :param boot: number of its boot; a new one starts afresh.
+        :param sent_ms: its own clock when it sent, milliseconds.
+        :param now: the receiver's clock, seconds.
+        :returns: seconds, 0 or more.
+        """
+        offset = now - sent_ms / 1000
+        baseline = self.baselines_.get(peer)
+        if baseline is None or baseline.boot != boot:
+            self.baselines_[peer] = Baseline(boot, offset, now)
+            return 0.0
+        drifted = baseline.offset + CLOCK_RATE_MARGIN * (now - baseline.set_at)
+        baseline.offset = min(drifted, offset)
+        baseline.set_at = now
+        return offset - baseline.offset
+
+    def keep_only(self, names):
+        """Drop what is known of all other senders."""
+        self.baselines_ = {n: b for n, b in self.baselines_.items() if n in names}
--- /dev/null
+++ b/sassafrashook/membership/tests/network.py
@@ -0,0 +1,145 @@
+"""A queue of timed events between membership cores, with faults."""
+
+import heapq
+import itertools
+import random
+
+import msgspec
+
+from sassafrashook.membership import (
+    AnnouncementHeard,
+    Count,
+    FromPeer,
+    MembershipCore,
+    PeerProbed,
+    PeerRecord,
+    PeersChanged,
+    ProbePeer,
+    Send,
+)
+from sassafrashook.messages import UpstreamAnnouncement, UpstreamKind
+
+ENCODER = msgspec.msgpack.Encoder()
+
+
+def measure(message):
+    return len(ENCODER.encode(message))
+
+
+def make_announcement(name="engine-1", boot="b1", sequence=1, **changes):
+    fields = {
+        "upstream_id": name,
+        "kind": UpstreamKind.ENGINE,
+        "service": "stock-advisory",
+        "host": "10.1.0.1",
+        "port": 8000,
+        "availability_zone": "muscat-a",
+        "boot_id": boot,
+        "sequence": sequence,
+        "incarnation": 1_000,
+        "capacity": 16,
+        "cold_capacity": 2,
+        "valid_ms": 10_000,
+    }
+    return UpstreamAnnouncement(**(fields | changes))
+
+
+class Network:
+    """Cores by name, each with its own clock offset, and messages on their way."""
+
+    def __init__(self, seed, names, core_class=MembershipCore, **parameters):
+        self.rng = random.Random(seed)
+        self.core_class = core_class
+        self.parameters = parameters
+        self.names = list(names)
+        self.now = 0.0
+        self.queue = []
+        self.numbers = itertools.count()
+        self.cores = {}
+        self.boots = {}
+        self.offsets = {}
+        self.counts = {}
+        self.sent = {name: [] for name in names}
+        self.delay = lambda source, target: self.rng.uniform(0.0005, 0.002)
+        self.is_cut = lambda source, target: False
+        self.loss = 0.0
+        self.repeat = 0.0
+        self.observe = lambda name, action: None
+        for name in self.names:
+            self.start(name)
+
+    def start(self, name):
+        boot = self.boots[name] = self.boots.get(name, 0) + 1
+        index = self.names.index(name)
+        host = f"10.0.{index // 250}.{index % 250 + 1}"
+        record = PeerRecord(name, "router", host, 7000, "muscat-a", f"{name}-{boot}", boot)
+        core = self.core_class(record, random.Random(self.rng.random()), measure, **self.parameters)
+        self.offsets[name] = self.rng.uniform(0, 1_000)
+        self.cores[name] = core
+        self.carry_out(name, core.start(self.clock(name)))
+        self.tell(name, PeersChanged(tuple(n for n in self.names if n != name)))
+
+    def stop(self, name):
+        del self.cores[name]
+
+    def clock(self, name):
+        return self.now + self.offsets[name]
+
+    def tell(self, name, event):
+        if name in self.cores:
+            self.carry_out(name, self.cores[name].handle(event, self.clock(name)))
+
+    def announce(self, name, announcement):
+        self.tell(name, AnnouncementHeard(announcement))
+
+    def at(self, time, function, *arguments):
+        heapq.heappush(self.queue, (time, next(self.numbers), function, arguments))
+
+    def carry_out(self, name, actions):
+        for action in actions:
+            if isinstance(action, Send):
+                self.post(name, action.peer, action.message)
+            elif isinstance(action, Count):
+                key = (action.name, str(action.attribute))
+                self.counts[key] = self.counts.get(key, 0) + action.amount
+            elif isinstance(action, ProbePeer):
+                alive = action.peer in self.cores and not self.is_cut(name, action.peer)
+                self.at(self.now + 0.01, self.tell, name, PeerProbed(action.peer, alive))
+            else:
+                self.observe(name, action)
+        if name in self.cores:
+            self.schedule(name)
+
+    def schedule(self, name):
+        core = self.cores[name]
+        deadline = core.next_deadline()
+        if getattr(core, "scheduled", None) != deadline:
+            core.scheduled = deadline
+            self.at(deadline - self.offsets[name], self.wake, name, core, deadline)
+
+    def wake(self, name, core, deadline):
+        if self.cores.get(name) is core and core.scheduled == deadline:
+            core.scheduled = None
+            self.carry_out(name, core.advance(max(self.clock(name), deadline)))
+
+    def post(self, source, target, message):
+        self.sent[source].append((self.now, type(message).__name__, measure(message)))
+        if self.is_cut(source, target) or self.rng.random() < self.loss:
+            return
+        copies = 2 if self.rng.random() < self.repeat else 1
+        for _ in range(copies):
+            self.at(self.now + self.delay(source, target), self.arrive, source, target, message)
+
+    def arrive(self, source, target, message):
+        if not self.is_cut(source, target):
+            self.tell(target, FromPeer(source, message))
+
+    def run(self, until):
+        while self.queue and self.queue[0][0] <= until:
+            time, _, function, arguments = heapq.heappop(self.queue)
+            self.now = max(self.now, time)
+            function(*arguments)
+        self.now = until
+
+    def listed(self, name):
+        return {a.upstream_id: a for a in self.cores[name].upstreams()}
--- /dev/null
+++ b/sassafrashook/membership/tests/test_core.py
@@ -0,0 +1,40 @@
+"""Focused tests of the membership core."""
+
+from sassafrashook.membership import LeaveHeard
+from sassafrashook.membership.tests.network import Network, make_announcement
+
+NAMES = [f"r{index}" for index in range(7)]
+
+
+def test_announcement_spreads_to_all():
+    network = Network(1, NAMES)
+    network.run(5.0)
+    network.announce("r3", make_announcement())
+    network.run(7.0)
+    assert all("engine-1" in network.listed(name) for name in NAMES)
+
+
+def test_leave_spreads_and_beats_a_late_refresh():
+    network = Network(2, NAMES)
+    network.announce("r3", make_announcement())
+    network.run(5.0)
+    network.tell("r1", LeaveHeard("engine-1", "b1"))
+    network.run(7.0)
+    for name in NAMES:
+        assert network.listed(name) == {}
+        network.announce(name, make_announcement(sequence=9))
+        assert network.listed(name) == {}
+
+
+def test_equal_lists_cost_the_same_bytes_at_any_length():
+    usage = []
+    for length in (10, 200):
+        network = Network(3, NAMES)
+        for index in range(length):
+            announcement = make_announcement(f"engine-{index}", port=1 + index, valid_ms=60_000)
+            network.announce(NAMES[index % 7], announcement)
+        network.run(35.0)
+        assert all(len(network.listed(name)) == length for name in NAMES)
+        sent = [s for name in NAMES for (t, _, s) in network.sent[name] if t >= 25.0]
+        usage.append(sum(sent) / 7 / 10)
+    assert usage[1] <= usage[0] * 1.05, usage
