--- a/sassafrashook/membership/_core.py
+++ b/sassafrashook/membership/_core.py
@@ -225,7 +225,8 @@
             self._spread_change(entry.key, now)
         elif admission is Admission.REFRESHED:
             self.rumors_.add_refresh(entry.key)
-        if admission not in SILENT_ADMISSIONS:
+        is_repeat = admission is Admission.STALE and not direct
+        if admission not in SILENT_ADMISSIONS and not is_repeat:
             self.count("membership_announcement_refused", admission)
         return admission
 
@@ -368,21 +369,21 @@
             self.count("membership_budget_held", Gossip.__name__)
             return
         bundle = Bundle(limit, self.measure)
-        self._fill(bundle, self.rumors_.changes_, now, refresh_only=False)
+        self._fill(bundle, self.rumors_.changes_, now)
         if not urgent:
-            self._fill(bundle, self.rumors_.refreshes_, now, refresh_only=True)
+            self._fill(bundle, self.rumors_.refreshes_, now)
         wants_reply = not is_reply and self.liveness_.wants_answer(peer, now)
         header = (self.boot_, int(now * 1000), self.keys_.digest_, wants_reply)
         if self.send(peer, Gossip(*header, **bundle.parts_), now) and wants_reply:
             self.liveness_.expect(peer, now)
 
-    def _fill(self, bundle, queue, now, refresh_only):
+    def _fill(self, bundle, queue, now):
         for key in list(queue):
             item = self.keys_.get(key)
             if item is None:
                 del queue[key]
                 continue
-            if not bundle.add_item(item, now, refresh_only):
+            if not bundle.add_item(item, now, by_key=True):
                 return
             count_sent(queue, key)
 
--- a/sassafrashook/membership/_messages.py
+++ b/sassafrashook/membership/_messages.py
@@ -24,10 +24,11 @@
 
 
 class Refresh(Part):
-    """A newer announcement of the same content.
+    """A record named by its key; a receiver that lacks it asks for it.
 
     :param key: 64-bit key of the record.
-    :param remaining_ms: how much longer the announcement holds.
+    :param sequence: for an upstream, the sequence of its newest announcement.
+    :param remaining_ms: for an upstream, how much longer that announcement holds.
     """
 
     key: int
--- a/sassafrashook/membership/_reconciliation.py
+++ b/sassafrashook/membership/_reconciliation.py
@@ -25,7 +25,7 @@
 DEBT_S = 5.0
 DEBTS_LIMIT = 16
 REFUSED_S = 10.0
-REFUSED_LIMIT = 1_024
+ASKED_S = 0.5
 FRESH_SHARE = 0.4  # of the validity: with less than this left, no answer is given
 OUTDATED = (Admission.AFTER_LEAVE, Admission.OLDER_BOOT)
 CONFLICTS = (Admission.ID_AT_TWO_ADDRESSES, Admission.ADDRESS_OF_ANOTHER)
@@ -54,6 +54,7 @@
         self.flush_at_ = None
         self.debts_ = {}
         self.refused_ = {}
+        self.asked_ = {}
         self._changed_at = float("-inf")
         self._equal_at = float("-inf")
         self._compare_after = float("-inf")
@@ -87,6 +88,8 @@
 
     def flush(self, now):
         """Send what is owed, as far as the budget allows."""
+        drop_expired(self.refused_, now)
+        drop_expired(self.asked_, now)
         reserve = int(self.core.budget_bytes * RESERVE_SHARE)
         for peer in list(self.debts_):
             available = self.core.budget_.available(now) - reserve
@@ -103,7 +106,7 @@
         bundle = Bundle(limit, self.core.measure)
         for key, refresh_only in list(debt.keys.items()):
             item = self.core.keys_.get(key)
-            if item is not None and not bundle.add_item(item, now, refresh_only):
+            if item is not None and not bundle.add_item(item, now, by_key=refresh_only):
                 break
             del debt.keys[key]
         if bundle.parts_:
@@ -186,9 +189,9 @@
         better = [past.left_key] if past is not None and past.left_key else []
         better += [rival.key for rival in (entry, holder) if rival is not None]
         self._owe(peer, better, now)
-        if len(self.refused_) >= REFUSED_LIMIT:
-            del self.refused_[next(iter(self.refused_))]
-        self.refused_[hash_announcement(announcement)] = now + REFUSED_S
+        key = hash_announcement(announcement)
+        self.refused_.pop(key, None)
+        self.refused_[key] = now + REFUSED_S
 
     def _take_refreshes(self, peer, refreshes, delay_s, now):
         unknown = []
@@ -196,8 +199,10 @@
             item = self.core.keys_.get(refresh.key)
             if isinstance(item, Entry):
                 self.core.take_refresh(item, refresh, delay_s, now)
-            else:
+            elif item is None:
                 unknown.append(refresh.key)
+            else:
+                self.core.rumors_.note_repeat(refresh.key)
         self._want(peer, unknown, now)
 
     def _want(self, peer, keys, now):
@@ -205,8 +210,11 @@
         left = [dead[key].left_key for key in keys if key in dead and dead[key].left_key]
         self._owe(peer, left, now)
         wanted = [key for key in keys if not self._is_refused(key, now)]
-        if wanted:
-            self.core.send(peer, RecordsWanted(wanted[:KEYS_IN_MESSAGE]), now)
+        wanted = [key for key in wanted if self.asked_.get(key, now) <= now][:KEYS_IN_MESSAGE]
+        if wanted and self.core.send(peer, RecordsWanted(wanted), now):
+            for key in wanted:
+                self.asked_.pop(key, None)
+                self.asked_[key] = now + ASKED_S
 
     def _is_refused(self, key, now):
         past = self.core.directory_.memory_.dead_keys_.get(key)
@@ -260,3 +268,12 @@
 def is_bucket_count(count):
     """Return whether a number of buckets may be used."""
     return MINIMUM_BUCKETS <= count <= MAXIMUM_BUCKETS and count & (count - 1) == 0
+
+
+def drop_expired(deadlines, now):
+    """Drop keys whose deadline has passed from a dictionary in the order of its deadlines."""
+    while deadlines:
+        key = next(iter(deadlines))
+        if deadlines[key] > now:
+            return
+        del deadlines[key]
--- a/sassafrashook/membership/_rumors.py
+++ b/sassafrashook/membership/_rumors.py
@@ -72,28 +72,28 @@
         self.parts_.setdefault(field, []).append(part)
         return True
 
-    def add_item(self, item, now, refresh_only=False):
+    def add_item(self, item, now, by_key=False):
         """Add a record of the key set.
 
         :returns: whether it was added or needn't be, being about to expire.
         """
-        field, part = make_part(item, now, refresh_only)
+        field, part = make_part(item, now, by_key)
         if part is None:
             return True
         return self.add(field, part)
 
 
-def make_part(item, now, refresh_only=False):
+def make_part(item, now, by_key=False):
     """Make the part of a message that tells of a record.
 
     :param item: what the key set holds.
-    :param refresh_only: whether the receiver is thought to know the content.
+    :param by_key: whether to tell the key only; a receiver that lacks the record asks for it.
     :returns: the field's name and the part; the part is ``None`` if the record has expired.
     """
     if isinstance(item, Entry):
-        return make_upstream_part(item, now, refresh_only)
+        return make_upstream_part(item, now, by_key)
     if isinstance(item, PeerEntry):
-        return "peers", item.record
+        return make_peer_part(item, by_key)
     remaining_ms = int((item.forget_at - now) * 1000)
     if remaining_ms <= 0:
         return "", None
@@ -103,11 +103,18 @@
     return "peer_departures", item.make_departure(remaining_ms)
 
 
-def make_upstream_part(entry, now, refresh_only):
+def make_upstream_part(entry, now, by_key):
     """Make the part that tells of a listed upstream."""
     remaining_ms = int((entry.deadline - now) * 1000)
     if remaining_ms <= 0:
         return "", None
-    if refresh_only:
+    if by_key:
         return "refreshes", Refresh(entry.key, entry.announcement.sequence, remaining_ms)
     return "upstreams", UpstreamRecord(entry.announcement, remaining_ms)
+
+
+def make_peer_part(entry, by_key):
+    """Make the part that tells of a listed node."""
+    if by_key:
+        return "refreshes", Refresh(entry.key, entry.record.sequence, 0)
+    return "peers", entry.record
