--- a/sassafrashook/transport/_link.py
+++ b/sassafrashook/transport/_link.py
@@ -77,6 +77,22 @@
         while not self.queue_.empty() and time.monotonic() < deadline:
             gevent.sleep(0.01)
 
+    def probe(self, deadline):
+        """Open a connection, exchange one heartbeat and close it; return whether that worked."""
+        try:
+            connection = self._connect()
+        except OSError:
+            return False
+        try:
+            connection.settimeout(max(0.0, deadline - time.monotonic()))
+            connection.sendall(self.codec.encode(Ping(0)))
+            unpacker = self.codec.make_unpacker()
+            return any(self.codec.feed(unpacker, connection.recv(RECEIVE_BYTES)))
+        except (OSError, ValueError):
+            return False
+        finally:
+            connection.close()
+
     def _run(self):
         while True:
             connection = None
@@ -113,10 +129,8 @@
 
     def _read(self, connection):
         unpacker = self.codec.make_unpacker()
-        connection_timeout = SILENCE_MS / 1000
         while True:
             try:
-                connection.settimeout(connection_timeout)
                 data = connection.recv(RECEIVE_BYTES)
             except OSError:
                 return
@@ -135,16 +149,13 @@
                 raise LinkClosedError(f"no heartbeat from {self.peer}")
             if now >= ping_at:
                 sequence += 1
-                self._send_all(connection, self.codec.encode(Ping(sequence)))
+                connection.sendall(self.codec.encode(Ping(sequence)))
                 ping_at = now + HEARTBEAT_MS / 1000
             data = self._take(ping_at)
             if data:
-                self._send_all(connection, data)
+                connection.sendall(data)
         raise LinkClosedError(f"{self.peer} closed the connection")
 
-    def _send_all(self, connection, data):
-        connection.sendall(data)
-
     def _take(self, until):
         try:
             message = self.queue_.get(timeout=max(0.0, until - time.monotonic()))
--- a/sassafrashook/transport/_mesh.py
+++ b/sassafrashook/transport/_mesh.py
@@ -148,6 +148,18 @@
             link.start()
         return link.put(message)
 
+    def probe(self, peer, deadline):
+        """Find out on a new connection whether a peer answers.
+
+        :param deadline: monotonic seconds.
+        :returns: whether it answered a heartbeat in time.
+        """
+        address = self.addresses_.get(peer)
+        if address is None:
+            return False
+        link = Link(self.name, peer, address, self.codec, self.client_context, self.count)
+        return link.probe(deadline)
+
     def _hand_over(self, sender, message):
         handler = self.handlers_.get(type(message))
         if handler is None:
