--- /dev/null
+++ b/fakes/ledger.py
@@ -0,0 +1,90 @@
+"""A fake ledger: records each order by its key and counts how often it was executed."""
+
+import argparse
+import hashlib
+from collections import Counter
+
+import gevent
+
+from fakes import FakeUpstream, parse_options, read_key, run_fake
+
+
+class FakeLedger(FakeUpstream):
+    """A plain service whose orders may not be repeated.
+
+    :param delay_s: time from the receipt of an order to its answer, seconds.
+    :param close_before_answer: whether it closes the connection in place of the answer, once the
+        order was executed.
+    :param crash_before_answer: whether it falls over there instead.
+
+    Attributes: ``executions``, how often the order of each key was executed.
+    """
+
+    def __init__(self, *args, delay_s=0.0, close_before_answer=False, **options):
+        self.crash_before_answer = options.pop("crash_before_answer", False)
+        super().__init__(*args, **options)
+        self.delay_s = delay_s
+        self.close_before_answer = close_before_answer
+        self.executions = Counter()
+
+    def describe(self):
+        """Return what this ledger recorded."""
+        return {**super().describe(), "executions": dict(self.executions)}
+
+    def respond(self, environ, start_response, path):
+        """Execute an order, look one up, or list what a shelf holds."""
+        key = path.rsplit("/", 1)[1]
+        if environ["REQUEST_METHOD"] == "GET" and "/outcomes/" in path:
+            return self._look_up(environ, start_response, key)
+        if environ["REQUEST_METHOD"] == "GET":
+            self.counts["reads"] += 1
+            return self.answer(environ, start_response, {"path": path})
+        size = int(environ.get("CONTENT_LENGTH") or 0)
+        body = environ["wsgi.input"].read(size)
+        return self._execute(environ, start_response, body)
+
+    def _execute(self, environ, start_response, body):
+        key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
+        self.executions[key] += 1
+        self.records.append(key)
+        gevent.sleep(self.delay_s)
+        if self.crash_before_answer:
+            self.stop()
+        if self.close_before_answer:
+            raise ConnectionResetError(104, "closed before the answer")
+        receipt = hashlib.sha256(body).hexdigest()[:12]
+        fields = {"key": key, "receipt": receipt}
+        return self.answer(environ, start_response, fields, "201 Created")
+
+    def _look_up(self, environ, start_response, key):
+        self.counts["lookups"] += 1
+        if not self.executions[key]:
+            return self.answer(environ, start_response, {}, "404 Not Found")
+        outcome = ("X-Outcome", "ran")
+        return self.answer(environ, start_response, {"key": key}, "200 OK", outcome)
+
+
+def main():
+    """Run a fake ledger as a process."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--delay-ms", type=float, default=0.0)
+    parser.add_argument("--close-before-answer", action="store_true")
+    options = parse_options(parser)
+    ledger = FakeLedger(
+        options.id,
+        options.service,
+        options.zone,
+        options.port,
+        options.router,
+        read_key(options.key_file),
+        delay_s=options.delay_ms / 1_000,
+        close_before_answer=options.close_before_answer,
+        capacity=options.capacity,
+        cold_capacity=options.cold_capacity,
+        checks_fencing=options.checks_fencing,
+    )
+    run_fake(ledger)
+
+
+if __name__ == "__main__":
+    main()
