Recorded answers tell whether their body was dropped

A recorded answer over the size bound, or past its deadline, keeps its verdict and status only. Without a mark a repeat could not tell a dropped body from an empty one. The field is appended with a default.

--- a/sassafrashook/messages/_claims.py
+++ b/sassafrashook/messages/_claims.py
@@ -26,12 +26,14 @@
 
     :param verdict: a :class:`~sassafrashook.outcomes.Verdict`.
     :param status: HTTP status, 0 if no answer came.
+    :param truncated: whether the body was too large, or is too old, to be kept.
     """
 
     verdict: str
     status: int
     content_type: str
     body: bytes
+    truncated: bool = False
 
 
 class ClaimRequested(Message):
