State machine: configuration, zones, claims, orders, quarantine, routers

Commands carry the proposer's wall clock; the state keeps one that never falls. Operator commands are remembered by id until a stored deadline. Operators compare and set against the revision of the last change by an operator, since a quarantine grows the revision too and must not fail their change. Ruled out: forgetting once-records at their deadline, since a repeat with a later deadline would run again; the verdict stays while there is room. Not yet tested beyond a smoke run.

--- /dev/null
+++ b/sassafrashook/state/_machine.py
@@ -0,0 +1,208 @@
+"""The state machine that every controller replica applies committed commands to."""
+
+from hashlib import blake2b
+
+import msgspec
+
+from sassafrashook.base import StateMachine
+from sassafrashook.state import _commands as commands
+from sassafrashook.state._claims import ClaimTable
+from sassafrashook.state._codec import STATE_VERSION, decode_command, decode_envelope
+from sassafrashook.state._commands import CommandOutcome, CommandRefused, RegistryReply
+from sassafrashook.state._limits import StateLimits
+from sassafrashook.state._memory import CommandMemory
+from sassafrashook.state._orders import OrderJournal
+from sassafrashook.state._revisions import RevisionRegister
+from sassafrashook.state._routers import RouterRegistry
+
+__all__ = ["FleetStateMachine", "UnsupportedVersionError"]
+
+DIGEST_BYTES = 16
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+class UnsupportedVersionError(RuntimeError):
+    """The group adopted a state version that this program does not know; it must be replaced."""
+
+
+class FleetStateMachine(StateMachine):
+    """The replicated state of one group of controllers.
+
+    :param limits: a :class:`~sassafrashook.state.StateLimits`, the same on every replica.
+
+    Attributes: ``clock_ms_``, the highest wall clock that any command carried; ``version_``, the
+    adopted state version; ``revisions_``, ``claims_``, ``orders_``, ``routers_`` and
+    ``memory_``, the parts.
+
+    :raises UnsupportedVersionError: from :meth:`apply` and :meth:`restore`, when the group has
+        adopted a state version that this program does not know.
+
+    See also :class:`sassafrashook.gateways.ReplicatedLog`, which decides the order of commands.
+
+    Example::
+
+        >>> from sassafrashook.state import FleetStateMachine, SetZone, decode_reply, encode_command
+        >>> state = FleetStateMachine()
+        >>> command = SetZone("c-1", "brest-a", True, deadline_ms=2_000)
+        >>> decode_reply(state.apply(1, encode_command(command, now_ms=1_000))).revision
+        1
+    """
+
+    claims_class = ClaimTable
+    memory_class = CommandMemory
+    orders_class = OrderJournal
+    revisions_class = RevisionRegister
+
+    def __init__(self, limits=None):
+        self.limits = limits or StateLimits()
+        self.clock_ms_ = 0
+        self.version_ = STATE_VERSION
+        self.claims_ = self.claims_class(self.limits)
+        self.memory_ = self.memory_class(self.limits)
+        self.orders_ = self.orders_class(self.limits)
+        self.revisions_ = self.revisions_class(self.limits)
+        self.routers_ = RouterRegistry(self.limits)
+        self._listeners = []
+
+    def subscribe(self, listener):
+        """Have ``listener()`` called, without blocking, after each growth of the revision."""
+        self._listeners.append(listener)
+
+    def apply(self, index, command):
+        """Apply one committed command; see :class:`~sassafrashook.base.StateMachine`."""
+        revision = self.revisions_.revision_
+        reply = self._apply_envelope(decode_envelope(command))
+        assert self.revisions_.revision_ >= revision, "the revision fell"
+        if self.revisions_.revision_ > revision:
+            self._notify()
+        return _ENCODER.encode(reply)
+
+    def save(self):
+        """Return the whole state as canonical bytes."""
+        return _ENCODER.encode(
+            [
+                self.version_,
+                self.clock_ms_,
+                self.revisions_.save(),
+                self.memory_.save(),
+                self.claims_.save(),
+                self.orders_.save(),
+                self.routers_.save(),
+            ]
+        )
+
+    def restore(self, snapshot):
+        """Replace the whole state by a snapshot."""
+        version, clock_ms, revisions, memory, claims, orders, routers = msgspec.msgpack.decode(
+            snapshot
+        )
+        self._adopt(version)
+        self.clock_ms_ = clock_ms
+        self.revisions_.restore(revisions)
+        self.memory_.restore(memory)
+        self.claims_.restore(claims)
+        self.orders_.restore(orders)
+        self.routers_.restore(routers)
+        self._notify()
+
+    @property
+    def digest(self):
+        """Digest of the whole state, hexadecimal; equal on replicas in equal states."""
+        return blake2b(self.save(), digest_size=DIGEST_BYTES).hexdigest()
+
+    @property
+    def revision(self):
+        """The revision in force."""
+        return self.revisions_.revision_
+
+    def fleet_state(self):
+        """Return what routers act on, a :class:`~sassafrashook.configuration.FleetState`."""
+        return self.revisions_.fleet_state()
+
+    def _apply_envelope(self, envelope):
+        if envelope is None:
+            return CommandRefused("malformed")
+        if envelope.version > self.version_ or envelope.version < 1:
+            return CommandRefused("unsupported_version")
+        command = decode_command(envelope.body)
+        if command is None:
+            return CommandRefused("unknown_command")
+        self._advance_clock(envelope.now_ms)
+        return self._dispatch(command)
+
+    def _advance_clock(self, now_ms):
+        if now_ms <= self.clock_ms_:
+            return
+        self.clock_ms_ = now_ms
+        for part in (self.revisions_, self.memory_, self.claims_, self.orders_):
+            part.expire(now_ms)
+
+    def _dispatch(self, command):
+        match command:
+            case commands.ClaimBatch():
+                return self._apply_batch(command)
+            case commands.ApplyConfiguration():
+                return self._once(command, self.revisions_.apply_configuration)
+            case commands.SetZone():
+                return self._once(command, self.revisions_.set_zone)
+            case commands.IssueOrder():
+                return self._once(command, self._issue_order)
+            case commands.CompleteOrder():
+                return self.orders_.complete(command)
+            case commands.QuarantineFingerprint():
+                return self.revisions_.quarantine(command, self.clock_ms_)
+            case commands.RegisterRouter():
+                return self.routers_.register(command, self.clock_ms_)
+            case commands.ForgetRouter():
+                return self.routers_.forget(command)
+            case commands.AdoptVersion():
+                return self._adopt_next(command.version)
+        return RegistryReply(CommandOutcome.ACCEPTED)
+
+    def _apply_batch(self, batch):
+        replies = [self._apply_claim(entry) for entry in batch.entries]
+        return commands.ClaimBatchReply(replies)
+
+    def _apply_claim(self, entry):
+        if isinstance(entry, commands.Claim):
+            return self.claims_.claim(entry, self.clock_ms_)
+        return self.claims_.complete(entry, self.clock_ms_)
+
+    def _issue_order(self, command):
+        return self.orders_.issue(command, self.clock_ms_)
+
+    def _once(self, command, act):
+        """Act on an operator command, or return the first outcome of its command id."""
+        known, first = self.memory_.recall(command)
+        if known:
+            return first or _refuse_command(command, "command_id_reused", self.revision)
+        refusal = self.memory_.find_refusal(command, self.clock_ms_)
+        if refusal:
+            return _refuse_command(command, refusal, self.revision)
+        reply = act(command)
+        if not getattr(reply, "retry_at_ms", 0):
+            self.memory_.remember(command, reply)
+        return reply
+
+    def _adopt_next(self, version):
+        if version > self.version_ + 1:
+            return RegistryReply(CommandOutcome.REFUSED, "version_skipped")
+        self._adopt(max(version, self.version_))
+        return RegistryReply(CommandOutcome.ACCEPTED)
+
+    def _adopt(self, version):
+        if version > STATE_VERSION:
+            raise UnsupportedVersionError(
+                f"the group adopted state version {version}; allowed: up to {STATE_VERSION}"
+            )
+        self.version_ = version
+
+    def _notify(self):
+        for listener in self._listeners:
+            listener()
+
+
+def _refuse_command(command, reason, revision):
+    if isinstance(command, commands.IssueOrder):
+        return commands.OrderReply(CommandOutcome.REFUSED, 0, reason)
+    return commands.ConfigurationReply(CommandOutcome.REFUSED, revision, reason=reason)
