--- /dev/null
+++ b/sassafrashook/controller/_clock.py
@@ -0,0 +1,59 @@
+"""Lets stored deadlines pass while nobody proposes anything else."""
+
+import gevent
+
+from sassafrashook.controller._service import ControllerService
+from sassafrashook.state import AdvanceClock
+from sassafrashook.utils import Interval
+
+__all__ = ["ClockService"]
+
+COMMIT_TIMEOUT_MS = 2_000
+
+
+class ClockService(ControllerService):
+    """Proposes the wall clock while this controller leads and the state holds deadlines.
+
+    :param proposer: a :class:`CommandProposer`.
+    :param state: the local :class:`~sassafrashook.state.FleetStateMachine`.
+    :param interval_ms: how far the state's clock may lag.
+
+    :raises ParameterError: from :meth:`start`.
+
+    See also :class:`sassafrashook.state.FleetStateMachine`, whose clock this moves.
+
+    Example::
+
+        >>> from sassafrashook.controller import ClockService
+        >>> ClockService(proposer=None, state=None).interval_ms
+        5000
+    """
+
+    _parameter_constraints = {"interval_ms": Interval(int, 100, 600_000)}
+
+    def __init__(self, proposer, state, interval_ms=5_000):
+        self.proposer = proposer
+        self.state = state
+        self.interval_ms = interval_ms
+
+    def start(self):
+        """Start proposing."""
+        self.validate_parameters()
+        self._task = gevent.spawn(self._run)
+
+    def stop(self):
+        """Stop proposing."""
+        self._task.kill()
+
+    def _run(self):
+        while True:
+            gevent.sleep(self.interval_ms / 1000)
+            self.advance()
+
+    def advance(self):
+        """Propose the wall clock if it is due."""
+        lag_ms = self.proposer.wall_clock_ms() - self.state.clock_ms_
+        if lag_ms < self.interval_ms or not self.state.holds_deadlines:
+            return
+        deadline = self.proposer.clock() + COMMIT_TIMEOUT_MS / 1000
+        self.proposer.propose(AdvanceClock(), deadline)
--- /dev/null
+++ b/sassafrashook/controller/_orders.py
@@ -0,0 +1,285 @@
+"""Orders to upstreams: agreed on, then sent at most once."""
+
+from dataclasses import dataclass
+
+import gevent
+import msgspec
+from returns.result import Failure, Success
+
+from sassafrashook.controller._order_client import OrderDocument, OrderResponse, send_order
+from sassafrashook.controller._service import ControllerService
+from sassafrashook.state import (
+    CommandOutcome,
+    CompleteOrder,
+    IssueOrder,
+    ModelHolders,
+    OrderKind,
+    OrderReply,
+    OrderStatus,
+)
+from sassafrashook.telemetry import log_event
+from sassafrashook.utils import Interval
+
+__all__ = ["OrderRequest", "OrderResult", "OrderService"]
+
+UNLOAD_KINDS = (OrderKind.UNLOAD_MODEL, OrderKind.UNLOAD_ADAPTER)
+RETRY_SLACK_MS = 50
+COMMIT_TIMEOUT_MS = 2_000
+
+
+class OrderRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What an operator orders.
+
+    :param command_id: the same for each resend.
+    :param valid_until_unix_ms: after this it must not be sent, wall clock; 0 for the default.
+    """
+
+    command_id: str
+    kind: OrderKind
+    model: str = ""
+    role: str = ""
+    peer: str = ""
+    conversation_key: int = 0
+    valid_until_unix_ms: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class OrderResult:
+    """What became of an order.
+
+    :param outcome: whether the order was agreed on.
+    :param status: what is known of its execution.
+    """
+
+    outcome: CommandOutcome
+    fencing: int = 0
+    status: OrderStatus = OrderStatus.REFUSED
+    reason: str = ""
+    retry_at_ms: int = 0
+
+
+class OrderService(ControllerService):
+    """Issues orders through the replicated log and sends each at most once.
+
+    An order to an upstream that ignores fencing numbers waits until every earlier order to it, of
+    this leader or of a predecessor, is finished or can no longer arrive; the state machine refuses
+    it until then. Deadline and leadership are checked again once the connection stands, right
+    before the first byte.
+
+    :param proposer: a :class:`CommandProposer`.
+    :param log: a :class:`~sassafrashook.gateways.ReplicatedLog`.
+    :param state: the local :class:`~sassafrashook.state.FleetStateMachine`.
+    :param upstreams: an :class:`UpstreamDirectory`.
+    :param issuer: unique for each start of a controller process; only the issuer of an order
+        sends it.
+    :param order_timeout_ms: how long an order may take if the operator states no deadline.
+    :param send: sends one order; as :func:`send_order`.
+    :param sleep: waits for a number of seconds.
+
+    Attributes: ``sent_``, fencing numbers of orders that this process took up to send.
+
+    :raises ParameterError: from :meth:`start`.
+
+    See also :class:`sassafrashook.state.OrderJournal`, which decides.
+
+    Example::
+
+        >>> from sassafrashook.controller import OrderService
+        >>> OrderService(None, None, None, None, issuer="c").order_timeout_ms
+        60000
+    """
+
+    _parameter_constraints = {"order_timeout_ms": Interval(int, 100, 3_600_000)}
+
+    def __init__(
+        self,
+        proposer,
+        log,
+        state,
+        upstreams,
+        issuer,
+        order_timeout_ms=60_000,
+        send=send_order,
+        sleep=gevent.sleep,
+    ):
+        self.proposer = proposer
+        self.log = log
+        self.state = state
+        self.upstreams = upstreams
+        self.issuer = issuer
+        self.order_timeout_ms = order_timeout_ms
+        self.send = send
+        self.sleep = sleep
+
+    def start(self):
+        """Check the parameters."""
+        self.validate_parameters()
+        self.sent_ = set()
+
+    def stop(self):
+        """Do nothing: orders run in their callers' tasks."""
+
+    def order(self, upstream_id, request, deadline):
+        """Agree on an order, send it and record what became of it.
+
+        :param request: an :class:`OrderRequest`.
+        :param deadline: monotonic seconds until which to wait for earlier orders.
+        :returns: ``Success`` of an :class:`OrderResult` or ``Failure`` of a
+            :class:`~sassafrashook.gateways.ProposalError`.
+        """
+        confirmed = self.log.confirm_read(deadline)
+        if isinstance(confirmed, Failure):
+            return confirmed
+        term = self.log.leading_term(self.proposer.clock())
+        record = self._find_record(request.command_id)
+        if record is not None and _is_same(record, upstream_id, request):
+            return Success(self._send_once(record, term))
+        issued = self._issue(upstream_id, request, deadline)
+        if isinstance(issued, Failure):
+            return issued
+        reply = issued.unwrap()
+        if reply.outcome != CommandOutcome.ACCEPTED:
+            return Success(_describe_refusal(reply))
+        return Success(self._send_once(self.state.orders_.orders_[reply.fencing], term))
+
+    def list_orders(self):
+        """Return the journal's records, oldest first."""
+        return [self.state.orders_.orders_[n] for n in sorted(self.state.orders_.orders_)]
+
+    def _issue(self, upstream_id, request, deadline):
+        """Propose the order until it is accepted, refused for good, or the deadline has passed."""
+        while True:
+            announcement = self._find_upstream(upstream_id)
+            if announcement is None:
+                return Success(OrderReply(CommandOutcome.REFUSED, 0, "unknown_upstream"))
+            command = self._build_command(announcement, request)
+            result = self.proposer.propose(command, deadline)
+            if isinstance(result, Failure) or not result.unwrap().retry_at_ms:
+                return result
+            pause = self._find_pause(result.unwrap())
+            if self.proposer.clock() + pause >= deadline:
+                return result
+            self.sleep(pause)
+
+    def _find_pause(self, reply):
+        remaining_ms = reply.retry_at_ms - self.proposer.wall_clock_ms() + RETRY_SLACK_MS
+        return max(remaining_ms, RETRY_SLACK_MS) / 1000
+
+    def _send_once(self, record, term):
+        """Send an order unless it was ever sent, or may be by another controller."""
+        is_mine = record.issuer == self.issuer and record.fencing not in self.sent_
+        if record.status != OrderStatus.ISSUED or not is_mine:
+            return _describe(record)
+        self.sent_.add(record.fencing)
+        response = self._send(record, term)
+        self._complete(record, response)
+        return OrderResult(
+            CommandOutcome.ACCEPTED, record.fencing, response.status, response.detail
+        )
+
+    def _send(self, record, term):
+        announcement = self._find_upstream(record.upstream_id)
+        if announcement is None or announcement.boot_id != record.boot_id:
+            return OrderResponse(OrderStatus.REFUSED, "not sent: the upstream left")
+        remaining_ms = record.deadline_ms - self.proposer.wall_clock_ms()
+        if remaining_ms <= 0:
+            return OrderResponse(OrderStatus.REFUSED, "not sent: deadline passed")
+        send_before = self.proposer.clock() + remaining_ms / 1000
+
+        def may_send():
+            return self._may_send(record, term, send_before)
+
+        document = _build_document(record)
+        return self.send(announcement.host, announcement.port, document, remaining_ms, may_send)
+
+    def _may_send(self, record, term, send_before):
+        now = self.proposer.clock()
+        if now >= send_before or self.proposer.wall_clock_ms() >= record.deadline_ms:
+            return False
+        return term != 0 and self.log.leading_term(now) == term
+
+    def _complete(self, record, response):
+        log_event(
+            "order_ended",
+            fencing=record.fencing,
+            kind=record.kind,
+            upstream=record.upstream_id,
+            status=response.status,
+            detail=response.detail,
+        )
+        deadline = self.proposer.clock() + COMMIT_TIMEOUT_MS / 1000
+        self.proposer.propose(CompleteOrder(record.fencing, response.status), deadline)
+
+    def _build_command(self, announcement, request):
+        default_ms = self.proposer.wall_clock_ms() + self.order_timeout_ms
+        return IssueOrder(
+            command_id=request.command_id,
+            kind=request.kind,
+            upstream_id=announcement.upstream_id,
+            boot_id=announcement.boot_id,
+            checks_fencing=announcement.checks_fencing,
+            deadline_ms=request.valid_until_unix_ms or default_ms,
+            model=request.model,
+            role=request.role,
+            drops=self._find_drops(announcement, request),
+            peer=request.peer,
+            conversation_key=request.conversation_key,
+            issuer=self.issuer,
+        )
+
+    def _find_drops(self, announcement, request):
+        if request.kind in UNLOAD_KINDS:
+            models = [request.model]
+        elif request.kind == OrderKind.CHANGE_ROLE:
+            models = sorted(announcement.models)
+        else:
+            return []
+        return [ModelHolders(model, self._find_holders(model)) for model in models]
+
+    def _find_holders(self, model):
+        drained = set(self.state.fleet_state().drained_zones)
+        return sorted(
+            entry.upstream_id
+            for entry in self.upstreams.list_upstreams()
+            if model in entry.models
+            and not entry.leaving
+            and entry.availability_zone not in drained
+        )
+
+    def _find_upstream(self, upstream_id):
+        for announcement in self.upstreams.list_upstreams():
+            if announcement.upstream_id == upstream_id:
+                return announcement
+        return None
+
+    def _find_record(self, command_id):
+        for record in self.state.orders_.orders_.values():
+            if record.command_id == command_id:
+                return record
+        return None
+
+
+def _is_same(record, upstream_id, request):
+    ordered = (record.upstream_id, record.kind, record.model, record.role, record.peer)
+    asked = (upstream_id, request.kind, request.model, request.role, request.peer)
+    return ordered == asked and record.conversation_key == request.conversation_key
+
+
+def _build_document(record):
+    return OrderDocument(
+        fencing=record.fencing,
+        order=str(record.kind),
+        model=record.model,
+        deadline_ms=record.deadline_ms,
+        role=record.role,
+        peer=record.peer,
+        conversation_key=record.conversation_key,
+    )
+
+
+def _describe(record):
+    return OrderResult(CommandOutcome.ACCEPTED, record.fencing, record.status)
+
+
+def _describe_refusal(reply):
+    return OrderResult(reply.outcome, reason=reply.reason, retry_at_ms=reply.retry_at_ms)
--- a/sassafrashook/state/_commands.py
+++ b/sassafrashook/state/_commands.py
@@ -73,6 +73,10 @@
     document: bytes
     deadline_ms: int
 
+    def identify(self):
+        """Return what the operator asked for, the same for each resend."""
+        return ["configuration", self.expected_revision, self.document]
+
 
 class SetZone(Message):
     """Take an availability zone out, or bring it back.
@@ -86,6 +90,10 @@
     deadline_ms: int
     expected_revision: int = -1
 
+    def identify(self):
+        """Return what the operator asked for, the same for each resend."""
+        return ["zone", self.expected_revision, self.zone, self.drained]
+
 
 class Claim(Message):
     """Ask to run a call once; see :class:`~sassafrashook.messages.ClaimRequested`."""
@@ -153,6 +161,7 @@
     :param deadline_ms: after this the order must not be sent.
     :param drops: every model that the upstream will no longer hold.
     :param peer: the other upstream of a cache export or import.
+    :param issuer: the start of a controller process that alone sends the order.
     """
 
     command_id: str
@@ -166,6 +175,12 @@
     drops: list[ModelHolders] = []
     peer: str = ""
     conversation_key: int = 0
+    issuer: str = ""
+
+    def identify(self):
+        """Return what the operator asked for, the same for each resend."""
+        place = [self.upstream_id, self.peer, self.conversation_key]
+        return [str(self.kind), self.model, self.role, *place]
 
 
 class CompleteOrder(Message):
--- a/sassafrashook/state/_machine.py
+++ b/sassafrashook/state/_machine.py
@@ -115,6 +115,16 @@
         """The revision in force."""
         return self.revisions_.revision_
 
+    @property
+    def holds_deadlines(self):
+        """Whether anything in the state ends at a stored deadline."""
+        return bool(
+            self.memory_.commands_
+            or self.claims_.records_
+            or self.orders_.orders_
+            or self.revisions_.quarantined_
+        )
+
     def fleet_state(self):
         """Return what routers act on, a :class:`~sassafrashook.configuration.FleetState`."""
         return self.revisions_.fleet_state()
--- a/sassafrashook/state/_memory.py
+++ b/sassafrashook/state/_memory.py
@@ -96,5 +96,4 @@
 
 
 def _digest(command):
-    content = msgspec.structs.replace(command, deadline_ms=0)
-    return blake2b(_ENCODER.encode(content), digest_size=DIGEST_BYTES).digest()
+    return blake2b(_ENCODER.encode(command.identify()), digest_size=DIGEST_BYTES).digest()
--- a/sassafrashook/state/_orders.py
+++ b/sassafrashook/state/_orders.py
@@ -41,6 +41,7 @@
     peer: str = ""
     conversation_key: int = 0
     status: OrderStatus = OrderStatus.ISSUED
+    issuer: str = ""
 
 
 class OrderJournal:
@@ -121,6 +122,7 @@
             drops=sorted(entry.model for entry in command.drops),
             peer=command.peer,
             conversation_key=command.conversation_key,
+            issuer=command.issuer,
         )
 
     def _find_refusal(self, command, now_ms):
