--- a/sassafrashook/controller/_admin.py
+++ b/sassafrashook/controller/_admin.py
@@ -1,7 +1,5 @@
 """The operators' HTTP interface of a controller."""
 
-import hmac
-
 import falcon
 import msgspec
 
@@ -33,7 +31,7 @@
     :param orders: the :class:`OrderService`.
     :param upstreams: an :class:`UpstreamDirectory`.
     :param members: a :class:`MemberDirectory`.
-    :param key: the operators' bearer key, or empty for none.
+    :param keys: mapping from bearer key to operator, or ``None`` to ask for no key.
     :param clock: returns monotonic seconds.
     :param metrics: any object with ``count(metric, reason)``, or ``None``.
     :param answer_timeout_ms: how long one command may take to be committed.
@@ -67,7 +65,7 @@
         orders,
         upstreams,
         members,
-        key,
+        keys,
         clock,
         metrics=None,
         answer_timeout_ms=5_000,
@@ -82,7 +80,7 @@
         self.orders = orders
         self.upstreams = upstreams
         self.members = members
-        self.key = key
+        self.keys = keys
         self.clock = clock
         self.metrics = metrics
         self.answer_timeout_ms = answer_timeout_ms
@@ -192,10 +190,15 @@
         self.application = application
 
     def process_request(self, request, response):
-        """Compare the key in constant time before anything else is read."""
-        key = self.application.key
-        if not key:
-            return
-        given = (request.auth or "").encode()
-        if not hmac.compare_digest(given, f"Bearer {key}".encode()):
+        """Look the key up before anything else is read."""
+        keys = self.application.keys
+        operator = "anyone" if keys is None else self._find_operator(keys, request)
+        if request.method != "GET":
+            log_event("operator_command", operator=operator, path=request.path)
+
+    def _find_operator(self, keys, request):
+        scheme, _, key = (request.auth or "").partition(" ")
+        operator = keys.get(key) if scheme == "Bearer" else None
+        if operator is None:
             raise AdminError(401, ErrorAnswer("unauthenticated"))
+        return operator
--- a/sassafrashook/operations/_cli.py
+++ b/sassafrashook/operations/_cli.py
@@ -5,6 +5,7 @@
 import time
 
 import fire
+import msgspec
 from returns.pipeline import is_successful
 
 from sassafrashook.configuration import Configuration
@@ -79,7 +80,25 @@
             exit_with(ExitCode.USAGE, f"--key-file={path!r}: {error.strerror}")
 
 
-class ConfigCommands(OperatorCommands):
+class ConfigurationChange(OperatorCommands):
+    """Base of the commands that replace the configuration."""
+
+    def _apply(self, configuration, expected_revision, command_id, wait):
+        if expected_revision is None:
+            expected_revision = self._call("GET", "/v1/configuration")["revision"]
+        command = {
+            "expected_revision": expected_revision,
+            "document": msgspec.to_builtins(configuration),
+            "wait_ms": self._timeout_ms if wait else 0,
+        }
+        body = self._call("PUT", "/v1/configuration", command, command_id)
+        rollout = body.pop("rollout", None)
+        self._print(body)
+        if wait:
+            _report_rollout(rollout)
+
+
+class ConfigCommands(ConfigurationChange):
     """Check, apply and show the operators' configuration."""
 
     def check(self, file):
@@ -106,37 +125,8 @@
         body = self._call("GET", "/v1/configuration")
         print_answer(body, True)
 
-    def _apply(self, configuration, expected_revision, command_id, wait):
-        import msgspec
-
-        if expected_revision is None:
-            expected_revision = self._call("GET", "/v1/configuration")["revision"]
-        command = {
-            "expected_revision": expected_revision,
-            "document": msgspec.to_builtins(configuration),
-        }
-        body = self._call("PUT", "/v1/configuration", command, command_id)
-        self._print(body)
-        if wait:
-            self._wait_in_force(body["revision"])
-
-    def _wait_in_force(self, revision):
-        deadline = time.monotonic() + self._timeout_ms / 1000
-        while True:
-            body = self._call("GET", f"/v1/configuration/confirmations?revision={revision}")
-            if body["in_force"]:
-                print(f"in force everywhere: revision {revision}")
-                return
-            if time.monotonic() >= deadline:
-                names = ", ".join(body["unconfirmed"]) or "none is connected"
-                exit_with(ExitCode.NOT_IN_FORCE, f"accepted; not yet confirmed by: {names}")
-            time.sleep(POLL_MS / 1000)
-
-
-POLL_MS = 100
 
-
-class ClassCommands(ConfigCommands):
+class ClassCommands(ConfigurationChange):
     """Classes of work and their targets."""
 
     def set(self, name, waiting_ms, completion_ms, priority=5, command_id=None, wait=False):
@@ -148,7 +138,7 @@
         :param priority: 0 to 9; smaller goes first between equals.
         """
         state = self._call("GET", "/v1/configuration")
-        document = state["configuration"]
+        document = state["document"]
         classes = [entry for entry in document["classes"] if entry["name"] != name]
         target = {"waiting_ms": waiting_ms, "completion_ms": completion_ms, "priority": priority}
         document["classes"] = [*classes, {"name": name, **target}]
@@ -158,7 +148,7 @@
     def list(self):
         """List the classes."""
         body = self._call("GET", "/v1/configuration")
-        classes = (body["configuration"] or {}).get("classes", [])
+        classes = (body["document"] or {}).get("classes", [])
         columns = ["name", "waiting_ms", "completion_ms", "priority"]
         rows = [[entry.get(column, 5) for column in columns] for entry in classes]
         self._print({"classes": classes}, columns, rows)
@@ -178,8 +168,9 @@
     def list(self):
         """List the zones."""
         body = self._call("GET", "/v1/zones")
-        rows = [[entry["zone"], entry["state"], entry["upstreams"]] for entry in body["zones"]]
-        self._print(body, ["zone", "state", "upstreams"], rows)
+        zones = sorted({*body["drained"], *body["announced"]})
+        rows = [[zone, "drained" if zone in body["drained"] else "open"] for zone in zones]
+        self._print(body, ["zone", "state"], rows)
 
 
 class UpstreamCommands(OperatorCommands):
@@ -188,13 +179,13 @@
     def list(self):
         """List the upstreams that have announced themselves."""
         body = self._call("GET", "/v1/upstreams")
-        columns = ["upstream_id", "service", "availability_zone", "state", "running", "bound"]
+        columns = ["upstream_id", "service", "availability_zone", "host", "port", "cold", "leaving"]
         rows = [[entry.get(column, "") for column in columns] for entry in body["upstreams"]]
         self._print(body, columns, rows)
 
     def order(self, upstream, kind, model="", role="", command_id=None):
         """Order an upstream to load or unload a model, or to change its role."""
-        command = {"order": kind, "model": model, "role": role}
+        command = {"kind": kind, "model": model, "role": role}
         path = f"/v1/upstreams/{upstream}/orders"
         self._print(self._call("POST", path, command, command_id))
 
@@ -205,7 +196,7 @@
     def list(self):
         """List the members."""
         body = self._call("GET", "/v1/members")
-        columns = ["name", "identity", "role"]
+        columns = ["name", "identity", "host", "port", "votes"]
         rows = [[entry.get(column, "") for column in columns] for entry in body["members"]]
         self._print(body, columns, rows)
 
@@ -267,8 +258,6 @@
 
 def convert_or_exit(document):
     """Return a configuration built from plain values, or end the process with a usage error."""
-    import msgspec
-
     try:
         return msgspec.convert(document, Configuration)
     except msgspec.ValidationError as error:
@@ -281,6 +270,16 @@
     sys.exit(int(code))
 
 
+def _report_rollout(rollout):
+    if rollout["in_force"]:
+        silent = ", ".join(rollout["silent"])
+        note = f"; silent and so without new work: {silent}" if silent else ""
+        print(f"in force everywhere: revision {rollout['revision']}{note}")
+        return
+    names = ", ".join(rollout["pending"])
+    exit_with(ExitCode.NOT_IN_FORCE, f"accepted; not yet confirmed by: {names}")
+
+
 def _describe_refusal(body):
     reason = body.get("reason", "refused")
     rest = " ".join(f"{key}={value}" for key, value in body.items() if key != "reason")
--- a/sassafrashook/operations/_client.py
+++ b/sassafrashook/operations/_client.py
@@ -12,7 +12,7 @@
 from sassafrashook.outcomes import Verdict
 
 CONNECT_TIMEOUT_MS = 1_000
-ANSWER_TIMEOUT_MS = 10_000
+MIN_ANSWER_MS = 1_000
 RESEND_PAUSE_MS = 200
 STATUS_NOT_LEADER = 421
 STATUS_UNAVAILABLE = 503
@@ -123,7 +123,7 @@
             address.host,
             address.port,
             connection_timeout=CONNECT_TIMEOUT_MS / 1000,
-            network_timeout=ANSWER_TIMEOUT_MS / 1000,
+            network_timeout=max(MIN_ANSWER_MS / 1000, self.deadline - time.monotonic()),
         )
         try:
             response = client.request(method, path, body=data, headers=headers)
--- a/sassafrashook/operations/_controller.py
+++ b/sassafrashook/operations/_controller.py
@@ -149,7 +149,7 @@
         members = ReplicaMembers(log, self.settings.controllers)
         self.admin_ = AdminApplication(
             name, log, state, proposer, configuration, orders, upstreams, members,
-            self.operators_, clock, metrics,
+            self.operators_ if self.operators_.are_set else None, clock, metrics,
         )  # fmt: skip
         clock_service = ClockService(proposer, state)
         self.services_ = [configuration, claims, self.permits_, orders, clock_service, self.admin_]
--- a/sassafrashook/operations/_router.py
+++ b/sassafrashook/operations/_router.py
@@ -50,7 +50,6 @@
         """Stop gracefully: requests end by themselves, however long they take."""
         self.server_.stop(math.inf)
         self.permits_.close_session()
-        self.permits_.wait_closed()
         self.permits_.stop()
         self.process_.stop()
 
--- a/sassafrashook/router/_permits.py
+++ b/sassafrashook/router/_permits.py
@@ -30,6 +30,8 @@
 )
 
 ANSWER_MARGIN_MS = 100
+CLOSE_MS = 2_000
+POLL_MS = 10
 
 
 class PermitDriver(PermitSource):
@@ -71,6 +73,9 @@
     def close_session(self):
         """Take no more work and tell the owner once nothing is held."""
         self._inbox.put(StopRequested())
+        deadline = self.clock() + CLOSE_MS / 1000
+        while not self.core.closed_ and self.clock() < deadline:
+            gevent.sleep(POLL_MS / 1000)
 
     def deliver(self, controller, message):
         """Take one message of a controller."""
--- a/sassafrashook/settings/_keys.py
+++ b/sassafrashook/settings/_keys.py
@@ -19,7 +19,7 @@
 
     :param names: name by SHA-256 digest of its key; ``None`` if no keys are set.
 
-    >>> Keys.make({"shop": "0123456789abcdef"}).find_name("0123456789abcdef")
+    >>> Keys.make({"shop": "0123456789abcdef"}).get("0123456789abcdef")
     'shop'
     """
 
@@ -30,12 +30,15 @@
         """Build from a mapping of name to key."""
         return cls({_digest(key): name for name, key in keys.items()})
 
-    def find_name(self, key):
+    def get(self, key):
         """Return whose key it is, or ``None``."""
         if self.names is None:
             return None
         return self.names.get(_digest(key))
 
+    def __contains__(self, key):
+        return self.get(key) is not None
+
     @property
     def are_set(self):
         """Whether any keys are demanded."""
--- a/sassafrashook/settings/tests/test_documents.py
+++ b/sassafrashook/settings/tests/test_documents.py
@@ -82,8 +82,8 @@
     path = tmp_path / "keys.yaml"
     path.write_text("shop: 0123456789abcdef\n")
     keys = load_keys(path).unwrap()
-    assert keys.find_name("0123456789abcdef") == "shop"
-    assert keys.find_name("0123456789abcdeF") is None
+    assert keys.get("0123456789abcdef") == "shop"
+    assert keys.get("0123456789abcdeF") is None
 
 
 @pytest.mark.parametrize(
