--- a/sassafrashook/operations/_cli.py
+++ b/sassafrashook/operations/_cli.py
@@ -102,11 +102,11 @@
     """Check, apply and show the operators' configuration."""
 
     def check(self, file):
-        """Check a configuration file without sending it.
+        """Check a configuration or a process's settings without sending or starting anything.
 
         :param file: path of the YAML document.
         """
-        load_or_exit(file, Configuration)
+        load_or_exit(file, detect_kind(file))
         print(f"{file}: ok")
 
     def apply(self, file, expected_revision=None, command_id=None, wait=False):
@@ -239,6 +239,17 @@
         self._print(self._call("GET", "/v1/status"))
 
 
+def detect_kind(file):
+    """Return the class of a document by the key that only it has."""
+    kinds = {"operator_endpoint": ControllerSettings, "caller_endpoint": RouterSettings}
+    try:
+        with open(file, encoding="utf-8") as text:
+            keys = {line.partition(":")[0] for line in text}
+    except (OSError, UnicodeDecodeError):
+        return Configuration
+    return next((kind for key, kind in kinds.items() if key in keys), Configuration)
+
+
 def load_or_exit(file, kind):
     """Return a checked document, or end the process with a usage error."""
     result = load_document(file, kind)
