--- a/sassafrashook/operations/_process.py
+++ b/sassafrashook/operations/_process.py
@@ -23,6 +23,7 @@
 )
 from sassafrashook.messages import ROUTER_MESSAGES
 from sassafrashook.settings import load_keys
+from sassafrashook.tasks import watch_tasks
 from sassafrashook.telemetry import Metrics, configure_logs, log_event
 from sassafrashook.transport import (
     Certificates,
@@ -196,6 +197,7 @@
         gevent.signal_handler(number, _ask_to_stop, stopping)
     try:
         role = make_role(settings)
+        watch_tasks(lambda task, error: role.failed_.set())
         role.start()
     except ProcessError as error:
         log_event("start_refused", level="error", process=settings.name, reason=error)
--- a/sassafrashook/router/_permits.py
+++ b/sassafrashook/router/_permits.py
@@ -28,6 +28,7 @@
     StopRequested,
     WithdrawRequested,
 )
+from sassafrashook.tasks import spawn_task
 
 ANSWER_MARGIN_MS = 100
 CLOSE_MS = 2_000
@@ -63,7 +64,7 @@
 
     def start(self):
         """Start the task."""
-        self._task = gevent.spawn(self._run)
+        self._task = spawn_task(self._run)
 
     def stop(self):
         """End the task; nobody may wait for a permit any more."""
--- a/sassafrashook/telemetry/_logs.py
+++ b/sassafrashook/telemetry/_logs.py
@@ -3,13 +3,21 @@
 import json
 import logging as standard_logging
 
-from absl import logging
+from absl import flags, logging
 
 PLAIN_CHARACTERS = frozenset(
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._:/@+,-[]*"
 )
 
 
+LEVELS = {
+    "debug": logging.DEBUG,
+    "info": logging.INFO,
+    "warning": logging.WARNING,
+    "error": logging.ERROR,
+}
+
+
 class KeyValueFormatter(standard_logging.Formatter):
     """Formats a record as time, level and the event's pairs."""
 
@@ -39,6 +47,8 @@
 
     :param level: ``debug``, ``info``, ``warning`` or ``error``.
     """
+    flags.FLAGS.mark_as_parsed()
+    flags.FLAGS.logtostderr = True
     logging.set_verbosity(level)
     logging.use_absl_handler()
     logging.get_absl_handler().setFormatter(KeyValueFormatter())
@@ -53,4 +63,4 @@
     """
     text = " ".join(f"{key}={quote_value(value)}" for key, value in pairs.items())
     line = f"event={event} {text}".rstrip()
-    logging.log(logging.converter.string_to_standard(level), "%s", line)
+    logging.log(LEVELS[level], "%s", line)
--- a/sassafrashook/transport/_link.py
+++ b/sassafrashook/transport/_link.py
@@ -6,6 +6,7 @@
 from gevent import socket
 from gevent.queue import Empty, Full, Queue
 
+from sassafrashook.tasks import spawn_task
 from sassafrashook.transport._frames import Hello, Ping, Pong
 from sassafrashook.transport._tls import read_peer_name
 
@@ -51,7 +52,7 @@
 
     def start(self):
         """Start the task that owns the connection."""
-        self.greenlet_ = gevent.spawn(self._run)
+        self.greenlet_ = spawn_task(self._run)
 
     def stop(self):
         """End the task and its connection."""
--- a/sassafrashook/transport/_mesh.py
+++ b/sassafrashook/transport/_mesh.py
@@ -4,10 +4,12 @@
 from dataclasses import dataclass
 
 import gevent
+from absl import logging
 from gevent import socket
 from gevent.server import StreamServer
 
 from sassafrashook.gateways import Sender
+from sassafrashook.tasks import spawn_task
 from sassafrashook.transport._codec import Codec, CodecError
 from sassafrashook.transport._frames import FRAMES, Hello, Ping, Pong
 from sassafrashook.transport._link import RECEIVE_BYTES, SILENCE_MS, Link
@@ -99,7 +101,7 @@
         self._server = StreamServer(self.listen, self._serve)
         self._server.start()
         self.port_ = self._server.server_port
-        self._sweeper = gevent.spawn(self._sweep)
+        self._sweeper = spawn_task(self._sweep)
 
     def stop(self, flush_ms=0):
         """Close everything.
@@ -176,6 +178,9 @@
             self.count("connections_refused", "bad_message", 1)
         except OSError as error:
             self.count("connections_lost", type(error).__name__, 1)
+        except Exception as error:
+            self.count("connections_failed", type(error).__name__, 1)
+            logging.exception("event=message_handler_failed")
         finally:
             self.connections_.discard(connection)
             connection.close()
