Replicated log: sans-I/O core, durable storage and gevent driver

The core speaks of a term, vote or entry only after it was told that they are synced. Identities are drawn at random and bound to the initial names by a founding handshake that every initial member syncs before the first vote, so a host whose disk was lost cannot vote again, whatever its settings say. Ruled out: an identity derived from the name under a bootstrap flag, since the flag would stay in the settings of a host that later loses its disk.

A replaced identity is dropped before the new one votes: doing both in one change would leave quorums of the old and new list without a voter in common.

--- /dev/null
+++ b/sassafrashook/consensus/__init__.py
@@ -0,0 +1,60 @@
+"""A replicated log of the project's own: sans-I/O core, files and gevent driver."""
+
+from sassafrashook.consensus._actions import (
+    Apply,
+    InvariantError,
+    Persist,
+    Persisted,
+    Proposal,
+    ProposalAppended,
+    ProposalRefused,
+    ProposalsOffered,
+    ReadConfirmed,
+    ReadOffered,
+    ReadRefused,
+    RecoveredState,
+    ReplaceMember,
+    Restore,
+    Role,
+    RoleChanged,
+    SendMessage,
+    Snapshot,
+    SnapshotSaved,
+    TakeSnapshot,
+    TransferLeadership,
+)
+from sassafrashook.consensus._core import ReplicaCore
+from sassafrashook.consensus._messages import CONSENSUS_MESSAGES, Entry, Member
+from sassafrashook.consensus._persistence import ReplicaStorage
+from sassafrashook.consensus._replica import Replica, ReplicaStatus
+
+__all__ = [
+    "Apply",
+    "CONSENSUS_MESSAGES",
+    "Entry",
+    "InvariantError",
+    "Member",
+    "Persist",
+    "Persisted",
+    "Proposal",
+    "ProposalAppended",
+    "ProposalRefused",
+    "ProposalsOffered",
+    "ReadConfirmed",
+    "ReadOffered",
+    "ReadRefused",
+    "RecoveredState",
+    "ReplaceMember",
+    "Replica",
+    "ReplicaCore",
+    "ReplicaStatus",
+    "ReplicaStorage",
+    "Restore",
+    "Role",
+    "RoleChanged",
+    "SendMessage",
+    "Snapshot",
+    "SnapshotSaved",
+    "TakeSnapshot",
+    "TransferLeadership",
+]
--- /dev/null
+++ b/sassafrashook/consensus/_core.py
@@ -0,0 +1,407 @@
+"""The replicated log's decisions, without input or output."""
+
+from collections import Counter, deque
+
+from sassafrashook.base import Core
+from sassafrashook.consensus._actions import (
+    Apply,
+    InvariantError,
+    Persist,
+    Persisted,
+    ProposalsOffered,
+    ReadOffered,
+    ReplaceMember,
+    Restore,
+    Role,
+    RoleChanged,
+    SendMessage,
+    SnapshotSaved,
+    TakeSnapshot,
+    TransferLeadership,
+)
+from sassafrashook.consensus._admission import AdmissionMixin
+from sassafrashook.consensus._elections import ElectionMixin
+from sassafrashook.consensus._log import EntryLog
+from sassafrashook.consensus._membership import MembershipMixin, decode_members
+from sassafrashook.consensus._messages import (
+    MEMBERS,
+    AppendAnswered,
+    AppendRequested,
+    ElectionRequested,
+    IdentityAnnounced,
+    ReadAnswered,
+    ReadForwarded,
+    SnapshotAnswered,
+    SnapshotPiece,
+    VoteAnswered,
+    VoteRequested,
+)
+from sassafrashook.consensus._reads import ReadMixin
+from sassafrashook.consensus._replication import ReplicationMixin
+from sassafrashook.consensus._snapshot_transfer import SnapshotTransferMixin
+from sassafrashook.utils import Interval, Options
+
+__all__ = ["ReplicaCore"]
+
+HEARTBEAT_MS = 150
+ELECTION_MIN_MS = 1000
+ELECTION_MAX_MS = 2000
+DRIFT_FRACTION = 0.05
+MAX_IN_FLIGHT_ENTRIES = 1024
+MAX_IN_FLIGHT_BYTES = 4 * 1024 * 1024
+MAX_BATCH_ENTRIES = 256
+MAX_BATCH_BYTES = 512 * 1024
+MAX_UNCOMMITTED_ENTRIES = 8192
+SNAPSHOT_PIECE_BYTES = 256 * 1024
+SNAPSHOT_ENTRIES = 500
+TRAILING_ENTRIES = 100
+
+
+class ReplicaCore(
+    AdmissionMixin,
+    ElectionMixin,
+    ReplicationMixin,
+    SnapshotTransferMixin,
+    MembershipMixin,
+    ReadMixin,
+    Core,
+):
+    """One replica of a Raft-style replicated log.
+
+    The core speaks of a term, a vote or an entry only after it was told that they are synced.
+
+    :param name: this replica's name.
+    :param identity: identity of its data folder.
+    :param boot: counts the starts on that folder, from 1.
+    :param boot_id: unique for this start.
+    :param members: names of the initial members, this one included or not.
+    :param rng: ``random.Random``.
+    :param group: name of the group; messages of other groups are refused.
+    :param bootstrap: whether this replica may help to found the group.
+    :param heartbeat_ms: time between two heartbeats.
+    :param election_min_ms: a voter that heard from a leader votes for no other one this long.
+    :param election_max_ms: longest time until a silent leader is challenged.
+    :param drift_fraction: bound on how much faster or slower a clock may run.
+    :param max_in_flight_entries: entries sent to one member and not acknowledged.
+    :param max_in_flight_bytes: their size.
+    :param max_batch_entries: entries in one message.
+    :param max_batch_bytes: their size.
+    :param max_uncommitted_entries: proposals beyond this are refused.
+    :param snapshot_piece_bytes: size of one piece of a snapshot.
+    :param snapshot_entries: a snapshot is taken after this many committed entries.
+    :param trailing_entries: entries kept behind a snapshot for members that lag.
+
+    Attributes: ``term_``, ``role_``, ``leader_`` (a name), ``commit_index_``,
+    ``durable_index_``, and ``refusals_``, a counter of refused messages by reason.
+
+    :raises InvariantError: from :meth:`handle` and :meth:`advance`; the replica must stop.
+
+    See also :class:`~sassafrashook.consensus.Replica`.
+
+    >>> import random
+    >>> from sassafrashook.consensus import RecoveredState
+    >>> core = ReplicaCore("a", "1", 1, "x", ("a",), random.Random(1), bootstrap=True)
+    >>> actions = core.start(RecoveredState(), 0.0)
+    >>> core.role_.value
+    'follower'
+    """
+
+    _parameter_constraints = {
+        "bootstrap": Options(bool),
+        "heartbeat_ms": Interval(int, 1, 60_000),
+        "election_min_ms": Interval(int, 2, 600_000),
+        "election_max_ms": Interval(int, 3, 600_000),
+        "drift_fraction": Interval(float, 0.0, 0.3),
+        "max_in_flight_entries": Interval(int, 1),
+        "max_in_flight_bytes": Interval(int, 1),
+        "max_batch_entries": Interval(int, 1),
+        "max_batch_bytes": Interval(int, 1),
+        "max_uncommitted_entries": Interval(int, 1),
+        "snapshot_piece_bytes": Interval(int, 1),
+        "snapshot_entries": Interval(int, 1),
+        "trailing_entries": Interval(int, 0),
+    }
+
+    _handlers = {
+        AppendAnswered: "_on_append_answered",
+        AppendRequested: "_on_append_requested",
+        ElectionRequested: "_on_election_requested",
+        IdentityAnnounced: "_on_identity_announced",
+        Persisted: "_on_persisted",
+        ProposalsOffered: "_on_proposals_offered",
+        ReadAnswered: "_on_read_answered",
+        ReadForwarded: "_on_read_forwarded",
+        ReadOffered: "_on_read_offered",
+        ReplaceMember: "_on_replace_member",
+        SnapshotAnswered: "_on_snapshot_answered",
+        SnapshotPiece: "_on_snapshot_piece",
+        SnapshotSaved: "_on_snapshot_saved",
+        TransferLeadership: "_on_transfer_leadership",
+        VoteAnswered: "_on_vote_answered",
+        VoteRequested: "_on_vote_requested",
+    }
+
+    def __init__(
+        self,
+        name,
+        identity,
+        boot,
+        boot_id,
+        members,
+        rng,
+        group="main",
+        bootstrap=False,
+        heartbeat_ms=HEARTBEAT_MS,
+        election_min_ms=ELECTION_MIN_MS,
+        election_max_ms=ELECTION_MAX_MS,
+        drift_fraction=DRIFT_FRACTION,
+        max_in_flight_entries=MAX_IN_FLIGHT_ENTRIES,
+        max_in_flight_bytes=MAX_IN_FLIGHT_BYTES,
+        max_batch_entries=MAX_BATCH_ENTRIES,
+        max_batch_bytes=MAX_BATCH_BYTES,
+        max_uncommitted_entries=MAX_UNCOMMITTED_ENTRIES,
+        snapshot_piece_bytes=SNAPSHOT_PIECE_BYTES,
+        snapshot_entries=SNAPSHOT_ENTRIES,
+        trailing_entries=TRAILING_ENTRIES,
+    ):
+        self.name = name
+        self.identity = identity
+        self.boot = boot
+        self.boot_id = boot_id
+        self.members = members
+        self.rng = rng
+        self.group = group
+        self.bootstrap = bootstrap
+        self.heartbeat_ms = heartbeat_ms
+        self.election_min_ms = election_min_ms
+        self.election_max_ms = election_max_ms
+        self.drift_fraction = drift_fraction
+        self.max_in_flight_entries = max_in_flight_entries
+        self.max_in_flight_bytes = max_in_flight_bytes
+        self.max_batch_entries = max_batch_entries
+        self.max_batch_bytes = max_batch_bytes
+        self.max_uncommitted_entries = max_uncommitted_entries
+        self.snapshot_piece_bytes = snapshot_piece_bytes
+        self.snapshot_entries = snapshot_entries
+        self.trailing_entries = trailing_entries
+
+    def start(self, recovered, now):
+        """Begin from what the data folder holds.
+
+        :param recovered: a :class:`RecoveredState`.
+        :param now: seconds.
+        :returns: the list of actions to carry out.
+        """
+        self.validate_parameters()
+        self.heartbeat_s_ = self.heartbeat_ms / 1000
+        self.election_min_s_ = self.election_min_ms / 1000
+        self.election_max_s_ = self.election_max_ms / 1000
+        self.refusals_ = Counter()
+        self._reset_outputs()
+        self._recover(recovered)
+        self._start_admission()
+        self._start_elections(now)
+        self._start_replication(now)
+        self._start_snapshot_transfer()
+        self._start_membership(recovered.genesis, now)
+        self._start_reads()
+        return self._finish(now)
+
+    def handle(self, event, now):
+        """Take one event or message.
+
+        :param event: an :class:`~sassafrashook.base.Event` of this package, or a message.
+        :param now: seconds.
+        :returns: the list of actions to carry out, in order.
+        """
+        self._check_quorum(now)
+        method = getattr(self, self._handlers[type(event)])
+        if isinstance(event, self._message_types):
+            reason = self._find_refusal(event, now)
+            if reason is not None:
+                self.refusals_[reason] += 1
+                return self._finish(now)
+        method(event, now)
+        return self._finish(now)
+
+    def advance(self, now):
+        """Do what has become due.
+
+        :param now: seconds.
+        :returns: the list of actions to carry out, in order.
+        """
+        self._check_quorum(now)
+        if self.role_ is Role.LEADER:
+            self._advance_leader(now)
+        elif self.role_ is Role.UNBOUND:
+            self._advance_unbound(now)
+        elif now >= self.election_deadline_:
+            self._start_pre_vote(now)
+        return self._finish(now)
+
+    def next_deadline(self):
+        """Return when :meth:`advance` must be called next, seconds."""
+        if self.role_ is Role.LEADER:
+            return min(self.heartbeat_deadline_, self._quorum_deadline())
+        if self.role_ is Role.UNBOUND:
+            return self.announce_deadline_
+        return self.election_deadline_
+
+    def _reset_outputs(self):
+        self.sequence_ = 0
+        self.persisted_sequence_ = 0
+        self.state_sequence_ = 0
+        self._actions = []
+        self._held = deque()
+        self._outstanding = deque()
+        self._new_messages = []
+        self._state_changed = False
+        self._changed_from = None
+        self._install = None
+        self._compact = False
+        self._told_role = None
+
+    def _recover(self, recovered):
+        self.term_ = recovered.term
+        self.voted_for_ = recovered.voted_for
+        self.snapshot_ = recovered.snapshot
+        self.log_ = EntryLog(recovered.base_index, recovered.base_term, recovered.entries)
+        self.commit_index_ = self.snapshot_.index if self.snapshot_ else 0
+        self.durable_index_ = self.log_.last_index
+        self.snapshot_pending_ = False
+        self.restore_pending_ = False
+        if self.snapshot_:
+            self._actions.append(Restore(self.snapshot_))
+
+    def _send(self, peer, message):
+        self._new_messages.append(SendMessage(peer, message))
+
+    def _header(self, recipient):
+        return (
+            self.group,
+            self.name,
+            self.identity,
+            recipient,
+            self.boot,
+            self.boot_id,
+            self.term_,
+            self.configuration_index_,
+        )
+
+    def _append_entry(self, entry):
+        self.log_.append(entry)
+        self._note_changed(entry.index)
+        if entry.kind == MEMBERS:
+            self._add_configuration(entry.index, decode_members(entry.data))
+
+    def _truncate(self, index):
+        if index <= self.commit_index_:
+            raise InvariantError(f"entry {index} is committed and must not be replaced")
+        self.log_.truncate(index)
+        self.durable_index_ = min(self.durable_index_, index - 1)
+        self._outstanding = deque((s, min(last, index - 1)) for s, last in self._outstanding)
+        self._drop_configurations(index)
+        self._note_changed(index)
+
+    def _note_changed(self, index):
+        if self._changed_from is None or index < self._changed_from:
+            self._changed_from = index
+
+    def _set_term(self, term, voted_for=""):
+        if term < self.term_ or (term == self.term_ and self.voted_for_ not in ("", voted_for)):
+            raise InvariantError(f"term {term} or its vote would be taken back")
+        self.term_ = term
+        self.voted_for_ = voted_for
+        self._state_changed = True
+
+    def _finish(self, now):
+        """Bundle what changed into one :class:`Persist`, and release what may be sent."""
+        if self.role_ is Role.LEADER:
+            self._start_wanted_round(now)
+        self._emit_persist()
+        for action in self._new_messages:
+            self._held.append((self.state_sequence_, action))
+        self._new_messages = []
+        self._release_messages()
+        self._tell_role()
+        actions = self._actions
+        self._actions = []
+        return actions
+
+    def _emit_persist(self):
+        if not (self._state_changed or self._changed_from is not None or self._compact):
+            return
+        self.sequence_ += 1
+        if self._state_changed:
+            self.state_sequence_ = self.sequence_
+        log = self.log_
+        first = log.base_index + 1 if self._compact else self._changed_from
+        entries = () if first is None else tuple(log.read(first, log.last_index))
+        self._actions.append(
+            Persist(
+                self.sequence_,
+                self.term_,
+                self.voted_for_,
+                self.genesis_,
+                entries,
+                self._compact,
+                log.base_index,
+                log.base_term,
+                self._install,
+            )
+        )
+        self._outstanding.append((self.sequence_, log.last_index))
+        if self._install is not None:
+            self._install_sequence = self.sequence_
+        self._state_changed = False
+        self._changed_from = None
+        self._compact = False
+        self._install = None
+
+    def _release_messages(self):
+        while self._held and self._held[0][0] <= self.persisted_sequence_:
+            self._actions.append(self._held.popleft()[1])
+
+    def _tell_role(self):
+        told = RoleChanged(self.role_, self.term_, self.leader_)
+        if told != self._told_role:
+            self._told_role = told
+            self._actions.append(told)
+
+    def _on_persisted(self, event, now):
+        self.persisted_sequence_ = event.sequence
+        while self._outstanding and self._outstanding[0][0] <= event.sequence:
+            self.durable_index_ = max(self.durable_index_, self._outstanding.popleft()[1])
+        self._finish_restore()
+        if self.role_ is Role.LEADER:
+            self._advance_commit(now)
+        else:
+            self._count_votes(now)
+            self._acknowledge_synced(now)
+
+    def _commit_to(self, index):
+        if index <= self.commit_index_ or self.restore_pending_:
+            return
+        if index > self.durable_index_:
+            raise InvariantError(f"entry {index} is not synced and must not be applied")
+        entries = tuple(self.log_.read(self.commit_index_ + 1, index))
+        self.commit_index_ = index
+        self._actions.append(Apply(entries))
+        self._want_snapshot()
+
+    def _want_snapshot(self):
+        done = self.snapshot_.index if self.snapshot_ else 0
+        if self.snapshot_pending_ or self.commit_index_ - done < self.snapshot_entries:
+            return
+        self.snapshot_pending_ = True
+        members_index, members = self._configuration_at(self.commit_index_)
+        term = self.log_.term_at(self.commit_index_)
+        self._actions.append(TakeSnapshot(self.commit_index_, term, members_index, members))
+
+    def _on_snapshot_saved(self, event, now):
+        self.snapshot_pending_ = False
+        if self.snapshot_ and event.snapshot.index <= self.snapshot_.index:
+            return
+        self.snapshot_ = event.snapshot
+        self.log_.compact(self.snapshot_.index - self.trailing_entries)
+        self._compact = True
--- /dev/null
+++ b/sassafrashook/consensus/_elections.py
@@ -0,0 +1,177 @@
+"""Elections: pre-vote, votes, the voters' promise to a leader, and leadership transfer."""
+
+from sassafrashook.consensus._actions import InvariantError, Role
+from sassafrashook.consensus._messages import (
+    NOOP,
+    ElectionRequested,
+    Entry,
+    VoteAnswered,
+    VoteRequested,
+)
+
+__all__ = ["ElectionMixin"]
+
+
+class ElectionMixin:
+    """Decides who leads."""
+
+    def _start_elections(self, now):
+        self.role_ = Role.UNBOUND
+        self.leader_ = ""
+        self.leader_identity_ = ""
+        self.led_term_ = 0
+        self.votes_ = set()
+        self.transfer_target_ = ""
+        self.transfer_deadline_ = 0.0
+        self._transferring_vote = False
+        self._promise_at_start(now)
+        self._reset_election_deadline(now)
+
+    def _promise_at_start(self, now):
+        """A promise given to a leader before a restart is forgotten, so assume the latest."""
+        self.promised_until_ = now + self.election_min_s_
+
+    def _reset_election_deadline(self, now):
+        spread = self.rng.uniform(self.election_min_s_, self.election_max_s_)
+        self.election_deadline_ = now + spread
+
+    def _note_leader_contact(self, now):
+        self.promised_until_ = max(self.promised_until_, now + self.election_min_s_)
+        self._reset_election_deadline(now)
+
+    def _become_follower(self, term, now, leader="", leader_identity=""):
+        if self.role_ is Role.LEADER:
+            self._stop_leading()
+        if term > self.term_:
+            self._set_term(term)
+        self.role_ = self._passive_role()
+        self.leader_ = leader
+        self.leader_identity_ = leader_identity
+        self.votes_ = set()
+        self.verified_index_ = self.commit_index_
+        self._reset_election_deadline(now)
+
+    def _passive_role(self):
+        if self.configuration_index_ < 0:
+            return Role.UNBOUND
+        return Role.FOLLOWER if self._is_voter(self.identity) else Role.LEARNER
+
+    def _start_pre_vote(self, now):
+        self._reset_election_deadline(now)
+        if not self._is_voter(self.identity):
+            self.leader_ = ""
+            return
+        self.role_ = Role.PRE_CANDIDATE
+        self.leader_ = ""
+        self.leader_identity_ = ""
+        self.votes_ = {self.identity}
+        self._request_votes(self.term_ + 1, pre_vote=True, transfer=False)
+        self._count_votes(now)
+
+    def _start_election(self, now, transfer):
+        self._reset_election_deadline(now)
+        self.role_ = Role.CANDIDATE
+        self.leader_ = ""
+        self.leader_identity_ = ""
+        self._set_term(self.term_ + 1, self.identity)
+        self.votes_ = {self.identity}
+        self._request_votes(self.term_, pre_vote=False, transfer=transfer)
+
+    def _request_votes(self, term, pre_vote, transfer):
+        log = self.log_
+        for member in self._other_members(voters_only=True):
+            request = VoteRequested(
+                *self._header(member.identity),
+                term,
+                log.last_index,
+                log.last_term,
+                pre_vote,
+                transfer,
+            )
+            self._send(member.name, request)
+
+    def _on_vote_requested(self, message, now):
+        granted = self._may_vote(message, now)
+        if granted and not message.pre_vote:
+            if message.candidate_term > self.term_:
+                self._become_follower(message.candidate_term, now)
+            if self.voted_for_ != message.identity:
+                self._set_term(self.term_, message.identity)
+            self._reset_election_deadline(now)
+        answer = VoteAnswered(
+            *self._header(message.identity), message.candidate_term, message.pre_vote, granted
+        )
+        self._send(message.sender, answer)
+
+    def _may_vote(self, message, now):
+        if self.configuration_index_ < 0 or message.candidate_term < self.term_:
+            return False
+        if now < self.promised_until_ and not message.transfer:
+            return False
+        is_current = message.candidate_term == self.term_ and not message.pre_vote
+        if is_current and self.voted_for_ not in ("", message.identity):
+            return False
+        log = self.log_
+        return (message.last_term, message.last_index) >= (log.last_term, log.last_index)
+
+    def _on_vote_answered(self, message, now):
+        if message.term > self.term_:
+            self._become_follower(message.term, now)
+            return
+        expected = Role.PRE_CANDIDATE if message.pre_vote else Role.CANDIDATE
+        wanted = self.term_ + 1 if message.pre_vote else self.term_
+        if self.role_ is expected and message.granted and message.candidate_term == wanted:
+            self.votes_.add(message.identity)
+            self._count_votes(now)
+
+    def _count_votes(self, now):
+        """Win once a quorum granted, the own vote being synced first."""
+        if self.role_ not in (Role.PRE_CANDIDATE, Role.CANDIDATE):
+            return
+        if not self._has_quorum(self.votes_):
+            return
+        if self.role_ is Role.PRE_CANDIDATE:
+            self._start_election(now, transfer=False)
+        elif self.persisted_sequence_ >= self.state_sequence_ and not self._state_changed:
+            self._become_leader(now)
+
+    def _become_leader(self, now):
+        if self.led_term_ >= self.term_ or self.voted_for_ != self.identity:
+            raise InvariantError(f"term {self.term_} cannot be led")
+        self.led_term_ = self.term_
+        self.role_ = Role.LEADER
+        self.leader_ = self.name
+        self.leader_identity_ = self.identity
+        self._start_leading(now)
+        self._append_entry(Entry(self.log_.last_index + 1, self.term_, NOOP))
+        self._send_entries_to_all(now)
+
+    def _on_transfer_leadership(self, event, now):
+        if self.role_ is not Role.LEADER or self.transfer_target_:
+            return
+        voters = self._other_members(voters_only=True)
+        named = [m for m in voters if event.target in ("", m.name)]
+        if not named:
+            return
+        target = max(named, key=lambda m: self.progress_[m.identity].match_index)
+        self.transfer_target_ = target.identity
+        self.transfer_deadline_ = now + self.election_min_s_
+        self._advance_transfer(now)
+
+    def _advance_transfer(self, now):
+        """Hand over once the target holds the whole log; the lease ends with that."""
+        if not self.transfer_target_:
+            return
+        progress = self.progress_.get(self.transfer_target_)
+        if progress is None or now >= self.transfer_deadline_:
+            self.transfer_target_ = ""
+        elif progress.match_index == self.log_.last_index:
+            target = self._member(self.transfer_target_)
+            request = ElectionRequested(*self._header(target.identity))
+            self._become_follower(self.term_, now)
+            self._send(target.name, request)
+
+    def _on_election_requested(self, message, now):
+        is_current = message.term == self.term_ and message.identity == self.leader_identity_
+        if is_current and self.role_ is Role.FOLLOWER:
+            self._start_election(now, transfer=True)
--- /dev/null
+++ b/sassafrashook/consensus/_membership.py
@@ -0,0 +1,226 @@
+"""Members: the founding of a group, and the replacement of one identity at a time."""
+
+import msgspec
+
+from sassafrashook.consensus._actions import Genesis, Role
+from sassafrashook.consensus._messages import MEMBERS, Entry, IdentityAnnounced, Member
+
+__all__ = ["MembershipMixin", "decode_members", "encode_members"]
+
+
+def encode_members(members):
+    """Return the data of an entry that holds a list of members."""
+    return msgspec.msgpack.encode(list(members))
+
+
+def decode_members(data):
+    """Return the members that :func:`encode_members` encoded."""
+    return tuple(msgspec.msgpack.decode(data, type=list[Member]))
+
+
+class MembershipMixin:
+    """Keeps the list of members, the newest in the log being in force.
+
+    A group is founded once every initial member has bound the same identity to each name, and
+    synced it. A host that lost its disk later finds another identity bound to its name, so that
+    it can neither vote nor found the group again.
+    """
+
+    def _start_membership(self, genesis, now):
+        self.genesis_ = genesis
+        self.announced_ = {}
+        self._shown = {}
+        self.announce_deadline_ = now
+        self._configurations = []
+        if self.snapshot_:
+            self._configurations = [(self.snapshot_.members_index, tuple(self.snapshot_.members))]
+        elif genesis and genesis.sealed:
+            self._configurations = [(0, self._founding_members())]
+        self._refresh_configuration()
+        for entry in self.log_.entries:
+            if entry.kind == MEMBERS and entry.index > self.configuration_index_:
+                self._add_configuration(entry.index, decode_members(entry.data))
+        is_new = genesis is None and self.configuration_index_ < 0 and self.term_ == 0
+        if is_new and self.bootstrap and self.name in self.members:
+            self._set_genesis({self.name: self.identity}, sealed=False)
+            self._seal_genesis(now)
+
+    def _founding_members(self):
+        bindings = self.genesis_.bindings
+        return tuple(Member(name, bindings[name]) for name in sorted(bindings))
+
+    def _refresh_configuration(self):
+        newest = self._configurations[-1] if self._configurations else (-1, ())
+        self.configuration_index_, self.configuration_ = newest
+        if self.role_ in (Role.UNBOUND, Role.LEARNER, Role.FOLLOWER):
+            self.role_ = self._passive_role()
+
+    def _add_configuration(self, index, members):
+        self._configurations.append((index, members))
+        self._refresh_configuration()
+
+    def _drop_configurations(self, index):
+        """Forget the lists of members that the log holds from ``index`` on."""
+        self._configurations = [c for c in self._configurations if c[0] < index]
+        self._refresh_configuration()
+
+    def _configuration_at(self, index):
+        return [c for c in self._configurations if c[0] <= index][-1]
+
+    def _is_voter(self, identity):
+        return any(m.voter and m.identity == identity for m in self.configuration_)
+
+    def _has_quorum(self, identities):
+        voters = [m.identity for m in self.configuration_ if m.voter]
+        return sum(identity in identities for identity in voters) > len(voters) // 2
+
+    def _member(self, identity):
+        for member in self.configuration_:
+            if member.identity == identity:
+                return member
+        return None
+
+    def _other_members(self, voters_only=False):
+        others = [m for m in self.configuration_ if m.identity != self.identity]
+        return [m for m in others if m.voter or not voters_only]
+
+    def _reachable_members(self):
+        """Return the other members, without an identity whose name a learner has taken over."""
+        others = self._other_members()
+        learners = {m.name for m in others if not m.voter}
+        return [m for m in others if not m.voter or m.name not in learners]
+
+    def _set_genesis(self, bindings, sealed):
+        self.genesis_ = Genesis(bindings, sealed)
+        self._state_changed = True
+
+    def _advance_unbound(self, now):
+        if now < self.announce_deadline_:
+            return
+        self.announce_deadline_ = now + self.heartbeat_s_
+        for name in self.members:
+            if name != self.name:
+                self._announce(name, "")
+
+    def _announce(self, name, recipient):
+        genesis = self.genesis_ or Genesis({})
+        message = IdentityAnnounced(*self._header(recipient), genesis.bindings, genesis.sealed)
+        self._send(name, message)
+
+    def _on_identity_announced(self, message, now):
+        if self._member(message.identity) is None:
+            self.announced_[message.sender] = message.identity
+        genesis = self.genesis_
+        if genesis is None:
+            return
+        if genesis.sealed:
+            if not message.sealed:
+                self._announce(message.sender, message.identity)
+            return
+        self._take_bindings(message, now)
+
+    def _take_bindings(self, message, now):
+        """Bind a name to the first identity heard, for good, then see if the group is founded."""
+        bindings = self.genesis_.bindings
+        if message.sealed:
+            self._adopt_genesis(message.bindings, now)
+            return
+        if message.bindings.get(message.sender) != message.identity:
+            return
+        if message.sender in self.members and message.sender not in bindings:
+            self._set_genesis({**bindings, message.sender: message.identity}, sealed=False)
+        self._shown[message.sender] = (message.identity, message.bindings)
+        self._seal_genesis(now)
+
+    def _adopt_genesis(self, bindings, now):
+        if bindings.get(self.name) != self.identity:
+            self.refusals_["superseded_identity"] += 1
+        elif any(bindings.get(n) != i for n, i in self.genesis_.bindings.items()):
+            self.refusals_["conflicting_bindings"] += 1
+        else:
+            self._found_group(bindings, now)
+
+    def _seal_genesis(self, now):
+        """Found the group if every member showed the same complete bindings."""
+        if self.genesis_ is None or self.genesis_.sealed:
+            return
+        bindings = self.genesis_.bindings
+        if bindings.keys() != set(self.members):
+            return
+        others = [name for name in self.members if name != self.name]
+        if all(self._shown.get(name) == (bindings[name], bindings) for name in others):
+            self._found_group(bindings, now)
+
+    def _found_group(self, bindings, now):
+        self._set_genesis(bindings, sealed=True)
+        self._configurations.insert(0, (0, self._founding_members()))
+        self._refresh_configuration()
+        self._reset_election_deadline(now)
+
+    def _is_changing(self):
+        """Whether a further change of members must wait."""
+        own_term_committed = self.log_.term_at(self.commit_index_) == self.term_
+        return self.configuration_index_ > self.commit_index_ or not own_term_committed
+
+    def find_obstacle(self, name):
+        """Return why a member cannot be replaced now, or an empty string.
+
+        :param name: name of the member.
+        """
+        if self.role_ is not Role.LEADER:
+            return "not_leader"
+        if name == self.name or name not in [m.name for m in self.configuration_]:
+            return "not_another_member"
+        identity = self.announced_.get(name)
+        if identity is None or self._member(identity) is not None:
+            return "no_new_identity"
+        return "change_in_progress" if self._is_changing() else ""
+
+    def is_replacing(self, name):
+        """Return whether a new identity of a name is being caught up."""
+        return any(m.name == name and not m.voter for m in self.configuration_)
+
+    def has_replaced(self, name):
+        """Return whether the newest identity of a name votes and has synced that it does."""
+        members = [m for m in self.configuration_ if m.name == name]
+        if self.role_ is not Role.LEADER or self.configuration_index_ > self.commit_index_:
+            return False
+        progress = self.progress_.get(members[0].identity) if len(members) == 1 else None
+        if progress is None or not members[0].voter:
+            return False
+        is_newest = self.announced_.get(name) in (None, members[0].identity)
+        return is_newest and progress.match_index >= self.configuration_index_
+
+    def _on_replace_member(self, event, now):
+        if self.find_obstacle(event.name):
+            return
+        learner = Member(event.name, self.announced_[event.name], voter=False)
+        kept = [m for m in self.configuration_ if m.voter or m.name != event.name]
+        self._propose_members([*kept, learner], now)
+
+    def _advance_replacement(self, now):
+        """Turn a learner that has synced all that is committed into a voter.
+
+        The old identity goes first: with one change at a time, any two successive lists of
+        members have a voter in common in each pair of quorums.
+        """
+        if self.role_ is not Role.LEADER or self._is_changing():
+            return
+        for learner in [m for m in self.configuration_ if not m.voter]:
+            if not self._has_caught_up(learner):
+                continue
+            others = [m for m in self.configuration_ if m.name != learner.name]
+            has_old = len(others) + 1 < len(self.configuration_)
+            changed = Member(learner.name, learner.identity, voter=not has_old)
+            self._propose_members([*others, changed], now)
+            return
+
+    def _has_caught_up(self, learner):
+        return self.progress_[learner.identity].match_index >= self.commit_index_
+
+    def _propose_members(self, members, now):
+        index = self.log_.last_index + 1
+        data = encode_members(members)
+        self._append_entry(Entry(index, self.term_, MEMBERS, data))
+        self._sync_progress(now)
+        self._send_entries_to_all(now)
--- /dev/null
+++ b/sassafrashook/consensus/_persistence.py
@@ -0,0 +1,122 @@
+"""How a replica's state lies in its data folder."""
+
+import msgspec
+
+from sassafrashook.consensus._actions import Genesis, RecoveredState, Snapshot
+from sassafrashook.consensus._messages import Entry
+from sassafrashook.storage import SnapshotStore, WriteAheadLog
+
+__all__ = ["ReplicaStorage"]
+
+
+class _Record(msgspec.Struct, frozen=True, array_like=True):
+    """One synced write.
+
+    :param base_index: the entries replace the whole log after this index; -1 if they do not.
+    """
+
+    term: int
+    voted_for: str
+    genesis: Genesis | None
+    entries: list[Entry]
+    base_index: int = -1
+    base_term: int = 0
+
+
+class ReplicaStorage:
+    """Writes what a :class:`~sassafrashook.consensus.ReplicaCore` asks to persist.
+
+    :param folder: an open :class:`~sassafrashook.storage.DataFolder`.
+
+    :raises StorageError: from any method; the process must stop.
+    """
+
+    def __init__(self, folder):
+        self.folder = folder
+
+    def load(self):
+        """Read the folder.
+
+        :returns: a :class:`RecoveredState`.
+        """
+        folder = self.folder
+        arguments = (folder.file_system, folder.path, folder.identity_)
+        self.log_ = WriteAheadLog(*arguments)
+        self.snapshots_ = SnapshotStore(*arguments)
+        state = RecoveredState()
+        entries = []
+        for payload in self.log_.open():
+            record = msgspec.msgpack.decode(payload, type=_Record)
+            state.term = record.term
+            state.voted_for = record.voted_for
+            state.genesis = record.genesis
+            if record.base_index >= 0:
+                state.base_index = record.base_index
+                state.base_term = record.base_term
+                entries = []
+            if record.entries:
+                del entries[record.entries[0].index - state.base_index - 1 :]
+                entries.extend(record.entries)
+        state.entries = tuple(entries)
+        self._load_snapshot(state)
+        return state
+
+    def _load_snapshot(self, state):
+        """Prefer the snapshot where the log ends before it or disagrees with it."""
+        payload = self.snapshots_.load()
+        if payload is None:
+            return
+        snapshot = msgspec.msgpack.decode(payload, type=Snapshot)
+        state.snapshot = snapshot
+        terms = {entry.index: entry.term for entry in state.entries}
+        terms[state.base_index] = state.base_term
+        if terms.get(snapshot.index) != snapshot.term:
+            state.base_index = snapshot.index
+            state.base_term = snapshot.term
+            state.entries = ()
+            self._checkpoint(state)
+
+    def persist(self, actions):
+        """Write and sync several :class:`Persist` actions, in order.
+
+        Successive ones without a snapshot or compaction share one write.
+        """
+        pending = []
+        for action in actions:
+            if action.compact:
+                self._write(pending)
+                pending = []
+                if action.snapshot is not None:
+                    self.save_snapshot(action.snapshot)
+                self._checkpoint(action)
+            else:
+                pending.append(action)
+        self._write(pending)
+
+    def save_snapshot(self, snapshot):
+        """Save and sync a snapshot."""
+        self.snapshots_.save(msgspec.msgpack.encode(snapshot))
+
+    def _write(self, actions):
+        if not actions:
+            return
+        entries = []
+        for action in actions:
+            if action.entries and entries:
+                first = entries[0].index
+                del entries[max(action.entries[0].index - first, 0) :]
+            entries.extend(action.entries)
+        last = actions[-1]
+        record = _Record(last.term, last.voted_for, last.genesis, entries)
+        self.log_.write(msgspec.msgpack.encode(record))
+
+    def _checkpoint(self, state):
+        record = _Record(
+            state.term,
+            state.voted_for,
+            state.genesis,
+            list(state.entries),
+            state.base_index,
+            state.base_term,
+        )
+        self.log_.checkpoint(msgspec.msgpack.encode(record))
--- /dev/null
+++ b/sassafrashook/consensus/_snapshot_transfer.py
@@ -0,0 +1,116 @@
+"""Snapshots sent in pieces to members whose next entry was compacted away."""
+
+import zlib
+
+from sassafrashook.consensus._actions import InvariantError, Restore, Snapshot
+from sassafrashook.consensus._log import EntryLog
+from sassafrashook.consensus._messages import SnapshotAnswered, SnapshotPiece
+
+__all__ = ["SnapshotTransferMixin"]
+
+RESEND_HEARTBEATS = 3
+
+
+class SnapshotTransferMixin:
+    """Sends the newest snapshot, one piece at a time, and installs a received one."""
+
+    def _start_snapshot_transfer(self):
+        self._incoming_key = None
+        self._incoming = bytearray()
+        self._install_sequence = 0
+
+    def _send_snapshot(self, member, progress, now):
+        """Send the piece that is due, unless it was sent a short while ago."""
+        snapshot = self.snapshot_
+        if progress.snapshot_index != snapshot.index:
+            progress.snapshot_index = snapshot.index
+            progress.snapshot_offset = 0
+        elif now < progress.snapshot_resend_at:
+            return
+        progress.snapshot_resend_at = now + RESEND_HEARTBEATS * self.heartbeat_s_
+        offset = progress.snapshot_offset
+        piece = SnapshotPiece(
+            *self._header(member.identity),
+            snapshot.index,
+            snapshot.term,
+            snapshot.members_index,
+            snapshot.members,
+            offset,
+            len(snapshot.data),
+            zlib.crc32(snapshot.data),
+            self.round_,
+            snapshot.data[offset : offset + self.snapshot_piece_bytes],
+        )
+        self._send(member.name, piece)
+
+    def _on_snapshot_answered(self, message, now):
+        progress = self.progress_.get(message.identity)
+        if progress is None or message.term != self.term_:
+            return
+        self._note_round(progress, message.round_number, now)
+        if message.index == progress.snapshot_index:
+            progress.snapshot_offset = message.offset
+            progress.snapshot_resend_at = now
+            self._continue_sending(message.identity, now)
+
+    def _on_snapshot_piece(self, message, now):
+        if not self._follow(message, now):
+            return
+        if message.index <= self.commit_index_:
+            self._answer_append(message, success=True)
+            return
+        if self.restore_pending_:
+            return
+        self._collect_piece(message)
+        if len(self._incoming) < message.total:
+            answer = SnapshotAnswered(
+                *self._header(message.identity),
+                message.index,
+                len(self._incoming),
+                message.round_number,
+            )
+            self._send(message.sender, answer)
+        else:
+            self._install_snapshot(message, bytes(self._incoming))
+            self._incoming = bytearray()
+
+    def _collect_piece(self, message):
+        key = (message.identity, message.index, message.total, message.checksum)
+        if self._incoming_key != key:
+            self._incoming_key = key
+            self._incoming = bytearray()
+        if message.offset == len(self._incoming):
+            self._incoming += message.data
+        if len(self._incoming) < message.total:
+            return
+        if zlib.crc32(self._incoming) != message.checksum:
+            raise InvariantError(f"snapshot {message.index} does not match its checksum")
+
+    def _install_snapshot(self, message, data):
+        """Replace the log up to the snapshot; what was synced after it stays if it matches."""
+        index = message.index
+        if self.log_.term_at(index) == message.snapshot_term:
+            self.log_.compact(index)
+        else:
+            self.log_ = EntryLog(index, message.snapshot_term)
+            self._drop_configurations(0)
+            self.durable_index_ = min(self.durable_index_, self.commit_index_)
+            self._outstanding.clear()
+        members = list(message.members)
+        self.snapshot_ = Snapshot(
+            index, message.snapshot_term, message.members_index, members, data
+        )
+        later = [c for c in self._configurations if c[0] > message.members_index]
+        self._configurations = [(message.members_index, tuple(members)), *later]
+        self._refresh_configuration()
+        self.verified_index_ = max(self.verified_index_, index)
+        self._install = self.snapshot_
+        self._compact = True
+        self.restore_pending_ = True
+
+    def _finish_restore(self):
+        """Act on an installed snapshot once it is synced."""
+        if self.restore_pending_ and self.persisted_sequence_ >= self._install_sequence:
+            self.restore_pending_ = False
+            self.commit_index_ = self.snapshot_.index
+            self._actions.append(Restore(self.snapshot_))
--- /dev/null
+++ b/sassafrashook/consensus/tests/test_replica.py
@@ -0,0 +1,197 @@
+"""Real replicas with real files, joined by a sender that hands messages over in the process."""
+
+import random
+import time
+from hashlib import blake2b
+
+import gevent
+import pytest
+from returns.result import Success
+
+from sassafrashook.base import StateMachine
+from sassafrashook.consensus import Replica, Role
+from sassafrashook.gateways import ProposalFailure, Sender
+
+WAIT_S = 30
+
+
+def wait_for(condition):
+    deadline = time.monotonic() + WAIT_S
+    while not condition() and time.monotonic() < deadline:
+        gevent.sleep(0.01)
+    assert condition()
+
+
+class Recorder(StateMachine):
+    """Counts and digests the commands."""
+
+    def __init__(self):
+        self.state = [0, b""]
+
+    def apply(self, index, command):
+        digest = blake2b(self.state[1] + command, digest_size=8).digest()
+        self.state = [self.state[0] + 1, digest]
+        return b"%d" % self.state[0]
+
+    def save(self):
+        return b"%d:" % self.state[0] + self.state[1]
+
+    def restore(self, snapshot):
+        count, _, digest = snapshot.partition(b":")
+        self.state = [int(count), digest]
+
+
+class Switch(Sender):
+    """Delivers between replicas, except across a cut."""
+
+    def __init__(self, name, replicas, cut):
+        self.name = name
+        self.replicas = replicas
+        self.cut = cut
+
+    def send(self, peer, message):
+        if peer not in self.replicas or {self.name, peer} & self.cut:
+            return False
+        return self.replicas[peer].deliver(self.name, message)
+
+
+class Group:
+    """A few replicas in one process."""
+
+    def __init__(self, path, names=("a", "b", "c"), **parameters):
+        self.path = path
+        self.names = names
+        self.cut = set()
+        self.replicas = {}
+        self.parameters = {
+            "heartbeat_ms": 20,
+            "election_min_ms": 150,
+            "election_max_ms": 300,
+            "bootstrap": True,
+            **parameters,
+        }
+
+    def start(self, name, folder=None, **parameters):
+        sender = Switch(name, self.replicas, self.cut)
+        path = str(self.path / (folder or name))
+        arguments = {**self.parameters, "rng": random.Random(name), **parameters}
+        replica = Replica(name, self.names, path, Recorder(), sender, **arguments)
+        replica.start()
+        self.replicas[name] = replica
+        return replica
+
+    def stop(self, name):
+        self.replicas.pop(name).stop()
+
+    def find_leader(self):
+        deadline = time.monotonic() + WAIT_S
+        while time.monotonic() < deadline:
+            for replica in self.replicas.values():
+                if replica.leading_term(time.monotonic()):
+                    return replica
+            gevent.sleep(0.01)
+        raise AssertionError("no leader")
+
+    def propose(self, command):
+        """Propose until the group takes it; only for commands that may be applied twice."""
+        deadline = time.monotonic() + WAIT_S
+        while time.monotonic() < deadline:
+            result = self.find_leader().propose(command, time.monotonic() + 2)
+            if isinstance(result, Success):
+                return result.unwrap()
+        raise AssertionError("no reply")
+
+    def settle(self):
+        """Wait until every replica holds everything; :returns: their digests."""
+        for replica in self.replicas.values():
+            assert isinstance(replica.confirm_read(time.monotonic() + WAIT_S), Success)
+        return {r.state_machine.save() for r in self.replicas.values()}
+
+
+@pytest.fixture
+def make_group(tmp_path):
+    """Make groups whose replicas are stopped afterwards."""
+    groups = []
+
+    def make(names=("a", "b", "c"), **parameters):
+        group = Group(tmp_path, names, **parameters)
+        groups.append(group)
+        for name in names:
+            group.start(name)
+        return group
+
+    yield make
+    for group in groups:
+        for name in list(group.replicas):
+            group.stop(name)
+
+
+@pytest.mark.parametrize("names", [("a",), ("a", "b", "c")])
+def test_commands_are_applied_everywhere(make_group, names):
+    group = make_group(names)
+    assert [group.propose(b"x") for _ in range(3)] == [b"1", b"2", b"3"]
+    assert len(group.settle()) == 1
+
+
+def test_follower_refuses_proposals_for_certain(make_group):
+    group = make_group()
+    leader = group.find_leader()
+    group.settle()
+    follower = next(r for r in group.replicas.values() if r is not leader)
+    error = follower.propose(b"x", time.monotonic() + 5).failure()
+    assert error.failure is ProposalFailure.NOT_LEADER
+    assert error.leader == leader.name
+
+
+def test_leader_without_quorum_never_answers(make_group):
+    group = make_group()
+    old = group.find_leader()
+    group.cut.add(old.name)
+    lost = old.propose(b"lost", time.monotonic() + 0.05).failure()
+    assert lost.failure is ProposalFailure.UNKNOWN
+    wait_for(lambda: old.core_.role_ is not Role.LEADER)
+    assert old.leading_term(time.monotonic()) == 0
+    assert old.confirm_read(time.monotonic() + 0.3).failure()
+    group.propose(b"x")
+    group.cut.clear()
+    assert len(group.settle()) == 1
+
+
+def test_restart_after_1000_proposals(make_group):
+    group = make_group()
+    leader = group.find_leader()
+    jobs = [gevent.spawn(group.propose, b"%d" % i) for i in range(1000)]
+    gevent.joinall(jobs, raise_error=True)
+    (digest,) = group.settle()
+    wait_for(lambda: leader.core_.snapshot_ is not None)
+    for name in group.names:
+        group.stop(name)
+    for name in group.names:
+        group.start(name)
+    assert group.settle() == {digest}
+
+
+def test_transfer_of_leadership(make_group):
+    group = make_group()
+    leader = group.find_leader()
+    target = next(n for n in group.names if n != leader.name)
+    assert leader.transfer_leadership(time.monotonic() + WAIT_S, target)
+    assert group.find_leader().name == target
+
+
+def test_second_host_lost_right_after_repair(make_group):
+    group = make_group(snapshot_entries=20)
+    for i in range(50):
+        group.propose(b"%d" % i)
+    leader = group.find_leader()
+    lost, second = [n for n in group.names if n != leader.name]
+    group.stop(lost)
+    replacement = group.start(lost, folder="new-" + lost)
+    assert replacement.core_.role_ is Role.UNBOUND
+    result = leader.replace_member(lost, time.monotonic() + WAIT_S)
+    assert isinstance(result, Success)
+    group.stop(second)
+    group.stop(leader.name)
+    group.start(leader.name)
+    assert group.propose(b"y") == b"51"
+    assert len(group.settle()) == 1
