--- /dev/null
+++ b/benchmarks/relay.py
@@ -0,0 +1,261 @@
+"""Measures the relay of streams: the router against a plain gevent relay, in one run.
+
+Three processes: engines that send one event of every running stream at each tick, the relay that
+is measured, and callers. The relay's processor time is split into a part for each request and one
+for each token by two loads, one of long and one of short answers.
+
+Usage: ``python -m benchmarks.relay [--seconds 10] [--profile FILE]``
+"""
+
+import argparse
+import cProfile
+import json
+import signal
+import subprocess
+import sys
+import time
+
+import gevent
+import gevent.event
+from gevent import socket
+from gevent.server import StreamServer
+
+ENGINES = 10
+TICK_S = 0.026
+BODY = b'{"messages":[{"role":"user","content":"%d"}],"stream":true,"max_tokens":%d}'
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+EVENT = (
+    b'data: {"id":"chatcmpl-%s","object":"chat.completion.chunk","created":1700000000,'
+    b'"model":"advisor","choices":[{"index":0,"delta":{"content":" butter"},'
+    b'"finish_reason":null}]}\n\n'
+)
+END = b"data: [DONE]\n\n"
+LOADS = {"long": (52, 223), "short": (200, 1)}
+
+
+class Engine:
+    """An engine that batches: at each tick every stream gets one event."""
+
+    def __init__(self):
+        self.streams = []
+        self.server = StreamServer(("127.0.0.1", 0), self.serve)
+        self.server.start()
+        gevent.spawn(self.tick)
+
+    def serve(self, sock, _):
+        """Answer the requests of one connection."""
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        file = sock.makefile("rb")
+        while True:
+            head = {}
+            while (line := file.readline().strip()) or not head:
+                if not line:
+                    return
+                name, _, value = line.partition(b": ")
+                head[name.lower()] = value
+            body = json.loads(file.read(int(head[b"content-length"])))
+            request_id = head.get(b"x-request-id", b"none")
+            event = EVENT % request_id.split(b".")[0]
+            chunk = b"%x\r\n%s\r\n" % (len(event), event)
+            done = gevent.event.Event()
+            sock.sendall(HEAD + b"X-Request-Id: " + request_id + b"\r\n\r\n" + chunk)
+            self.streams.append([sock, chunk, body["max_tokens"] - 1, done])
+            done.wait()
+
+    def tick(self):
+        """Send one event on every stream."""
+        due = time.monotonic()
+        while True:
+            due += TICK_S
+            gevent.sleep(max(0.0, due - time.monotonic()))
+            for stream in self.streams:
+                sock, chunk, left, done = stream
+                stream[2] = left - 1
+                if left > 0:
+                    sock.sendall(chunk)
+                    continue
+                sock.sendall(b"%x\r\n%s\r\n0\r\n\r\n" % (len(END), END))
+                done.set()
+            self.streams = [stream for stream in self.streams if stream[2] >= 0]
+
+
+def run_engines(_):
+    """Run the engines; prints their ports."""
+    engines = [Engine() for _ in range(ENGINES)]
+    print(json.dumps([engine.server.server_port for engine in engines]), flush=True)
+    gevent.event.Event().wait()
+
+
+def run_plain(options):
+    """Run the plain relay: bytes both ways, no HTTP."""
+    turn = iter(range(1_000_000_000))
+
+    def copy(source, target):
+        while data := source.recv(16_384):
+            target.sendall(data)
+        target.shutdown(socket.SHUT_WR)
+
+    def serve(sock, _):
+        port = options.ports[next(turn) % len(options.ports)]
+        with socket.create_connection(("127.0.0.1", port)) as upstream:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            upstream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            back = gevent.spawn(copy, upstream, sock)
+            try:
+                copy(sock, upstream)
+                back.join()
+            except OSError:
+                back.kill()
+
+    server = StreamServer(("127.0.0.1", 0), serve)
+    server.start()
+    report_usage(server.server_port, options)
+
+
+def run_router(options):
+    """Run the router's HTTP side on sources that grant everything."""
+    from sassafrashook.proxy.tests._support import Router
+
+    router = Router(first_byte_ms=30_000, progress_ms=5_000)
+    for number, port in enumerate(options.ports):
+        name = f"engine-{number}"
+        router.permits.addresses.setdefault("assistant", []).append((name, "127.0.0.1", port))
+        router.permits.boot_ids[name] = "1"
+    router.server.start()
+    report_usage(router.server.address[1], options)
+
+
+def report_usage(port, options):
+    """Print the port, then the processor time at each SIGUSR1 until killed."""
+    print(port, flush=True)
+    asked = gevent.event.Event()
+    gevent.signal_handler(signal.SIGUSR1, asked.set)
+    profile = cProfile.Profile() if options.profile else None
+    if profile:
+        profile.enable()
+    while True:
+        asked.wait()
+        asked.clear()
+        print(time.process_time(), flush=True)
+        if profile:
+            profile.dump_stats(options.profile)
+
+
+def run_callers(options):
+    """Send chats at a steady rate; prints the times to the first token, seconds."""
+    rate, tokens = LOADS[options.load]
+    firsts = []
+    failed = []
+
+    def call(number):
+        body = BODY % (number, tokens)
+        head = b"POST /v1/chat/completions HTTP/1.1\r\nHost: r\r\nAuthorization: Bearer caller-key"
+        data = head + b"\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+        with socket.create_connection(
+            ("127.0.0.1", options.ports[number % len(options.ports)])
+        ) as s:
+            started = time.monotonic()
+            s.sendall(data)
+            last = b""
+            while not last.endswith(b"0\r\n\r\n"):
+                received = s.recv(16_384)
+                if not received:
+                    failed.append(number)
+                    return
+                if b"data: " in received and len(last) == 0:
+                    firsts.append(time.monotonic() - started)
+                    last = b"-"
+                last = (last + received)[-64:]
+
+    jobs = []
+    due = time.monotonic()
+    for number in range(int(rate * options.seconds)):
+        due += 1 / rate
+        gevent.sleep(max(0.0, due - time.monotonic()))
+        jobs.append(gevent.spawn(call, number))
+    gevent.joinall(jobs)
+    firsts.sort()
+    print(json.dumps({"count": len(jobs), "failed": len(failed), "firsts": firsts}), flush=True)
+
+
+ROLES = {"engines": run_engines, "plain": run_plain, "router": run_router, "callers": run_callers}
+
+
+def start(role, ports, options, load="long", profile=""):
+    """Start one role as a process."""
+    command = [sys.executable, "-m", "benchmarks.relay", "--role", role, "--load", load]
+    command += ["--ports", json.dumps(ports), "--seconds", str(options.seconds)]
+    command += ["--profile", profile]
+    return subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+
+
+def read_usage(process):
+    """Ask a relay for its processor time, seconds."""
+    process.send_signal(signal.SIGUSR1)
+    return float(process.stdout.readline())
+
+
+def measure(role, ports, options):
+    """Run both loads through one relay.
+
+    :returns: mapping from load to ``(processor seconds, callers' report)``.
+    """
+    relay = None
+    target = ports
+    if role != "direct":
+        relay = start(role, ports, options, profile=options.profile if role == "router" else "")
+        target = [int(relay.stdout.readline())]
+    results = {}
+    try:
+        for load in LOADS:
+            before = read_usage(relay) if relay else 0.0
+            callers = start("callers", target, options, load)
+            report = json.loads(callers.communicate()[0])
+            results[load] = ((read_usage(relay) if relay else 0.0) - before, report)
+    finally:
+        if relay:
+            relay.kill()
+            relay.wait()
+    return results
+
+
+def show(role, results):
+    """Print one line of figures for a relay."""
+    (long_s, long), (short_s, short) = results["long"], results["short"]
+    tokens = LOADS["long"][1]
+    request_s = short_s / short["count"]
+    token_s = (long_s / long["count"] - request_s) / (tokens - 1)
+    firsts = long["firsts"]
+    p50, p99 = (firsts[int(len(firsts) * share)] * 1_000 for share in (0.5, 0.99))
+    failed = long["failed"] + short["failed"]
+    print(
+        f"{role:8} {request_s * 1e6:8.0f} us/request {token_s * 1e6:8.2f} us/token "
+        f"first token p50 {p50:6.2f} ms p99 {p99:6.2f} ms failed {failed}",
+        flush=True,
+    )
+
+
+def main():
+    """Run one role, or the whole measurement."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--role", choices=ROLES)
+    parser.add_argument("--load", default="long")
+    parser.add_argument("--ports", type=json.loads, default=[])
+    parser.add_argument("--seconds", type=float, default=10)
+    parser.add_argument("--profile", default="")
+    options = parser.parse_args()
+    if options.role:
+        ROLES[options.role](options)
+        return
+    engines = start("engines", [], options)
+    try:
+        ports = json.loads(engines.stdout.readline())
+        for role in ("direct", "plain", "router"):
+            show(role, measure(role, ports, options))
+    finally:
+        engines.kill()
+        engines.wait()
+
+
+if __name__ == "__main__":
+    main()
--- a/sassafrashook/proxy/tests/_support.py
+++ b/sassafrashook/proxy/tests/_support.py
@@ -194,7 +194,7 @@
             error = json.loads(event.split("data: ", 1)[1])["error"]
         elif event == "data: [DONE]":
             ended = True
-        else:
+        elif not event.startswith(":"):
             texts.append(json.loads(event.removeprefix("data: "))["choices"][0]["delta"]["content"])
     return "".join(texts), ended, error
 
