Prove membership by randomised runs, and see each check fail without its mechanism

Seven nodes with loss, repetition, cuts, silent connections, node restarts, flapping upstreams and rival announcements.

--- a/sassafrashook/membership/_core.py
+++ b/sassafrashook/membership/_core.py
@@ -195,6 +195,10 @@
         """Return the records of the nodes listed, this one's included."""
         return [entry.record for entry in self.peers_.live_.values()]
 
+    def stamp(self, now):
+        """Return the first two fields of every message that carries the time."""
+        return self.boot_, int(now * 1000)
+
     def send(self, peer, message, now):
         """Send a message if the budget allows it.
 
@@ -373,7 +377,7 @@
         if not urgent:
             self._fill(bundle, self.rumors_.refreshes_, now)
         wants_reply = not is_reply and self.liveness_.wants_answer(peer, now)
-        header = (self.boot_, int(now * 1000), self.keys_.digest_, wants_reply)
+        header = (*self.stamp(now), self.keys_.digest_, wants_reply)
         if self.send(peer, Gossip(*header, **bundle.parts_), now) and wants_reply:
             self.liveness_.expect(peer, now)
 
@@ -395,7 +399,7 @@
         names = self.rng.sample(names, min(LAGGING_ASKED, len(names)))
         keys = [self.directory_.live_[name].key for name in names]
         for peer in self.liveness_.choose(1):
-            self.send(peer, RefreshesWanted(keys), now)
+            self.send(peer, RefreshesWanted(*self.stamp(now), keys), now)
 
     def _finish(self, now):
         notices = self.directory_.take_notices() + self.peers_.take_notices()
--- a/sassafrashook/membership/_directory.py
+++ b/sassafrashook/membership/_directory.py
@@ -133,8 +133,8 @@
         return self._update(entry, announcement, deadline, changed, now)
 
     def _update(self, entry, announcement, deadline, changed, now):
-        assert announcement.boot_id == entry.announcement.boot_id
-        assert announcement.sequence > entry.announcement.sequence
+        assert announcement.boot_id == entry.announcement.boot_id, "boot changed by a refresh"
+        assert announcement.sequence > entry.announcement.sequence, "sequence went back"
         if changed:
             self.keys.discard(entry.key)
             entry.key = hash_announcement(announcement)
@@ -176,8 +176,8 @@
         entry = Entry(announcement, hash_announcement(announcement), deadline)
         past = self.memory_.get(announcement.upstream_id, announcement.boot_id)
         if past is not None:
-            assert not past.final
-            assert announcement.sequence > past.sequence
+            assert not past.final, "a boot came back that was gone for good"
+            assert announcement.sequence > past.sequence, "sequence went back"
             self.memory_.drop(past)
         self.live_[announcement.upstream_id] = entry
         self.ids_by_address_[entry.address] = announcement.upstream_id
--- a/sassafrashook/membership/_messages.py
+++ b/sassafrashook/membership/_messages.py
@@ -82,16 +82,24 @@
     remaining_ms: int
 
 
-class Gossip(Message):
-    """One round's message: a heartbeat, the digest of the list, and recent changes.
+class Stamped(Message):
+    """Base of messages that carry the sender's time.
 
     :param boot: 32-bit number of the sender's boot.
-    :param digest: 64-bit digest over the keys of all records; equal lists have equal digests.
-    :param wants_reply: whether the receiver should answer at once.
+    :param sent_ms: the sender's own clock when it sent, milliseconds.
     """
 
     boot: int
     sent_ms: int
+
+
+class Gossip(Stamped):
+    """One round's message: a heartbeat, the digest of the list, and recent changes.
+
+    :param digest: 64-bit digest over the keys of all records; equal lists have equal digests.
+    :param wants_reply: whether the receiver should answer at once.
+    """
+
     digest: int
     wants_reply: bool = False
     upstreams: list[UpstreamRecord] = []
@@ -101,11 +109,9 @@
     peer_departures: list[PeerDeparture] = []
 
 
-class Records(Message):
+class Records(Stamped):
     """Records that the receiver lacked or asked for."""
 
-    boot: int
-    sent_ms: int
     upstreams: list[UpstreamRecord] = []
     refreshes: list[Refresh] = []
     departures: list[Departure] = []
@@ -113,7 +119,7 @@
     peer_departures: list[PeerDeparture] = []
 
 
-class BucketHashes(Message):
+class BucketHashes(Stamped):
     """Hashes over the buckets of the sender's keys, sent when two digests differ.
 
     :param hashes: one 32-bit hash a bucket; their number is a power of two.
@@ -122,7 +128,7 @@
     hashes: list[int]
 
 
-class BucketContents(Message):
+class BucketContents(Stamped):
     """All keys of the sender in some buckets; the receiver sends what is missing.
 
     :param bucket_count: number of buckets, a power of two.
@@ -135,13 +141,13 @@
     keys: list[int]
 
 
-class RecordsWanted(Message):
+class RecordsWanted(Stamped):
     """The sender lacks these keys."""
 
     keys: list[int]
 
 
-class RefreshesWanted(Message):
+class RefreshesWanted(Stamped):
     """The sender's announcements for these keys are about to expire."""
 
     keys: list[int]
--- a/sassafrashook/membership/_peers.py
+++ b/sassafrashook/membership/_peers.py
@@ -103,7 +103,7 @@
         :param departure: a :class:`PeerDeparture`.
         :returns: a :class:`PeerAdmission`.
         """
-        if departure.boot_id == self.own.boot_id and not departure.left:
+        if departure.name == self.own.name:
             return self._deny(departure)
         past = self.past_.get(departure.name)
         if past is not None and rank(departure) <= rank(past.departure):
@@ -154,7 +154,8 @@
         return order(record) > order(departure)
 
     def _deny(self, departure):
-        if departure.sequence < self.own_.sequence:
+        is_older = departure.boot_id != self.own.boot_id or departure.left
+        if is_older or departure.sequence < self.own_.sequence:
             return PeerAdmission.STALE
         self.own_ = replace(self.own_, sequence=departure.sequence + 1)
         self._list(self.own_)
--- a/sassafrashook/membership/_reconciliation.py
+++ b/sassafrashook/membership/_reconciliation.py
@@ -60,7 +60,7 @@
         self._compare_after = float("-inf")
         self._handlers = {
             Gossip: self._hear_gossip,
-            Records: self._hear_records,
+            Records: self._take_parts,
             BucketHashes: self._hear_hashes,
             BucketContents: self._hear_contents,
             RecordsWanted: self._hear_wanted,
@@ -73,7 +73,9 @@
         if handler is None:
             self.core.count("membership_message_refused", type(message).__name__)
             return
-        handler(peer, message, now)
+        transit = self.core.transit_
+        delay_s = transit.measure_delay(peer, message.boot, message.sent_ms, now)
+        handler(peer, message, delay_s, now)
 
     def note_change(self, now):
         """Note that a record came or went, so that digests differ for a while."""
@@ -84,7 +86,8 @@
         names = self.core.liveness_.choose(JOIN_FANOUT)
         for index, peer in enumerate(names):
             buckets = list(range(index, MINIMUM_BUCKETS, len(names)))
-            self.core.send(peer, BucketContents(MINIMUM_BUCKETS, buckets, []), now)
+            message = BucketContents(*self.core.stamp(now), MINIMUM_BUCKETS, buckets, [])
+            self.core.send(peer, message, now)
 
     def flush(self, now):
         """Send what is owed, as far as the budget allows."""
@@ -110,7 +113,7 @@
                 break
             del debt.keys[key]
         if bundle.parts_:
-            message = Records(self.core.boot_, int(now * 1000), **bundle.parts_)
+            message = Records(*self.core.stamp(now), **bundle.parts_)
             self.core.send(peer, message, now)
         if debt.keys:
             self.debts_[peer] = debt
@@ -127,8 +130,8 @@
         for key in keys:
             debt.keys[key] = refresh_only and debt.keys.get(key, True)
 
-    def _hear_gossip(self, peer, message, now):
-        self._take_parts(peer, message, now)
+    def _hear_gossip(self, peer, message, delay_s, now):
+        self._take_parts(peer, message, delay_s, now)
         if message.digest == self.core.keys_.digest_:
             self.core.synchronised_ = True
             self._equal_at = now
@@ -136,7 +139,8 @@
         if self._may_compare(now):
             self._compare_after = now + self.core.interval_ms / 1000
             count = self.core.keys_.choose_bucket_count()
-            self.core.send(peer, BucketHashes(self.core.keys_.hash_buckets(count)), now)
+            hashes = self.core.keys_.hash_buckets(count)
+            self.core.send(peer, BucketHashes(*self.core.stamp(now), hashes), now)
 
     def _may_compare(self, now):
         if now < self._compare_after:
@@ -145,12 +149,8 @@
         is_overdue = now - self._equal_at >= UNSETTLED_LIMIT_S
         return is_settled or is_overdue or not self.core.synchronised_
 
-    def _hear_records(self, peer, message, now):
-        self._take_parts(peer, message, now)
-
-    def _take_parts(self, peer, message, now):
+    def _take_parts(self, peer, message, delay_s, now):
         core = self.core
-        delay_s = core.transit_.measure_delay(peer, message.boot, message.sent_ms, now)
         for departure in message.departures:
             self._take_departure(departure, now)
         for record in message.peer_departures:
@@ -211,7 +211,8 @@
         self._owe(peer, left, now)
         wanted = [key for key in keys if not self._is_refused(key, now)]
         wanted = [key for key in wanted if self.asked_.get(key, now) <= now][:KEYS_IN_MESSAGE]
-        if wanted and self.core.send(peer, RecordsWanted(wanted), now):
+        message = RecordsWanted(*self.core.stamp(now), wanted)
+        if wanted and self.core.send(peer, message, now):
             for key in wanted:
                 self.asked_.pop(key, None)
                 self.asked_[key] = now + ASKED_S
@@ -221,7 +222,7 @@
         is_final = past is not None and past.final
         return is_final or self.refused_.get(key, now) > now
 
-    def _hear_hashes(self, peer, message, now):
+    def _hear_hashes(self, peer, message, delay_s, now):
         count = len(message.hashes)
         if not is_bucket_count(count):
             self.core.count("membership_message_refused", BucketHashes.__name__)
@@ -237,9 +238,10 @@
             buckets.append(bucket)
             keys += more
         if buckets:
-            self.core.send(peer, BucketContents(count, buckets, keys), now)
+            message = BucketContents(*self.core.stamp(now), count, buckets, keys)
+            self.core.send(peer, message, now)
 
-    def _hear_contents(self, peer, message, now):
+    def _hear_contents(self, peer, message, delay_s, now):
         if not is_bucket_count(message.bucket_count):
             self.core.count("membership_message_refused", BucketContents.__name__)
             return
@@ -250,10 +252,10 @@
         self._owe(peer, sorted(own - theirs), now)
         self._want(peer, sorted(theirs - own), now)
 
-    def _hear_wanted(self, peer, message, now):
+    def _hear_wanted(self, peer, message, delay_s, now):
         self._owe(peer, [key for key in message.keys if self.core.keys_.get(key)], now)
 
-    def _hear_refreshes_wanted(self, peer, message, now):
+    def _hear_refreshes_wanted(self, peer, message, delay_s, now):
         keys = [key for key in message.keys if self._has_time_left(key, now)]
         self._owe(peer, keys, now, refresh_only=True)
 
--- a/sassafrashook/membership/_transit.py
+++ b/sassafrashook/membership/_transit.py
@@ -3,19 +3,22 @@
 from dataclasses import dataclass
 
 CLOCK_RATE_MARGIN = 1e-3  # seconds a second by which two clocks may drift apart
+BOOTS_LIMIT = 4
 
 
 @dataclass(slots=True)
 class Baseline:
     """The smallest difference seen between the receiver's and the sender's clock."""
 
-    boot: int
     offset: float
     set_at: float
 
 
 class TransitClock:
-    """Compares the sender's time in each message with the fastest message seen from it."""
+    """Compares the sender's time in each message with the fastest message seen from it.
+
+    The first message of a sender's boot is taken as fast: it comes on a connection just opened.
+    """
 
     def __init__(self):
         self.baselines_ = {}
@@ -24,15 +27,18 @@
         """Return by how much a message took longer than the fastest from the same sender.
 
         :param peer: name of the sender.
-        :param boot: number of its boot; a new one starts afresh.
-        :param sent_ms: its own clock when it sent, milliseconds.
+        :param boot: number of its boot; each has its own clock.
+        :param sent_ms: the sender's clock when it sent, milliseconds.
         :param now: the receiver's clock, seconds.
         :returns: seconds, 0 or more.
         """
         offset = now - sent_ms / 1000
-        baseline = self.baselines_.get(peer)
-        if baseline is None or baseline.boot != boot:
-            self.baselines_[peer] = Baseline(boot, offset, now)
+        boots = self.baselines_.setdefault(peer, {})
+        baseline = boots.get(boot)
+        if baseline is None:
+            if len(boots) >= BOOTS_LIMIT:
+                del boots[next(iter(boots))]
+            boots[boot] = Baseline(offset, now)
             return 0.0
         drifted = baseline.offset + CLOCK_RATE_MARGIN * (now - baseline.set_at)
         baseline.offset = min(drifted, offset)
--- a/sassafrashook/membership/tests/network.py
+++ b/sassafrashook/membership/tests/network.py
@@ -56,7 +56,7 @@
         self.queue = []
         self.numbers = itertools.count()
         self.cores = {}
-        self.boots = {}
+        self.boots = dict.fromkeys(names, 0)
         self.offsets = {}
         self.counts = {}
         self.sent = {name: [] for name in names}
@@ -64,12 +64,16 @@
         self.is_cut = lambda source, target: False
         self.loss = 0.0
         self.repeat = 0.0
+        self.is_held = lambda source, target: False
+        self.held = []
+        self.acquainted = set()
         self.observe = lambda name, action: None
         for name in self.names:
-            self.start(name)
+            self.at(0.0, self.start, name)
+        self.run(0.0)
 
     def start(self, name):
-        boot = self.boots[name] = self.boots.get(name, 0) + 1
+        boot = self.boots[name] = self.boots[name] + 1
         index = self.names.index(name)
         host = f"10.0.{index // 250}.{index % 250 + 1}"
         record = PeerRecord(name, "router", host, 7000, "muscat-a", f"{name}-{boot}", boot)
@@ -123,15 +127,28 @@
             self.carry_out(name, core.advance(max(self.clock(name), deadline)))
 
     def post(self, source, target, message):
-        self.sent[source].append((self.now, type(message).__name__, measure(message)))
+        record = (self.now, self.boots[source], type(message).__name__, measure(message))
+        self.sent[source].append(record)
         if self.is_cut(source, target) or self.rng.random() < self.loss:
             return
+        envelope = (source, target, self.boots[source], self.boots[target], message)
+        if self.is_held(source, target) and envelope[:4] in self.acquainted:
+            self.held.append(envelope)
+            return
         copies = 2 if self.rng.random() < self.repeat else 1
         for _ in range(copies):
-            self.at(self.now + self.delay(source, target), self.arrive, source, target, message)
-
-    def arrive(self, source, target, message):
-        if not self.is_cut(source, target):
+            self.at(self.now + self.delay(source, target), self.arrive, envelope)
+
+    def release(self):
+        """Deliver what silent connections held back; new connections never hold anything."""
+        envelopes, self.held = self.held, []
+        for envelope in envelopes:
+            self.arrive(envelope)
+
+    def arrive(self, envelope):
+        source, target, _, target_boot, message = envelope
+        if self.boots[target] == target_boot and not self.is_cut(source, target):
+            self.acquainted.add(envelope[:4])
             self.tell(target, FromPeer(source, message))
 
     def run(self, until):
--- /dev/null
+++ b/sassafrashook/membership/tests/oracle.py
@@ -0,0 +1,185 @@
+"""What must hold of the lists of all nodes, checked from outside with one clock."""
+
+from sassafrashook.membership import DepartureReason, LeaveHeard, UpstreamLeft, UpstreamSeen
+from sassafrashook.membership.tests.network import Network, make_announcement
+
+VALID_MS = 6_000
+VALID_S = VALID_MS / 1000
+DELAY_SLACK_S = 0.25  # fast messages' own delays, over several hops
+FAULTS_END_S = 50.0
+QUIET_AT_S = 73.0  # no content changes after this, so that all digests must be equal
+CHECK_AT_S = 75.0
+
+
+class Upstream:
+    """A fake upstream that announces itself at random nodes."""
+
+    def __init__(self, name, port, flaps=True, incarnation=1_000):
+        self.name = name
+        self.port = port
+        self.flaps = flaps
+        self.boot = 1
+        self.incarnation = incarnation
+        self.sequence = 0
+        self.cold = False
+        self.is_alive = True
+
+    @property
+    def boot_id(self):
+        return f"{self.name}-{self.port}-{self.boot}"
+
+    def announce(self, leaving=False):
+        self.sequence += 1
+        return make_announcement(
+            self.name,
+            self.boot_id,
+            self.sequence,
+            port=self.port,
+            incarnation=self.incarnation,
+            valid_ms=VALID_MS,
+            cold=self.cold,
+            leaving=leaving,
+        )
+
+    def restart(self, now, port):
+        self.boot += 1
+        self.port = port
+        self.incarnation = 1_000 + int(now * 1000)
+        self.sequence = 0
+        self.is_alive = True
+
+
+class Run:
+    """One seeded run with faults until ``FAULTS_END_S``, then peace."""
+
+    def __init__(self, seed, **parameters):
+        names = [f"r{index}" for index in range(7)]
+        self.network = network = Network(seed, names, **parameters)
+        self.rng = network.rng
+        self.heard_at = {}
+        self.left = {}
+        self.sequences = {}
+        self.seen = 0
+        network.observe = self.observe
+        self.upstreams = [Upstream(f"engine-{i}", 8_000 + i, flaps=i > 1) for i in range(10)]
+        twin = Upstream("engine-0", 9_000, flaps=False, incarnation=2_000)
+        squatter = Upstream("squatter", 8_001, flaps=False, incarnation=2_000)
+        self.rivals = [twin, squatter]
+        self.ports = iter(range(10_000, 20_000))
+        for upstream in self.upstreams + self.rivals:
+            network.at(self.rng.uniform(0.5, 2), self.keep_announcing, upstream, 1)
+        network.loss, network.repeat = 0.05, 0.05
+        network.delay = self.draw_delay
+        for act in (self.flap, self.disturb, self.restart_node):
+            network.at(5.0, act)
+
+    def draw_delay(self, source, target):
+        return self.rng.uniform(0.0005, 0.02 if self.network.now < FAULTS_END_S else 0.002)
+
+    def hear(self, announcement, name):
+        if name not in self.network.cores:
+            return
+        key = (announcement.upstream_id, announcement.boot_id, announcement.sequence)
+        self.heard_at.setdefault(key, self.network.now)
+        self.network.announce(name, announcement)
+
+    def keep_announcing(self, upstream, boot):
+        if upstream.is_alive and upstream.boot == boot:
+            if self.network.now < QUIET_AT_S:
+                upstream.cold = self.rng.random() < 0.1
+            name = self.rng.choice(self.network.names)
+            late = self.rng.choice((0, 0, 0, 1.5))
+            self.network.at(self.network.now + late, self.hear, upstream.announce(), name)
+            self.network.at(self.network.now + VALID_S / 3, self.keep_announcing, upstream, boot)
+
+    def flap(self):
+        network, rng = self.network, self.rng
+        if network.now >= FAULTS_END_S:
+            return
+        network.at(network.now + rng.uniform(0.5, 2), self.flap)
+        upstream = rng.choice([u for u in self.upstreams if u.flaps])
+        if not upstream.is_alive:
+            port = rng.choice((upstream.port, next(self.ports)))
+            upstream.restart(network.now, port)
+            self.keep_announcing(upstream, upstream.boot)
+            return
+        upstream.is_alive = False
+        name = rng.choice(network.names)
+        way = rng.randrange(3)
+        if way == 0:
+            network.tell(name, LeaveHeard(upstream.name, upstream.boot_id))
+        elif way == 1:
+            self.hear(upstream.announce(leaving=True), name)
+        late = upstream.announce()
+        network.at(network.now + rng.uniform(0, 4), self.hear, late, rng.choice(network.names))
+
+    def disturb(self):
+        network, rng = self.network, self.rng
+        network.is_cut = network.is_held = lambda source, target: False
+        network.release()
+        if network.now >= FAULTS_END_S:
+            network.loss = network.repeat = 0.0
+            return
+        network.at(network.now + rng.uniform(2, 8), self.disturb)
+        side = set(rng.sample(network.names, rng.randrange(1, 4)))
+        kind = rng.choice(("cut", "held", "none"))
+        if kind == "cut":
+            network.is_cut = lambda source, target: (source in side) != (target in side)
+        elif kind == "held":
+            network.is_held = lambda source, target: source in side
+
+    def restart_node(self):
+        network, rng = self.network, self.rng
+        if network.now >= FAULTS_END_S:
+            return
+        network.at(network.now + rng.uniform(3, 10), self.restart_node)
+        name = rng.choice(network.names)
+        if name in network.cores:
+            network.stop(name)
+            network.at(network.now + rng.uniform(0, 3), network.start, name)
+
+    def observe(self, name, action):
+        boot = self.network.boots[name]
+        if isinstance(action, UpstreamLeft) and action.reason is DepartureReason.LEFT:
+            self.left[name, boot, action.upstream_id, action.boot_id] = self.network.now
+        if not isinstance(action, UpstreamSeen):
+            return
+        self.seen += 1
+        announcement = action.announcement
+        key = (announcement.upstream_id, announcement.boot_id)
+        assert (name, boot, *key) not in self.left, f"{key} came back at {name} after it left"
+        last = self.sequences.get((name, boot, *key), -1)
+        assert announcement.sequence > last, f"sequence of {key} went back at {name}"
+        self.sequences[name, boot, *key] = announcement.sequence
+        deadline = action.deadline - self.network.offsets[name]
+        limit = self.heard_at[(*key, announcement.sequence)] + VALID_S + DELAY_SLACK_S
+        assert deadline <= limit, f"validity of {key} was extended at {name}: {deadline - limit}"
+
+    def check(self):
+        """Run to the end and check that all nodes agree on the truth."""
+        network = self.network
+        network.run(CHECK_AT_S)
+        truth = {u.name: u.boot_id for u in self.upstreams if u.is_alive}
+        for name in network.names:
+            listed = {key: a.boot_id for key, a in network.listed(name).items()}
+            assert listed == truth, f"{name}: {listed} instead of {truth}"
+            peers = {record.name: record.boot_id for record in network.cores[name].peers()}
+            boots = {n: f"{n}-{network.boots[n]}" for n in network.names}
+            assert peers == boots, f"{name}: nodes {peers} instead of {boots}"
+        digests = {core.keys_.digest_ for core in network.cores.values()}
+        assert len(digests) == 1, "digests differ"
+        refused = {key[1] for key in network.counts if key[0] == "membership_announcement_refused"}
+        assert refused >= {"id_at_two_addresses", "address_of_another", "after_leave"}, refused
+        check_budget(network)
+
+
+def check_budget(network, limit=4_096):
+    """Check every window of one second of every node's boot."""
+    for name, records in network.sent.items():
+        start, used = 0, 0
+        for time, boot, _, size in records:
+            used += size
+            while records[start][1] != boot or records[start][0] <= time - 1.0:
+                used -= records[start][3]
+                start += 1
+            assert used <= limit, f"{name} sent {used} bytes in the second until {time}"
--- a/sassafrashook/membership/tests/test_core.py
+++ b/sassafrashook/membership/tests/test_core.py
@@ -35,6 +35,6 @@
             network.announce(NAMES[index % 7], announcement)
         network.run(35.0)
         assert all(len(network.listed(name)) == length for name in NAMES)
-        sent = [s for name in NAMES for (t, _, s) in network.sent[name] if t >= 25.0]
+        sent = [s for name in NAMES for (t, _, _, s) in network.sent[name] if t >= 25.0]
         usage.append(sum(sent) / 7 / 10)
     assert usage[1] <= usage[0] * 1.05, usage
--- /dev/null
+++ b/sassafrashook/membership/tests/test_proofs.py
@@ -0,0 +1,103 @@
+"""Each check is seen failing with the mechanism that it is meant for switched off."""
+
+import pytest
+from msgspec.structs import replace
+
+from sassafrashook.membership import _rumors
+from sassafrashook.membership._budget import ByteBudget
+from sassafrashook.membership._directory import Directory
+from sassafrashook.membership._memory import Memory
+from sassafrashook.membership._messages import UpstreamRecord
+from sassafrashook.membership._peers import PeerAdmission, PeerTable
+from sassafrashook.membership._reconciliation import Reconciliation
+from sassafrashook.membership._transit import TransitClock
+from sassafrashook.membership.tests.network import Network, make_announcement
+from sassafrashook.membership.tests.oracle import Run, check_budget
+
+SEEDS = range(5)
+NAMES = [f"r{index}" for index in range(7)]
+
+
+def forget_everything(monkeypatch):
+    monkeypatch.setattr(Memory, "get", lambda self, upstream_id, boot_id: None)
+    monkeypatch.setattr(Memory, "mark_left", lambda self, *arguments: 0)
+    monkeypatch.setattr("sassafrashook.membership._core.MembershipCore._spread_departure", ignore)
+
+
+def ignore(*arguments):
+    return None
+
+
+def renew_on_relay(monkeypatch):
+    def make_part(entry, now, by_key):
+        announcement = entry.announcement
+        return "upstreams", UpstreamRecord(announcement, announcement.valid_ms)
+
+    monkeypatch.setattr(_rumors, "make_upstream_part", make_part)
+
+
+def trust_transit(monkeypatch):
+    monkeypatch.setattr(TransitClock, "measure_delay", lambda self, *arguments: 0.0)
+
+
+def never_compare(monkeypatch):
+    monkeypatch.setattr(Reconciliation, "_may_compare", lambda self, now: False)
+
+
+def never_deny(monkeypatch):
+    monkeypatch.setattr(PeerTable, "_deny", lambda self, departure: PeerAdmission.STALE)
+
+
+def take_any_sequence(monkeypatch):
+    def refresh(self, entry, sequence, remaining_s, now):
+        announcement = replace(entry.announcement, sequence=sequence)
+        return self._update(entry, announcement, now + remaining_s, False, now)
+
+    monkeypatch.setattr(Directory, "refresh", refresh)
+
+
+@pytest.mark.parametrize(
+    ("switch_off", "words"),
+    [
+        (forget_everything, "came back"),
+        (renew_on_relay, "validity"),
+        (trust_transit, "validity"),
+        (never_compare, ": nodes "),
+        (never_deny, ": nodes "),
+        (take_any_sequence, "sequence went back"),
+    ],
+)
+def test_runs_fail_without(monkeypatch, switch_off, words):
+    switch_off(monkeypatch)
+    failures = []
+    for seed in SEEDS:
+        try:
+            Run(seed).check()
+        except AssertionError as error:
+            failures.append(str(error))
+    print(switch_off.__name__, failures)
+    assert any(words in failure for failure in failures)
+
+
+def run_burst():
+    network = Network(1, NAMES)
+    network.run(5.0)
+    for index in range(100):
+        announcement = make_announcement(f"engine-{index}", port=1 + index, valid_ms=60_000)
+        network.announce(NAMES[index % 7], announcement)
+    network.run(20.0)
+    return network
+
+
+def test_budget_holds_in_a_burst_and_the_burst_still_spreads():
+    network = run_burst()
+    check_budget(network)
+    assert all(len(network.listed(name)) == 100 for name in NAMES)
+    assert network.counts["membership_budget_held", "Gossip"] > 0
+
+
+def test_burst_breaks_the_budget_without_it(monkeypatch):
+    monkeypatch.setattr(ByteBudget, "available", lambda self, now: 1_000_000)
+    monkeypatch.setattr(ByteBudget, "spend", lambda self, size, now: True)
+    with pytest.raises(AssertionError, match="bytes in the second"):
+        check_budget(run_burst())
