--- a/Makefile
+++ b/Makefile
@@ -23,3 +23,10 @@
 format: $(VENV)/.installed
 	$(BIN)/black --quiet sassafrashook fakes scripts benchmarks examples
 	$(BIN)/ruff check --fix --quiet sassafrashook fakes scripts benchmarks examples
+
+dist: $(VENV)/.installed
+	$(BIN)/python scripts/build_dist.py
+	$(BIN)/python scripts/check_dist.py
+
+bench-routing: $(VENV)/.installed
+	$(BIN)/python -m benchmarks.routing
--- a/sassafrashook/operations/_controller.py
+++ b/sassafrashook/operations/_controller.py
@@ -77,7 +77,7 @@
     def _describe(self, member, addresses):
         peer = addresses.get(member.name)
         host, port = (peer.host, peer.port) if peer else ("", 0)
-        return Member(member.name, member.identity, host, port, member.votes, member.votes)
+        return Member(member.name, member.identity, host, port, member.voter, member.voter)
 
 
 class ControllerRole:
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -1,6 +1,9 @@
 """Starts a small fleet on loopback and takes the whole path through it, one printed line a step."""
 
 import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from fakes.fleet import Fleet, StepError
 
