--- a/fakes/fleet.py
+++ b/fakes/fleet.py
@@ -4,7 +4,6 @@
 import os
 import shutil
 import signal
-import subprocess
 import sys
 import tempfile
 import time
@@ -13,9 +12,11 @@
 
 import gevent
 import yaml
-from gevent import socket
+from gevent import socket, subprocess
 from geventhttpclient import HTTPClient
 
+from fakes.fault_proxy import FaultProxy
+
 ROOT = Path(__file__).resolve().parent.parent
 ZONES = ("muscat-a", "muscat-b", "muscat-c")
 PORT_RANGE = (20_000, 30_000)
@@ -102,7 +103,29 @@
     body: bytes
     events: int = 0
     engine: str = ""
-    is_whole: bool = False
+
+    @property
+    def is_whole(self):
+        """Whether a stream came to its end marker."""
+        return b"data: [DONE]" in self.body.split(b"\n\n")
+
+    @property
+    def has_error(self):
+        """Whether a stream ended by a plain error event."""
+        return b"\n\nevent: error\n" in b"\n\n" + self.body
+
+    def read_text(self):
+        """Return the text that a stream carried."""
+        parts = [part[6:] for part in self.body.split(b"\n\n") if part.startswith(b"data: {")]
+        return "".join(json.loads(part)["choices"][0]["delta"]["content"] for part in parts)
+
+    def read_error(self):
+        """Return the error's verdict, reason and time to come back."""
+        data = self.body.rpartition(b"data: ")[2] if self.has_error else self.body
+        try:
+            return json.loads(data)["error"]
+        except (ValueError, KeyError, TypeError):
+            return {}
 
 
 @dataclass(slots=True)
@@ -130,14 +153,23 @@
     :param sizes: a :class:`Sizes`.
     :param tls: folder of certificates made by ``fakes.certificates``, or ``None``.
     :param program: command that runs sassafrashook.
+    :param proxied: names of processes whose streams to and from peers pass fault proxies.
     """
 
-    def __init__(self, sizes=None, tls=None, program=(sys.executable, "-m", "sassafrashook")):
+    def __init__(
+        self,
+        sizes=None,
+        tls=None,
+        program=(sys.executable, "-m", "sassafrashook"),
+        proxied=(),
+    ):
         self.sizes = sizes or Sizes()
         self.tls = tls
         self.program = list(program)
         self.folder = Path(tempfile.mkdtemp(prefix="fleet-"))
         self.zones = ZONES
+        self.proxied = set(proxied)
+        self.proxies = {}
         self.processes = {}
         self.ports = {}
         self.controllers = [f"controller-{n + 1}" for n in range(self.sizes.controllers)]
@@ -154,6 +186,8 @@
     def __exit__(self, *_):
         for process in self.processes.values():
             process.kill()
+        for proxy in self.proxies.values():
+            proxy.stop()
         shutil.rmtree(self.folder, ignore_errors=True)
 
     def start(self):
@@ -257,9 +291,7 @@
         body = {"model": "advisor", "stream": True, "messages": messages, **fields}
         headers = {"X-Conversation-Id": conversation, "Content-Type": "application/json"}
         answer = self.send(router, "POST", "/v1/chat/completions", headers, body, account)
-        parts = answer.body.split(b"\n\n")
-        answer.is_whole = b"data: [DONE]" in parts
-        answer.events = sum(part.startswith(b"data: {") for part in parts)
+        answer.events = answer.body.count(b"data: {")
         if answer.status != 200 or not answer.is_whole:
             raise StepError(f"chat: {answer.status} {answer.body[-300:]!r}")
         return answer
@@ -342,11 +374,25 @@
     def _endpoint(self, port):
         return {"host": "127.0.0.1", "port": port}
 
-    def _peers(self, names):
+    def _peers(self, source, names):
         return [
-            {"name": name, "host": "127.0.0.1", "port": self.ports[name].peer} for name in names
+            {"name": name, "host": "127.0.0.1", "port": self._find_peer_port(source, name)}
+            for name in names
         ]
 
+    def _find_peer_port(self, source, name):
+        port = self.ports[name].peer
+        if source == name or not {source, name} & self.proxied:
+            return port
+        key = (source, name)
+        if key not in self.proxies:
+            self.proxies[key] = FaultProxy(("127.0.0.1", port)).start()
+        return self.proxies[key].address[1]
+
+    def proxies_of(self, name):
+        """Return the proxies on the streams to and from a proxied process."""
+        return [proxy for key, proxy in self.proxies.items() if name in key]
+
     def _write_keys(self):
         (self.folder / "callers.yaml").write_text(yaml.safe_dump(CALLER_KEYS))
         (self.folder / "upstreams.key").write_text(UPSTREAM_KEY)
@@ -365,8 +411,8 @@
             "availability_zone": self.zones[index % len(self.zones)],
             "peer_endpoint": self._endpoint(self.ports[name].peer),
             "metrics_endpoint": self._endpoint(self.ports[name].metrics),
-            "controllers": self._peers(self.controllers),
-            "routers": self._peers(self.routers),
+            "controllers": self._peers(name, self.controllers),
+            "routers": self._peers(name, self.routers),
             "keys": keys,
             **extra,
         }
--- a/sassafrashook/transport/_mesh.py
+++ b/sassafrashook/transport/_mesh.py
@@ -81,6 +81,7 @@
         self.count = count
         self.codec = Codec((*message_types, *FRAMES))
         self.addresses_ = {peer.name: (peer.host, peer.port) for peer in peers}
+        self.fixed_ = frozenset(self.addresses_)
         self.handlers_ = {}
         self.links_ = {}
         self.connections_ = set()
@@ -122,12 +123,12 @@
             connection.close()
 
     def learn(self, peer):
-        """Take a peer's address, new or changed.
+        """Take a peer's address, new or changed; one given by the settings stays.
 
         :param peer: a :class:`PeerAddress`.
         """
         address = (peer.host, peer.port)
-        if self.addresses_.get(peer.name) == address:
+        if peer.name in self.fixed_ or self.addresses_.get(peer.name) == address:
             return
         self.addresses_[peer.name] = address
         link = self.links_.pop(peer.name, None)
