Storage: recover after a crash among the removals of a checkpoint

Reading now goes from the newest segment back to the newest checkpoint, and drops the rest. What a killed process left unsynced is synced before it is relied on.

--- a/sassafrashook/consensus/_reads.py
+++ b/sassafrashook/consensus/_reads.py
@@ -37,9 +37,12 @@
     def leading_term(self, now):
         """Return the term while the lease holds, else 0.
 
+        It is 0 until this term has committed, so that all older terms' commands are applied.
+
         :param now: seconds.
         """
-        return self.term_ if self._holds_lease(now) else 0
+        has_committed = self.log_.term_at(self.commit_index_) == self.term_
+        return self.term_ if has_committed and self._holds_lease(now) else 0
 
     def lease_deadline(self):
         """Return until when a quorum has confirmed this leader, seconds on its own clock.
--- a/sassafrashook/storage/_wal.py
+++ b/sassafrashook/storage/_wal.py
@@ -1,10 +1,12 @@
 """The write-ahead log: what must be synced before it is spoken of."""
 
 import os
+from dataclasses import dataclass
+from itertools import pairwise
 
 from sassafrashook.base import Parametrized
 from sassafrashook.storage._errors import CorruptionError, IdentityError, StorageError
-from sassafrashook.storage._frames import encode_frame, read_frames
+from sassafrashook.storage._frames import Frame, encode_frame, read_frames
 from sassafrashook.utils import Interval
 
 __all__ = ["WriteAheadLog"]
@@ -12,6 +14,23 @@
 SEGMENT_BYTES = 4 * 1024 * 1024
 SEGMENT_PREFIX = "wal-"
 SEGMENT_SUFFIX = ".log"
+SEGMENT_KIND = b"segment"
+CHECKPOINT_KIND = b"checkpoint"
+
+
+@dataclass(slots=True, frozen=True)
+class _Segment:
+    """One segment as read.
+
+    :param size: size of the file, bytes, with a torn tail.
+    """
+
+    path: str
+    number: int
+    is_checkpoint: bool
+    payloads: list[bytes]
+    last_frame: Frame
+    size: int
 
 
 class WriteAheadLog(Parametrized):
@@ -62,11 +81,10 @@
         self.number_ = 0
         self.sequence_ = 0
         self.size_ = 0
-        records = []
-        names = self._segment_names()
-        for name in names:
-            records = self._read_segment(name, records, name == names[-1])
-        return records
+        segments = self._read_segments()
+        if segments:
+            self._continue_segment(segments[-1])
+        return [payload for segment in segments for payload in segment.payloads]
 
     def write(self, payload):
         """Append one record and sync it.
@@ -107,41 +125,54 @@
         self.file_system.sync_folder(self.folder)
 
     def _start_segment(self, frames, checkpoint):
-        kind = b"checkpoint" if checkpoint else b"segment"
+        kind = CHECKPOINT_KIND if checkpoint else SEGMENT_KIND
         data = encode_frame(0, kind + b" " + self.identity.encode()) + frames
         self.file_system.replace(self._path(self.number_ + 1), data)
         self.number_ += 1
         self.sequence_ = 1
         self.size_ = len(data)
 
-    def _read_segment(self, name, records, is_last):
+    def _read_segments(self):
+        """Read from the newest segment back to the newest checkpoint, and drop what is older."""
+        names = self._segment_names()
+        segments = []
+        while names and not (segments and segments[0].is_checkpoint):
+            segments.insert(0, self._read_segment(names.pop(), is_last=not segments))
+        if segments and not segments[0].is_checkpoint and segments[0].number > 1:
+            raise CorruptionError(segments[0].path, 0, "an earlier segment is missing")
+        for before, after in pairwise(segments):
+            if after.number != before.number + 1:
+                raise CorruptionError(after.path, 0, "the segment before is missing")
+        for name in names:
+            self.file_system.remove(os.path.join(self.folder, name))
+        return segments
+
+    def _read_segment(self, name, is_last):
         path = os.path.join(self.folder, name)
         data = self.file_system.read(path)
         frames = read_frames(path, data, may_be_torn=is_last)
-        number = int(name[len(SEGMENT_PREFIX) : -len(SEGMENT_SUFFIX)], 16)
         if not frames:
             raise CorruptionError(path, 0, "no segment header")
         kind, _, identity = frames[0].payload.partition(b" ")
         if identity != self.identity.encode():
             raise IdentityError(path, f"belongs to identity {identity.decode(errors='replace')}")
-        is_checkpoint = kind == b"checkpoint"
-        if self.number_ and number != self.number_ + 1 and not is_checkpoint:
-            raise CorruptionError(path, 0, "an earlier segment is missing")
-        if not self.number_ and number > 1 and not is_checkpoint:
-            raise CorruptionError(path, 0, "the first segment is missing")
+        is_checkpoint = kind == CHECKPOINT_KIND
         if is_checkpoint and len(frames) < 2:
             raise CorruptionError(path, frames[0].end, "checkpoint record is missing")
-        self._cut_tail(path, data, frames[-1].end)
-        self.number_ = number
-        self.sequence_ = frames[-1].sequence + 1
-        self.size_ = frames[-1].end
+        number = int(name[len(SEGMENT_PREFIX) : -len(SEGMENT_SUFFIX)], 16)
         payloads = [frame.payload for frame in frames[1:]]
-        return payloads if is_checkpoint else records + payloads
-
-    def _cut_tail(self, path, data, end):
-        if end < len(data):
-            self.file_system.truncate(path, end)
-            self.file_system.sync(path)
+        return _Segment(path, number, is_checkpoint, payloads, frames[-1], len(data))
+
+    def _continue_segment(self, segment):
+        """Cut a torn tail; what was read but perhaps never synced is synced before use."""
+        end = segment.last_frame.end
+        if end < segment.size:
+            self.file_system.truncate(segment.path, end)
+        self.file_system.sync(segment.path)
+        self.file_system.sync_folder(self.folder)
+        self.number_ = segment.number
+        self.sequence_ = segment.last_frame.sequence + 1
+        self.size_ = end
 
     def _path(self, number):
         return os.path.join(self.folder, f"{SEGMENT_PREFIX}{number:016x}{SEGMENT_SUFFIX}")
