--- a/sassafrashook/membership/_core.py
+++ b/sassafrashook/membership/_core.py
@@ -75,7 +75,7 @@
     >>> core = MembershipCore(own, random.Random(1), len)
     >>> core.start(0.0)
     []
-    >>> core.upstreams()
+    >>> core.upstreams(0.0)
     []
     """
 
@@ -187,9 +187,14 @@
         )
         return min(deadline for deadline in deadlines if deadline is not None)
 
-    def upstreams(self):
-        """Return the announcements listed, in no particular order."""
-        return [entry.announcement for entry in self.directory_.live_.values()]
+    def upstreams(self, now):
+        """Return the announcements that hold, in no particular order.
+
+        :param now: the current time, seconds; after a pause of the process nothing that has
+            expired meanwhile is returned.
+        """
+        entries = self.directory_.live_.values()
+        return [entry.announcement for entry in entries if entry.deadline > now]
 
     def peers(self):
         """Return the records of the nodes listed, this one's included."""
@@ -267,7 +272,8 @@
         admission = self.peers_.admit(record)
         if admission is PeerAdmission.ADDED:
             self._spread_change(self.peers_.live_[record.name].key, now)
-            self._refresh_names()
+            if record.name != self.own.name:
+                self.liveness_.add(record.name)
         return admission
 
     def take_peer_departure(self, departure, now):
@@ -278,7 +284,7 @@
         admission = self.peers_.depart(departure, now)
         if admission is PeerAdmission.DEPARTED:
             self._spread_change(self.peers_.past_[departure.name].key, now)
-            self._refresh_names()
+            self._drop_name(departure.name)
         elif admission is PeerAdmission.DENIED:
             self.count("membership_peer", admission)
             self._spread_change(self.peers_.live_[self.own.name].key, now)
@@ -294,11 +300,10 @@
         if self.urgent_at_ is None:
             self.urgent_at_ = now + URGENT_DELAY_S
 
-    def _refresh_names(self):
-        names = set(self.seeds_) | self.peers_.live_.keys()
-        names.discard(self.own.name)
-        self.liveness_.set_names(names)
-        self.transit_.keep_only(names)
+    def _drop_name(self, name):
+        if name not in self.seeds_ and name not in self.peers_.live_:
+            self.liveness_.remove(name)
+            self.transit_.drop(name)
 
     def _hear_announcement(self, event, now):
         announcement = event.announcement
@@ -323,8 +328,11 @@
 
     def _change_peers(self, event, now):
         is_first = not self.seeds_
-        self.seeds_ = tuple(event.peers)
-        self._refresh_names()
+        former, self.seeds_ = self.seeds_, event.peers
+        for name in former:
+            self._drop_name(name)
+        for name in event.peers:
+            self.liveness_.add(name)
         if is_first:
             self.reconciliation_.join(now)
 
@@ -352,6 +360,7 @@
         interval_s = self.interval_ms / 1000
         self.round_at_ = now + interval_s * (0.9 + 0.2 * self.rng.random())
         limit = int(self.budget_bytes * ROUND_SHARE * interval_s / self.fanout)
+        self.liveness_.rotate()
         for peer in self.liveness_.choose(self.fanout):
             self._send_gossip(peer, max(limit, SMALLEST_MESSAGE_BYTES), now)
         self._ask_for_refreshes(now)
--- a/sassafrashook/membership/_directory.py
+++ b/sassafrashook/membership/_directory.py
@@ -48,9 +48,10 @@
         refusal = self._check_past(announcement)
         if refusal is not None:
             return refusal
+        if announcement.valid_ms > self.max_valid_s * 1000:
+            announcement = replace(announcement, valid_ms=int(self.max_valid_s * 1000))
         entry = self.live_.get(announcement.upstream_id)
-        limit_s = min(announcement.valid_ms / 1000, self.max_valid_s)
-        deadline = now + min(remaining_s, limit_s)
+        deadline = now + min(remaining_s, announcement.valid_ms / 1000)
         if entry is not None and entry.announcement.boot_id == announcement.boot_id:
             return self._renew(entry, announcement, deadline, now, direct)
         return self._insert(entry, announcement, deadline, now)
@@ -62,9 +63,8 @@
         """
         if sequence <= entry.announcement.sequence:
             return Admission.STALE
-        limit_s = min(entry.announcement.valid_ms / 1000, self.max_valid_s)
         announcement = replace(entry.announcement, sequence=sequence)
-        deadline = now + min(remaining_s, limit_s)
+        deadline = now + min(remaining_s, announcement.valid_ms / 1000)
         return self._update(entry, announcement, deadline, False, now)
 
     def leave(self, upstream_id, boot_id, remaining_s, now):
--- a/sassafrashook/membership/_liveness.py
+++ b/sassafrashook/membership/_liveness.py
@@ -4,6 +4,9 @@
 
 REPORT_INTERVAL_S = 60.0
 RETRY_SHARE = 8  # one in this many targets is a node that did not answer
+VIEW_SIZE = 32
+VIEW_TRIES = 8
+ROTATE_SHARE = 16  # one in this many rounds replaces one node of the view
 
 
 @dataclass(slots=True)
@@ -23,11 +26,17 @@
 class Liveness:
     """Picks nodes to talk to and watches for answers.
 
-    A node that doesn't answer in time is probed on a new connection before it is called lost.
+    Nodes are picked from a small view, which changes slowly, so that the number of connections
+    doesn't grow with the number of nodes. A node that doesn't answer in time is probed on a new
+    connection before it is called lost.
 
     :param rng: source of random numbers.
     :param answer_timeout_s: how long an answer may take, seconds.
     :param probe_timeout_s: how long a probe may take, seconds.
+
+    Attributes:
+
+    :ivar states_: a :class:`PeerState` for each known name.
     """
 
     def __init__(self, rng, answer_timeout_s, probe_timeout_s):
@@ -37,16 +46,41 @@
         self.states_ = {}
         self.awaited_ = {}
         self.probed_ = {}
-        self._reachable = []
+        self._names = []
+        self._positions = {}
+        self._view = []
         self._unreachable = []
 
-    def set_names(self, names):
-        """Replace the names of the nodes that may be talked to."""
-        self.states_ = {name: self.states_.get(name) or PeerState() for name in sorted(names)}
-        for pending in (self.awaited_, self.probed_):
-            for name in pending.keys() - self.states_.keys():
-                del pending[name]
-        self._sort()
+    def add(self, name):
+        """Let a node be talked to; no effect if it is known."""
+        if name in self.states_:
+            return
+        self.states_[name] = PeerState()
+        self._positions[name] = len(self._names)
+        self._names.append(name)
+        if len(self._view) < VIEW_SIZE:
+            self._view.append(name)
+        elif self.rng.randrange(len(self._names)) < VIEW_SIZE:
+            self._view[self.rng.randrange(VIEW_SIZE)] = name
+
+    def remove(self, name):
+        """Talk to a node no longer; no effect if it isn't known."""
+        if self.states_.pop(name, None) is None:
+            return
+        position, last = self._positions.pop(name), self._names.pop()
+        if last != name:
+            self._names[position] = last
+            self._positions[last] = position
+        self.awaited_.pop(name, None)
+        self.probed_.pop(name, None)
+        if name in self._unreachable:
+            self._unreachable.remove(name)
+        self._leave_view(name)
+
+    def rotate(self):
+        """Once in a while replace one node of the view."""
+        if len(self._names) > VIEW_SIZE and self.rng.randrange(ROTATE_SHARE) == 0:
+            self._leave_view(self.rng.choice(self._view))
 
     def choose(self, count):
         """Pick nodes at random.
@@ -54,7 +88,7 @@
         :param count: how many at most.
         :returns: distinct names.
         """
-        names = self.rng.sample(self._reachable, min(count, len(self._reachable)))
+        names = self.rng.sample(self._view, min(count, len(self._view)))
         has_room = len(names) < count
         if self._unreachable and (has_room or self.rng.randrange(RETRY_SHARE) == 0):
             names[count - 1 :] = [self.rng.choice(self._unreachable)]
@@ -70,7 +104,9 @@
         self.probed_.pop(name, None)
         if not state.reachable:
             state.reachable = True
-            self._sort()
+            self._unreachable.remove(name)
+            if len(self._view) < VIEW_SIZE:
+                self._view.append(name)
 
     def wants_answer(self, name, now):
         """Return whether a node was not heard of for so long that it should answer at once."""
@@ -104,7 +140,8 @@
             return False
         if state.reachable:
             state.reachable = False
-            self._sort()
+            self._unreachable.append(name)
+            self._leave_view(name)
         if now < state.report_after:
             return False
         state.report_after = now + REPORT_INTERVAL_S
@@ -114,6 +151,12 @@
         """Return when :meth:`list_overdue` is due, seconds, or ``None``."""
         return min((*self.awaited_.values(), *self.probed_.values()), default=None)
 
-    def _sort(self):
-        self._reachable = [name for name, state in self.states_.items() if state.reachable]
-        self._unreachable = [name for name, state in self.states_.items() if not state.reachable]
+    def _leave_view(self, name):
+        if name not in self._view:
+            return
+        self._view.remove(name)
+        for _ in range(min(len(self._names), VIEW_TRIES)):
+            other = self.rng.choice(self._names)
+            if self.states_[other].reachable and other != name and other not in self._view:
+                self._view.append(other)
+                return
--- a/sassafrashook/membership/_reconciliation.py
+++ b/sassafrashook/membership/_reconciliation.py
@@ -29,6 +29,13 @@
 FRESH_SHARE = 0.4  # of the validity: with less than this left, no answer is given
 OUTDATED = (Admission.AFTER_LEAVE, Admission.OLDER_BOOT)
 CONFLICTS = (Admission.ID_AT_TWO_ADDRESSES, Admission.ADDRESS_OF_ANOTHER)
+REFUSED = (
+    *OUTDATED,
+    *CONFLICTS,
+    Admission.BOOT_AT_TWO_ADDRESSES,
+    Admission.LIST_FULL,
+    Admission.OUT_OF_BOUNDS,
+)
 
 
 @dataclass(slots=True)
@@ -177,10 +184,14 @@
         if admission is Admission.STALE and entry is not None:
             core.rumors_.note_repeat(entry.key)
         if admission in OUTDATED or admission in CONFLICTS:
-            self._refuse(peer, announcement, admission, now)
-
-    def _refuse(self, peer, announcement, admission, now):
-        """Remember a refused record for a while, and tell the sender of the better one."""
+            self._tell_better(peer, announcement, now)
+        if admission in REFUSED:
+            key = hash_announcement(announcement)
+            self.refused_.pop(key, None)
+            self.refused_[key] = now + REFUSED_S
+
+    def _tell_better(self, peer, announcement, now):
+        """Send what is listed in place of a refused record."""
         directory = self.core.directory_
         past = directory.memory_.get(announcement.upstream_id, announcement.boot_id)
         address = (announcement.host, announcement.port)
@@ -189,9 +200,6 @@
         better = [past.left_key] if past is not None and past.left_key else []
         better += [rival.key for rival in (entry, holder) if rival is not None]
         self._owe(peer, better, now)
-        key = hash_announcement(announcement)
-        self.refused_.pop(key, None)
-        self.refused_[key] = now + REFUSED_S
 
     def _take_refreshes(self, peer, refreshes, delay_s, now):
         unknown = []
@@ -199,10 +207,10 @@
             item = self.core.keys_.get(refresh.key)
             if isinstance(item, Entry):
                 self.core.take_refresh(item, refresh, delay_s, now)
-            elif item is None:
-                unknown.append(refresh.key)
-            else:
+            elif item is not None:
                 self.core.rumors_.note_repeat(refresh.key)
+            elif not self._is_outlived(refresh):
+                unknown.append(refresh.key)
         self._want(peer, unknown, now)
 
     def _want(self, peer, keys, now):
@@ -217,6 +225,10 @@
                 self.asked_.pop(key, None)
                 self.asked_[key] = now + ASKED_S
 
+    def _is_outlived(self, refresh):
+        past = self.core.directory_.memory_.dead_keys_.get(refresh.key)
+        return past is not None and not past.final and refresh.sequence <= past.sequence
+
     def _is_refused(self, key, now):
         past = self.core.directory_.memory_.dead_keys_.get(key)
         is_final = past is not None and past.final
--- a/sassafrashook/membership/_service.py
+++ b/sassafrashook/membership/_service.py
@@ -106,8 +106,8 @@
         self._put(PeersChanged(tuple(names)))
 
     def upstreams(self):
-        """Return the announcements listed, in no particular order."""
-        return self.core.upstreams()
+        """Return the announcements that hold, in no particular order."""
+        return self.core.upstreams(self.clock())
 
     def peers(self):
         """Return the records of the nodes listed, this one's included."""
--- a/sassafrashook/membership/_transit.py
+++ b/sassafrashook/membership/_transit.py
@@ -45,6 +45,6 @@
         baseline.set_at = now
         return offset - baseline.offset
 
-    def keep_only(self, names):
-        """Drop what is known of all other senders."""
-        self.baselines_ = {n: b for n, b in self.baselines_.items() if n in names}
+    def drop(self, peer):
+        """Drop what is known of a sender."""
+        self.baselines_.pop(peer, None)
--- a/sassafrashook/membership/tests/network.py
+++ b/sassafrashook/membership/tests/network.py
@@ -159,4 +159,4 @@
         self.now = until
 
     def listed(self, name):
-        return {a.upstream_id: a for a in self.cores[name].upstreams()}
+        return {a.upstream_id: a for a in self.cores[name].upstreams(self.clock(name))}
--- a/sassafrashook/membership/tests/test_rules.py
+++ b/sassafrashook/membership/tests/test_rules.py
@@ -42,12 +42,14 @@
     def __init__(self, **parameters):
         self.core = MembershipCore(OWN, random.Random(1), measure, **parameters)
         self.core.start(0.0)
+        self.now = 0.0
         self.actions = []
 
     def hear(self, now, **changes):
         return self.tell(AnnouncementHeard(make_announcement(**changes)), now)
 
     def tell(self, event, now):
+        self.now = now
         self.actions = self.core.handle(event, now)
         return self.refusals()
 
@@ -55,6 +57,7 @@
         return self.tell(FromPeer(peer, Gossip(1, sent_ms, 0, False, **parts)), now)
 
     def advance(self, until):
+        self.now = until
         self.actions = []
         while self.core.next_deadline() <= until:
             self.actions += self.core.advance(self.core.next_deadline())
@@ -67,7 +70,7 @@
         return [action for action in self.actions if isinstance(action, kind)]
 
     def boots(self):
-        return {a.upstream_id: a.boot_id for a in self.core.upstreams()}
+        return {a.upstream_id: a.boot_id for a in self.core.upstreams(self.now)}
 
 
 def test_expires_at_its_deadline_and_only_a_newer_sequence_brings_it_back():
@@ -93,7 +96,7 @@
     node.gossip(9.0, 5_000, refreshes=[Refresh(key, 3, 9_000)])
     assert node.found(UpstreamSeen)[0].deadline == pytest.approx(15.0, abs=0.01)
     assert node.gossip(9.0, 8_000, upstreams=[record]) == []
-    assert node.core.upstreams()[0].sequence == 3
+    assert node.core.upstreams(9.0)[0].sequence == 3
 
 
 def test_frequent_refreshes_are_not_spread():
