--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -8,12 +8,12 @@
 """
 
 import argparse
-import cProfile
 import json
 import signal
 import subprocess
 import sys
 import time
+from collections import Counter
 
 import gevent
 import gevent.event
@@ -22,6 +22,7 @@
 
 ENGINES = 10
 TICK_S = 0.026
+SAMPLE_S = 0.001
 BODY = b'{"messages":[{"role":"user","content":"%d"}],"stream":true,"max_tokens":%d}'
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
 EVENT = (
@@ -97,7 +98,8 @@
 
     def serve(sock, _):
         port = options.ports[next(turn) % len(options.ports)]
-        with socket.create_connection(("127.0.0.1", port)) as upstream:
+        with socket.socket() as upstream:
+            upstream.connect(("127.0.0.1", port))
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             upstream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             back = gevent.spawn(copy, upstream, sock)
@@ -130,15 +132,48 @@
     print(port, flush=True)
     asked = gevent.event.Event()
     gevent.signal_handler(signal.SIGUSR1, asked.set)
-    profile = cProfile.Profile() if options.profile else None
-    if profile:
-        profile.enable()
+    samples = start_sampling() if options.profile else None
     while True:
         asked.wait()
         asked.clear()
+        if samples:
+            write_samples(samples, options.profile)
         print(time.process_time(), flush=True)
-        if profile:
-            profile.dump_stats(options.profile)
+
+
+def start_sampling():
+    """Sample the stack at each millisecond of processor time.
+
+    :returns: counter of ``(is_leaf, place)``.
+    """
+    samples = Counter()
+
+    def sample(_, frame):
+        leaf = True
+        seen = set()
+        while frame is not None:
+            code = frame.f_code
+            place = f"{code.co_filename.rsplit('/', 2)[-1]}:{code.co_qualname}"
+            if leaf:
+                samples[True, f"{place}:{frame.f_lineno}"] += 1
+            if place not in seen:
+                samples[False, place] += 1
+            seen.add(place)
+            leaf = False
+            frame = frame.f_back
+
+    signal.signal(signal.SIGPROF, sample)
+    signal.setitimer(signal.ITIMER_PROF, SAMPLE_S, SAMPLE_S)
+    return samples
+
+
+def write_samples(samples, path):
+    """Write the places by their share, lines that run themselves first."""
+    samples = samples.copy()
+    total = sum(count for (leaf, _), count in samples.items() if leaf)
+    with open(path, "w", encoding="utf-8") as file:
+        for (leaf, place), count in samples.most_common(120):
+            file.write(f"{count / total:6.1%} {'self' if leaf else 'all '} {place}\n")
 
 
 def run_callers(options):
@@ -243,6 +278,7 @@
     parser.add_argument("--ports", type=json.loads, default=[])
     parser.add_argument("--seconds", type=float, default=10)
     parser.add_argument("--profile", default="")
+    parser.add_argument("--roles", default="direct,plain,router")
     options = parser.parse_args()
     if options.role:
         ROLES[options.role](options)
@@ -250,7 +286,7 @@
     engines = start("engines", [], options)
     try:
         ports = json.loads(engines.stdout.readline())
-        for role in ("direct", "plain", "router"):
+        for role in options.roles.split(","):
             show(role, measure(role, ports, options))
     finally:
         engines.kill()
