--- a/fakes/fleet.py
+++ b/fakes/fleet.py
@@ -16,6 +16,7 @@
 from geventhttpclient import HTTPClient
 
 from fakes.fault_proxy import FaultProxy
+from sassafrashook.operations._client import ControllerAddress, OperatorClient
 
 ROOT = Path(__file__).resolve().parent.parent
 ZONES = ("muscat-a", "muscat-b", "muscat-c")
@@ -24,6 +25,7 @@
 STOP_S = 40
 POLL_S = 0.05
 REQUEST_S = 30
+COMMAND_S = 20
 DEADLINE_MS = 20_000
 LOG_TAIL = 2_000
 CALLER_KEYS = {"muscat-central": "caller-key-muscat", "sohar": "caller-key-sohar-0"}
@@ -202,6 +204,20 @@
             self.start_engine(name, index)
         self.start_ledger()
 
+    def start_serving(self):
+        """Start everything, put the configuration in force and wait until all routers serve."""
+        self.start()
+        self.operate("config", "apply", self.configuration_file, "--wait")
+        self.wait_for_upstreams()
+
+    def restart(self, name):
+        """Start an ended controller or router again."""
+        if name in self.controllers:
+            self.start_controller(name)
+            return
+        self.start_router(name)
+        self.wait_until(lambda: self.is_serving(name), f"{name} serves")
+
     def start_controller(self, name, bootstrap=False):
         """Start one controller."""
         extra = {
@@ -275,6 +291,45 @@
             raise StepError(f"{' '.join(words)}: exit {result.returncode}: {result.stderr.strip()}")
         return result.stdout.strip()
 
+    def command(
+        self, method, path, body=None, command_id=None, controllers=None, timeout_s=COMMAND_S
+    ):
+        """Send one operator command without starting a program for it.
+
+        :param controllers: names of those to ask, default all.
+        :param timeout_s: how long to try.
+        :returns: ``Success`` of an ``OperatorAnswer`` or ``Failure`` of an ``OperatorError``.
+        """
+        names = controllers or self.controllers
+        addresses = [ControllerAddress("127.0.0.1", self.ports[name].front) for name in names]
+        deadline = time.monotonic() + timeout_s
+        return OperatorClient(addresses, OPERATOR_KEY, deadline).call(
+            method, path, body, command_id
+        )
+
+    def find_leader(self):
+        """Return the name of the controller that leads; wait until one does."""
+        return self.wait_until(self._find_leader, "a controller leads")
+
+    def _find_leader(self):
+        for name in self.controllers:
+            if self.read_status(name).get("leading"):
+                return name
+        return None
+
+    def read_status(self, name):
+        """Return what one controller says of itself; empty if it does not answer."""
+        client = HTTPClient(
+            "127.0.0.1", self.ports[name].front, connection_timeout=1, network_timeout=1
+        )
+        try:
+            headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
+            return json.loads(client.get("/v1/status", headers=headers).read())
+        except (OSError, ValueError):
+            return {}
+        finally:
+            client.close()
+
     def run_operator(self, *words, controllers=None):
         """Run one operator command; return the completed process."""
         names = controllers or self.controllers
--- a/fakes/load.py
+++ b/fakes/load.py
@@ -5,7 +5,11 @@
 from dataclasses import dataclass, field
 
 import gevent
-from geventhttpclient.response import HTTPConnectionClosed, HTTPProtocolViolationError
+from geventhttpclient.response import (
+    HTTPConnectionClosed,
+    HTTPParseError,
+    HTTPProtocolViolationError,
+)
 
 from fakes.engine import make_tokens
 from fakes.fleet import CALLER_KEYS
@@ -15,7 +19,7 @@
 RETRY_S = 0.2
 TOKENS = 20
 ORDER_TRIES = 40
-ERRORS = (OSError, HTTPConnectionClosed, HTTPProtocolViolationError)
+ERRORS = (OSError, HTTPConnectionClosed, HTTPParseError, HTTPProtocolViolationError)
 
 
 @dataclass(slots=True)
@@ -119,7 +123,8 @@
                 self._pick_router(), "POST", "/v1/chat/completions", headers, body, account
             )
         except ERRORS as error:
-            self.counts["connection_lost"] += 1
+            is_cut = isinstance(error, HTTPParseError)
+            self.counts["cut" if is_cut else "connection_lost"] += 1
             self.reasons[type(error).__name__] += 1
             return
         self._judge_chat(answer, messages)
--- a/sassafrashook/consensus/_replica.py
+++ b/sassafrashook/consensus/_replica.py
@@ -330,6 +330,10 @@
         done = self._wait_until(lambda: self.core_.has_replaced(name), deadline)
         return Success(self.members()) if done else Failure("deadline_passed")
 
+    def has_replaced(self, name):
+        """Return whether the newest identity of a name votes and has synced that it does."""
+        return self.core_.has_replaced(name)
+
     def _wait_until(self, condition, deadline):
         while not condition() and self.clock() < deadline and self.failure_ is None:
             gevent.sleep(POLL_MS / 1000)
--- a/sassafrashook/operations/_cli.py
+++ b/sassafrashook/operations/_cli.py
@@ -201,8 +201,20 @@
         self._print(body, columns, rows)
 
     def replace(self, name, command_id=None):
-        """Replace a member whose disk was lost by the host's new identity."""
-        self._print(self._call("POST", f"/v1/members/{name}/replace", {}, command_id))
+        """Replace a member whose disk was lost by the host's new identity.
+
+        :param name: the controller.
+        """
+        members = self._call("GET", "/v1/members")["members"]
+        identities = [entry["identity"] for entry in members if entry["name"] == name]
+        if not identities:
+            exit_with(ExitCode.USAGE, f"{name!r} is not a member")
+        command = {"identity": identities[0]}
+        body = self._call("POST", f"/v1/members/{name}/replace", command, command_id)
+        body.pop("members", None)
+        self._print(body)
+        if body["outcome"] != "committed":
+            exit_with(ExitCode.REFUSED, body.get("reason", "refused"))
 
 
 class RouterCommands:
--- a/sassafrashook/operations/_client.py
+++ b/sassafrashook/operations/_client.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from enum import IntEnum
 
+import gevent
 from geventhttpclient import HTTPClient
 from returns.result import Failure, Success
 
@@ -110,7 +111,7 @@
                 may_be_accepted = may_be_accepted or (attempt.was_sent and body is not None)
             if time.monotonic() + RESEND_PAUSE_MS / 1000 >= self.deadline:
                 break
-            time.sleep(RESEND_PAUSE_MS / 1000)
+            gevent.sleep(RESEND_PAUSE_MS / 1000)
         if not may_be_accepted:
             return Failure(OperatorError(ExitCode.UNAVAILABLE, attempt.problem))
         advice = f"{attempt.problem}; send it again with --command-id={body['command_id']}"
--- a/sassafrashook/operations/_controller.py
+++ b/sassafrashook/operations/_controller.py
@@ -67,13 +67,22 @@
         return [self._describe(member, addresses) for member in self.replica.members()]
 
     def replace_member(self, name, body, deadline):
-        """Put a host's new identity in the place of its lost one."""
-        result = self.replica.replace_member(name, deadline)
-        if isinstance(result, Failure):
-            log_event("replace_failed", level="warning", member=name, obstacle=result.failure())
-            return Success({"outcome": "refused", "reason": str(result.failure())})
+        """Put a host's new identity in the place of its lost one.
+
+        :param body: may state the lost ``identity``; once that is gone, a resend of the command
+            is answered as the first one was.
+        """
+        if not self._is_gone(name, body.get("identity")):
+            result = self.replica.replace_member(name, deadline)
+            if isinstance(result, Failure):
+                log_event("replace_failed", level="warning", member=name, obstacle=result.failure())
+                return Success({"outcome": "refused", "reason": str(result.failure())})
         return Success({"outcome": "committed", "members": self.list_members()})
 
+    def _is_gone(self, name, identity):
+        identities = {member.identity for member in self.replica.members()}
+        return bool(identity) and identity not in identities and self.replica.has_replaced(name)
+
     def _describe(self, member, addresses):
         peer = addresses.get(member.name)
         host, port = (peer.host, peer.port) if peer else ("", 0)
