--- a/sassafrashook/consensus/_elections.py
+++ b/sassafrashook/consensus/_elections.py
@@ -58,12 +58,11 @@
 
     def _start_pre_vote(self, now):
         self._reset_election_deadline(now)
+        self.leader_ = ""
+        self.leader_identity_ = ""
         if not self._is_voter(self.identity):
-            self.leader_ = ""
             return
         self.role_ = Role.PRE_CANDIDATE
-        self.leader_ = ""
-        self.leader_identity_ = ""
         self.votes_ = {self.identity}
         self._request_votes(self.term_ + 1, pre_vote=True, transfer=False)
         self._count_votes(now)
--- a/sassafrashook/consensus/_membership.py
+++ b/sassafrashook/consensus/_membership.py
@@ -7,6 +7,9 @@
 
 __all__ = ["MembershipMixin", "decode_members", "encode_members"]
 
+ANNOUNCEMENT_HEARTBEATS = 10
+SILENT_LEARNER_TIMEOUTS = 5
+
 
 def encode_members(members):
     """Return the data of an entry that holds a list of members."""
@@ -84,12 +87,6 @@
         others = [m for m in self.configuration_ if m.identity != self.identity]
         return [m for m in others if m.voter or not voters_only]
 
-    def _reachable_members(self):
-        """Return the other members, without an identity whose name a learner has taken over."""
-        others = self._other_members()
-        learners = {m.name for m in others if not m.voter}
-        return [m for m in others if not m.voter or m.name not in learners]
-
     def _set_genesis(self, bindings, sealed):
         self.genesis_ = Genesis(bindings, sealed)
         self._state_changed = True
@@ -109,7 +106,7 @@
 
     def _on_identity_announced(self, message, now):
         if self._member(message.identity) is None:
-            self.announced_[message.sender] = message.identity
+            self.announced_[message.sender] = (message.identity, now)
         genesis = self.genesis_
         if genesis is None:
             return
@@ -162,39 +159,52 @@
         own_term_committed = self.log_.term_at(self.commit_index_) == self.term_
         return self.configuration_index_ > self.commit_index_ or not own_term_committed
 
-    def find_obstacle(self, name):
+    def _announced_identity(self, name, now):
+        """Return the identity that a host announced a short while ago, or ``None``."""
+        identity, heard_at = self.announced_.get(name, (None, now))
+        is_fresh = now <= heard_at + ANNOUNCEMENT_HEARTBEATS * self.heartbeat_s_
+        return identity if is_fresh and self._member(identity) is None else None
+
+    def find_obstacle(self, name, now):
         """Return why a member cannot be replaced now, or an empty string.
 
         :param name: name of the member.
+        :param now: seconds.
         """
         if self.role_ is not Role.LEADER:
             return "not_leader"
         if name == self.name or name not in [m.name for m in self.configuration_]:
             return "not_another_member"
-        identity = self.announced_.get(name)
-        if identity is None or self._member(identity) is not None:
+        if self._announced_identity(name, now) is None:
             return "no_new_identity"
         return "change_in_progress" if self._is_changing() else ""
 
-    def is_replacing(self, name):
-        """Return whether a new identity of a name is being caught up."""
-        return any(m.name == name and not m.voter for m in self.configuration_)
+    def find_replacement(self, name, now):
+        """Return the new identity that is being caught up, or could be.
 
-    def has_replaced(self, name):
-        """Return whether the newest identity of a name votes and has synced that it does."""
+        :param name: name of the member.
+        :param now: seconds.
+        :returns: an identity, or ``None``.
+        """
+        for member in self.configuration_:
+            if member.name == name and not member.voter:
+                return member.identity
+        return None if self.find_obstacle(name, now) else self._announced_identity(name, now)
+
+    def has_replaced(self, name, identity):
+        """Return whether an identity alone votes under a name, and has synced that it does."""
         members = [m for m in self.configuration_ if m.name == name]
         if self.role_ is not Role.LEADER or self.configuration_index_ > self.commit_index_:
             return False
-        progress = self.progress_.get(members[0].identity) if len(members) == 1 else None
-        if progress is None or not members[0].voter:
+        if members != [Member(name, identity)]:
             return False
-        is_newest = self.announced_.get(name) in (None, members[0].identity)
-        return is_newest and progress.match_index >= self.configuration_index_
+        return self._synced_index(members[0]) >= self.configuration_index_
 
     def _on_replace_member(self, event, now):
-        if self.find_obstacle(event.name):
+        if self.find_obstacle(event.name, now):
             return
-        learner = Member(event.name, self.announced_[event.name], voter=False)
+        identity = self._announced_identity(event.name, now)
+        learner = Member(event.name, identity, voter=False)
         kept = [m for m in self.configuration_ if m.voter or m.name != event.name]
         self._propose_members([*kept, learner], now)
 
@@ -207,16 +217,20 @@
         if self.role_ is not Role.LEADER or self._is_changing():
             return
         for learner in [m for m in self.configuration_ if not m.voter]:
-            if not self._has_caught_up(learner):
-                continue
-            others = [m for m in self.configuration_ if m.name != learner.name]
-            has_old = len(others) + 1 < len(self.configuration_)
-            changed = Member(learner.name, learner.identity, voter=not has_old)
-            self._propose_members([*others, changed], now)
-            return
-
-    def _has_caught_up(self, learner):
-        return self.progress_[learner.identity].match_index >= self.commit_index_
+            progress = self.progress_[learner.identity]
+            if progress.match_index >= self.commit_index_:
+                self._advance_learner(learner, now)
+                return
+            if now >= progress.heard_at + SILENT_LEARNER_TIMEOUTS * self.election_max_s_:
+                others = [m for m in self.configuration_ if m is not learner]
+                self._propose_members(others, now)
+                return
+
+    def _advance_learner(self, learner, now):
+        others = [m for m in self.configuration_ if m.name != learner.name]
+        has_old = len(others) + 1 < len(self.configuration_)
+        changed = Member(learner.name, learner.identity, voter=not has_old)
+        self._propose_members([*others, changed], now)
 
     def _propose_members(self, members, now):
         index = self.log_.last_index + 1
--- a/sassafrashook/consensus/_progress.py
+++ b/sassafrashook/consensus/_progress.py
@@ -14,6 +14,7 @@
 
     __slots__ = (
         "acknowledged_round",
+        "heard_at",
         "in_flight",
         "in_flight_bytes",
         "last_progress_at",
@@ -29,6 +30,7 @@
         self.next_index = next_index
         self.match_index = 0
         self.acknowledged_round = 0
+        self.heard_at = now
         self.in_flight = deque()
         self.in_flight_bytes = 0
         self.probing = True
--- a/sassafrashook/consensus/_replica.py
+++ b/sassafrashook/consensus/_replica.py
@@ -318,18 +318,24 @@
         :returns: ``Success`` of the list of members once the new identity votes and has synced
             that, or ``Failure`` of the obstacle, ``str``; a change begun goes on by itself.
         """
-        passing = ("change_in_progress", "no_new_identity")
         core = self.core_
-        self._wait_until(
-            lambda: core.is_replacing(name) or core.find_obstacle(name) not in passing, deadline
-        )
-        obstacle = core.find_obstacle(name)
-        if obstacle and not core.is_replacing(name):
-            return Failure(obstacle)
+        identity = self._wait_for_replacement(name, deadline)
+        if identity is None:
+            return Failure(core.find_obstacle(name, self.clock()) or "deadline_passed")
         self._inputs.put(ReplaceMember(name))
-        done = self._wait_until(lambda: self.core_.has_replaced(name), deadline)
+        done = self._wait_until(lambda: core.has_replaced(name, identity), deadline)
         return Success(self.members()) if done else Failure("deadline_passed")
 
+    def _wait_for_replacement(self, name, deadline):
+        core = self.core_
+        passing = ("change_in_progress", "no_new_identity")
+        self._wait_until(
+            lambda: core.find_replacement(name, self.clock()) is not None
+            or core.find_obstacle(name, self.clock()) not in passing,
+            deadline,
+        )
+        return core.find_replacement(name, self.clock())
+
     def _wait_until(self, condition, deadline):
         while not condition() and self.clock() < deadline and self.failure_ is None:
             gevent.sleep(POLL_MS / 1000)
--- a/sassafrashook/consensus/_replication.py
+++ b/sassafrashook/consensus/_replication.py
@@ -79,11 +79,11 @@
         return None
 
     def _send_entries_to_all(self, now):
-        for member in self._reachable_members():
+        for member in self._other_members():
             self._send_entries(member, now)
 
     def _send_heartbeats(self, now):
-        for member in self._reachable_members():
+        for member in self._other_members():
             progress = self.progress_[member.identity]
             is_held = progress.match_index >= self.log_.base_index
             self._send_append(member, progress.match_index if is_held else 0, [])
@@ -129,13 +129,12 @@
         progress = self.progress_.get(message.identity)
         if self.role_ is not Role.LEADER or message.term < self.term_ or progress is None:
             return
+        progress.heard_at = now
         self._note_round(progress, message.round_number, now)
         if message.success:
             if progress.note_match(message.match_index, now):
                 progress.probing = False
                 self._advance_commit(now)
-        elif message.hint_index < progress.match_index:
-            self.refusals_["lost_acknowledged_entries"] += 1
         elif message.hint_index + 1 < progress.next_index:
             progress.restart(message.hint_index + 1, now)
         self._advance_transfer(now)
--- a/sassafrashook/consensus/_snapshot_transfer.py
+++ b/sassafrashook/consensus/_snapshot_transfer.py
@@ -47,6 +47,7 @@
         progress = self.progress_.get(message.identity)
         if progress is None or message.term != self.term_:
             return
+        progress.heard_at = now
         self._note_round(progress, message.round_number, now)
         if message.index == progress.snapshot_index:
             progress.snapshot_offset = message.offset
