--- a/sassafrashook/consensus/_replica.py
+++ b/sassafrashook/consensus/_replica.py
@@ -318,21 +318,32 @@
         :returns: ``Success`` of the list of members once the new identity votes and has synced
             that, or ``Failure`` of the obstacle, ``str``; a change begun goes on by itself.
         """
-        passing = ("change_in_progress", "no_new_identity")
         core = self.core_
-        self._wait_until(
-            lambda: core.is_replacing(name) or core.find_obstacle(name) not in passing, deadline
-        )
-        obstacle = core.find_obstacle(name)
-        if obstacle and not core.is_replacing(name):
-            return Failure(obstacle)
+        identity = self._wait_for_replacement(name, deadline)
+        if identity is None:
+            return Failure(core.find_obstacle(name, self.clock()) or "deadline_passed")
         self._inputs.put(ReplaceMember(name))
-        done = self._wait_until(lambda: self.core_.has_replaced(name), deadline)
+        done = self._wait_until(lambda: core.has_replaced(name, identity), deadline)
         return Success(self.members()) if done else Failure("deadline_passed")
 
-    def has_replaced(self, name):
-        """Return whether the newest identity of a name votes and has synced that it does."""
-        return self.core_.has_replaced(name)
+    def has_replaced(self, name, lost):
+        """Return whether a lost identity of a name is gone for good.
+
+        :param lost: the identity that was replaced.
+        """
+        present = [member.identity for member in self.members() if member.name == name]
+        is_single = len(present) == 1 and lost not in present
+        return is_single and self.core_.has_replaced(name, present[0])
+
+    def _wait_for_replacement(self, name, deadline):
+        core = self.core_
+        passing = ("change_in_progress", "no_new_identity")
+        self._wait_until(
+            lambda: core.find_replacement(name, self.clock()) is not None
+            or core.find_obstacle(name, self.clock()) not in passing,
+            deadline,
+        )
+        return core.find_replacement(name, self.clock())
 
     def _wait_until(self, condition, deadline):
         while not condition() and self.clock() < deadline and self.failure_ is None:
