--- a/sassafrashook/controller/_admin_documents.py
+++ b/sassafrashook/controller/_admin_documents.py
@@ -59,7 +59,7 @@
     rollout: Rollout | None = None
 
 
-class ErrorAnswer(msgspec.Struct, frozen=True, omit_defaults=True):
+class ErrorAnswer(msgspec.Struct, frozen=True):
     """Why there is no other answer.
 
     :param verdict: whether the command may have been committed.
--- a/sassafrashook/controller/_configuration.py
+++ b/sassafrashook/controller/_configuration.py
@@ -64,6 +64,7 @@
     :param clock: returns monotonic seconds.
     :param resend_ms: when an unconfirmed publication is sent again.
     :param silent_after_ms: silence after which a router takes no new work, since its lease is over.
+    :param sleep: waits for a number of seconds.
 
     Attributes: ``routers_``, progress by router name.
 
@@ -84,13 +85,16 @@
         "silent_after_ms": Interval(int, 100, 3_600_000),
     }
 
-    def __init__(self, log, state, sender, clock, resend_ms=500, silent_after_ms=10_000):
+    def __init__(
+        self, log, state, sender, clock, resend_ms=500, silent_after_ms=10_000, sleep=gevent.sleep
+    ):
         self.log = log
         self.state = state
         self.sender = sender
         self.clock = clock
         self.resend_ms = resend_ms
         self.silent_after_ms = silent_after_ms
+        self.sleep = sleep
 
     def start(self):
         """Start publishing."""
@@ -148,7 +152,7 @@
         """
         rollout = self.rollout(revision)
         while not rollout.in_force and self.clock() < deadline:
-            gevent.sleep(ROLLOUT_POLL_MS / 1000)
+            self.sleep(ROLLOUT_POLL_MS / 1000)
             rollout = self.rollout(revision)
         return rollout
 
