--- a/sassafrashook/controller/_documents.py
+++ b/sassafrashook/controller/_documents.py
@@ -11,6 +11,7 @@
 
 PATH_SUFFIX = re.compile(r"^(?P<problem>.*?)(?: - at `(?P<path>\$.*)`)?$", re.DOTALL)
 PATH_STEP = re.compile(r"\.([A-Za-z0-9_-]+)|\[(\d+)\]")
+UNKNOWN_FIELD = re.compile(r"unknown field `(.*)`")
 MAX_VALUE_CHARS = 80
 
 
@@ -37,6 +38,9 @@
     except msgspec.ValidationError as error:
         match = PATH_SUFFIX.match(str(error))
         path = match["path"] or "$"
+        unknown = UNKNOWN_FIELD.search(match["problem"])
+        if unknown:
+            path += f".{unknown[1]}"
         found = repr(_find_value(value, path))[:MAX_VALUE_CHARS]
         return Failure(DocumentProblem(path, found, match["problem"]))
 
--- a/sassafrashook/controller/tests/test_admin.py
+++ b/sassafrashook/controller/tests/test_admin.py
@@ -118,7 +118,7 @@
     ("change", "path", "value"),
     [
         ({"load_bound": 99}, "$.document.load_bound", "99"),
-        ({"weights": {}}, "$.document", "weights"),
+        ({"weights": {}}, "$.document.weights", "{}"),
         ({"classes": []}, "$.document.classes", "[]"),
         ({"default_class": "x"}, "$.document.default_class", "x"),
         ({"services": DOCUMENT["services"] * 2}, "$.document.services", "chat"),
