--- /dev/null
+++ b/sassafrashook/routing/_invariants.py
@@ -0,0 +1,60 @@
+"""What must hold at every grant, checked apart from the decision that led to it."""
+
+from enum import StrEnum
+
+from sassafrashook.routing._placement import round_bound
+
+
+class Invariant(StrEnum):
+    """Names of the invariants."""
+
+    CAPACITY = "capacity"
+    COLD_CAPACITY = "cold_capacity"
+    ISOLATION = "isolation"
+    LEAVING = "leaving"
+    LOAD_BOUND = "load_bound"
+    QUARANTINE = "quarantine"
+    ZONE = "zone"
+
+
+class InvariantError(RuntimeError):
+    """A grant would have broken an invariant; it was refused instead.
+
+    :param invariant: the :class:`Invariant`.
+    """
+
+    def __init__(self, invariant):
+        super().__init__(f"a grant would break the invariant {invariant.value}")
+        self.invariant = invariant
+
+
+def check_grant(upstream, group, state, fingerprint):
+    """Check one grant before it is counted.
+
+    :param upstream: the chosen :class:`UpstreamState`.
+    :param group: the :class:`PlacementGroup` that it was chosen from.
+    :param state: the :class:`OwnerState`.
+    :param fingerprint: of the request to be placed.
+    :raises InvariantError: if it would break an invariant.
+    """
+    announcement = upstream.announcement
+    load = upstream.load
+    is_suspect = state.suspects_.is_suspect(fingerprint)
+    bound = round_bound(state.load_bound_, group.running_, len(group.points_))
+    limit = upstream.warm_up_.limit_
+    if announcement.cold:
+        limit = min(limit, announcement.cold_capacity)
+    if state.suspects_.is_quarantined(fingerprint):
+        raise InvariantError(Invariant.QUARANTINE)
+    if announcement.availability_zone in state.fleet_state_.drained_zones:
+        raise InvariantError(Invariant.ZONE)
+    if announcement.leaving or upstream.gone_:
+        raise InvariantError(Invariant.LEAVING)
+    if load >= announcement.capacity:
+        raise InvariantError(Invariant.CAPACITY)
+    if load >= limit:
+        raise InvariantError(Invariant.COLD_CAPACITY)
+    if load >= bound:
+        raise InvariantError(Invariant.LOAD_BOUND)
+    if load > 0 and (is_suspect or upstream.runs_isolated()):
+        raise InvariantError(Invariant.ISOLATION)
--- a/sassafrashook/transport/_mesh.py
+++ b/sassafrashook/transport/_mesh.py
@@ -4,10 +4,12 @@
 from dataclasses import dataclass
 
 import gevent
+from absl import logging
 from gevent import socket
 from gevent.server import StreamServer
 
 from sassafrashook.gateways import Sender
+from sassafrashook.tasks import spawn_task
 from sassafrashook.transport._codec import Codec, CodecError
 from sassafrashook.transport._frames import FRAMES, Hello, Ping, Pong
 from sassafrashook.transport._link import RECEIVE_BYTES, SILENCE_MS, Link
@@ -79,6 +81,7 @@
         self.count = count
         self.codec = Codec((*message_types, *FRAMES))
         self.addresses_ = {peer.name: (peer.host, peer.port) for peer in peers}
+        self.fixed_ = frozenset(self.addresses_)
         self.handlers_ = {}
         self.links_ = {}
         self.connections_ = set()
@@ -99,7 +102,7 @@
         self._server = StreamServer(self.listen, self._serve)
         self._server.start()
         self.port_ = self._server.server_port
-        self._sweeper = gevent.spawn(self._sweep)
+        self._sweeper = spawn_task(self._sweep)
 
     def stop(self, flush_ms=0):
         """Close everything.
@@ -120,12 +123,12 @@
             connection.close()
 
     def learn(self, peer):
-        """Take a peer's address, new or changed.
+        """Take a peer's address, new or changed; one given by the settings stays.
 
         :param peer: a :class:`PeerAddress`.
         """
         address = (peer.host, peer.port)
-        if self.addresses_.get(peer.name) == address:
+        if peer.name in self.fixed_ or self.addresses_.get(peer.name) == address:
             return
         self.addresses_[peer.name] = address
         link = self.links_.pop(peer.name, None)
@@ -148,6 +151,18 @@
             link.start()
         return link.put(message)
 
+    def probe(self, peer, deadline):
+        """Find out on a new connection whether a peer answers.
+
+        :param deadline: monotonic seconds.
+        :returns: whether it answered a heartbeat in time.
+        """
+        address = self.addresses_.get(peer)
+        if address is None:
+            return False
+        link = Link(self.name, peer, address, self.codec, self.client_context, self.count)
+        return link.probe(deadline)
+
     def _hand_over(self, sender, message):
         handler = self.handlers_.get(type(message))
         if handler is None:
@@ -164,6 +179,9 @@
             self.count("connections_refused", "bad_message", 1)
         except OSError as error:
             self.count("connections_lost", type(error).__name__, 1)
+        except Exception as error:
+            self.count("connections_failed", type(error).__name__, 1)
+            logging.exception("event=message_handler_failed")
         finally:
             self.connections_.discard(connection)
             connection.close()
