--- a/sassafrashook/controller/_documents.py
+++ b/sassafrashook/controller/_documents.py
@@ -19,7 +19,7 @@
     """What is wrong with a document.
 
     :param path: where, such as ``$.classes[0].waiting_ms``.
-    :param value: the value found, shortened.
+    :param value: the value found, shortened; empty for a whole object.
     :param allowed: what is allowed there.
     """
 
@@ -41,8 +41,9 @@
         unknown = UNKNOWN_FIELD.search(match["problem"])
         if unknown:
             path += f".{unknown[1]}"
-        found = repr(_find_value(value, path))[:MAX_VALUE_CHARS]
-        return Failure(DocumentProblem(path, found, match["problem"]))
+        found = _find_value(value, path)
+        shown = "" if isinstance(found, dict) else repr(found)[:MAX_VALUE_CHARS]
+        return Failure(DocumentProblem(path, shown, match["problem"]))
 
 
 def check_configuration(value):
@@ -52,20 +53,7 @@
     :returns: ``Success`` of a :class:`~sassafrashook.configuration.Configuration` or ``Failure``
         of a :class:`DocumentProblem`.
     """
-    return convert_document(value, Configuration).bind(_check_names)
-
-
-def _check_names(configuration):
-    for field in ("classes", "services", "accounts"):
-        names = [entry.name for entry in getattr(configuration, field)]
-        repeated = sorted({name for name in names if names.count(name) > 1})
-        if repeated:
-            return Failure(DocumentProblem(f"$.{field}", repeated[0], "each name once"))
-    known = sorted(entry.name for entry in configuration.classes)
-    if configuration.default_class not in known:
-        allowed = "one of " + ", ".join(known)
-        return Failure(DocumentProblem("$.default_class", configuration.default_class, allowed))
-    return Success(configuration)
+    return convert_document(value, Configuration)
 
 
 def _find_value(value, path):
--- a/sassafrashook/controller/tests/test_admin.py
+++ b/sassafrashook/controller/tests/test_admin.py
@@ -20,10 +20,11 @@
     SessionOpened,
     UpstreamAnnouncement,
 )
+from sassafrashook.settings import Keys
 from sassafrashook.state import FleetStateMachine, OrderStatus
 from sassafrashook.state.tests.fake_log import NAME, FakeClock, FakeLog, Outbox
 
-KEY = "operators-key"
+KEY = "the-operators-key-0123"
 HEADERS = {"Authorization": f"Bearer {KEY}"}
 DOCUMENT = {
     "classes": [{"name": "default", "waiting_ms": 500, "completion_ms": 9_000}],
@@ -74,7 +75,7 @@
         )  # fmt: skip
         self.application = AdminApplication(
             NAME, self.log, self.state, proposer, self.configuration, self.orders,
-            self.upstreams, Members(), KEY, self.clock,
+            self.upstreams, Members(), Keys.make({"ops": KEY}), self.clock,
         )  # fmt: skip
         for service in (self.configuration, self.orders, self.application):
             service.start()
@@ -115,19 +116,20 @@
 
 
 @pytest.mark.parametrize(
-    ("change", "path", "value"),
+    ("change", "path", "value", "allowed"),
     [
-        ({"load_bound": 99}, "$.document.load_bound", "99"),
-        ({"weights": {}}, "$.document.weights", "{}"),
-        ({"classes": []}, "$.document.classes", "[]"),
-        ({"default_class": "x"}, "$.document.default_class", "x"),
-        ({"services": DOCUMENT["services"] * 2}, "$.document.services", "chat"),
+        ({"load_bound": 99}, "$.document.load_bound", "99", "<= 10.0"),
+        ({"weights": 5}, "$.document.weights", "5", "unknown field"),
+        ({"classes": []}, "$.document.classes", "[]", "length >= 1"),
+        ({"default_class": "x"}, "$.document", "", "'x' is not among the classes"),
+        ({"services": DOCUMENT["services"] * 2}, "$.document", "", "'chat' stands twice"),
     ],
 )
-def test_bad_documents_name_path_value_and_range(site, change, path, value):
+def test_bad_documents_name_path_value_and_range(site, change, path, value, allowed):
     answer = site.put("c1", 0, {**DOCUMENT, **change})
     assert (answer.status_code, answer.json["path"]) == (400, path)
-    assert value in answer.json["value"] and answer.json["allowed"]
+    assert answer.json["value"] == value
+    assert allowed in answer.json["allowed"]
     assert answer.json["verdict"] == "not_run" and not site.log.entries
 
 
