--- /dev/null
+++ b/sassafrashook/state/tests/test_replicas.py
@@ -0,0 +1,323 @@
+"""Randomised commands on several replicas, with time passing and snapshots in between."""
+
+import os
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sassafrashook.messages import ClaimStatus, RecordedAnswer
+from sassafrashook.state import (
+    AdvanceClock,
+    ApplyConfiguration,
+    Claim,
+    ClaimBatch,
+    ClaimTable,
+    CommandMemory,
+    CompleteClaim,
+    CompleteOrder,
+    FleetStateMachine,
+    ForgetRouter,
+    IssueOrder,
+    ModelHolders,
+    OrderJournal,
+    OrderKind,
+    OrderStatus,
+    QuarantineFingerprint,
+    RegisterRouter,
+    SetZone,
+    StateLimits,
+    decode_reply,
+    encode_command,
+)
+
+FIRST_SEED = int(os.environ.get("SEED", "1"))
+SEEDS = range(FIRST_SEED, FIRST_SEED + 20 * int(os.environ.get("SOAK", "1")))
+STEPS = 600
+LIMITS = StateLimits(
+    skew_margin_ms=50,
+    claim_horizon_ms=5_000,
+    claim_retention_ms=2_000,
+    max_claims=12,
+    max_account_claims=8,
+    max_answer_bytes=20,
+    max_answers_bytes=60,
+    command_horizon_ms=2_000,
+    max_commands=15,
+    max_zones=2,
+    max_quarantined=3,
+    max_routers=3,
+    max_orders=30,
+    max_loads=2,
+    order_settle_ms=100,
+    holders_lag_ms=1_000,
+)
+ALL_HOLDERS = ["u1", "u2", "u3"]
+
+
+class ViolationError(Exception):
+    """A promise was broken."""
+
+
+class Run:
+    """Random commands on replicas, checked against what was promised to each client.
+
+    Every key belongs to one call with one deadline; its attempts and resends come early, late and
+    long after the deadline.
+    """
+
+    def __init__(self, seed, state_class):
+        self.rng = random.Random(seed)
+        self.state_class = state_class
+        self.replicas = [state_class(LIMITS) for _ in range(3)]
+        self.now_ms = 1_000
+        self.deadlines = {}
+        self.granted = {}
+        self.recorded = {}
+        self.outcomes = {}
+        self.sent = []
+        self.revision = 0
+
+    def go(self):
+        for index in range(1, STEPS):
+            self.now_ms += self.rng.choice((0, 1, 5, 30, 200))
+            self.step(index)
+            if self.rng.random() < 0.02:
+                self.restore()
+        self.compare()
+
+    def step(self, index):
+        command = self.choose()
+        skewed_ms = self.now_ms - self.rng.choice((0, 0, 0, 40))
+        replies = {r.apply(index, encode_command(command, skewed_ms)) for r in self.replicas}
+        if len(replies) > 1:
+            raise ViolationError("replicas replied differently")
+        self.check(command, decode_reply(replies.pop()))
+        if self.replicas[0].revision < self.revision:
+            raise ViolationError("the revision fell")
+        self.revision = self.replicas[0].revision
+
+    def restore(self):
+        number = self.rng.randrange(len(self.replicas))
+        fresh = self.state_class(LIMITS)
+        fresh.restore(self.replicas[number].save())
+        self.replicas[number] = fresh
+        self.compare()
+
+    def compare(self):
+        if len({replica.save() for replica in self.replicas}) > 1:
+            raise ViolationError("replicas differ")
+
+    def choose(self):
+        if self.sent and self.rng.random() < 0.25:
+            return self.rng.choice(self.sent[-40:])
+        makers = (self.make_claims,) * 4 + (self.make_change, self.make_other, self.make_order)
+        command = self.rng.choice(makers)()
+        self.sent.append(command)
+        return command
+
+    def make_claims(self):
+        return ClaimBatch([self.make_claim() for _ in range(self.rng.randint(1, 3))])
+
+    def make_claim(self):
+        key = f"k{self.rng.randint(max(0, self.now_ms // 200 - 30), self.now_ms // 200)}"
+        deadline_ms = self.deadlines.setdefault(key, self.now_ms + self.rng.randint(100, 1_500))
+        attempt = f"{key}-{self.rng.randint(1, 4)}"
+        account = f"a{hash_digit(key)}"
+        if self.rng.random() < 0.4:
+            body = b"x" * self.rng.randint(0, 30)
+            answer = RecordedAnswer(self.rng.choice(("ran", "may_have_run")), 200, "t", body)
+            return CompleteClaim(attempt, account, "s", key, answer)
+        return Claim(attempt, account, "s", key, self.rng.choice("ddde"), deadline_ms)
+
+    def make_change(self):
+        name = f"c{len(self.sent)}"
+        deadline_ms = self.now_ms + self.rng.randint(100, 1_000)
+        expected = max(0, self.revision - self.rng.choice((0, 0, 1)))
+        if self.rng.random() < 0.5:
+            return ApplyConfiguration(name, expected, name.encode(), deadline_ms)
+        zone = f"z{self.rng.randint(1, 3)}"
+        return SetZone(name, zone, self.rng.random() < 0.6, deadline_ms)
+
+    def make_other(self):
+        router = (f"r{self.rng.randint(1, 4)}", f"b{self.rng.randint(1, 2)}")
+        return self.rng.choice(
+            (
+                AdvanceClock,
+                lambda: RegisterRouter(*router),
+                lambda: ForgetRouter(*router),
+                lambda: QuarantineFingerprint(
+                    self.rng.randint(1, 6), self.now_ms + self.rng.randint(-50, 500)
+                ),
+                lambda: CompleteOrder(self.rng.randint(1, 30), self.rng.choice(list(OrderStatus))),
+            )
+        )()
+
+    def make_order(self):
+        kind = self.rng.choice(list(OrderKind))
+        drops = []
+        if kind in (OrderKind.UNLOAD_MODEL, OrderKind.CHANGE_ROLE):
+            drops = [ModelHolders("m@1", ALL_HOLDERS)]
+        return IssueOrder(
+            f"c{len(self.sent)}",
+            kind,
+            self.rng.choice(ALL_HOLDERS),
+            "b1",
+            self.rng.random() < 0.5,
+            self.now_ms + self.rng.randint(50, 300),
+            "m@1",
+            drops=drops,
+        )
+
+    def check(self, command, reply):
+        if isinstance(command, ClaimBatch):
+            for entry, decision in zip(command.entries, reply.entries, strict=True):
+                self.check_claim(entry, decision)
+        elif isinstance(command, ApplyConfiguration | SetZone):
+            self.check_change(command, reply)
+        elif isinstance(command, IssueOrder) and reply.fencing:
+            self.check_order(command, reply)
+
+    def check_claim(self, entry, decision):
+        key = entry.key
+        if decision.status == ClaimStatus.GRANTED:
+            first = self.granted.setdefault(key, (entry.attempt, entry.digest))
+            if first != (entry.attempt, entry.digest):
+                raise ViolationError(f"{key} was granted to two attempts or bodies")
+            if key in self.recorded:
+                raise ViolationError(f"{key} was granted after its outcome was recorded")
+            if self.replicas[0].clock_ms_ >= self.deadlines[key]:
+                raise ViolationError(f"{key} was granted past its deadline")
+        if decision.status == ClaimStatus.RECORDED:
+            verdict = self.recorded.setdefault(key, decision.answer.verdict)
+            if verdict == "ran" and decision.answer.verdict != "ran":
+                raise ViolationError(f"the verdict on {key} changed")
+            self.recorded[key] = decision.answer.verdict
+            if isinstance(entry, Claim) and entry.digest != self.granted[key][1]:
+                raise ViolationError(f"another body of {key} got its answer")
+
+    def check_change(self, command, reply):
+        if reply.reason in ("deadline_passed", "too_many_commands"):
+            return
+        if self.outcomes.setdefault(command.command_id, reply) != reply:
+            raise ViolationError(f"{command.command_id} had two outcomes")
+
+    def check_order(self, command, reply):
+        drops = {
+            record.upstream_id
+            for record in self.replicas[0].orders_.orders_.values()
+            if record.drops and record.status != OrderStatus.REFUSED
+        }
+        if drops >= set(ALL_HOLDERS):
+            raise ViolationError("the last holder was dropped")
+
+
+def hash_digit(key):
+    return sum(key.encode()) % 3
+
+
+def find_violations(state_class=FleetStateMachine):
+    found = []
+    for seed in SEEDS:
+        try:
+            Run(seed, state_class).go()
+        except (ViolationError, AssertionError) as error:
+            found.append(f"seed {seed}: {error}")
+    return found
+
+
+def test_promises_hold_on_every_replica():
+    assert find_violations() == []
+
+
+# The checks, seen failing with one mechanism off each
+
+
+class _NoDeadlines(ClaimTable):
+    """Takes every call as if its deadline lay ahead; records still go."""
+
+    def claim(self, command, now_ms):
+        return super().claim(command, min(now_ms, command.deadline_ms - 1))
+
+
+class _ForgottenAtExpiry(ClaimTable):
+    """Forgets a record while its call may still be repeated."""
+
+    def expire(self, now_ms):
+        super().expire(now_ms + LIMITS.claim_horizon_ms)
+
+
+class _AnyDigest(ClaimTable):
+    def _matches_digest(self, record, command):
+        return True
+
+
+class _NoMemory(CommandMemory):
+    def recall(self, command):
+        return False, None
+
+    def remember(self, command, reply):
+        pass
+
+
+class _EarlyMemory(CommandMemory):
+    def expire(self, now_ms):
+        super().expire(now_ms + 300)
+
+
+class _LastHolderGoes(OrderJournal):
+    def _refuse_last_holder(self, command):
+        return None
+
+
+class _UnsortedClaims(ClaimTable):
+    def save(self):
+        return [[*key, record] for key, record in self.records_.items()][::-1]
+
+
+class _LossyRestore(ClaimTable):
+    def restore(self, rows):
+        super().restore(rows)
+        self._kept = []
+
+
+@pytest.mark.parametrize(
+    ("part", "broken", "message"),
+    [
+        ("claims_class", _NoDeadlines, "granted"),
+        ("claims_class", _ForgottenAtExpiry, "granted to two attempts"),
+        ("claims_class", _AnyDigest, "another body"),
+        ("memory_class", _NoMemory, "two outcomes"),
+        ("memory_class", _EarlyMemory, "two outcomes"),
+        ("orders_class", _LastHolderGoes, "last holder"),
+        ("claims_class", _UnsortedClaims, "replicas differ"),
+        ("claims_class", _LossyRestore, "replicas"),
+    ],
+)
+def test_checks_catch_a_missing_mechanism(part, broken, message):
+    state_class = type("Broken", (FleetStateMachine,), {part: broken})
+    assert any(message in violation for violation in find_violations(state_class))
+
+
+# Input that no proposer makes
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(st.binary(max_size=80))
+def test_any_bytes_are_refused_alike(data):
+    states = [FleetStateMachine(), FleetStateMachine()]
+    assert states[0].apply(1, data) == states[1].apply(1, data)
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(st.integers(0, 10_000), st.binary(min_size=1, max_size=3), st.data())
+def test_damaged_commands_are_refused_alike(seed, patch, data):
+    run = Run(seed, FleetStateMachine)
+    whole = bytearray(encode_command(run.choose(), 1_000))
+    place = data.draw(st.integers(0, len(whole) - 1))
+    whole[place : place + len(patch)] = patch
+    states = [FleetStateMachine(LIMITS), FleetStateMachine(LIMITS)]
+    assert states[0].apply(1, bytes(whole)) == states[1].apply(1, bytes(whole))
+    assert states[0].save() == states[1].save()
+    states[0].restore(states[1].save())
