--- a/sassafrashook/state/_claims.py
+++ b/sassafrashook/state/_claims.py
@@ -10,17 +10,21 @@
 
 __all__ = ["ClaimRecord", "ClaimTable"]
 
+_ENCODER = msgspec.msgpack.Encoder()
 REFUSED = ClaimReply(ClaimStatus.UNAVAILABLE)
 
 
-class ClaimRecord(msgspec.Struct, array_like=True):
-    """What is known of one key.
+class ClaimRecord(msgspec.Struct, array_like=True, gc=False):
+    """What is known of one key of an account and service.
 
     :param keep_ms: before this the record is never forgotten.
     :param forget_ms: from then on the record is forgotten.
     :param retired: whether ``keep_ms`` has passed, so that the record goes when room is short.
     """
 
+    account: str
+    service: str
+    key: str
     attempt: str
     digest: str
     deadline_ms: int
@@ -29,6 +33,14 @@
     answer: RecordedAnswer | None = None
     retired: bool = False
 
+    @property
+    def name(self):
+        """What the record is found by."""
+        return (self.account, self.service, self.key)
+
+
+_RECORDS_DECODER = msgspec.msgpack.Decoder(list[ClaimRecord])
+
 
 class ClaimTable:
     """The once-records, with state bounded by deadlines and counts.
@@ -94,16 +106,15 @@
             self._pop_retired()
 
     def save(self):
-        """Return the records as sorted rows."""
-        return [[*key, self.records_[key]] for key in sorted(self.records_)]
+        """Return the records encoded, in the order of their claims, which all replicas share."""
+        return _ENCODER.encode(list(self.records_.values()))
 
-    def restore(self, rows):
-        """Replace all records by rows from :meth:`save`."""
+    def restore(self, data):
+        """Replace all records by what :meth:`save` returned."""
         self._reset()
-        for account, service, key, fields in rows:
-            record = msgspec.convert(fields, ClaimRecord)
-            self.records_[(account, service, key)] = record
-            self._count_record(account, record)
+        for record in _RECORDS_DECODER.decode(data):
+            self.records_[record.name] = record
+            self._count_record(record)
         self._kept = [(r.keep_ms, k) for k, r in self.records_.items() if not r.retired]
         self._retired = [(r.forget_ms, k) for k, r in self.records_.items() if r.retired]
         heapify(self._kept)
@@ -159,10 +170,10 @@
     def _insert(self, command, now_ms):
         keep_ms = command.deadline_ms + self.limits.skew_margin_ms
         forget_ms = max(keep_ms, now_ms + self.limits.claim_retention_ms)
+        key = _key(command)
         record = ClaimRecord(
-            command.attempt, command.digest, command.deadline_ms, keep_ms, forget_ms
+            *key, command.attempt, command.digest, command.deadline_ms, keep_ms, forget_ms
         )
-        key = _key(command)
         assert key not in self.records_, "a claim was granted twice"
         self.records_[key] = record
         self._add_account(command.account, 1)
@@ -197,9 +208,9 @@
             return
         del self.records_[key]
 
-    def _count_record(self, account, record):
+    def _count_record(self, record):
         if not record.retired:
-            self._add_account(account, 1)
+            self._add_account(record.account, 1)
         self.answer_bytes_ += _body_bytes(record.answer)
 
     def _add_account(self, account, change):
