--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -41,13 +41,16 @@
         """Give all cores the list that they would have after a while."""
         cores = self.network.cores.values()
         records = [core.own for core in cores]
-        announcements = [self.make(name) for name in self.sequences]
+        valid_s = self.valid_ms / 1000
+        announcements = [
+            (self.make(name), self.rng.uniform(valid_s / 2, valid_s)) for name in self.sequences
+        ]
         for name, core in self.network.cores.items():
             now = self.network.clock(name)
             for record in records:
                 core.take_peer(record, now)
-            for announcement in announcements:
-                core.take_upstream(announcement, self.valid_ms / 1000, now)
+            for announcement, remaining_s in announcements:
+                core.take_upstream(announcement, remaining_s, now)
             core.rumors_.changes_.clear()
             core.rumors_.refreshes_.clear()
             core.reconciliation_.debts_.clear()
--- a/sassafrashook/membership/_core.py
+++ b/sassafrashook/membership/_core.py
@@ -20,16 +20,16 @@
 from sassafrashook.membership._messages import Gossip, PeerLeft, PeerRecord, RefreshesWanted
 from sassafrashook.membership._peers import PeerAdmission, PeerTable
 from sassafrashook.membership._reconciliation import Reconciliation
-from sassafrashook.membership._rumors import Bundle, Rumors, count_sent
+from sassafrashook.membership._rumors import Bundle, Rumors
 from sassafrashook.membership._transit import TransitClock
 from sassafrashook.utils import Interval, Options, hash_key
 
 URGENT_DELAY_S = 0.05
 HELD_DELAY_S = 0.25
-MESSAGE_BYTES = 1_000
+MESSAGE_BYTES = 1_400
 SMALLEST_MESSAGE_BYTES = 96
-ROUND_SHARE = 0.75  # of the budget, at most, for rounds and urgent changes together
-LAGGING_ASKED = 48
+REFRESH_SHARE = 0.75  # of the budget, at most, for refreshes; changes and requests go first
+LAGGING_ASKED = 64
 REFRESHES_LOADED = 200
 LEAVE_FANOUT = 4
 MAX_VALID_S = 60.0
@@ -84,7 +84,7 @@
         "own": Options(PeerRecord),
         "fanout": Interval(int, 1, 16),
         "interval_ms": Interval(int, 50, 10_000),
-        "budget_bytes": Interval(int, 1_024, 1_048_576),
+        "budget_bytes": Interval(int, 2_048, 1_048_576),
         "repeats": Interval(int, 1, 16),
         "answer_timeout_ms": Interval(int, 100, 60_000),
         "probe_timeout_ms": Interval(int, 100, 60_000),
@@ -320,7 +320,7 @@
             return
         self.reconciliation_.hear(event.peer, event.message, now)
         if isinstance(event.message, Gossip) and event.message.wants_reply:
-            self._send_gossip(event.peer, SMALLEST_MESSAGE_BYTES * 4, now, is_reply=True)
+            self._send_gossip(event.peer, now, is_reply=True)
 
     def _hear_peer_left(self, message, now):
         departure = self.peers_.report(message.name, left=True)
@@ -360,47 +360,45 @@
     def _run_round(self, now):
         interval_s = self.interval_ms / 1000
         self.round_at_ = now + interval_s * (0.9 + 0.2 * self.rng.random())
-        limit = int(self.budget_bytes * ROUND_SHARE * interval_s / self.fanout)
         self.liveness_.rotate()
         self.directory_.set_load(len(self.rumors_.refreshes_) > REFRESHES_LOADED)
+        refresh_limit = int(self.budget_bytes * REFRESH_SHARE * interval_s / self.fanout)
         for peer in self.liveness_.choose(self.fanout):
-            self._send_gossip(peer, max(limit, SMALLEST_MESSAGE_BYTES), now)
+            self._send_gossip(peer, now, refresh_limit)
         self._ask_for_refreshes(now)
 
     def _send_urgent(self, now):
         self.urgent_at_ = None
         for peer in self.liveness_.choose(self.fanout):
-            self._send_gossip(peer, MESSAGE_BYTES, now, urgent=True)
+            self._send_gossip(peer, now)
         if self.rumors_.changes_ and self.liveness_.states_:
             is_held = self.budget_.available(now) < MESSAGE_BYTES
             self.urgent_at_ = now + (HELD_DELAY_S if is_held else URGENT_DELAY_S)
 
-    def _send_gossip(self, peer, limit, now, urgent=False, is_reply=False):
+    def _send_gossip(self, peer, now, refresh_limit=0, is_reply=False):
         available = self.budget_.available(now)
-        if urgent:
-            available -= int(self.budget_bytes * (1 - ROUND_SHARE))
-        limit = min(limit, MESSAGE_BYTES, available)
-        if limit < SMALLEST_MESSAGE_BYTES:
+        if available < SMALLEST_MESSAGE_BYTES:
             self.count("membership_budget_held", Gossip.__name__)
             return
-        bundle = Bundle(limit, self.measure)
+        bundle = Bundle(min(MESSAGE_BYTES, available), self.measure)
         self._fill(bundle, self.rumors_.changes_, now)
-        if not urgent:
-            self._fill(bundle, self.rumors_.refreshes_, now)
+        reserve = int(self.budget_bytes * (1 - REFRESH_SHARE))
+        bundle.restrict(min(refresh_limit, available - reserve))
+        self._fill(bundle, self.rumors_.refreshes_, now)
         wants_reply = not is_reply and self.liveness_.wants_answer(peer, now)
         header = (*self.stamp(now), self.keys_.digest_, wants_reply)
         if self.send(peer, Gossip(*header, **bundle.parts_), now) and wants_reply:
             self.liveness_.expect(peer, now)
 
     def _fill(self, bundle, queue, now):
-        for key in list(queue):
+        for key in self.rumors_.list_next(queue):
             item = self.keys_.get(key)
             if item is None:
                 del queue[key]
                 continue
             if not bundle.add_item(item, now, by_key=True):
                 return
-            count_sent(queue, key)
+            self.rumors_.count_sent(queue, key)
 
     def _ask_for_refreshes(self, now):
         lagging = self.directory_.lagging_
--- a/sassafrashook/membership/_limits.py
+++ b/sassafrashook/membership/_limits.py
@@ -3,8 +3,8 @@
 from ipaddress import ip_address
 
 TEXT_LIMIT = 64
-MODEL_TEXT_LIMIT = 128
 MODELS_LIMIT = 32
+MODELS_TEXT_LIMIT = 512  # of all models together, so that a record fits into a message
 CAPACITY_LIMIT = 1_000_000
 NUMBER_LIMIT = 2**62
 PORT_LIMIT = 65_535
@@ -39,7 +39,7 @@
         and all(0 <= capacity <= CAPACITY_LIMIT for capacity in capacities)
         and value.valid_ms > 0
         and len(value.models) <= MODELS_LIMIT
-        and all(len(model) <= MODEL_TEXT_LIMIT for model in value.models)
+        and sum(map(len, value.models)) <= MODELS_TEXT_LIMIT
     )
 
 
--- a/sassafrashook/membership/_reconciliation.py
+++ b/sassafrashook/membership/_reconciliation.py
@@ -17,9 +17,9 @@
 SETTLE_S = 1.0
 UNSETTLED_LIMIT_S = 3.0
 FLUSH_DELAY_S = 0.1
-RECORD_MESSAGE_BYTES = 1_000
-SMALLEST_RECORDS_BYTES = 400
-RESERVE_SHARE = 0.25  # of the budget, left for rounds
+RECORD_MESSAGE_BYTES = 1_400
+SMALLEST_RECORDS_BYTES = 250
+RESERVE_SHARE = 0.15  # of the budget, left for rounds and urgent changes
 KEYS_IN_MESSAGE = 80
 JOIN_FANOUT = 8
 DEBT_S = 5.0
--- a/sassafrashook/membership/_rumors.py
+++ b/sassafrashook/membership/_rumors.py
@@ -5,6 +5,7 @@
 from sassafrashook.membership._peers import PastPeer, PeerEntry
 
 HEADER_BYTES = 80
+REFRESHES_LIMIT = 400
 REFRESH_REPEATS = 2  # the next refresh, or a request, makes up for one that was missed
 
 
@@ -16,7 +17,8 @@
     Attributes:
 
     :ivar changes_: new and departed records; sent first and at once.
-    :ivar refreshes_: records of which only the sequence is new; sent with the next round.
+    :ivar refreshes_: records of which only the sequence is new; sent with the next rounds, the
+        newest first, since waiting adds up over the nodes on the way.
     """
 
     def __init__(self, repeats):
@@ -31,21 +33,30 @@
 
     def add_refresh(self, key):
         """Pass on a newer sequence, unless the whole record is still to be passed on."""
-        if key not in self.changes_:
-            self.refreshes_[key] = REFRESH_REPEATS
+        if key in self.changes_:
+            return
+        self.refreshes_.pop(key, None)
+        self.refreshes_[key] = REFRESH_REPEATS
+        if len(self.refreshes_) > REFRESHES_LIMIT:
+            del self.refreshes_[next(iter(self.refreshes_))]
 
     def note_repeat(self, key):
         """Note that another node passes the same on, so that this one may stop earlier."""
         for queue in (self.changes_, self.refreshes_):
             if key in queue:
-                count_sent(queue, key)
+                self.count_sent(queue, key)
 
+    def count_sent(self, queue, key):
+        """Count one sending of a key; a change moves behind the others until it is done."""
+        queue[key] -= 1
+        if queue[key] <= 0:
+            del queue[key]
+        elif queue is self.changes_:
+            queue[key] = queue.pop(key)
 
-def count_sent(queue, key):
-    """Count one sending of a key; the key moves to the end or is done."""
-    left = queue.pop(key) - 1
-    if left > 0:
-        queue[key] = left
+    def list_next(self, queue):
+        """Return the keys of a queue in the order in which they are to be sent."""
+        return list(queue) if queue is self.changes_ else list(reversed(queue))
 
 
 class Bundle:
@@ -60,6 +71,10 @@
         self.left_ = limit - HEADER_BYTES
         self.parts_ = {}
 
+    def restrict(self, limit):
+        """Let only so many more bytes be added; what was added stays."""
+        self.left_ = min(self.left_, limit)
+
     def add(self, field, part):
         """Add a part if it fits.
 
--- a/sassafrashook/membership/tests/test_rules.py
+++ b/sassafrashook/membership/tests/test_rules.py
@@ -23,6 +23,7 @@
     PeerRecord,
     PeersChanged,
     ProbePeer,
+    RecordsWanted,
     Refresh,
     Send,
     UpstreamLeft,
@@ -183,7 +184,7 @@
         {"capacity": -1},
         {"valid_ms": 0},
         {"models": ["m"] * 33},
-        {"models": ["m" * 129]},
+        {"models": ["m" * 257] * 2},
     ],
 )
 def test_fields_out_of_bounds_are_refused(changes):
@@ -194,6 +195,19 @@
     assert node.boots() == {}
 
 
+def test_the_largest_record_fits_into_a_message():
+    long = "x" * 64
+    fields = ("service", "availability_zone", "boot", "role")
+    numbers = dict.fromkeys(("sequence", "incarnation"), 2**62)
+    models = ["m" * 16] * 32
+    node = Node(budget_bytes=2_048)
+    largest = dict.fromkeys(fields, long) | numbers | {"models": models, "host": "f" + "::" + "1"}
+    assert node.hear(0.0, name=long, capacity=10**6, cold_capacity=10**6, **largest) == []
+    key = node.core.directory_.live_[long].key
+    node.tell(FromPeer("r2", RecordsWanted(1, 0, [key])), 0.0)
+    assert node.found(Send)[0].message.upstreams[0].announcement.models == models
+
+
 def test_validity_and_list_are_bounded():
     node = Node(max_upstreams=2)
     node.hear(0.0, name="engine-1", valid_ms=10**9)
