--- a/sassafrashook/membership/_core.py
+++ b/sassafrashook/membership/_core.py
@@ -3,7 +3,6 @@
 from sassafrashook.base import Core
 from sassafrashook.membership._budget import ByteBudget
 from sassafrashook.membership._directory import Directory
-from sassafrashook.membership._entries import Admission
 from sassafrashook.membership._events import (
     AnnouncementHeard,
     Count,
@@ -15,27 +14,21 @@
     Send,
     StopRequested,
 )
+from sassafrashook.membership._intake import Intake
 from sassafrashook.membership._keyset import KeySet
 from sassafrashook.membership._liveness import Liveness
-from sassafrashook.membership._messages import Gossip, PeerLeft, PeerRecord, RefreshesWanted
-from sassafrashook.membership._peers import PeerAdmission, PeerTable
+from sassafrashook.membership._messages import Gossip, PeerLeft, PeerRecord
+from sassafrashook.membership._peers import PeerTable
 from sassafrashook.membership._reconciliation import Reconciliation
-from sassafrashook.membership._rumors import Bundle, Rumors
+from sassafrashook.membership._replies import ReplyQueue
+from sassafrashook.membership._rounds import Rounds
+from sassafrashook.membership._rumors import Rumors
 from sassafrashook.membership._transit import TransitClock
 from sassafrashook.utils import Interval, Options, hash_key
 
-URGENT_DELAY_S = 0.05
-HELD_DELAY_S = 0.25
-MESSAGE_BYTES = 1_400
-SMALLEST_MESSAGE_BYTES = 96
-REFRESH_SHARE = 0.75  # of the budget, at most, for refreshes; changes and requests go first
-LAGGING_ASKED = 64
-REFRESHES_LOADED = 200
 LEAVE_FANOUT = 4
 MAX_VALID_S = 60.0
 NUMBER_MASK = 0xFFFFFFFF
-SPREAD_ADMISSIONS = (Admission.ADDED, Admission.CHANGED, Admission.LEFT)
-SILENT_ADMISSIONS = (Admission.ADDED, Admission.CHANGED, Admission.REFRESHED, Admission.LEFT)
 
 
 class MembershipCore(Core):
@@ -141,9 +134,10 @@
         self.seeds_ = ()
         self.boot_ = hash_key(self.own.boot_id) & NUMBER_MASK
         self.synchronised_ = False
+        self.intake_ = Intake(self)
         self.reconciliation_ = Reconciliation(self)
-        self.round_at_ = now + self.rng.random() * self.interval_ms / 1000
-        self.urgent_at_ = None
+        self.rounds_ = Rounds(self, now)
+        self.replies_ = ReplyQueue(self)
         self.stopped_ = False
         self._actions = []
         self._handlers = {
@@ -154,37 +148,34 @@
             PeerProbed: self._note_probe,
             StopRequested: self._stop,
         }
-        self.take_peer(self.own, now)
+        self.intake_.take_peer(self.own, now)
         return self._finish(now)
 
     def handle(self, event, now):
         """Take one event of this package; see :class:`Core`."""
         self._expire(now)
         self._handlers[type(event)](event, now)
-        self.reconciliation_.flush(now)
+        self.replies_.flush(now)
         return self._finish(now)
 
     def advance(self, now):
         """Do what has become due; see :class:`Core`."""
         self._expire(now)
-        if self.urgent_at_ is not None and self.urgent_at_ <= now:
-            self._send_urgent(now)
-        if self.round_at_ <= now:
-            self._run_round(now)
+        self.rounds_.advance(now)
         for name in self.liveness_.list_overdue(now):
             self._actions.append(ProbePeer(name))
-        self.reconciliation_.flush(now)
+        self.replies_.flush(now)
         return self._finish(now)
 
     def next_deadline(self):
         """Return when :meth:`advance` must be called next, seconds."""
         deadlines = (
-            self.round_at_,
-            self.urgent_at_,
+            self.rounds_.round_at_,
+            self.rounds_.urgent_at_,
             self.directory_.next_deadline(),
             self.peers_.next_deadline(),
             self.liveness_.next_deadline(),
-            self.reconciliation_.flush_at_,
+            self.replies_.flush_at_,
         )
         return min(deadline for deadline in deadlines if deadline is not None)
 
@@ -222,96 +213,18 @@
         """Ask for a counter to be increased."""
         self._actions.append(Count(name, attribute, amount))
 
-    def take_upstream(self, announcement, remaining_s, now, direct=False):
-        """Take in an announcement, and pass it on if it is news.
-
-        :returns: an :class:`Admission`.
-        """
-        admission = self.directory_.admit(announcement, remaining_s, now, direct)
-        entry = self.directory_.live_.get(announcement.upstream_id)
-        if admission is Admission.LEFT:
-            self._spread_departure(announcement.upstream_id, announcement.boot_id, now)
-        elif admission in SPREAD_ADMISSIONS:
-            self._spread_change(entry.key, now)
-        elif admission is Admission.REFRESHED:
-            self.rumors_.add_refresh(entry.key)
-        is_repeat = admission is Admission.STALE and not direct
-        if admission not in SILENT_ADMISSIONS and not is_repeat:
-            self.count("membership_announcement_refused", admission)
-        return admission
-
-    def take_refresh(self, entry, refresh, delay_s, now):
-        """Take in a newer sequence of a listed upstream.
-
-        :returns: an :class:`Admission`.
-        """
-        remaining_s = refresh.remaining_ms / 1000 - delay_s
-        if remaining_s <= 0:
-            return Admission.STALE
-        admission = self.directory_.refresh(entry, refresh.sequence, remaining_s, now)
-        if admission is Admission.REFRESHED:
-            self.rumors_.add_refresh(entry.key)
-        elif refresh.sequence == entry.announcement.sequence:
-            self.rumors_.note_repeat(entry.key)
-        return admission
-
-    def take_departure(self, upstream_id, boot_id, remaining_s, now):
-        """Take in that an upstream's boot has left, and pass it on if it is news.
-
-        :returns: an :class:`Admission`.
-        """
-        admission = self.directory_.leave(upstream_id, boot_id, remaining_s, now)
-        if admission is Admission.LEFT:
-            self._spread_departure(upstream_id, boot_id, now)
-        return admission
-
-    def take_peer(self, record, now):
-        """Take in a node's record, and pass it on if it is news.
-
-        :returns: a :class:`PeerAdmission`.
-        """
-        admission = self.peers_.admit(record)
-        if admission is PeerAdmission.ADDED:
-            self._spread_change(self.peers_.live_[record.name].key, now)
-            if record.name != self.own.name:
-                self.liveness_.add(record.name)
-        return admission
-
-    def take_peer_departure(self, departure, now):
-        """Take in that a node has departed, and pass it on if it is news.
-
-        :returns: a :class:`PeerAdmission`.
-        """
-        admission = self.peers_.depart(departure, now)
-        if admission is PeerAdmission.DEPARTED:
-            self._spread_change(self.peers_.past_[departure.name].key, now)
-            self._drop_name(departure.name)
-        elif admission is PeerAdmission.DENIED:
-            self.count("membership_peer", admission)
-            self._spread_change(self.peers_.live_[self.own.name].key, now)
-        return admission
-
-    def _spread_departure(self, upstream_id, boot_id, now):
-        past = self.directory_.memory_.get(upstream_id, boot_id)
-        self._spread_change(past.left_key, now)
-
-    def _spread_change(self, key, now):
-        self.rumors_.add_change(key)
-        self.reconciliation_.note_change(now)
-        if self.urgent_at_ is None:
-            self.urgent_at_ = now + URGENT_DELAY_S
-
-    def _drop_name(self, name):
+    def drop_name(self, name):
+        """Talk to a node no longer unless the settings name it."""
         if name not in self.seeds_ and name not in self.peers_.live_:
             self.liveness_.remove(name)
             self.transit_.drop(name)
 
     def _hear_announcement(self, event, now):
         announcement = event.announcement
-        self.take_upstream(announcement, announcement.valid_ms / 1000, now, direct=True)
+        self.intake_.take_upstream(announcement, announcement.valid_ms / 1000, now, direct=True)
 
     def _hear_leave(self, event, now):
-        self.take_departure(event.upstream_id, event.boot_id, self.memory_ms / 1000, now)
+        self.intake_.take_departure(event.upstream_id, event.boot_id, self.memory_ms / 1000, now)
 
     def _hear_peer(self, event, now):
         self.liveness_.hear(event.peer, now)
@@ -320,18 +233,18 @@
             return
         self.reconciliation_.hear(event.peer, event.message, now)
         if isinstance(event.message, Gossip) and event.message.wants_reply:
-            self._send_gossip(event.peer, now, is_reply=True)
+            self.rounds_.send_gossip(event.peer, now, is_reply=True)
 
     def _hear_peer_left(self, message, now):
         departure = self.peers_.report(message.name, left=True)
         if departure is not None and departure.boot_id == message.boot_id:
-            self.take_peer_departure(departure, now)
+            self.intake_.take_peer_departure(departure, now)
 
     def _change_peers(self, event, now):
         is_first = not self.seeds_
         former, self.seeds_ = self.seeds_, event.peers
         for name in former:
-            self._drop_name(name)
+            self.drop_name(name)
         for name in event.peers:
             self.liveness_.add(name)
         if is_first:
@@ -346,7 +259,7 @@
         if self.liveness_.lose(event.peer, now):
             departure = self.peers_.report(event.peer, left=False)
             if departure is not None:
-                self.take_peer_departure(departure, now)
+                self.intake_.take_peer_departure(departure, now)
 
     def _stop(self, event, now):
         for peer in self.liveness_.choose(LEAVE_FANOUT):
@@ -356,59 +269,7 @@
     def _expire(self, now):
         self.directory_.expire(now)
         self.peers_.forget(now)
-
-    def _run_round(self, now):
-        interval_s = self.interval_ms / 1000
-        self.round_at_ = now + interval_s * (0.9 + 0.2 * self.rng.random())
-        self.liveness_.rotate()
-        self.directory_.set_load(len(self.rumors_.refreshes_) > REFRESHES_LOADED)
-        refresh_limit = int(self.budget_bytes * REFRESH_SHARE * interval_s / self.fanout)
-        for peer in self.liveness_.choose(self.fanout):
-            self._send_gossip(peer, now, refresh_limit)
-        self._ask_for_refreshes(now)
-
-    def _send_urgent(self, now):
-        self.urgent_at_ = None
-        for peer in self.liveness_.choose(self.fanout):
-            self._send_gossip(peer, now)
-        if self.rumors_.changes_ and self.liveness_.states_:
-            is_held = self.budget_.available(now) < MESSAGE_BYTES
-            self.urgent_at_ = now + (HELD_DELAY_S if is_held else URGENT_DELAY_S)
-
-    def _send_gossip(self, peer, now, refresh_limit=0, is_reply=False):
-        available = self.budget_.available(now)
-        if available < SMALLEST_MESSAGE_BYTES:
-            self.count("membership_budget_held", Gossip.__name__)
-            return
-        bundle = Bundle(min(MESSAGE_BYTES, available), self.measure)
-        self._fill(bundle, self.rumors_.changes_, now)
-        reserve = int(self.budget_bytes * (1 - REFRESH_SHARE))
-        bundle.restrict(min(refresh_limit, available - reserve))
-        self._fill(bundle, self.rumors_.refreshes_, now)
-        wants_reply = not is_reply and self.liveness_.wants_answer(peer, now)
-        header = (*self.stamp(now), self.keys_.digest_, wants_reply)
-        if self.send(peer, Gossip(*header, **bundle.parts_), now) and wants_reply:
-            self.liveness_.expect(peer, now)
-
-    def _fill(self, bundle, queue, now):
-        for key in self.rumors_.list_next(queue):
-            item = self.keys_.get(key)
-            if item is None:
-                del queue[key]
-                continue
-            if not bundle.add_item(item, now, by_key=True):
-                return
-            self.rumors_.count_sent(queue, key)
-
-    def _ask_for_refreshes(self, now):
-        lagging = self.directory_.lagging_
-        if not lagging:
-            return
-        names = sorted(lagging)
-        names = self.rng.sample(names, min(LAGGING_ASKED, len(names)))
-        keys = [self.directory_.live_[name].key for name in names]
-        for peer in self.liveness_.choose(1):
-            self.send(peer, RefreshesWanted(*self.stamp(now), keys), now)
+        self.intake_.forget(now)
 
     def _finish(self, now):
         notices = self.directory_.take_notices() + self.peers_.take_notices()
--- a/sassafrashook/membership/_directory.py
+++ b/sassafrashook/membership/_directory.py
@@ -6,7 +6,7 @@
 
 from sassafrashook.membership._entries import Admission, Entry, hash_announcement
 from sassafrashook.membership._events import DepartureReason, UpstreamLeft, UpstreamSeen
-from sassafrashook.membership._limits import is_announcement
+from sassafrashook.membership._limits import is_announcement, is_text
 from sassafrashook.membership._memory import Memory
 
 REFRESH_SHARE = 0.7  # of the validity: with more than this left, a refresh is not spread
@@ -75,6 +75,8 @@
         :param remaining_s: how much longer this is to be remembered, seconds.
         :returns: an :class:`Admission`.
         """
+        if not (is_text(upstream_id) and is_text(boot_id)):
+            return Admission.OUT_OF_BOUNDS
         past = self.memory_.get(upstream_id, boot_id)
         if past is not None and past.left_key:
             return Admission.STALE
--- a/sassafrashook/membership/_peers.py
+++ b/sassafrashook/membership/_peers.py
@@ -7,10 +7,12 @@
 from msgspec.structs import astuple, replace
 
 from sassafrashook.membership._events import DepartureReason, PeerGone, PeerSeen
-from sassafrashook.membership._limits import is_peer
+from sassafrashook.membership._limits import is_peer, is_text
 from sassafrashook.membership._messages import PeerDeparture, PeerRecord
 from sassafrashook.utils import hash_key
 
+DENIALS_LIMIT = 8
+
 
 class PeerAdmission(StrEnum):
     """What became of a node's record or of a report of its departure."""
@@ -72,6 +74,7 @@
         self.memory_s = memory_s
         self.max_peers = max_peers
         self.own_ = own
+        self.denials_ = 0
         self.live_ = {}
         self.past_ = {}
         self.notices_ = []
@@ -84,8 +87,9 @@
         """
         if not is_peer(record):
             return PeerAdmission.OUT_OF_BOUNDS
-        if record.name == self.own.name and record.boot_id != self.own.boot_id:
-            return PeerAdmission.STALE
+        if record.name == self.own.name and self.own.name in self.live_:
+            is_known = order(record) <= order(self.own_)
+            return PeerAdmission.STALE if is_known else self._deny(record)
         past = self.past_.get(record.name)
         if past is not None and not self._is_after(record, past.departure):
             return PeerAdmission.AFTER_LEAVE if past.departure.left else PeerAdmission.STALE
@@ -103,6 +107,8 @@
         :param departure: a :class:`PeerDeparture`.
         :returns: a :class:`PeerAdmission`.
         """
+        if not (is_text(departure.name) and is_text(departure.boot_id)):
+            return PeerAdmission.OUT_OF_BOUNDS
         if departure.name == self.own.name:
             return self._deny(departure)
         past = self.past_.get(departure.name)
@@ -153,11 +159,20 @@
             return False
         return order(record) > order(departure)
 
-    def _deny(self, departure):
-        is_older = departure.boot_id != self.own.boot_id or departure.left
-        if is_older or departure.sequence < self.own_.sequence:
+    def _deny(self, claim):
+        """Outrank what others tell of this node, if it would outrank this node's record.
+
+        A newer boot under this name is either an earlier start with a wrong clock, or another
+        process with the same name; against the latter this gives up after a few times.
+        """
+        is_newer_boot = (claim.incarnation, claim.boot_id) > order(self.own_)[:2]
+        if is_newer_boot and self.denials_ < DENIALS_LIMIT:
+            self.denials_ += 1
+            self.own_ = replace(self.own_, incarnation=claim.incarnation + 1)
+        elif claim.boot_id == self.own.boot_id and order(claim) >= order(self.own_):
+            self.own_ = replace(self.own_, sequence=claim.sequence + 1)
+        else:
             return PeerAdmission.STALE
-        self.own_ = replace(self.own_, sequence=departure.sequence + 1)
         self._list(self.own_)
         return PeerAdmission.DENIED
 
--- a/sassafrashook/membership/_service.py
+++ b/sassafrashook/membership/_service.py
@@ -1,10 +1,12 @@
 """Runs the membership core in greenlets."""
 
+import contextlib
+import itertools
 import time
 
 import gevent
 from absl import logging
-from gevent.queue import Empty, Queue
+from gevent.queue import Empty, Full, Queue
 
 from sassafrashook.membership._events import (
     AnnouncementHeard,
@@ -19,6 +21,7 @@
 )
 
 INBOX_LIMIT = 10_000
+EVENTS_IN_A_ROW = 32
 STOP_TIMEOUT_S = 2.0
 
 
@@ -73,7 +76,8 @@
         """Tell other nodes that this one leaves, and end all greenlets."""
         if self._greenlet is None:
             return
-        self._put(StopRequested())
+        with contextlib.suppress(Full):
+            self._inbox.put(StopRequested(), timeout=STOP_TIMEOUT_S)
         self._greenlet.join(STOP_TIMEOUT_S)
         gevent.killall([self._greenlet, *self._probes])
         self._greenlet = None
@@ -94,12 +98,18 @@
         self._put(FromPeer(sender, message))
 
     def announce(self, announcement):
-        """Take an announcement that an upstream made at this node."""
-        self._put(AnnouncementHeard(announcement))
+        """Take an announcement that an upstream made at this node.
+
+        :returns: whether it was taken; ``False`` means that the inbox is full.
+        """
+        return self._put(AnnouncementHeard(announcement))
 
     def leave(self, upstream_id, boot_id):
-        """Take an upstream's word that one of its boots leaves."""
-        self._put(LeaveHeard(upstream_id, boot_id))
+        """Take an upstream's word that one of its boots leaves.
+
+        :returns: whether it was taken; ``False`` means that the inbox is full.
+        """
+        return self._put(LeaveHeard(upstream_id, boot_id))
 
     def set_peers(self, names):
         """Set the nodes that the settings name."""
@@ -121,11 +131,17 @@
     def _put(self, event):
         try:
             self._inbox.put_nowait(event)
-        except gevent.queue.Full:
+        except Full:
             self.dropped_ += 1
+            return False
+        return True
 
     def _run(self):
-        while not self.core.stopped_:
+        for number in itertools.count(1):
+            if self.core.stopped_:
+                return
+            if number % EVENTS_IN_A_ROW == 0:
+                gevent.sleep(0)
             event = self._wait()
             now = self.clock()
             if event is not None:
--- a/sassafrashook/membership/tests/test_core.py
+++ b/sassafrashook/membership/tests/test_core.py
@@ -38,3 +38,34 @@
         sent = [s for name in NAMES for (t, _, _, s) in network.sent[name] if t >= 25.0]
         usage.append(sum(sent) / 7 / 10)
     assert usage[1] <= usage[0] * 1.05, usage
+
+
+def test_restarted_node_has_the_list_within_a_second():
+    network = Network(4, NAMES)
+    for index in range(18):
+        announcement = make_announcement(f"engine-{index}", port=1 + index, valid_ms=60_000)
+        network.announce(NAMES[index % 7], announcement)
+    network.tell("r1", LeaveHeard("engine-99", "b1"))
+    network.run(20.0)
+    network.stop("r4")
+    network.run(21.0)
+    network.start("r4")
+    network.run(22.0)
+    assert network.cores["r4"].synchronised_
+    assert len(network.listed("r4")) == 18
+    network.announce("r4", make_announcement("engine-99", sequence=9))
+    assert "engine-99" not in network.listed("r4")
+
+
+def test_cost_of_a_node_does_not_grow_with_the_number_of_nodes():
+    usage = []
+    for count in (40, 80):
+        names = [f"r{index}" for index in range(count)]
+        network = Network(5, names)
+        for index in range(10):
+            announcement = make_announcement(f"engine-{index}", port=1 + index, valid_ms=60_000)
+            network.announce(names[index], announcement)
+        network.run(40.0)
+        sent = [s for name in names for (t, _, _, s) in network.sent[name] if t >= 30.0]
+        usage.append(sum(sent) / count / 10)
+    assert usage[1] <= usage[0] * 1.05, usage
--- a/sassafrashook/membership/tests/test_proofs.py
+++ b/sassafrashook/membership/tests/test_proofs.py
@@ -6,6 +6,7 @@
 from sassafrashook.membership import _rumors
 from sassafrashook.membership._budget import ByteBudget
 from sassafrashook.membership._directory import Directory
+from sassafrashook.membership._intake import Intake
 from sassafrashook.membership._memory import Memory
 from sassafrashook.membership._messages import UpstreamRecord
 from sassafrashook.membership._peers import PeerAdmission, PeerTable
@@ -21,11 +22,7 @@
 def forget_everything(monkeypatch):
     monkeypatch.setattr(Memory, "get", lambda self, upstream_id, boot_id: None)
     monkeypatch.setattr(Memory, "mark_left", lambda self, *arguments: 0)
-    monkeypatch.setattr("sassafrashook.membership._core.MembershipCore._spread_departure", ignore)
-
-
-def ignore(*arguments):
-    return None
+    monkeypatch.setattr(Intake, "_spread_departure", lambda self, *arguments: None)
 
 
 def renew_on_relay(monkeypatch):
--- a/sassafrashook/membership/tests/test_rules.py
+++ b/sassafrashook/membership/tests/test_rules.py
@@ -17,6 +17,7 @@
     Gossip,
     LeaveHeard,
     MembershipCore,
+    PeerDeparture,
     PeerGone,
     PeerLeft,
     PeerProbed,
@@ -257,6 +258,26 @@
     assert len(node.core.peers()) == 2
 
 
+def test_node_outranks_reports_of_its_loss_and_records_of_an_earlier_start():
+    node = Node()
+    node.gossip(0.0, peer_departures=[PeerDeparture("r1", 1, "b1", 0, False, 9_000)])
+    assert node.core.peers()[0].sequence == 1
+    earlier = msgspec.structs.replace(OWN, boot_id="b0", incarnation=7)
+    node.gossip(0.0, peers=[earlier])
+    assert node.core.peers()[0].incarnation == 8
+    for _ in range(20):
+        incarnation = node.core.peers()[0].incarnation + 1
+        node.gossip(0.0, peers=[msgspec.structs.replace(earlier, incarnation=incarnation)])
+    assert node.core.peers()[0].incarnation == 22
+
+
+def test_departures_out_of_bounds_are_refused():
+    node = Node()
+    assert node.gossip(0.0, departures=[Departure("x" * 65, "b1", 9_000)]) == ["out_of_bounds"]
+    node.gossip(0.0, peer_departures=[PeerDeparture("x" * 65, 1, "b1", 0, True, 9_000)])
+    assert len(node.core.keys_.items_) == 1
+
+
 def test_new_node_asks_several_for_a_share_of_the_list_each():
     node = Node()
     node.tell(PeersChanged(tuple(f"r{index}" for index in range(2, 8))), 0.0)
