Membership: a node that starts asks before it believes, and clones are settled alike

A restarted node took a late refresh of a boot that had left, until others corrected it; it now defers announcements until its list equals another's, 2 s at most. One boot id at two addresses was first come, first served at each node, so that nodes differed for good: between nodes the one announced longer is listed, at one node a second address is refused. Ruled out: the smaller address wins (a clone could displace the original).

--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -48,12 +48,12 @@
         for name, core in self.network.cores.items():
             now = self.network.clock(name)
             for record in records:
-                core.take_peer(record, now)
+                core.intake_.take_peer(record, now)
             for announcement, remaining_s in announcements:
-                core.take_upstream(announcement, remaining_s, now)
+                core.intake_.take_upstream(announcement, remaining_s, now)
             core.rumors_.changes_.clear()
             core.rumors_.refreshes_.clear()
-            core.reconciliation_.debts_.clear()
+            core.replies_.replies_.clear()
             core.synchronised_ = True
 
     def make(self, name):
@@ -108,6 +108,7 @@
     network.run(WARM_S)
     for records in network.sent.values():
         records.clear()
+    fleet.expired = 0
     handled = count_handled(network)
     started = time.process_time()
     network.run(WARM_S + MEASURED_S)
--- a/sassafrashook/membership/_core.py
+++ b/sassafrashook/membership/_core.py
@@ -28,6 +28,8 @@
 
 LEAVE_FANOUT = 4
 MAX_VALID_S = 60.0
+JOIN_LIMIT_S = 2.0
+DEFERRED_LIMIT = 1_000
 NUMBER_MASK = 0xFFFFFFFF
 
 
@@ -132,6 +134,8 @@
         self.budget_ = ByteBudget(self.budget_bytes)
         self.transit_ = TransitClock()
         self.seeds_ = ()
+        self.deferred_ = []
+        self.join_until_ = None
         self.boot_ = hash_key(self.own.boot_id) & NUMBER_MASK
         self.synchronised_ = False
         self.intake_ = Intake(self)
@@ -170,6 +174,7 @@
     def next_deadline(self):
         """Return when :meth:`advance` must be called next, seconds."""
         deadlines = (
+            self.join_until_ if self.deferred_ else None,
             self.rounds_.round_at_,
             self.rounds_.urgent_at_,
             self.directory_.next_deadline(),
@@ -220,8 +225,22 @@
             self.transit_.drop(name)
 
     def _hear_announcement(self, event, now):
-        announcement = event.announcement
-        self.intake_.take_upstream(announcement, announcement.valid_ms / 1000, now, direct=True)
+        if self._is_joining(now) and len(self.deferred_) < DEFERRED_LIMIT:
+            self.deferred_.append((event, now + event.announcement.valid_ms / 1000))
+            return
+        remaining_s = event.announcement.valid_ms / 1000
+        self.intake_.take_upstream(event.announcement, remaining_s, now, direct=True)
+
+    def _is_joining(self, now):
+        """Return whether others may still tell this node of departures and older claims."""
+        return self.join_until_ is not None and now < self.join_until_ and not self.synchronised_
+
+    def _take_deferred(self, now):
+        if not self.deferred_ or self._is_joining(now):
+            return
+        deferred, self.deferred_ = self.deferred_, []
+        for event, deadline in deferred:
+            self.intake_.take_upstream(event.announcement, deadline - now, now, direct=True)
 
     def _hear_leave(self, event, now):
         self.intake_.take_departure(event.upstream_id, event.boot_id, self.memory_ms / 1000, now)
@@ -247,7 +266,8 @@
             self.drop_name(name)
         for name in event.peers:
             self.liveness_.add(name)
-        if is_first:
+        if is_first and self.liveness_.states_:
+            self.join_until_ = now + JOIN_LIMIT_S
             self.reconciliation_.join(now)
 
     def _note_probe(self, event, now):
@@ -272,6 +292,7 @@
         self.intake_.forget(now)
 
     def _finish(self, now):
+        self._take_deferred(now)
         notices = self.directory_.take_notices() + self.peers_.take_notices()
         actions, self._actions = self._actions, []
         return notices + actions
--- a/sassafrashook/membership/_directory.py
+++ b/sassafrashook/membership/_directory.py
@@ -142,7 +142,7 @@
 
     def _renew(self, entry, announcement, deadline, now, direct):
         if (announcement.host, announcement.port) != entry.address:
-            return Admission.BOOT_AT_TWO_ADDRESSES
+            return self._move(entry, announcement, deadline, now, direct)
         if announcement.sequence <= entry.announcement.sequence:
             return Admission.STALE
         changed = hash_announcement(announcement) != entry.key
@@ -151,6 +151,13 @@
             return Admission.COALESCED
         return self._update(entry, announcement, deadline, changed, now)
 
+    def _move(self, entry, announcement, deadline, now, direct):
+        """Settle between nodes which address of one boot is listed: the one announced longer."""
+        if direct or announcement.sequence <= entry.announcement.sequence:
+            return Admission.BOOT_AT_TWO_ADDRESSES
+        self._remove(entry, DepartureReason.DISPLACED, now)
+        return self._insert(None, announcement, deadline, now)
+
     def _update(self, entry, announcement, deadline, changed, now):
         assert announcement.boot_id == entry.announcement.boot_id, "boot changed by a refresh"
         assert announcement.sequence > entry.announcement.sequence, "sequence went back"
--- a/sassafrashook/membership/tests/test_rules.py
+++ b/sassafrashook/membership/tests/test_rules.py
@@ -173,6 +173,17 @@
     assert node.found(UpstreamLeft) == [displaced]
 
 
+def test_of_two_addresses_of_one_boot_the_longer_announced_wins_between_nodes():
+    node = Node()
+    node.hear(0.0, sequence=5)
+    clone = make_announcement(port=8_001, sequence=4)
+    assert node.gossip(1.0, upstreams=[UpstreamRecord(clone, 5_000)]) == ["boot_at_two_addresses"]
+    clone = make_announcement(port=8_001, sequence=6)
+    assert node.gossip(1.0, upstreams=[UpstreamRecord(clone, 5_000)]) == []
+    assert [announcement.port for announcement in node.core.upstreams(1.0)] == [8_001]
+    assert node.hear(2.0, sequence=7) == ["boot_at_two_addresses"]
+
+
 @pytest.mark.parametrize(
     "changes",
     [
