--- a/sassafrashook/membership/_directory.py
+++ b/sassafrashook/membership/_directory.py
@@ -6,7 +6,7 @@
 
 from sassafrashook.membership._entries import Admission, Entry, hash_announcement
 from sassafrashook.membership._events import DepartureReason, UpstreamLeft, UpstreamSeen
-from sassafrashook.membership._limits import is_announcement, is_text
+from sassafrashook.membership._limits import NUMBER_LIMIT, is_announcement, is_text
 from sassafrashook.membership._memory import Memory
 
 REFRESH_SHARE = 0.7  # of the validity: with more than this left, a refresh is not spread
@@ -63,6 +63,8 @@
 
         :returns: an :class:`Admission`.
         """
+        if sequence > NUMBER_LIMIT:
+            return Admission.OUT_OF_BOUNDS
         if sequence <= entry.announcement.sequence:
             return Admission.STALE
         announcement = replace(entry.announcement, sequence=sequence)
--- a/sassafrashook/membership/_limits.py
+++ b/sassafrashook/membership/_limits.py
@@ -53,3 +53,10 @@
         and 0 <= value.incarnation <= NUMBER_LIMIT
         and 0 <= value.sequence <= NUMBER_LIMIT
     )
+
+
+def is_peer_departure(value):
+    """Return whether every field of a report on a node is within its bounds."""
+    numbers = (value.incarnation, value.sequence)
+    names = (value.name, value.boot_id)
+    return all(map(is_text, names)) and all(0 <= number <= NUMBER_LIMIT for number in numbers)
--- a/sassafrashook/membership/_peers.py
+++ b/sassafrashook/membership/_peers.py
@@ -7,7 +7,7 @@
 from msgspec.structs import astuple, replace
 
 from sassafrashook.membership._events import DepartureReason, PeerGone, PeerSeen
-from sassafrashook.membership._limits import is_peer, is_text
+from sassafrashook.membership._limits import is_peer, is_peer_departure
 from sassafrashook.membership._messages import PeerDeparture, PeerRecord
 from sassafrashook.utils import hash_key
 
@@ -107,7 +107,7 @@
         :param departure: a :class:`PeerDeparture`.
         :returns: a :class:`PeerAdmission`.
         """
-        if not (is_text(departure.name) and is_text(departure.boot_id)):
+        if not is_peer_departure(departure):
             return PeerAdmission.OUT_OF_BOUNDS
         if departure.name == self.own.name:
             return self._deny(departure)
--- a/sassafrashook/membership/_rounds.py
+++ b/sassafrashook/membership/_rounds.py
@@ -58,7 +58,7 @@
         for peer in self.core.liveness_.choose(self.core.fanout):
             self.send_gossip(peer, now)
         if self.core.rumors_.changes_ and self.core.liveness_.states_:
-            is_held = self.core.budget_.available(now) < MESSAGE_BYTES
+            is_held = self.core.budget_.available(now) < SMALLEST_MESSAGE_BYTES
             self.urgent_at_ = now + (HELD_DELAY_S if is_held else URGENT_DELAY_S)
 
     def send_gossip(self, peer, now, refresh_limit=0, is_reply=False):
--- a/sassafrashook/membership/_service.py
+++ b/sassafrashook/membership/_service.py
@@ -19,6 +19,7 @@
     Send,
     StopRequested,
 )
+from sassafrashook.tasks import spawn_task
 
 INBOX_LIMIT = 10_000
 EVENTS_IN_A_ROW = 32
@@ -70,7 +71,7 @@
     def start(self):
         """Start the owning greenlet."""
         self._carry_out(self.core.start(self.clock()))
-        self._greenlet = gevent.spawn(self._run)
+        self._greenlet = spawn_task(self._run)
 
     def stop(self):
         """Tell other nodes that this one leaves, and end all greenlets."""
--- /dev/null
+++ b/sassafrashook/membership/tests/test_fuzz.py
@@ -0,0 +1,142 @@
+"""Well-typed messages with any values must not break a core, nor its budget."""
+
+import os
+import random
+
+import pytest
+
+from sassafrashook.membership import (
+    AnnouncementHeard,
+    BucketContents,
+    BucketHashes,
+    Departure,
+    FromPeer,
+    Gossip,
+    LeaveHeard,
+    MembershipCore,
+    PeerDeparture,
+    PeerLeft,
+    PeerProbed,
+    PeerRecord,
+    PeersChanged,
+    Records,
+    RecordsWanted,
+    Refresh,
+    RefreshesWanted,
+    Send,
+    UpstreamRecord,
+)
+from sassafrashook.membership.tests.network import make_announcement, measure
+
+SEEDS = range(int(os.environ.get("SOAK", "3")))
+NAMES = ["", "r0", "r1", "r2", "engine-1", "x" * 70]
+NUMBERS = [-(2**63), -1, 0, 1, 2, 3, 50, 10_000, 2**31, 2**62, 2**62 + 1, 2**64 - 1]
+EVENTS = 2_000
+
+
+class Source:
+    """Draws messages from few names and extreme numbers, and from the keys of a core."""
+
+    def __init__(self, seed, core):
+        self.rng = random.Random(seed)
+        self.core = core
+
+    def number(self):
+        return self.rng.choice(NUMBERS)
+
+    def name(self):
+        return self.rng.choice(NAMES)
+
+    def key(self):
+        return self.rng.choice([self.number(), *self.core.keys_.items_])
+
+    def several(self, draw):
+        return [draw() for _ in range(self.rng.choice((0, 0, 1, 3, 20)))]
+
+    def announcement(self):
+        changes = {
+            "host": self.rng.choice(("10.0.0.1", "10.0.0.2", "::1", "host")),
+            "port": self.rng.choice((0, 1, 2, 65_535, 65_536)),
+            "incarnation": self.number(),
+            "valid_ms": self.number(),
+            "leaving": self.rng.random() < 0.1,
+            "cold": self.rng.random() < 0.5,
+        }
+        return make_announcement(self.name(), self.name(), self.number(), **changes)
+
+    def upstream(self):
+        return UpstreamRecord(self.announcement(), self.number())
+
+    def refresh(self):
+        return Refresh(self.key(), self.number(), self.number())
+
+    def departure(self):
+        return Departure(self.name(), self.name(), self.number())
+
+    def peer(self):
+        texts = (self.name(), "router", "10.0.0.9", 7_000, "z", self.name())
+        return PeerRecord(*texts, self.number(), self.number())
+
+    def peer_departure(self):
+        left = self.rng.random() < 0.5
+        numbers = (self.number(), self.number())
+        return PeerDeparture(self.name(), numbers[0], self.name(), numbers[1], left, self.number())
+
+    def parts(self):
+        return {
+            "upstreams": self.several(self.upstream),
+            "refreshes": self.several(self.refresh),
+            "departures": self.several(self.departure),
+            "peers": self.several(self.peer),
+            "peer_departures": self.several(self.peer_departure),
+        }
+
+    def message(self):
+        stamp = (self.number(), self.number())
+        count = self.rng.choice((0, 7, 8, 64, 128, 256))
+        return self.rng.choice(
+            (
+                lambda: Gossip(*stamp, self.number(), self.rng.random() < 0.5, **self.parts()),
+                lambda: Records(*stamp, **self.parts()),
+                lambda: BucketHashes(*stamp, [self.number() for _ in range(count)]),
+                lambda: BucketContents(
+                    *stamp, count, self.several(self.number), self.several(self.key)
+                ),
+                lambda: RecordsWanted(*stamp, self.several(self.key)),
+                lambda: RefreshesWanted(*stamp, self.several(self.key)),
+                lambda: PeerLeft(self.name(), self.name()),
+            )
+        )()
+
+    def event(self):
+        return self.rng.choices(
+            (
+                lambda: FromPeer(self.name(), self.message()),
+                lambda: AnnouncementHeard(self.announcement()),
+                lambda: LeaveHeard(self.name(), self.name()),
+                lambda: PeerProbed(self.name(), self.rng.random() < 0.5),
+                lambda: PeersChanged(tuple(sorted(set(self.several(self.name))))),
+            ),
+            weights=(80, 10, 3, 5, 2),
+        )[0]()
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_any_message_is_borne(seed):
+    print(f"seed={seed}")
+    own = PeerRecord("r1", "router", "10.0.0.1", 7_000, "z", "r1", 1)
+    core = MembershipCore(own, random.Random(seed), measure, max_upstreams=4, max_peers=4)
+    now, sent = 0.0, []
+    actions = core.start(now)
+    source = Source(seed, core)
+    for _ in range(EVENTS):
+        sent += [(now, measure(a.message)) for a in actions if isinstance(a, Send)]
+        now += source.rng.choice((0.0, 0.001, 0.1, 5.0))
+        actions = core.handle(source.event(), now)
+        if core.next_deadline() <= now:
+            actions += core.advance(now)
+        assert len(core.directory_.live_) <= 4
+        assert len(core.peers_.live_) <= 4
+        assert set(core.directory_.ids_by_address_.values()) == set(core.directory_.live_)
+    for time, _ in sent:
+        assert sum(size for at, size in sent if time - 1.0 < at <= time) <= 4_096
