Once-only calls through cuts, pauses and repeats; callers that leave; bad input; planned stop

A refusal of a repeat asks what is recorded of its key, so that it does not say not_run of a call whose first submission ran.

--- a/fakes/__init__.py
+++ b/fakes/__init__.py
@@ -8,6 +8,7 @@
 
 import gevent
 import gevent.event
+from gevent.pool import Pool
 from gevent.pywsgi import WSGIServer
 from geventhttpclient import HTTPClient
 
@@ -44,12 +45,16 @@
         self.max_running = 0
         self.counts = Counter()
         self.records = []
+        self.pool = None
         self.server = None
         self.announcer = None
 
     def start(self):
         """Listen and begin to announce."""
-        self.server = WSGIServer(("127.0.0.1", self.port), self.serve, log=None, error_log=None)
+        self.pool = Pool(10_000)
+        self.server = WSGIServer(
+            ("127.0.0.1", self.port), self.serve, spawn=self.pool, log=None, error_log=None
+        )
         self.server.environ["SERVER_NAME"] = "127.0.0.1"
         self.server.start()
         self.port = self.server.address[1]
@@ -61,12 +66,20 @@
         self.announcer.kill()
         self.server.stop(timeout=0)
 
+    def fall_over(self):
+        """Close everything from within a request."""
+        gevent.spawn(self.stop).join()
+
+    def is_busy(self):
+        """Return whether a request is running."""
+        return self.running > 0
+
     def leave(self, timeout_s=30.0):
         """Announce to leave, let requests end, and stop."""
         self.leaving = True
         self.announce()
         deadline = time.monotonic() + timeout_s
-        while self.running and time.monotonic() < deadline:
+        while self.is_busy() and time.monotonic() < deadline:
             gevent.sleep(0.02)
         self.stop()
 
@@ -182,3 +195,24 @@
     parser.add_argument("--cold-capacity", type=int, default=2)
     parser.add_argument("--checks-fencing", action="store_true")
     return parser.parse_args()
+
+
+def common_arguments(options):
+    """Return the arguments that all fakes take from the command line."""
+    return (
+        options.id,
+        options.service,
+        options.zone,
+        options.port,
+        options.router,
+        read_key(options.key_file),
+    )
+
+
+def common_options(options):
+    """Return the fields of the announcement that come from the command line."""
+    return {
+        "capacity": options.capacity,
+        "cold_capacity": options.cold_capacity,
+        "checks_fencing": options.checks_fencing,
+    }
--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -8,7 +8,14 @@
 
 import gevent
 
-from fakes import REPORT_S, FakeUpstream, parse_options, read_key, run_fake
+from fakes import (
+    REPORT_S,
+    FakeUpstream,
+    common_arguments,
+    common_options,
+    parse_options,
+    run_fake,
+)
 
 POISON = "CRASH-ENGINE"
 CACHE_EVENT_GAP = 5
@@ -35,7 +42,7 @@
     kind = "engine"
 
     def __init__(self, *args, tokens=20, token_s=0.01, cache_size=60, warm_after=0, **options):
-        self.crash = options.pop("crash", self.stop)
+        self.crash = options.pop("crash", self.fall_over)
         super().__init__(*args, **options)
         self.tokens = tokens
         self.token_s = token_s
@@ -63,6 +70,10 @@
         self.reporter.kill()
         super().stop()
 
+    def is_busy(self):
+        """Return whether a request is running."""
+        return self.running > 0 or self.streams > 0
+
     def announcement(self):
         """Return the fields of the next announcement."""
         return {**super().announcement(), "cold": self.cold}
@@ -194,19 +205,12 @@
     parser.add_argument("--model", action="append", default=[])
     options = parse_options(parser)
     engine = FakeEngine(
-        options.id,
-        options.service,
-        options.zone,
-        options.port,
-        options.router,
-        read_key(options.key_file),
+        *common_arguments(options),
+        **common_options(options),
         tokens=options.tokens,
         token_s=options.token_ms / 1_000,
         cache_size=options.cache_size,
         warm_after=options.warm_after,
-        capacity=options.capacity,
-        cold_capacity=options.cold_capacity,
-        checks_fencing=options.checks_fencing,
         models=options.model,
         crash=lambda: os._exit(1),
     )
--- a/fakes/ledger.py
+++ b/fakes/ledger.py
@@ -6,7 +6,7 @@
 
 import gevent
 
-from fakes import FakeUpstream, parse_options, read_key, run_fake
+from fakes import FakeUpstream, common_arguments, common_options, parse_options, run_fake
 
 
 class FakeLedger(FakeUpstream):
@@ -49,7 +49,7 @@
         self.records.append(key)
         gevent.sleep(self.delay_s)
         if self.crash_before_answer:
-            self.stop()
+            self.fall_over()
         if self.close_before_answer:
             raise ConnectionResetError(104, "closed before the answer")
         receipt = hashlib.sha256(body).hexdigest()[:12]
@@ -71,17 +71,10 @@
     parser.add_argument("--close-before-answer", action="store_true")
     options = parse_options(parser)
     ledger = FakeLedger(
-        options.id,
-        options.service,
-        options.zone,
-        options.port,
-        options.router,
-        read_key(options.key_file),
+        *common_arguments(options),
+        **common_options(options),
         delay_s=options.delay_ms / 1_000,
         close_before_answer=options.close_before_answer,
-        capacity=options.capacity,
-        cold_capacity=options.cold_capacity,
-        checks_fencing=options.checks_fencing,
     )
     run_fake(ledger)
 
--- a/sassafrashook/proxy/_application.py
+++ b/sassafrashook/proxy/_application.py
@@ -141,7 +141,6 @@
         """Decode the message and hand it over."""
         decoded = self._decode(request)
         if isinstance(decoded, Failure):
-            self.context.count("bad_input", self.message.__name__)
             answer_refusal(self.context, response, decoded.failure())
             return
         refused = self.callback(decoded.unwrap()) if self.callback else None
--- a/sassafrashook/proxy/_calls.py
+++ b/sassafrashook/proxy/_calls.py
@@ -104,6 +104,7 @@
                 if refusal is not None:
                     return Failure(refusal)
         finally:
+            run.drop()
             self.context.monitor_.remove(run.watch)
 
     def _try(self, permit):
--- a/sassafrashook/proxy/_chats.py
+++ b/sassafrashook/proxy/_chats.py
@@ -93,10 +93,13 @@
         :returns: ``Success(None)``, or ``Failure`` of the final refusal.
         """
         self.context.monitor_.add(self.run.watch)
-        refusal = self._attempt()
-        if refusal is not None or self.body is not None:
-            self._finished = True
-            self.context.monitor_.remove(self.run.watch)
+        is_streaming = False
+        try:
+            refusal = self._attempt()
+            is_streaming = refusal is None and self.body is None
+        finally:
+            if not is_streaming:
+                self.close()
         return Success(None) if refusal is None else Failure(refusal)
 
     def _attempt(self):
@@ -310,3 +313,4 @@
         if self._permit is not None:
             self.run.abandon(self._permit, Verdict.MAY_HAVE_RUN)
             self._permit = None
+        self.run.drop()
--- a/sassafrashook/proxy/_orders.py
+++ b/sassafrashook/proxy/_orders.py
@@ -39,6 +39,7 @@
 RECORD_TRIES = 10
 RECORD_RETRY_S = 0.5
 HTTP_OK = 200
+PAST_UNIX_MS = 1
 STATUS_WITHOUT_ANSWER = 502
 JSON = "application/json"
 
@@ -98,6 +99,7 @@
         try:
             return self._run_attempts()
         finally:
+            self.run.drop()
             self.context.monitor_.remove(self.run.watch)
 
     def _run_attempts(self):
@@ -116,9 +118,21 @@
                 return self._refuse(refusal)
 
     def _refuse(self, refusal):
+        """Refuse a submission that was not sent, unless an earlier one with its key is known."""
         if self._granted:
             self._record(_record_refusal(refusal))
-        return Failure(refusal)
+            return Failure(refusal)
+        known = self._read_record()
+        return Failure(refusal) if known is None else known
+
+    def _read_record(self):
+        """Ask what is known of the key; a claim past its deadline can't be granted."""
+        decision = self._ask(PAST_UNIX_MS)
+        if decision.status == ClaimStatus.RECORDED:
+            return _replay(decision.answer)
+        if decision.status in (ClaimStatus.RUNNING, ClaimStatus.CONFLICT):
+            return Failure(_refuse_claim(decision.status))
+        return None
 
     def _try(self, permit):
         run = self.run
@@ -145,7 +159,7 @@
         is_expired = clock.monotonic() >= min(permit.use_by, self.run.deadline)
         return is_expired or clock.unix_ms() >= self.order.deadline_unix_ms
 
-    def _claim(self):
+    def _ask(self, deadline_unix_ms):
         order = self.order
         call = order.call
         request = ClaimRequested(
@@ -155,10 +169,13 @@
             service=self.run.service.name,
             key=order.key,
             digest=digest_call(call.method, call.target, call.body),
-            deadline_unix_ms=order.deadline_unix_ms,
+            deadline_unix_ms=deadline_unix_ms,
         )
         limit = self.context.clock.monotonic() + self.context.claim_ms / MS_PER_S
-        decision = self.context.claims.claim(request, min(limit, self.run.deadline))
+        return self.context.claims.claim(request, limit)
+
+    def _claim(self):
+        decision = self._ask(self.order.deadline_unix_ms)
         if decision.status == ClaimStatus.GRANTED:
             self._granted = True
             return None
@@ -260,6 +277,9 @@
 
 def _replay(answer, replayed=True):
     status = answer.status or STATUS_WITHOUT_ANSWER
-    return Success(
-        CallAnswer(status, answer.content_type, answer.body, "", answer.verdict, replayed)
-    )
+    body = answer.body
+    if not answer.status and not body:
+        detail = "the body of the record was dropped"
+        refusal = Refusal(Verdict(answer.verdict), RefusalReason.UPSTREAM_BROKE, 0, detail)
+        body = encode_error(refusal)
+    return Success(CallAnswer(status, answer.content_type, body, "", answer.verdict, replayed))
--- a/sassafrashook/proxy/_resources.py
+++ b/sassafrashook/proxy/_resources.py
@@ -22,14 +22,24 @@
 CALLER_SOCKET = "sassafrashook.caller_socket"
 JSON = "application/json"
 MS_PER_S = 1_000
+BAD_INPUT = (
+    RefusalReason.BAD_REQUEST,
+    RefusalReason.BODY_TOO_LARGE,
+    RefusalReason.DEADLINE_MISSING,
+    RefusalReason.KEY_MISSING,
+    RefusalReason.UNAUTHENTICATED,
+)
 ID_PATTERN = re.compile(r"[!-~]{1,200}")
 PASSED_HEADERS = ("Content-Type", "Accept", headers.IDEMPOTENCY_KEY)
+VALUE_PATTERN = re.compile(r"[ -~]{0,1000}")
 TARGET_PATTERN = re.compile(r"[!-~]+")
 
 
 def answer_refusal(context, response, refusal):
     """Answer with a refusal and count it."""
     context.count("refusals", refusal.reason)
+    if refusal.reason in BAD_INPUT:
+        context.count("bad_input", refusal.reason)
     response.status = find_status(refusal.reason)
     response.content_type = JSON
     response.data = encode_error(refusal)
@@ -151,7 +161,10 @@
         target = request.env.get("RAW_URI") or request.relative_uri
         if not TARGET_PATTERN.fullmatch(target):
             return refuse_input("path: allowed: visible ASCII characters")
-        call = Call(request.method, target, _pass_headers(request), body)
+        fields = _pass_headers(request)
+        if not all(VALUE_PATTERN.fullmatch(value) for value in fields.values()):
+            return refuse_input("a header holds characters that are not allowed")
+        call = Call(request.method, target, fields, body)
         if request.method in service.repeatable_methods:
             return self._repeat(request, admission, service, call)
         return self._run_once(request, admission, service, call)
--- a/sassafrashook/proxy/_runs.py
+++ b/sassafrashook/proxy/_runs.py
@@ -63,6 +63,7 @@
         "waiting_deadline",
         "watch",
         "work_class",
+        "_cancelling",
         "_held",
         "_resumed",
     )
@@ -86,6 +87,7 @@
         self.preferred = ""
         self.verdict = Verdict.NOT_RUN
         self.started = False
+        self._cancelling = False
         self._held = None
         self._resumed = []
         context.retries.note_request(account, now)
@@ -136,6 +138,11 @@
         self._held = None
         self.context.permits.release(permit, outcome, first_token_ms)
 
+    def drop(self):
+        """Give back a permit that an unexpected error left behind."""
+        if self._held is not None and not self._cancelling:
+            self.release(self._held, PermitOutcome.CANCELLED)
+
     def refuse(self, reason, retry_after_ms=0, detail=""):
         """Return the final refusal with the verdict over all attempts."""
         retry_after_ms = retry_after_ms or DEFAULT_RETRY_AFTER_MS
@@ -180,6 +187,7 @@
         if not self.cancellable:
             self.release(permit, PermitOutcome.CANCELLED)
             return
+        self._cancelling = True
         self.context.background_.spawn(self._cancel_and_release, permit, self.attempt_id)
 
     def _cancel_and_release(self, permit, attempt_id):
--- /dev/null
+++ b/sassafrashook/proxy/tests/test_callers.py
@@ -0,0 +1,225 @@
+"""Callers that go away, send what they should not, or meet a router that stops."""
+
+import json
+
+import gevent
+import pytest
+from gevent import socket
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.result import Failure, Success
+
+from sassafrashook.messages import (
+    CacheEvent,
+    LoadReport,
+    PermitOutcome,
+    UpstreamAnnouncement,
+)
+from sassafrashook.outcomes import Refusal, RefusalReason, Verdict
+from sassafrashook.proxy import SystemClock, _reading
+from sassafrashook.proxy._events import EventScanner, StreamError
+from sassafrashook.proxy._requests import decode_chat, decode_deadline, decode_report
+from sassafrashook.proxy.tests._support import (
+    SOON_MS,
+    encode_chat,
+    expect_text,
+    read_stream,
+    request,
+    send_raw,
+    serve,
+)
+from sassafrashook.proxy.tests.test_relay import CHAT, make_engine
+
+FUZZ = settings(max_examples=150, deadline=None, derandomize=True, database=None)
+
+
+def head(body, extra=""):
+    lines = f"POST {CHAT} HTTP/1.1\r\nHost: r\r\nAuthorization: Bearer caller-key\r\n{extra}"
+    return f"{lines}Content-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+def wait_for(condition):
+    """Wait until something holds; the test's own time limit is the bound."""
+    with gevent.Timeout(10):
+        while not condition():
+            gevent.sleep(0.01)
+
+
+def test_caller_that_goes_away_cancels_upstream():
+    engine = make_engine(token_s=0.02)
+    with serve(("assistant", engine)) as router:
+        with socket.create_connection(router.server.address) as sock:
+            sock.sendall(head(encode_chat("plan", count=500)))
+            assert b"200 OK" in sock.recv(4_096)
+        wait_for(lambda: router.permits.outcomes)
+        assert router.permits.outcomes == [PermitOutcome.CANCELLED]
+        assert engine.counts["cancels"] == 1
+        wait_for(lambda: engine.streams == 0)
+
+
+def test_caller_that_goes_away_before_the_first_token_cancels_upstream():
+    engine = make_engine(token_s=3.0)
+    with serve(("assistant", engine), first_byte_ms=10_000) as router:
+        with socket.create_connection(router.server.address) as sock:
+            sock.sendall(head(encode_chat("plan")))
+            wait_for(lambda: engine.streams)
+        wait_for(lambda: router.permits.outcomes)
+        assert router.permits.outcomes == [PermitOutcome.CANCELLED]
+
+
+def test_caller_that_stops_reading_is_let_go():
+    engine = make_engine(token_s=0.0)
+    with serve(("assistant", engine), caller_ms=300) as router:
+        with socket.create_connection(router.server.address) as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+            sock.sendall(head(encode_chat("plan", count=100_000)))
+            wait_for(lambda: router.permits.outcomes)
+        assert router.permits.outcomes == [PermitOutcome.CANCELLED]
+
+
+def test_refusal_goes_out_with_reason_and_time_to_come_back():
+    with serve(("assistant", make_engine())) as router:
+        router.permits.refusal = Refusal(Verdict.NOT_RUN, RefusalReason.ACCOUNT_SHARE, 2_300)
+        status, headers, body = request(router, "POST", CHAT, encode_chat("plan"))
+        assert (status, headers["Retry-After"]) == (429, "3")
+        error = json.loads(body)["error"]
+        assert (error["verdict"], error["reason"]) == ("not_run", "account_share")
+        assert error["retry_after_ms"] == 2_300
+    assert router.counts[("refusals", "account_share")] == 1
+
+
+def test_time_in_the_queue_counts_towards_the_waiting_target():
+    with serve(("assistant", make_engine())) as router:
+        request(router, "POST", CHAT, encode_chat("plan"), X_Deadline_Ms=900)
+        query = router.permits.queries[0]
+        assert query.waiting_ms <= 900
+        assert query.running_ms <= 900
+
+
+def test_conversation_key_is_the_same_on_every_return():
+    with serve(("assistant", make_engine())) as router:
+        first = [{"role": "system", "content": "s"}, {"role": "user", "content": "u"}]
+        later = [*first, {"role": "assistant", "content": "a"}, {"role": "user", "content": "v"}]
+        for messages in (first, later):
+            body = json.dumps({"messages": messages, "stream": True}).encode()
+            request(router, "POST", CHAT, body)
+        request(router, "POST", CHAT, encode_chat("u"))
+        keys = [query.conversation_key for query in router.permits.queries]
+        prints = [query.fingerprint for query in router.permits.queries]
+    assert keys[0] == keys[1] != keys[2]
+    assert len(set(prints)) == 3
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (head(b"{"), b"400"),
+        (head(b'{"messages": []}'), b"400"),
+        (head(encode_chat("a"), "X-Deadline-Ms: soon\r\n"), b"400"),
+        (head(encode_chat("a"), "X-Work-Class: none\r\n"), b"400"),
+        (head(encode_chat("a"), "X-Conversation-Id: a b\r\n"), b"400"),
+        (head(b"x" * 2_000), b"413"),
+        (b"POST /nothing HTTP/1.1\r\nAuthorization: Bearer caller-key\r\n\r\n", b"404"),
+        (b"POST /ledger/x HTTP/1.1\r\nAuthorization: Bearer wrong\r\n\r\n", b"401"),
+        (b"DELETE /v1/chat/completions HTTP/1.1\r\n\r\n", b"405"),
+        (b"nonsense\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\nX: " + b"y" * 70_000 + b"\r\n\r\n", b"400"),
+        (b"POST / HTTP/1.1\r\nContent-Length: -4\r\n\r\n", b"400"),
+        (b"POST /ledger/x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", b"400"),
+    ],
+)
+def test_bad_input_gets_a_clear_error_and_is_counted(data, status):
+    with serve(("assistant", make_engine()), max_body_bytes=1_000) as router:
+        answer = send_raw(router, data, timeout_s=0.5)
+        assert answer.startswith(b"HTTP/1.1 " + status)
+        counted = [name for name, _ in router.counts]
+        assert "bad_input" in counted or "refusals" in counted
+        assert request(router, "GET", "/healthz")[0] == 200
+    assert not router.permits.outcomes
+
+
+def test_slow_senders_are_let_go(monkeypatch):
+    monkeypatch.setattr(_reading, "READ_S", 0.2)
+    with serve(("assistant", make_engine()), server={"idle_ms": 200}) as router:
+        assert send_raw(router, b"POST / HT") == b""
+        assert send_raw(router, head(b"x" * 50)[:-9]).startswith(b"HTTP/1.1 400")
+
+
+def test_upstreams_reports_are_decoded_and_handed_over():
+    with serve(("assistant", make_engine())) as router:
+        engine = make_engine()
+        path, body = "/v1/announcements", json.dumps(engine.announcement()).encode()
+        assert request(router, "POST", path, body, key="caller-key")[0] == 401
+        assert request(router, "POST", path, body[:-1], key="upstream-key")[0] == 400
+        assert not router.reports
+        assert request(router, "POST", path, body, key="upstream-key")[0] == 202
+        assert isinstance(router.reports[0], UpstreamAnnouncement)
+        assert router.reports[0].upstream_id == "engine-1"
+
+
+def test_stop_lets_streams_end_and_says_so_first():
+    engine = make_engine(token_s=0.02)
+    with serve(("assistant", engine), server={"notice_ms": 300}) as router:
+        stream = gevent.spawn(request, router, "POST", CHAT, encode_chat("plan", count=60))
+        wait_for(lambda: engine.streams)
+        stop = gevent.spawn(router.server.stop, SystemClock().monotonic() + 20)
+        wait_for(lambda: router.application.draining_)
+        status, headers, body = request(router, "GET", "/healthz")
+        assert (status, headers["Connection"]) == (503, "close")
+        assert json.loads(body) == {"serving": False, "reason": "stopping"}
+        assert request(router, "POST", CHAT, encode_chat("late", count=2))[0] == 200
+        assert stop.get() == 0
+        assert read_stream(stream.get()[2]) == (expect_text("plan", 60), True, None)
+        with pytest.raises(OSError):
+            request(router, "GET", "/healthz")
+
+
+def test_crashed_engine_is_told_apart_and_the_stream_goes_on_elsewhere():
+    engines = [make_engine(f"engine-{n}", token_s=0.01) for n in range(2)]
+    with serve(*[("assistant", engine) for engine in engines]) as router:
+        stream = gevent.spawn(request, router, "POST", CHAT, encode_chat("plan", count=50))
+        wait_for(lambda: any(engine.streams for engine in engines))
+        gevent.sleep(0.1)
+        [running] = [engine for engine in engines if engine.streams]
+        running.stop()
+        assert read_stream(stream.get()[2]) == (expect_text("plan", 50), True, None)
+    assert router.permits.outcomes == [PermitOutcome.CRASHED, PermitOutcome.FINISHED]
+    assert sum(engine.counts["resumed_elsewhere"] for engine in engines) == 1
+
+
+@FUZZ
+@given(st.binary() | st.text().map(str.encode) | st.dictionaries(st.text(), st.text()).map(str))
+def test_decoders_give_a_value_or_a_refusal(data):
+    data = data if isinstance(data, bytes) else data.replace("'", '"').encode("utf-8", "replace")
+    assert isinstance(decode_chat(data), Success | Failure)
+    for message in (UpstreamAnnouncement, LoadReport, CacheEvent):
+        assert isinstance(decode_report(message, data), Success | Failure)
+
+
+@FUZZ
+@given(st.none() | st.text(), st.none() | st.text())
+def test_deadlines_give_a_value_or_a_refusal(remaining, unix):
+    assert isinstance(decode_deadline(remaining, unix, SystemClock()), Success | Failure)
+    assert decode_deadline(str(SOON_MS), None, SystemClock()).unwrap() > 0
+
+
+@FUZZ
+@given(st.integers(0, 30), st.lists(st.integers(1, 80)), st.binary(max_size=12), st.integers(0))
+def test_scanner_passes_whole_events_of_this_answer_only(count, cuts, noise, at):
+    event = b'data: {"id":"chatcmpl-7","choices":[]}\n\n'
+    data = event * count + b"data: [DONE]\n\n"
+    if noise:
+        at %= len(data)
+        data = data[:at] + noise + data[at:]
+    scanner = EventScanner("7")
+    passed = b""
+    try:
+        for size in [*cuts, len(data)]:
+            passed += scanner.push(data[:size])
+            data = data[size:]
+            assert passed == b"" or passed.endswith(b"\n\n")
+    except StreamError:
+        assert noise
+    if not noise:
+        assert scanner.ended_
+        assert scanner.position_ == count
--- a/sassafrashook/proxy/tests/test_faults.py
+++ b/sassafrashook/proxy/tests/test_faults.py
@@ -31,6 +31,8 @@
     :param faults: names of the methods that spoil an answer, drawn by ``rng`` for each request.
     """
 
+    most_bytes = 2_000
+
     def __init__(self, upstream, faults, seed=SEED, share=0.4):
         self.upstream = upstream
         self.faults = faults
@@ -54,13 +56,16 @@
                 if not data:
                     return
                 upstream.sendall(data)
-                fault = "none"
-                if data.startswith(b"POST /v1/chat") and self.rng.random() < self.share:
-                    fault = self.rng.choice(self.faults)
+                fault = self.draw(data)
                 self.counts[fault] += 1
                 if not getattr(self, "answer_" + fault)(client, upstream):
                     return
 
+    def draw(self, data):
+        if data.startswith(b"POST /v1/chat") and self.rng.random() < self.share:
+            return self.rng.choice(self.faults)
+        return "none"
+
     def answer_none(self, client, upstream):
         while data := upstream.recv(65_536):
             client.sendall(data)
@@ -69,7 +74,7 @@
         return False
 
     def answer_cut(self, client, upstream):
-        client.sendall(read_some(upstream, self.rng.randrange(2_000)))
+        client.sendall(read_some(upstream, self.rng.randrange(self.most_bytes)))
         return False
 
     def answer_finished_early(self, client, upstream):
@@ -81,13 +86,13 @@
         return False
 
     def answer_half_close(self, client, upstream):
-        client.sendall(read_some(upstream, self.rng.randrange(2_000)))
+        client.sendall(read_some(upstream, self.rng.randrange(self.most_bytes)))
         client.shutdown(socket.SHUT_WR)
         gevent.sleep(HOLD_S)
         return False
 
     def answer_silent(self, client, upstream):
-        client.sendall(read_some(upstream, self.rng.randrange(2_000)))
+        client.sendall(read_some(upstream, self.rng.randrange(self.most_bytes)))
         client.recv(1)
         return False
 
@@ -99,7 +104,7 @@
         """Give this caller's answer to another one who waits here too, and the other way round."""
         if self.held is None:
             self.held = (client, gevent.event.AsyncResult())
-            other = self.held[1].get(timeout=5)
+            other = self.held[1].get(timeout=1)
         else:
             other, self.held = self.held, None
             other[1].set(client)
