--- a/fakes/fleet.py
+++ b/fakes/fleet.py
@@ -4,7 +4,6 @@
 import os
 import shutil
 import signal
-import subprocess
 import sys
 import tempfile
 import time
@@ -13,9 +12,12 @@
 
 import gevent
 import yaml
-from gevent import socket
+from gevent import socket, subprocess
 from geventhttpclient import HTTPClient
 
+from fakes.fault_proxy import FaultProxy
+from sassafrashook.operations._client import ControllerAddress, OperatorClient
+
 ROOT = Path(__file__).resolve().parent.parent
 ZONES = ("muscat-a", "muscat-b", "muscat-c")
 PORT_RANGE = (20_000, 30_000)
@@ -23,6 +25,7 @@
 STOP_S = 40
 POLL_S = 0.05
 REQUEST_S = 30
+COMMAND_S = 20
 DEADLINE_MS = 20_000
 LOG_TAIL = 2_000
 CALLER_KEYS = {"muscat-central": "caller-key-muscat", "sohar": "caller-key-sohar-0"}
@@ -102,7 +105,29 @@
     body: bytes
     events: int = 0
     engine: str = ""
-    is_whole: bool = False
+
+    @property
+    def is_whole(self):
+        """Whether a stream came to its end marker."""
+        return b"data: [DONE]" in self.body.split(b"\n\n")
+
+    @property
+    def has_error(self):
+        """Whether a stream ended by a plain error event."""
+        return b"\n\nevent: error\n" in b"\n\n" + self.body
+
+    def read_text(self):
+        """Return the text that a stream carried."""
+        parts = [part[6:] for part in self.body.split(b"\n\n") if part.startswith(b"data: {")]
+        return "".join(json.loads(part)["choices"][0]["delta"]["content"] for part in parts)
+
+    def read_error(self):
+        """Return the error's verdict, reason and time to come back."""
+        data = self.body.rpartition(b"data: ")[2] if self.has_error else self.body
+        try:
+            return json.loads(data)["error"]
+        except (ValueError, KeyError, TypeError):
+            return {}
 
 
 @dataclass(slots=True)
@@ -130,14 +155,23 @@
     :param sizes: a :class:`Sizes`.
     :param tls: folder of certificates made by ``fakes.certificates``, or ``None``.
     :param program: command that runs sassafrashook.
+    :param proxied: names of processes whose streams to and from peers pass fault proxies.
     """
 
-    def __init__(self, sizes=None, tls=None, program=(sys.executable, "-m", "sassafrashook")):
+    def __init__(
+        self,
+        sizes=None,
+        tls=None,
+        program=(sys.executable, "-m", "sassafrashook"),
+        proxied=(),
+    ):
         self.sizes = sizes or Sizes()
         self.tls = tls
         self.program = list(program)
         self.folder = Path(tempfile.mkdtemp(prefix="fleet-"))
         self.zones = ZONES
+        self.proxied = set(proxied)
+        self.proxies = {}
         self.processes = {}
         self.ports = {}
         self.controllers = [f"controller-{n + 1}" for n in range(self.sizes.controllers)]
@@ -154,6 +188,8 @@
     def __exit__(self, *_):
         for process in self.processes.values():
             process.kill()
+        for proxy in self.proxies.values():
+            proxy.stop()
         shutil.rmtree(self.folder, ignore_errors=True)
 
     def start(self):
@@ -168,6 +204,20 @@
             self.start_engine(name, index)
         self.start_ledger()
 
+    def start_serving(self):
+        """Start everything, put the configuration in force and wait until all routers serve."""
+        self.start()
+        self.operate("config", "apply", self.configuration_file, "--wait")
+        self.wait_for_upstreams()
+
+    def restart(self, name):
+        """Start an ended controller or router again."""
+        if name in self.controllers:
+            self.start_controller(name)
+            return
+        self.start_router(name)
+        self.wait_until(lambda: self.is_serving(name), f"{name} serves")
+
     def start_controller(self, name, bootstrap=False):
         """Start one controller."""
         extra = {
@@ -241,6 +291,45 @@
             raise StepError(f"{' '.join(words)}: exit {result.returncode}: {result.stderr.strip()}")
         return result.stdout.strip()
 
+    def command(
+        self, method, path, body=None, command_id=None, controllers=None, timeout_s=COMMAND_S
+    ):
+        """Send one operator command without starting a program for it.
+
+        :param controllers: names of those to ask, default all.
+        :param timeout_s: how long to try.
+        :returns: ``Success`` of an ``OperatorAnswer`` or ``Failure`` of an ``OperatorError``.
+        """
+        names = controllers or self.controllers
+        addresses = [ControllerAddress("127.0.0.1", self.ports[name].front) for name in names]
+        deadline = time.monotonic() + timeout_s
+        return OperatorClient(addresses, OPERATOR_KEY, deadline).call(
+            method, path, body, command_id
+        )
+
+    def find_leader(self):
+        """Return the name of the controller that leads; wait until one does."""
+        return self.wait_until(self._find_leader, "a controller leads")
+
+    def _find_leader(self):
+        for name in self.controllers:
+            if self.read_status(name).get("leading"):
+                return name
+        return None
+
+    def read_status(self, name):
+        """Return what one controller says of itself; empty if it does not answer."""
+        client = HTTPClient(
+            "127.0.0.1", self.ports[name].front, connection_timeout=1, network_timeout=1
+        )
+        try:
+            headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
+            return json.loads(client.get("/v1/status", headers=headers).read())
+        except (OSError, ValueError):
+            return {}
+        finally:
+            client.close()
+
     def run_operator(self, *words, controllers=None):
         """Run one operator command; return the completed process."""
         names = controllers or self.controllers
@@ -257,9 +346,7 @@
         body = {"model": "advisor", "stream": True, "messages": messages, **fields}
         headers = {"X-Conversation-Id": conversation, "Content-Type": "application/json"}
         answer = self.send(router, "POST", "/v1/chat/completions", headers, body, account)
-        parts = answer.body.split(b"\n\n")
-        answer.is_whole = b"data: [DONE]" in parts
-        answer.events = sum(part.startswith(b"data: {") for part in parts)
+        answer.events = answer.body.count(b"data: {")
         if answer.status != 200 or not answer.is_whole:
             raise StepError(f"chat: {answer.status} {answer.body[-300:]!r}")
         return answer
@@ -342,11 +429,25 @@
     def _endpoint(self, port):
         return {"host": "127.0.0.1", "port": port}
 
-    def _peers(self, names):
+    def _peers(self, source, names):
         return [
-            {"name": name, "host": "127.0.0.1", "port": self.ports[name].peer} for name in names
+            {"name": name, "host": "127.0.0.1", "port": self._find_peer_port(source, name)}
+            for name in names
         ]
 
+    def _find_peer_port(self, source, name):
+        port = self.ports[name].peer
+        if source == name or not {source, name} & self.proxied:
+            return port
+        key = (source, name)
+        if key not in self.proxies:
+            self.proxies[key] = FaultProxy(("127.0.0.1", port)).start()
+        return self.proxies[key].address[1]
+
+    def proxies_of(self, name):
+        """Return the proxies on the streams to and from a proxied process."""
+        return [proxy for key, proxy in self.proxies.items() if name in key]
+
     def _write_keys(self):
         (self.folder / "callers.yaml").write_text(yaml.safe_dump(CALLER_KEYS))
         (self.folder / "upstreams.key").write_text(UPSTREAM_KEY)
@@ -365,8 +466,8 @@
             "availability_zone": self.zones[index % len(self.zones)],
             "peer_endpoint": self._endpoint(self.ports[name].peer),
             "metrics_endpoint": self._endpoint(self.ports[name].metrics),
-            "controllers": self._peers(self.controllers),
-            "routers": self._peers(self.routers),
+            "controllers": self._peers(name, self.controllers),
+            "routers": self._peers(name, self.routers),
             "keys": keys,
             **extra,
         }
