--- a/sassafrashook/proxy/_context.py
+++ b/sassafrashook/proxy/_context.py
@@ -10,6 +10,8 @@
 
 __all__ = ["ProxyContext"]
 
+BACKGROUND_S = 30.0
+
 
 class ProxyContext(Parametrized):
     """Sources of decisions, clocks, connections and limits.
@@ -86,7 +88,7 @@
         self.max_resume_bytes = max_resume_bytes
         self.max_attempts = max_attempts
         self.pools_ = ConnectionPools(self.clock)
-        self.monitor_ = Monitor(self.clock)
+        self.monitor_ = Monitor(self.clock, self.pools_.close_expired)
         self.background_ = Group()
 
     def start(self):
@@ -100,7 +102,8 @@
 
         :param deadline: monotonic seconds.
         """
-        self.background_.join(timeout=max(0.0, deadline - self.clock.monotonic()))
+        left_s = max(0.0, deadline - self.clock.monotonic())
+        self.background_.join(timeout=min(left_s, BACKGROUND_S))
         self.background_.kill()
         self.monitor_.stop()
         self.pools_.close()
--- a/sassafrashook/proxy/_monitor.py
+++ b/sassafrashook/proxy/_monitor.py
@@ -83,8 +83,9 @@
     """Checks all watches in one greenlet, so that no timer is set for each event.
 
     :param clock: a :class:`~sassafrashook.proxy.Clock`.
+    :param on_round: called in each nth round, or ``None``.
     :param interval_ms: time between two rounds.
-    :param caller_rounds: callers' sockets are looked at in every so-manieth round.
+    :param caller_rounds: the ``n`` of those rounds; callers' sockets are looked at in them too.
     """
 
     _parameter_constraints = {
@@ -92,8 +93,9 @@
         "caller_rounds": Interval(int, 1, 1_000),
     }
 
-    def __init__(self, clock, interval_ms=100, caller_rounds=4):
+    def __init__(self, clock, on_round=None, interval_ms=100, caller_rounds=4):
         self.clock = clock
+        self.on_round = on_round
         self.interval_ms = interval_ms
         self.caller_rounds = caller_rounds
         self.watches_ = set()
@@ -135,7 +137,10 @@
         while True:
             gevent.sleep(self.interval_ms / MS_PER_S)
             rounds += 1
-            self.check(self.clock.monotonic(), rounds % self.caller_rounds == 0)
+            is_long_round = rounds % self.caller_rounds == 0
+            self.check(self.clock.monotonic(), is_long_round)
+            if is_long_round and self.on_round:
+                self.on_round()
 
 
 def _shut(sock):
