A claim that ended unsent frees its key for another attempt

Cause: while leadership moved, a router that was not told whether its claim stood refused with not_run and recorded that; the record then answered every resend of the same key with not_run for good, although the refusal said when to come back.

--- a/sassafrashook/state/_claims.py
+++ b/sassafrashook/state/_claims.py
@@ -20,6 +20,7 @@
     :param keep_ms: before this the record is never forgotten.
     :param forget_ms: from then on the record is forgotten.
     :param retired: whether ``keep_ms`` has passed, so that the record goes when room is short.
+    :param released: attempts that recorded, before a byte was sent, that they will never run.
     """
 
     account: str
@@ -32,6 +33,7 @@
     forget_ms: int
     answer: RecordedAnswer | None = None
     retired: bool = False
+    released: list[str] = []
 
     @property
     def name(self):
@@ -50,6 +52,9 @@
     later deadline still meets it. A call whose own deadline has passed is always refused, so
     forgetting a record never lets the same call run again.
 
+    An attempt that recorded ``not_run`` will never run; another attempt may then be granted the
+    key, and the released one never again.
+
     :param limits: a :class:`~sassafrashook.state.StateLimits`.
     """
 
@@ -93,6 +98,8 @@
             return ClaimReply(ClaimStatus.EXPIRED)
         if record.attempt != command.attempt:
             return ClaimReply(ClaimStatus.CONFLICT)
+        if record.answer is None and command.answer.verdict == Verdict.NOT_RUN:
+            record.released = [*record.released, record.attempt]
         if record.answer is None or _refines(record.answer, command.answer):
             self._store_answer(record, command.answer)
         return ClaimReply(ClaimStatus.RECORDED, record.answer)
@@ -129,6 +136,8 @@
         if not self._matches_digest(record, command):
             return ClaimReply(ClaimStatus.CONFLICT)
         self._extend(record, command, now_ms)
+        if self._may_grant_again(record, command, now_ms):
+            self._grant_again(record, command)
         if record.answer is not None:
             return ClaimReply(ClaimStatus.RECORDED, record.answer)
         if record.attempt != command.attempt:
@@ -137,6 +146,19 @@
             return ClaimReply(ClaimStatus.EXPIRED)
         return ClaimReply(ClaimStatus.GRANTED)
 
+    def _may_grant_again(self, record, command, now_ms):
+        if record.answer is None or record.attempt not in record.released:
+            return False
+        if command.attempt in record.released or command.deadline_ms <= now_ms:
+            return False
+        return not record.retired and len(record.released) < self.limits.max_released_attempts
+
+    def _grant_again(self, record, command):
+        self.answer_bytes_ -= _body_bytes(record.answer)
+        record.answer = None
+        record.attempt = command.attempt
+        record.deadline_ms = min(command.deadline_ms, record.keep_ms)
+
     def _matches_digest(self, record, command):
         return record.digest == command.digest
 
--- a/sassafrashook/state/_limits.py
+++ b/sassafrashook/state/_limits.py
@@ -15,6 +15,7 @@
     :param max_claims: records of calls that run at most once.
     :param max_account_claims: records within their deadlines that one client account may hold.
     :param max_key_chars: longest idempotency key, attempt or digest.
+    :param max_released_attempts: attempts at one key that may end unsent before it stays refused.
     :param max_answer_bytes: longest recorded body; a longer one is recorded without its body.
     :param max_answers_bytes: all recorded bodies together.
     :param command_horizon_ms: how far ahead an operator command's deadline may lie.
@@ -35,6 +36,7 @@
     max_claims: int = 100_000
     max_account_claims: int = 50_000
     max_key_chars: int = 256
+    max_released_attempts: int = 32
     max_answer_bytes: int = 65_536
     max_answers_bytes: int = 16_777_216
     command_horizon_ms: int = 86_400_000
--- a/sassafrashook/state/tests/test_state.py
+++ b/sassafrashook/state/tests/test_state.py
@@ -131,6 +131,27 @@
     assert claim(state, "a5", account="b").status == ClaimStatus.GRANTED
 
 
+def test_attempt_that_ended_unsent_frees_the_key_for_others_only():
+    state = FleetStateMachine(StateLimits(max_released_attempts=2))
+    claim(state, "a1")
+    complete(state, "a1", "not_run", b"")
+    assert claim(state, "a1").status == ClaimStatus.RECORDED
+    assert claim(state, "a2", digest="x").status == ClaimStatus.CONFLICT
+    assert claim(state, "a2").status == ClaimStatus.GRANTED
+    assert claim(state, "a1").status == ClaimStatus.RUNNING
+    assert complete(state, "a1").status == ClaimStatus.CONFLICT
+    complete(state, "a2", "not_run", b"")
+    assert claim(state, "a3").answer.verdict == "not_run"
+
+
+def test_attempt_that_may_have_run_never_frees_the_key():
+    state = FleetStateMachine()
+    claim(state, "a1")
+    complete(state, "a1", "may_have_run", b"")
+    complete(state, "a1", "not_run", b"")
+    assert claim(state, "a2").status == ClaimStatus.RECORDED
+
+
 def test_only_an_unsettled_verdict_is_refined():
     state = FleetStateMachine()
     claim(state, "a1")
