Shorter stalls while the owner moves or streams go silent

Cause of the stall at a graceful stop: routers learnt of the new owner at their next renewal, and the new owner looked at its term only when idle for 200 ms. A new owner now tells registered routers, and looks at its term when the log changes. Cause at silent streams: a heartbeat every 500 ms with 2 s of patience. A ping now follows what was written, with 750 ms of patience; an idle stream costs nothing. A killed leader costs an election timeout as before.

--- a/sassafrashook/controller/_permits.py
+++ b/sassafrashook/controller/_permits.py
@@ -159,6 +159,11 @@
             return
         self._enqueue(_Delivery(sender, message))
 
+    def wake(self):
+        """Look at the term at once; told whenever the log has changed."""
+        if self.log.leading_term(self.clock()) not in (0, self.epoch_):
+            self._enqueue(None)
+
     def note_upstream(self, announcement):
         """Take an announcement that membership heard."""
         self.upstreams_[announcement.upstream_id] = announcement
@@ -248,6 +253,8 @@
         self._feed(self.events.RoutersKnown(known))
         for announcement in list(self.upstreams_.values()):
             self._feed(self.events.UpstreamSeen(announcement))
+        for router, _ in self._heard:
+            self.sender.send(router, SessionRedirected(0, self.name))
 
     def _drop_ledger(self):
         if self.ledger_ is not None:
--- a/sassafrashook/messages/_permits.py
+++ b/sassafrashook/messages/_permits.py
@@ -149,8 +149,9 @@
 
 
 class SessionRedirected(Message):
-    """The controller is not the owner.
+    """The controller is not the owner, or has just become it.
 
+    :param sequence: of the renewal that is answered; 0 from a controller that became the owner.
     :param owner: name of the controller believed to be, or empty.
     """
 
--- a/sassafrashook/operations/_controller.py
+++ b/sassafrashook/operations/_controller.py
@@ -115,6 +115,7 @@
         self.process_.mesh_.subscribe(CONSENSUS_MESSAGES, self.replica_.deliver)
         for service in self.services_:
             service.start()
+        self.replica_.subscribe(self.permits_.wake)
         self.process_.start()
         self._server = serve_wsgi(self.settings.operator_endpoint, self.admin_)
 
--- a/sassafrashook/routing/_client.py
+++ b/sassafrashook/routing/_client.py
@@ -269,7 +269,9 @@
                 self._ask(wait, now)
 
     def _redirect_session(self, name, message, now):
-        if self.session_.redirect(name, message, now):
+        if message.sequence == 0:
+            self.actions_.extend(self.session_.probe(name, now))
+        elif self.session_.redirect(name, message, now):
             self._unask_all()
 
     def _lose_controller(self, event, now):
--- a/sassafrashook/routing/_owner_session.py
+++ b/sassafrashook/routing/_owner_session.py
@@ -100,6 +100,15 @@
         self.next_send_ = now + self.lease_s_ / RENEWALS_PER_LEASE
         return [self._open(self.owner_, self.epoch_, [], now)]
 
+    def probe(self, controller, now):
+        """Ask a controller that says of itself that it became the owner.
+
+        :returns: the actions.
+        """
+        if controller not in self.controllers or controller == self.owner_:
+            return []
+        return [self._open(controller, 0, [], now)]
+
     def accept(self, name, message, now):
         """Take a :class:`~sassafrashook.messages.SessionAccepted`.
 
--- a/sassafrashook/transport/_link.py
+++ b/sassafrashook/transport/_link.py
@@ -1,5 +1,6 @@
 """The sending side of a stream to one peer."""
 
+import math
 import time
 
 import gevent
@@ -7,14 +8,15 @@
 from gevent.queue import Empty, Full, Queue
 
 from sassafrashook.tasks import spawn_task
+from sassafrashook.transport._codec import CodecError
 from sassafrashook.transport._frames import Hello, Ping, Pong
 from sassafrashook.transport._tls import read_peer_name
 
 QUEUE_MESSAGES = 10_000
-HEARTBEAT_MS = 500
-SILENCE_MS = 2_000
-CONNECT_TIMEOUT_MS = 1_000
-RECONNECT_MS = 200
+PING_INTERVAL_MS = 250
+ANSWER_TIMEOUT_MS = 750
+CONNECT_TIMEOUT_MS = 750
+RECONNECT_MS = 100
 IDLE_MS = 60_000
 RECEIVE_BYTES = 65_536
 WRITE_BYTES = 262_144
@@ -27,8 +29,9 @@
 class Link:
     """Owns the connection to one peer; queued messages are lost with it.
 
-    Messages on a connection that is found silent may or may not have arrived; senders match
-    answers to requests and send again.
+    A ping follows the messages that were written; a connection on which none is answered in time
+    is given up for a new one. An idle connection costs nothing. Messages on a connection that is
+    found silent may or may not have arrived; senders match answers to requests and send again.
 
     :param name: name of this process.
     :param peer: name of the other one.
@@ -46,7 +49,8 @@
         self.context = context
         self.count = count
         self.queue_ = Queue(QUEUE_MESSAGES)
-        self.silent_at_ = 0.0
+        self.answer_by_ = math.inf
+        self.ping_at_ = 0.0
         self.idle_at_ = time.monotonic() + IDLE_MS / 1000
         self.greenlet_ = None
 
@@ -96,12 +100,14 @@
 
     def _run(self):
         while True:
+            self.queue_.peek()
             connection = None
             reader = None
             try:
                 connection = self._connect()
-                self.silent_at_ = time.monotonic() + SILENCE_MS / 1000
-                reader = gevent.spawn(self._read, connection)
+                self.answer_by_ = math.inf
+                self.ping_at_ = 0.0
+                reader = spawn_task(self._read, connection)
                 self._write(connection, reader)
             except OSError as error:
                 self.count("links_lost", type(error).__name__, 1)
@@ -121,7 +127,7 @@
                 connection = self.context.wrap_socket(connection)
                 if read_peer_name(connection) != self.peer:
                     raise LinkClosedError(f"certificate is not that of {self.peer}")
-            connection.settimeout(SILENCE_MS / 1000)
+            connection.settimeout(ANSWER_TIMEOUT_MS / 1000)
             connection.sendall(self.codec.encode(Hello(self.name, self.peer)))
         except BaseException:
             connection.close()
@@ -133,28 +139,38 @@
         while True:
             try:
                 data = connection.recv(RECEIVE_BYTES)
+            except TimeoutError:
+                continue
             except OSError:
                 return
-            if not data:
+            if not data or not self._take_answers(unpacker, data):
                 return
+
+    def _take_answers(self, unpacker, data):
+        try:
             for message in self.codec.feed(unpacker, data):
                 if isinstance(message, Pong):
-                    self.silent_at_ = time.monotonic() + SILENCE_MS / 1000
+                    self.answer_by_ = math.inf
+        except CodecError:
+            self.count("links_lost", "bad_message", 1)
+            return False
+        return True
 
     def _write(self, connection, reader):
-        sequence = 0
-        ping_at = time.monotonic()
+        has_unconfirmed = False
         while not reader.ready():
             now = time.monotonic()
-            if now >= self.silent_at_:
-                raise LinkClosedError(f"no heartbeat from {self.peer}")
-            if now >= ping_at:
-                sequence += 1
-                connection.sendall(self.codec.encode(Ping(sequence)))
-                ping_at = now + HEARTBEAT_MS / 1000
-            data = self._take(ping_at)
+            if now >= self.answer_by_:
+                raise LinkClosedError(f"{self.peer} does not answer")
+            if has_unconfirmed and self.answer_by_ == math.inf and now >= self.ping_at_:
+                connection.sendall(self.codec.encode(Ping(0)))
+                self.ping_at_ = now + PING_INTERVAL_MS / 1000
+                self.answer_by_ = now + ANSWER_TIMEOUT_MS / 1000
+                has_unconfirmed = False
+            data = self._take(now + PING_INTERVAL_MS / 1000)
             if data:
                 connection.sendall(data)
+                has_unconfirmed = True
         raise LinkClosedError(f"{self.peer} closed the connection")
 
     def _take(self, until):
--- a/sassafrashook/transport/_mesh.py
+++ b/sassafrashook/transport/_mesh.py
@@ -12,10 +12,12 @@
 from sassafrashook.tasks import spawn_task
 from sassafrashook.transport._codec import Codec, CodecError
 from sassafrashook.transport._frames import FRAMES, Hello, Ping, Pong
-from sassafrashook.transport._link import RECEIVE_BYTES, SILENCE_MS, Link
+from sassafrashook.transport._link import IDLE_MS, RECEIVE_BYTES, Link
 from sassafrashook.transport._tls import read_peer_name
 
 SWEEP_MS = 5_000
+HELLO_TIMEOUT_MS = 2_000
+SILENT_MS = IDLE_MS + 2 * SWEEP_MS
 
 
 @dataclass(slots=True, frozen=True)
@@ -187,7 +189,7 @@
             connection.close()
 
     def _secure(self, connection):
-        connection.settimeout(SILENCE_MS / 1000)
+        connection.settimeout(HELLO_TIMEOUT_MS / 1000)
         if self.server_context is None:
             return connection
         self.connections_.discard(connection)
@@ -206,6 +208,7 @@
             for message in self.codec.feed(unpacker, data):
                 if sender is None:
                     sender = self._check_hello(connection, message)
+                    connection.settimeout(SILENT_MS / 1000)
                 elif isinstance(message, Ping):
                     connection.sendall(self.codec.encode(Pong(message.sequence)))
                 else:
--- a/sassafrashook/transport/tests/test_mesh.py
+++ b/sassafrashook/transport/tests/test_mesh.py
@@ -70,7 +70,7 @@
 
 def test_connection_that_goes_silent_is_replaced(monkeypatch):
     """The listener accepts and never answers; each silent connection is given up for a new one."""
-    monkeypatch.setattr(link_module, "SILENCE_MS", 100)
+    monkeypatch.setattr(link_module, "ANSWER_TIMEOUT_MS", 100)
     accepted = []
 
     def hold(connection, _address):
@@ -80,8 +80,7 @@
     listener = StreamServer(("127.0.0.1", 0), hold)
     listener.start()
     sender = Recorder("sender", [PeerAddress("mute", "127.0.0.1", listener.server_port)])
-    sender.mesh.send("mute", PermitWithdrawn(1))
-    wait_until(lambda: len(accepted) >= 2)
+    wait_until(lambda: sender.mesh.send("mute", PermitWithdrawn(1)) and len(accepted) >= 2)
     sender.mesh.stop()
     listener.stop(timeout=0)
 
