--- a/sassafrashook/consensus/_replica.py
+++ b/sassafrashook/consensus/_replica.py
@@ -217,7 +217,7 @@
         self._writer.join()
         self._waiters.resolve_all(ProposalError(ProposalFailure.UNKNOWN))
         for waiter in self._reads.values():
-            waiter.result.set(-1)
+            waiter.result.set(False)
         if self.failure_ is None:
             self.failure_ = "stopped"
         self._folder.close()
@@ -244,6 +244,8 @@
         """Commit and apply one command; see :class:`~sassafrashook.gateways.ReplicatedLog`."""
         if self.failure_ is not None or deadline <= self.clock():
             return Failure(ProposalError(ProposalFailure.NOT_ACCEPTED, self.leader()))
+        if self._inputs.qsize() >= MAX_QUEUED_INPUTS:
+            return Failure(ProposalError(ProposalFailure.NOT_ACCEPTED, self.leader()))
         waiter = Waiter(self._draw_token(), command)
         self._inputs.put(waiter)
         try:
@@ -262,30 +264,26 @@
 
     def confirm_read(self, deadline):
         """Wait for a linearizable read; see :class:`~sassafrashook.gateways.ReplicatedLog`."""
-        index = -1
-        while index < 0 and self.failure_ is None and self.clock() < deadline:
-            index = self._request_read(deadline)
-        while self.applied_index_ < index and self.failure_ is None and self.clock() < deadline:
-            gevent.sleep(POLL_MS / 10_000)
-        if index < 0 or self.applied_index_ < index or self.failure_ is not None:
-            return Failure(ProposalError(ProposalFailure.NOT_LEADER, self.leader()))
-        return Success(self.applied_index_)
+        while self.failure_ is None and self.clock() < deadline:
+            if self._request_read(deadline):
+                return Success(self.applied_index_)
+        return Failure(ProposalError(ProposalFailure.NOT_LEADER, self.leader()))
 
     def _request_read(self, deadline):
-        """Ask once; :returns: the index to wait for, or -1."""
+        """Ask once for an index and wait until it is applied; :returns: whether it is."""
         waiter = Waiter(self._draw_token(), b"")
         self._reads[waiter.token] = waiter
         self._inputs.put(ReadOffered(waiter.token))
         timeout = max(0.0, min(READ_RETRY_MS / 1000, deadline - self.clock()))
         try:
-            index = waiter.result.get(timeout=timeout)
+            is_applied = waiter.result.get(timeout=timeout)
         except gevent.Timeout:
-            return -1
+            return False
         finally:
             self._reads.pop(waiter.token, None)
-        if index < 0:
+        if not is_applied:
             gevent.sleep(POLL_MS / 1000)
-        return index
+        return is_applied
 
     def leader(self):
         """Return the name of the replica believed to lead, or an empty string."""
@@ -419,6 +417,7 @@
             self._performers[type(action)](self, action)
             changed = changed or isinstance(action, (Apply, Restore, RoleChanged))
         if changed:
+            self._answer_reads()
             for callback in self._callbacks:
                 callback()
 
@@ -453,8 +452,20 @@
 
     def _note_read(self, action):
         waiter = self._reads.get(action.token)
-        if waiter is not None:
-            waiter.result.set(action.index if isinstance(action, ReadConfirmed) else -1)
+        if waiter is None:
+            return
+        if isinstance(action, ReadRefused):
+            waiter.result.set(False)
+            return
+        waiter.index = action.index
+        waiter.offered = True
+        self._answer_reads()
+
+    def _answer_reads(self):
+        """Answer the confirmed reads whose index the state machine holds."""
+        for waiter in self._reads.values():
+            if waiter.offered and waiter.index <= self.applied_index_:
+                waiter.result.set(True)
 
     def _log_role(self, action):
         logging.info(
--- a/sassafrashook/consensus/tests/test_replica.py
+++ b/sassafrashook/consensus/tests/test_replica.py
@@ -9,8 +9,10 @@
 from returns.result import Success
 
 from sassafrashook.base import StateMachine
-from sassafrashook.consensus import Replica, Role
+from sassafrashook.consensus import Entry, Replica, Role
+from sassafrashook.consensus._waiters import ProposalWaiters, Waiter
 from sassafrashook.gateways import ProposalFailure, Sender
+from sassafrashook.storage import FolderLockedError, LocalFileSystem, StorageError
 
 WAIT_S = 30
 
@@ -195,3 +197,65 @@
     group.start(leader.name)
     assert group.propose(b"y") == b"51"
     assert len(group.settle()) == 1
+
+
+def test_full_disk_stops_the_replica_and_loses_nothing(make_group):
+    files = FailingFiles()
+    group = make_group()
+    for number in range(5):
+        group.propose(b"%d" % number)
+    leader = group.find_leader()
+    victim = next(n for n in group.names if n != leader.name)
+    group.stop(victim)
+    errors = []
+    replica = group.start(victim, file_system=files, on_failure=errors.append)
+    replica.confirm_read(time.monotonic() + WAIT_S)
+    files.full = True
+    group.propose(b"x")
+    wait_for(lambda: errors)
+    assert "No space left" in replica.status().failure
+    assert replica.propose(b"y", time.monotonic() + 5).failure()
+    files.full = False
+    group.stop(victim)
+    group.start(victim)
+    assert len(group.settle()) == 1
+
+
+class FailingFiles(LocalFileSystem):
+    """A disk that can be full."""
+
+    full = False
+
+    def append(self, path, data):
+        if self.full:
+            raise StorageError(path, "No space left on device")
+        super().append(path, data)
+
+
+def test_frozen_leader_checks_its_lease_with_the_present_time(make_group):
+    skipped = [0.0]
+    group = make_group(("a",), clock=lambda: time.monotonic() + skipped[0])
+    leader = group.find_leader()
+    asked_at = time.monotonic()
+    assert leader.leading_term(asked_at)
+    skipped[0] = 60.0
+    assert not leader.leading_term(asked_at)
+
+
+def test_second_process_on_a_folder_is_refused(make_group):
+    group = make_group()
+    with pytest.raises(FolderLockedError):
+        group.start("b", folder="a")
+
+
+def test_proposals_fail_for_certain_only_when_another_entry_took_their_place():
+    waiters = ProposalWaiters()
+    lost, taken, kept = (Waiter(token, b"") for token in (1, 2, 3))
+    for waiter, index, term in ((lost, 5, 1), (taken, 6, 1), (kept, 6, 2)):
+        waiters.add(waiter)
+        waiters.note_appended(waiter.token, index, term)
+    waiters.note_skipped(5)
+    waiters.note_applied(Entry(6, 2, 1), b"reply")
+    assert lost.result.get().failure().failure is ProposalFailure.UNKNOWN
+    assert taken.result.get().failure().failure is ProposalFailure.NOT_ACCEPTED
+    assert kept.result.get().unwrap() == b"reply"
