--- a/sassafrashook/consensus/_replica.py
+++ b/sassafrashook/consensus/_replica.py
@@ -324,6 +324,15 @@
         done = self._wait_until(lambda: core.has_replaced(name, identity), deadline)
         return Success(self.members()) if done else Failure("deadline_passed")
 
+    def has_replaced(self, name, lost):
+        """Return whether a lost identity of a name is gone for good.
+
+        :param lost: the identity that was replaced.
+        """
+        present = [member.identity for member in self.members() if member.name == name]
+        is_single = len(present) == 1 and lost not in present
+        return is_single and self.core_.has_replaced(name, present[0])
+
     def _wait_for_replacement(self, name, deadline):
         core = self.core_
         passing = ("change_in_progress", "no_new_identity")
--- /dev/null
+++ b/sassafrashook/routing/__init__.py
@@ -0,0 +1,54 @@
+"""Routing decisions, without input or output: which request runs where, and when.
+
+The owner of the running counts drives a :class:`PermitLedger`; each router drives a
+:class:`PermitClient` against it and a :class:`RetryBudgets`. Both cores take events and the
+current time and return actions; any driver, test or bench can run them.
+"""
+
+from sassafrashook.routing._actions import Acquired, Count, Quarantine, Refused, Send
+from sassafrashook.routing._client import PermitClient
+from sassafrashook.routing._events import (
+    AcquireRequested,
+    ControllerLost,
+    FleetStateChanged,
+    FromController,
+    FromRouter,
+    KnownRouter,
+    ReleaseRequested,
+    RoutersKnown,
+    StopRequested,
+    UpstreamLeft,
+    UpstreamSeen,
+    WithdrawRequested,
+)
+from sassafrashook.routing._invariants import Invariant, InvariantError
+from sassafrashook.routing._ledger import PermitLedger
+from sassafrashook.routing._placement import PlacementGroup, round_bound
+from sassafrashook.routing._retries import RetryBudgets
+
+__all__ = [
+    "AcquireRequested",
+    "Acquired",
+    "ControllerLost",
+    "Count",
+    "FleetStateChanged",
+    "FromController",
+    "FromRouter",
+    "Invariant",
+    "InvariantError",
+    "KnownRouter",
+    "PermitClient",
+    "PermitLedger",
+    "PlacementGroup",
+    "Quarantine",
+    "Refused",
+    "ReleaseRequested",
+    "RetryBudgets",
+    "RoutersKnown",
+    "Send",
+    "StopRequested",
+    "UpstreamLeft",
+    "UpstreamSeen",
+    "WithdrawRequested",
+    "round_bound",
+]
