Services survive their own faults; one account's claims leave room; sessions cost one router's work

Each renewal of a session woke a walk over all routers, which at 1,900 routers renewing about every second would be millions of steps a second; now it looks at its own router only. A router's first session is told the configuration at once, so the rollout test sees revision 0 sent before revision 1 (it asserts both).

--- a/sassafrashook/controller/_claims.py
+++ b/sassafrashook/controller/_claims.py
@@ -8,7 +8,7 @@
 from returns.result import Failure
 
 from sassafrashook.controller._service import ControllerService
-from sassafrashook.gateways import ProposalFailure
+from sassafrashook.gateways import ProposalError, ProposalFailure
 from sassafrashook.messages import (
     ClaimCompleted,
     ClaimDecided,
@@ -39,6 +39,7 @@
     :param max_batch: entries in one proposal.
     :param max_batch_bytes: recorded bodies in one proposal; a single larger one still goes.
     :param max_queue: entries that may wait; further ones are ``unavailable``.
+    :param max_account_queue: entries of one client account that may wait.
     :param max_proposals: proposals under way at once.
     :param commit_timeout_ms: how long one proposal may take.
     :param max_answer_bytes: longest body that is put into the log.
@@ -61,6 +62,7 @@
         "max_batch": Interval(int, 1, 10_000),
         "max_batch_bytes": Interval(int, 1, 67_108_864),
         "max_queue": Interval(int, 1, 1_000_000),
+        "max_account_queue": Interval(int, 1, 1_000_000),
         "max_proposals": Interval(int, 1, 64),
         "commit_timeout_ms": Interval(int, 1, 60_000),
         "max_answer_bytes": Interval(int, 0, 1_048_576),
@@ -74,6 +76,7 @@
         max_batch=256,
         max_batch_bytes=1_048_576,
         max_queue=10_000,
+        max_account_queue=2_500,
         max_proposals=4,
         commit_timeout_ms=2_000,
         max_answer_bytes=65_536,
@@ -84,6 +87,7 @@
         self.max_batch = max_batch
         self.max_batch_bytes = max_batch_bytes
         self.max_queue = max_queue
+        self.max_account_queue = max_account_queue
         self.max_proposals = max_proposals
         self.commit_timeout_ms = commit_timeout_ms
         self.max_answer_bytes = max_answer_bytes
@@ -94,6 +98,7 @@
         self.counts_ = Counter()
         self.batches_ = 0
         self._queue = deque()
+        self._account_counts = Counter()
         self._filled = Event()
         self._tasks = [gevent.spawn(self._run) for _ in range(self.max_proposals)]
 
@@ -104,18 +109,24 @@
     def deliver(self, sender, message):
         """Queue a claim or a completion."""
         pending = _PendingClaim(sender, message)
-        if len(self._queue) >= self.max_queue:
+        if not self._has_room(message.account):
             self._answer(pending, ClaimStatus.UNAVAILABLE)
             return
         self._queue.append(pending)
+        self._account_counts[message.account] += 1
         self._filled.set()
 
     def _run(self):
         while True:
             self._filled.wait()
             batch = self._take_batch()
-            if batch:
+            if not batch:
+                continue
+            try:
                 self._commit(batch)
+            except Exception as error:  # a fault must not end the task or hide a grant
+                log_event("claims_failed", level="error", error=repr(error))
+                self._answer_all(batch, ProposalError(ProposalFailure.UNKNOWN))
 
     def _take_batch(self):
         batch = []
@@ -125,11 +136,23 @@
             if batch and size > room:
                 break
             room -= size
-            batch.append(self._queue.popleft())
+            batch.append(self._pop())
         if not self._queue:
             self._filled.clear()
         return batch
 
+    def _has_room(self, account):
+        is_full = len(self._queue) >= self.max_queue
+        return not is_full and self._account_counts[account] < self.max_account_queue
+
+    def _pop(self):
+        pending = self._queue.popleft()
+        account = pending.message.account
+        self._account_counts[account] -= 1
+        if not self._account_counts[account]:
+            del self._account_counts[account]
+        return pending
+
     def _commit(self, batch):
         self.batches_ += 1
         command = ClaimBatch([self._build_entry(pending.message) for pending in batch])
--- a/sassafrashook/controller/_configuration.py
+++ b/sassafrashook/controller/_configuration.py
@@ -124,7 +124,8 @@
         if isinstance(message, ConfigurationConfirmed) and message.revision >= progress.revision:
             progress.revision = message.revision
             progress.digest = message.digest
-        self._wake.set()
+        if self._can_publish():
+            self._send(message.router, progress, self.clock())
 
     def rollout(self, revision):
         """Return how far a revision has come, as this leader knows.
@@ -161,8 +162,7 @@
 
         :returns: number of messages sent.
         """
-        self._note_term()
-        if self.log.leading_term(self.clock()) == 0 or not self._encode_publication():
+        if not self._can_publish():
             return 0
         now = self.clock()
         return sum(self._send(name, progress, now) for name, progress in self.routers_.items())
@@ -171,7 +171,14 @@
         while True:
             self._wake.wait(self.resend_ms / 1000)
             self._wake.clear()
-            self.publish()
+            try:
+                self.publish()
+            except Exception as error:  # a fault must not end the task
+                log_event("publication_failed", level="error", error=repr(error))
+
+    def _can_publish(self):
+        self._note_term()
+        return self.log.leading_term(self.clock()) != 0 and self._encode_publication()
 
     def _send(self, name, progress, now):
         publication = self._publication
--- a/sassafrashook/controller/_permits.py
+++ b/sassafrashook/controller/_permits.py
@@ -5,7 +5,6 @@
 
 import gevent
 import gevent.pool
-import msgspec
 from gevent.queue import Empty, Full, Queue
 from returns.result import Success
 
@@ -182,11 +181,11 @@
                 self._feed(item)
             self._advance()
             self._sweep_routers()
-        except (AssertionError, msgspec.MsgspecError) as error:
+        except Exception as error:  # no fault may leave a half-told owner in charge
             self._give_up(error)
 
     def _give_up(self, error):
-        """Answer nothing more in this term, after a broken invariant or an unreadable state."""
+        """Answer nothing more in this term, after a broken invariant or another fault."""
         log_event("owner_failed", level="error", epoch=self.epoch_, error=repr(error))
         self._count("owner_failures", type(error).__name__)
         self._failed_term = self.log.leading_term(self.clock())
--- a/sassafrashook/controller/tests/test_services.py
+++ b/sassafrashook/controller/tests/test_services.py
@@ -203,6 +203,18 @@
     assert not world.log.entries
 
 
+def test_surge_of_one_account_leaves_room_for_the_others(world):
+    options = {"max_queue": 9, "max_account_queue": 3}
+    service = world.start(ClaimService(world.proposer, world.outbox, **options))
+    for number in range(9):
+        service.deliver("r1", request(number))
+    service.deliver("r1", ClaimRequested(99, "a", "other", "s", "k", "d", 2_000_000))
+    settle()
+    granted = [d.claim_id for d in world.outbox.take(ClaimDecided) if d.status == "granted"]
+    assert granted == [0, 1, 2, 99]
+    assert not service._account_counts
+
+
 def test_completion_is_recorded_and_large_bodies_stay_out_of_the_log(world):
     service = world.start(ClaimService(world.proposer, world.outbox))
     answer = RecordedAnswer("ran", 200, "text/plain", b"x" * 100_000)
@@ -215,6 +227,17 @@
     assert sum(map(len, world.log.entries)) < 2_000
 
 
+def test_fault_of_the_program_leaves_the_outcome_unknown(world):
+    service = world.start(ClaimService(world.proposer, world.outbox, max_proposals=1))
+    world.proposer.wall_clock_ms = lambda: 1 // 0
+    service.deliver("r1", request(1))
+    settle()
+    world.proposer.wall_clock_ms = world.clock.wall_ms
+    service.deliver("r1", request(2))
+    settle()
+    assert [d.status for d in world.outbox.take(ClaimDecided)] == ["unknown", "granted"]
+
+
 # Configuration
 
 
@@ -225,8 +248,8 @@
     revision = world.set_zone("c1")
     service.publish()
     published = world.outbox.take(ConfigurationPublished)
-    assert [p.revision for p in published] == [1, 1]
-    service.deliver("r1", ConfigurationConfirmed("r1", "b", 1, published[0].digest))
+    assert [p.revision for p in published] == [0, 0, 1, 1]
+    service.deliver("r1", ConfigurationConfirmed("r1", "b", 1, published[-1].digest))
     service.deliver("r2", ConfigurationConfirmed("r2", "b", 1, "wrong"))
     rollout = service.rollout(revision)
     assert (rollout.in_force, rollout.confirmed, rollout.pending) == (False, ["r1"], ["r2"])
@@ -344,7 +367,8 @@
     ask(service)
     ask(service, 2)
     assert not world.outbox.take(PermitGranted)
-    assert len(world.ledgers) == 1
+    assert len(world.outbox.take(SessionRedirected)) == 1
+    assert service.ledger_ is None and len(world.ledgers) == 1
     world.log.term = 2
     settle()
     open_session(service, sequence=9)
