--- a/sassafrashook/membership/_directory.py
+++ b/sassafrashook/membership/_directory.py
@@ -6,7 +6,7 @@
 
 from sassafrashook.membership._entries import Admission, Entry, hash_announcement
 from sassafrashook.membership._events import DepartureReason, UpstreamLeft, UpstreamSeen
-from sassafrashook.membership._limits import is_announcement
+from sassafrashook.membership._limits import NUMBER_LIMIT, is_announcement, is_text
 from sassafrashook.membership._memory import Memory
 
 REFRESH_SHARE = 0.7  # of the validity: with more than this left, a refresh is not spread
@@ -63,6 +63,8 @@
 
         :returns: an :class:`Admission`.
         """
+        if sequence > NUMBER_LIMIT:
+            return Admission.OUT_OF_BOUNDS
         if sequence <= entry.announcement.sequence:
             return Admission.STALE
         announcement = replace(entry.announcement, sequence=sequence)
@@ -75,6 +77,8 @@
         :param remaining_s: how much longer this is to be remembered, seconds.
         :returns: an :class:`Admission`.
         """
+        if not (is_text(upstream_id) and is_text(boot_id)):
+            return Admission.OUT_OF_BOUNDS
         past = self.memory_.get(upstream_id, boot_id)
         if past is not None and past.left_key:
             return Admission.STALE
@@ -140,7 +144,7 @@
 
     def _renew(self, entry, announcement, deadline, now, direct):
         if (announcement.host, announcement.port) != entry.address:
-            return Admission.BOOT_AT_TWO_ADDRESSES
+            return self._move(entry, announcement, deadline, now, direct)
         if announcement.sequence <= entry.announcement.sequence:
             return Admission.STALE
         changed = hash_announcement(announcement) != entry.key
@@ -149,6 +153,13 @@
             return Admission.COALESCED
         return self._update(entry, announcement, deadline, changed, now)
 
+    def _move(self, entry, announcement, deadline, now, direct):
+        """Settle between nodes which address of one boot is listed: the one announced longer."""
+        if direct or announcement.sequence <= entry.announcement.sequence:
+            return Admission.BOOT_AT_TWO_ADDRESSES
+        self._remove(entry, DepartureReason.DISPLACED, now)
+        return self._insert(None, announcement, deadline, now)
+
     def _update(self, entry, announcement, deadline, changed, now):
         assert announcement.boot_id == entry.announcement.boot_id, "boot changed by a refresh"
         assert announcement.sequence > entry.announcement.sequence, "sequence went back"
--- a/sassafrashook/membership/_limits.py
+++ b/sassafrashook/membership/_limits.py
@@ -3,8 +3,8 @@
 from ipaddress import ip_address
 
 TEXT_LIMIT = 64
-MODEL_TEXT_LIMIT = 128
 MODELS_LIMIT = 32
+MODELS_TEXT_LIMIT = 512  # of all models together, so that a record fits into a message
 CAPACITY_LIMIT = 1_000_000
 NUMBER_LIMIT = 2**62
 PORT_LIMIT = 65_535
@@ -39,7 +39,7 @@
         and all(0 <= capacity <= CAPACITY_LIMIT for capacity in capacities)
         and value.valid_ms > 0
         and len(value.models) <= MODELS_LIMIT
-        and all(len(model) <= MODEL_TEXT_LIMIT for model in value.models)
+        and sum(map(len, value.models)) <= MODELS_TEXT_LIMIT
     )
 
 
@@ -53,3 +53,10 @@
         and 0 <= value.incarnation <= NUMBER_LIMIT
         and 0 <= value.sequence <= NUMBER_LIMIT
     )
+
+
+def is_peer_departure(value):
+    """Return whether every field of a report on a node is within its bounds."""
+    numbers = (value.incarnation, value.sequence)
+    names = (value.name, value.boot_id)
+    return all(map(is_text, names)) and all(0 <= number <= NUMBER_LIMIT for number in numbers)
--- a/sassafrashook/operations/_controller.py
+++ b/sassafrashook/operations/_controller.py
@@ -67,11 +67,17 @@
         return [self._describe(member, addresses) for member in self.replica.members()]
 
     def replace_member(self, name, body, deadline):
-        """Put a host's new identity in the place of its lost one."""
-        result = self.replica.replace_member(name, deadline)
-        if isinstance(result, Failure):
-            log_event("replace_failed", level="warning", member=name, obstacle=result.failure())
-            return Success({"outcome": "refused", "reason": str(result.failure())})
+        """Put a host's new identity in the place of its lost one.
+
+        :param body: may state the lost ``identity``; once that is gone, a resend of the command
+            is answered as the first one was.
+        """
+        lost = body.get("identity")
+        if not lost or not self.replica.has_replaced(name, lost):
+            result = self.replica.replace_member(name, deadline)
+            if isinstance(result, Failure):
+                log_event("replace_failed", level="warning", member=name, obstacle=result.failure())
+                return Success({"outcome": "refused", "reason": str(result.failure())})
         return Success({"outcome": "committed", "members": self.list_members()})
 
     def _describe(self, member, addresses):
