A planned stop answers every waiting claim; orders keep others waiting for ten minutes at most

Any JSON or bytes as a body of the operators' interface are answered 400 with verdict not_run (150 derandomised examples) and propose nothing.

--- a/sassafrashook/controller/_claims.py
+++ b/sassafrashook/controller/_claims.py
@@ -100,10 +100,16 @@
         self._queue = deque()
         self._account_counts = Counter()
         self._filled = Event()
+        self._is_stopping = False
         self._tasks = [gevent.spawn(self._run) for _ in range(self.max_proposals)]
 
     def stop(self):
-        """End the committing tasks; what still waits gets no answer."""
+        """Refuse what still waits, let proposals under way end, and end the tasks."""
+        self._is_stopping = True
+        while self._queue:
+            self._answer(self._pop(), ClaimStatus.UNAVAILABLE)
+        self._filled.set()
+        gevent.joinall(self._tasks, timeout=self.commit_timeout_ms / 1000)
         gevent.killall(self._tasks)
 
     def deliver(self, sender, message):
@@ -117,7 +123,7 @@
         self._filled.set()
 
     def _run(self):
-        while True:
+        while not self._is_stopping:
             self._filled.wait()
             batch = self._take_batch()
             if not batch:
@@ -137,13 +143,14 @@
                 break
             room -= size
             batch.append(self._pop())
-        if not self._queue:
+        if not self._queue and not self._is_stopping:
             self._filled.clear()
         return batch
 
     def _has_room(self, account):
-        is_full = len(self._queue) >= self.max_queue
-        return not is_full and self._account_counts[account] < self.max_account_queue
+        if self._is_stopping or len(self._queue) >= self.max_queue:
+            return False
+        return self._account_counts[account] < self.max_account_queue
 
     def _pop(self):
         pending = self._queue.popleft()
--- a/sassafrashook/controller/tests/test_admin.py
+++ b/sassafrashook/controller/tests/test_admin.py
@@ -1,7 +1,11 @@
 """Tests of the operators' interface."""
 
+import json
+
 import falcon.testing
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from returns.result import Success
 
 from sassafrashook.controller import (
@@ -139,6 +143,25 @@
     assert not site.log.entries
 
 
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=9),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=9), inner),
+    max_leaves=9,
+)
+FIELDS = st.sampled_from(("command_id", "expected_revision", "document", "wait_ms", "classes"))
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(st.dictionaries(FIELDS, JSON_VALUES) | JSON_VALUES, st.binary(max_size=9))
+def test_any_body_is_answered_and_changes_nothing(value, tail):
+    site = Site()
+    for path, body in (("/v1/configuration", json.dumps(value)), ("/v1/configuration", tail)):
+        answer = site.client.simulate_put(path, body=body)
+        assert (answer.status_code, answer.json["verdict"]) == (400, "not_run")
+    assert not site.log.entries
+    site.configuration.stop()
+
+
 def test_huge_body_is_refused(site):
     answer = site.client.simulate_put("/v1/configuration", body=b" " * 1_048_577)
     assert (answer.status_code, answer.json["reason"]) == (413, "body_too_large")
--- a/sassafrashook/controller/tests/test_services.py
+++ b/sassafrashook/controller/tests/test_services.py
@@ -227,6 +227,19 @@
     assert sum(map(len, world.log.entries)) < 2_000
 
 
+def test_planned_stop_answers_every_claim():
+    world = World(sync_s=0.01)
+    service = world.start(ClaimService(world.proposer, world.outbox, max_proposals=1, max_batch=2))
+    for number in range(4):
+        service.deliver("r1", request(number))
+    settle()
+    service.stop()
+    service.deliver("r1", request(4))
+    statuses = {d.claim_id: str(d.status) for d in world.outbox.take(ClaimDecided)}
+    refused = dict.fromkeys((2, 3, 4), "unavailable")
+    assert statuses == {0: "granted", 1: "granted", **refused}
+
+
 def test_fault_of_the_program_leaves_the_outcome_unknown(world):
     service = world.start(ClaimService(world.proposer, world.outbox, max_proposals=1))
     world.proposer.wall_clock_ms = lambda: 1 // 0
--- a/sassafrashook/state/_limits.py
+++ b/sassafrashook/state/_limits.py
@@ -25,6 +25,7 @@
     :param max_routers: boots of routers registered.
     :param max_orders: orders in the journal.
     :param max_loads: loads from the weight store under way at once.
+    :param order_horizon_ms: how far ahead an order's deadline may lie; it keeps others waiting.
     :param order_settle_ms: how long past its deadline an order may still reach an upstream.
     :param holders_lag_ms: how long announcements may still list a model that was dropped.
     """
@@ -45,5 +46,6 @@
     max_routers: int = 10_000
     max_orders: int = 10_000
     max_loads: int = 4
+    order_horizon_ms: int = 600_000
     order_settle_ms: int = 5_000
     holders_lag_ms: int = 60_000
--- a/sassafrashook/state/_orders.py
+++ b/sassafrashook/state/_orders.py
@@ -128,6 +128,8 @@
     def _find_refusal(self, command, now_ms):
         if len(self.orders_) >= self.limits.max_orders:
             return _refuse("too_many_orders", min(r.forget_ms for r in self.orders_.values()))
+        if command.deadline_ms > now_ms + self.limits.order_horizon_ms:
+            return _refuse("deadline_too_far")
         if command.kind in (OrderKind.UNLOAD_MODEL, OrderKind.UNLOAD_ADAPTER):
             listed = [entry.model for entry in command.drops]
             if listed != [command.model]:
--- a/sassafrashook/state/tests/test_state.py
+++ b/sassafrashook/state/tests/test_state.py
@@ -221,6 +221,11 @@
     assert issue(state, "c3", now_ms=10_001, checks_fencing=True).outcome == ACCEPTED
 
 
+def test_order_may_not_keep_others_waiting_for_long():
+    reply = issue(FleetStateMachine(), "c1", deadline_ms=1_000_000)
+    assert reply.reason == "deadline_too_far"
+
+
 def test_weight_store_loads_are_rationed():
     state = FleetStateMachine(StateLimits(max_loads=2))
     numbers = [issue(state, f"c{n}", f"u{n}").fencing for n in range(2)]
