--- a/sassafrashook/membership/_budget.py
+++ b/sassafrashook/membership/_budget.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 
-WINDOW_S = 1.0
+WINDOW_S = 1.001  # a little more than a second, for rounding
 
 
 class ByteBudget:
--- a/sassafrashook/membership/_entries.py
+++ b/sassafrashook/membership/_entries.py
@@ -9,7 +9,9 @@
 from sassafrashook.messages import UpstreamAnnouncement
 from sassafrashook.utils import hash_key
 
-LAGGING_SHARE = 0.25  # of the validity: with less than this left, peers are asked
+LAGGING_SHARE = 0.15  # of the validity: with less than this left, peers are asked
+LAGGING_S = 3.0  # the same for short validities, but no more than the share that follows
+LAGGING_LIMIT_SHARE = 0.3
 
 
 class Admission(StrEnum):
@@ -57,7 +59,9 @@
 
     def lag_deadline(self):
         """Return from when on a refresh is overdue, seconds."""
-        return self.deadline - LAGGING_SHARE * self.announcement.valid_ms / 1000
+        valid_s = self.announcement.valid_ms / 1000
+        lag_s = max(LAGGING_SHARE * valid_s, min(LAGGING_S, LAGGING_LIMIT_SHARE * valid_s))
+        return self.deadline - lag_s
 
 
 @dataclass(slots=True)
--- a/sassafrashook/membership/_reconciliation.py
+++ b/sassafrashook/membership/_reconciliation.py
@@ -15,7 +15,6 @@
 SETTLE_S = 1.0
 UNSETTLED_LIMIT_S = 3.0
 JOIN_FANOUT = 8
-FRESH_SHARE = 0.4  # of the validity: with less than this left, no answer is given
 
 
 class Reconciliation:
@@ -118,10 +117,7 @@
 
     def _has_time_left(self, key, now):
         entry = self.core.keys_.get(key)
-        if not isinstance(entry, Entry):
-            return False
-        valid_s = entry.announcement.valid_ms / 1000
-        return entry.deadline - now > FRESH_SHARE * valid_s
+        return isinstance(entry, Entry) and now < entry.lag_deadline()
 
 
 def is_bucket_count(count):
--- a/sassafrashook/membership/_replies.py
+++ b/sassafrashook/membership/_replies.py
@@ -8,7 +8,7 @@
 FLUSH_DELAY_S = 0.1
 RECORD_MESSAGE_BYTES = 1_400
 SMALLEST_RECORDS_BYTES = 250
-RESERVE_SHARE = 0.15  # of the budget, left for rounds and urgent changes
+RESERVE_SHARE = 0.08  # of the budget, left for rounds and urgent changes
 REPLY_TIMEOUT_S = 5.0
 REPLIES_LIMIT = 16
 
--- a/sassafrashook/membership/_rounds.py
+++ b/sassafrashook/membership/_rounds.py
@@ -7,9 +7,9 @@
 HELD_DELAY_S = 0.25
 MESSAGE_BYTES = 1_400
 SMALLEST_MESSAGE_BYTES = 96
-REFRESH_SHARE = 0.75  # of the budget, at most, for refreshes; changes and requests go first
+REFRESH_SHARE = 0.7  # of the budget, at most, for refreshes; changes and requests go first
 LAGGING_ASKED = 64
-REFRESHES_LOADED = 200
+REFRESHES_LOADED = 80
 
 
 class Rounds:
