--- a/sassafrashook/state/_claims.py
+++ b/sassafrashook/state/_claims.py
@@ -10,17 +10,22 @@
 
 __all__ = ["ClaimRecord", "ClaimTable"]
 
+_ENCODER = msgspec.msgpack.Encoder()
 REFUSED = ClaimReply(ClaimStatus.UNAVAILABLE)
 
 
-class ClaimRecord(msgspec.Struct, array_like=True):
-    """What is known of one key.
+class ClaimRecord(msgspec.Struct, array_like=True, gc=False):
+    """What is known of one key of an account and service.
 
     :param keep_ms: before this the record is never forgotten.
     :param forget_ms: from then on the record is forgotten.
     :param retired: whether ``keep_ms`` has passed, so that the record goes when room is short.
+    :param released: attempts that recorded, before a byte was sent, that they will never run.
     """
 
+    account: str
+    service: str
+    key: str
     attempt: str
     digest: str
     deadline_ms: int
@@ -28,6 +33,15 @@
     forget_ms: int
     answer: RecordedAnswer | None = None
     retired: bool = False
+    released: list[str] = []
+
+    @property
+    def name(self):
+        """What the record is found by."""
+        return (self.account, self.service, self.key)
+
+
+_RECORDS_DECODER = msgspec.msgpack.Decoder(list[ClaimRecord])
 
 
 class ClaimTable:
@@ -38,6 +52,9 @@
     later deadline still meets it. A call whose own deadline has passed is always refused, so
     forgetting a record never lets the same call run again.
 
+    An attempt that recorded ``not_run`` will never run; another attempt may then be granted the
+    key, and the released one never again.
+
     :param limits: a :class:`~sassafrashook.state.StateLimits`.
     """
 
@@ -81,6 +98,8 @@
             return ClaimReply(ClaimStatus.EXPIRED)
         if record.attempt != command.attempt:
             return ClaimReply(ClaimStatus.CONFLICT)
+        if record.answer is None and command.answer.verdict == Verdict.NOT_RUN:
+            record.released = [*record.released, record.attempt]
         if record.answer is None or _refines(record.answer, command.answer):
             self._store_answer(record, command.answer)
         return ClaimReply(ClaimStatus.RECORDED, record.answer)
@@ -94,16 +113,15 @@
             self._pop_retired()
 
     def save(self):
-        """Return the records as sorted rows."""
-        return [[*key, self.records_[key]] for key in sorted(self.records_)]
+        """Return the records encoded, in the order of their claims, which all replicas share."""
+        return _ENCODER.encode(list(self.records_.values()))
 
-    def restore(self, rows):
-        """Replace all records by rows from :meth:`save`."""
+    def restore(self, data):
+        """Replace all records by what :meth:`save` returned."""
         self._reset()
-        for account, service, key, fields in rows:
-            record = msgspec.convert(fields, ClaimRecord)
-            self.records_[(account, service, key)] = record
-            self._count_record(account, record)
+        for record in _RECORDS_DECODER.decode(data):
+            self.records_[record.name] = record
+            self._count_record(record)
         self._kept = [(r.keep_ms, k) for k, r in self.records_.items() if not r.retired]
         self._retired = [(r.forget_ms, k) for k, r in self.records_.items() if r.retired]
         heapify(self._kept)
@@ -118,6 +136,8 @@
         if not self._matches_digest(record, command):
             return ClaimReply(ClaimStatus.CONFLICT)
         self._extend(record, command, now_ms)
+        if self._may_grant_again(record, command, now_ms):
+            self._grant_again(record, command)
         if record.answer is not None:
             return ClaimReply(ClaimStatus.RECORDED, record.answer)
         if record.attempt != command.attempt:
@@ -126,6 +146,19 @@
             return ClaimReply(ClaimStatus.EXPIRED)
         return ClaimReply(ClaimStatus.GRANTED)
 
+    def _may_grant_again(self, record, command, now_ms):
+        if record.answer is None or record.attempt not in record.released:
+            return False
+        if command.attempt in record.released or command.deadline_ms <= now_ms:
+            return False
+        return not record.retired and len(record.released) < self.limits.max_released_attempts
+
+    def _grant_again(self, record, command):
+        self.answer_bytes_ -= _body_bytes(record.answer)
+        record.answer = None
+        record.attempt = command.attempt
+        record.deadline_ms = min(command.deadline_ms, record.keep_ms)
+
     def _matches_digest(self, record, command):
         return record.digest == command.digest
 
@@ -159,10 +192,10 @@
     def _insert(self, command, now_ms):
         keep_ms = command.deadline_ms + self.limits.skew_margin_ms
         forget_ms = max(keep_ms, now_ms + self.limits.claim_retention_ms)
+        key = _key(command)
         record = ClaimRecord(
-            command.attempt, command.digest, command.deadline_ms, keep_ms, forget_ms
+            *key, command.attempt, command.digest, command.deadline_ms, keep_ms, forget_ms
         )
-        key = _key(command)
         assert key not in self.records_, "a claim was granted twice"
         self.records_[key] = record
         self._add_account(command.account, 1)
@@ -197,9 +230,9 @@
             return
         del self.records_[key]
 
-    def _count_record(self, account, record):
+    def _count_record(self, record):
         if not record.retired:
-            self._add_account(account, 1)
+            self._add_account(record.account, 1)
         self.answer_bytes_ += _body_bytes(record.answer)
 
     def _add_account(self, account, change):
