--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -1,8 +1,11 @@
 """Measures membership with many cores in one process, on simulated time.
 
 For each number of nodes and upstreams: bytes a second that a node sends, by message type; the
-time in which a new upstream and a departure become known to the last node; and processor time
-for each event handled. Run: ``python benchmarks/membership.py --nodes 7,50 --upstreams 10,100``.
+time in which a new upstream and a departure become known to the last node; the time until a
+restarted node has the whole list; and processor time for each event handled, that of the
+simulated network included.
+
+Run: ``python benchmarks/membership.py --nodes 7,50 --upstreams 10,100``.
 """
 
 import random
@@ -100,6 +103,24 @@
                 spreads[kind].append(max(known.values()) - started if not missing else float("inf"))
         return spreads
 
+    def restart(self):
+        """Restart one node.
+
+        :returns: seconds until it lists all upstreams and nodes, or infinity after a minute.
+        """
+        network, name = self.network, self.names[-1]
+        network.stop(name)
+        network.run(network.now + 1.0)
+        network.start(name)
+        started = network.now
+        while network.now < started + 60.0:
+            network.run(network.now + 0.05)
+            core = network.cores[name]
+            is_full = len(network.listed(name)) >= len(self.sequences) - PROBES
+            if is_full and len(core.peers()) == len(self.names):
+                return network.now - started
+        return float("inf")
+
 
 def measure(nodes, upstreams, valid_ms, seed, budget_bytes):
     """Measure one size and print one line of key=value pairs."""
@@ -130,6 +151,7 @@
         "expired": fleet.expired,
         "seen_max_s": "/".join(f"{value:.2f}" for value in sorted(spreads["seen"])),
         "left_max_s": "/".join(f"{value:.2f}" for value in sorted(spreads["left"])),
+        "restart_s": round(fleet.restart(), 2),
         "us_per_event": round(elapsed / events * 1e6, 1),
         "core_percent": round(100 * elapsed / MEASURED_S / nodes, 3),
     }
--- a/fakes/fault_proxy.py
+++ b/fakes/fault_proxy.py
@@ -19,7 +19,6 @@
 COMMANDS = ["cut", "refuse", "delay", "freeze", "half_open", "mix", "truncate", "heal"]
 CHUNK_BYTES = 65_536
 CHUNKS_LIMIT = 64
-CONNECT_TIMEOUT_S = 5
 LINGER_RESET = struct.pack("ii", 1, 0)
 
 
@@ -54,7 +53,6 @@
     def __init__(self, target, port=0):
         self.target = target
         self.connections = set()
-        self.accepted = 0
         self.held = None
         self.server = None
         # Bound but not listening: keeps the port while new connections are refused.
@@ -157,9 +155,8 @@
         self.limits = {}
 
     def _accept(self, client, _):
-        self.accepted += 1
         try:
-            upstream = socket.create_connection(self.target, CONNECT_TIMEOUT_S)
+            upstream = socket.create_connection(self.target, timeout=5)
         except OSError:
             Connection(client, client).close(with_reset=True)
             return
@@ -223,8 +220,7 @@
             self._release()
             self.held = (connection, data, AsyncResult())
             return self.held[2].get()
-        _, other, result = self.held
-        self.held = None
+        (_, other, result), self.held = self.held, None
         first, second = (data, other) if self.mixing == "swap" else (other, data)
         gevent.spawn(result.set, first)
         return second
--- a/sassafrashook/membership/tests/network.py
+++ b/sassafrashook/membership/tests/network.py
@@ -47,9 +47,9 @@
 class Network:
     """Cores by name, each with its own clock offset, and messages on their way."""
 
-    def __init__(self, seed, names, core_class=MembershipCore, **parameters):
+    def __init__(self, seed, names, seeds=None, **parameters):
         self.rng = random.Random(seed)
-        self.core_class = core_class
+        self.seeds = names if seeds is None else seeds
         self.parameters = parameters
         self.names = list(names)
         self.now = 0.0
@@ -77,11 +77,11 @@
         index = self.names.index(name)
         host = f"10.0.{index // 250}.{index % 250 + 1}"
         record = PeerRecord(name, "router", host, 7000, "muscat-a", f"{name}-{boot}", boot)
-        core = self.core_class(record, random.Random(self.rng.random()), measure, **self.parameters)
+        core = MembershipCore(record, random.Random(self.rng.random()), measure, **self.parameters)
         self.offsets[name] = self.rng.uniform(0, 1_000)
         self.cores[name] = core
         self.carry_out(name, core.start(self.clock(name)))
-        self.tell(name, PeersChanged(tuple(n for n in self.names if n != name)))
+        self.tell(name, PeersChanged(tuple(n for n in self.seeds if n != name)))
 
     def stop(self, name):
         del self.cores[name]
--- a/sassafrashook/membership/tests/test_core.py
+++ b/sassafrashook/membership/tests/test_core.py
@@ -69,3 +69,20 @@
         sent = [s for name in names for (t, _, _, s) in network.sent[name] if t >= 30.0]
         usage.append(sum(sent) / count / 10)
     assert usage[1] <= usage[0] * 1.05, usage
+
+
+def test_nodes_learn_of_one_another_and_meet_again_after_a_long_cut():
+    network = Network(7, NAMES, seeds=["r0"])
+    network.run(5.0)
+    assert all(len(network.cores[name].peers()) == 7 for name in NAMES)
+    far = {"r4", "r5", "r6"}
+    network.is_cut = lambda source, target: (source in far) != (target in far)
+    network.run(60.0)
+    assert {record.name for record in network.cores["r4"].peers()} == far
+    assert {record.name for record in network.cores["r1"].peers()} == set(NAMES) - far
+    network.announce("r4", make_announcement(valid_ms=60_000))
+    network.is_cut = lambda source, target: False
+    network.run(70.0)
+    for name in NAMES:
+        assert len(network.cores[name].peers()) == 7
+        assert list(network.listed(name)) == ["engine-1"]
