--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -9,6 +9,7 @@
 
 import argparse
 import json
+import resource
 import signal
 import subprocess
 import sys
@@ -136,7 +137,8 @@
         asked.clear()
         if samples:
             write_samples(samples, options.profile)
-        print(time.process_time(), flush=True)
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        print(json.dumps([usage.ru_utime, usage.ru_stime]), flush=True)
 
 
 def start_sampling():
@@ -231,9 +233,9 @@
 
 
 def read_usage(process):
-    """Ask a relay for its processor time, seconds."""
+    """Ask a relay for its processor time in user and kernel mode, seconds."""
     process.send_signal(signal.SIGUSR1)
-    return float(process.stdout.readline())
+    return json.loads(process.stdout.readline())
 
 
 def measure(role, ports, options):
@@ -249,10 +251,11 @@
     results = {}
     try:
         for load in options.loads.split(","):
-            before = read_usage(relay) if relay else 0.0
+            before = read_usage(relay) if relay else (0.0, 0.0)
             callers = start("callers", target, options, load)
             report = json.loads(callers.communicate()[0])
-            results[load] = ((read_usage(relay) if relay else 0.0) - before, report)
+            after = read_usage(relay) if relay else (0.0, 0.0)
+            results[load] = (after[0] - before[0], after[1] - before[1], report)
     finally:
         if relay:
             relay.kill()
@@ -260,20 +263,29 @@
     return results
 
 
+def split(results, index):
+    """Return the microseconds for each request and each token.
+
+    :param index: 0 for user mode, 1 for kernel mode.
+    """
+    request_s = results["short"][index] / results["short"][2]["count"]
+    long_s = results["long"][index] / results["long"][2]["count"]
+    return request_s * 1e6, (long_s - request_s) / (LOADS["long"][1] - 1) * 1e6
+
+
 def show(role, results):
     """Print one line of figures for a relay."""
     if len(results) < len(LOADS):
-        print(role, *((load, used / report["count"]) for load, (used, report) in results.items()))
+        for load, (user_s, kernel_s, report) in results.items():
+            print(role, load, (user_s + kernel_s) / report["count"] * 1e6, "us/request")
         return
-    (long_s, long), (short_s, short) = results["long"], results["short"]
-    tokens = LOADS["long"][1]
-    request_s = short_s / short["count"]
-    token_s = (long_s / long["count"] - request_s) / (tokens - 1)
-    firsts = long["firsts"]
+    user, kernel = split(results, 0), split(results, 1)
+    firsts = results["long"][2]["firsts"]
     p50, p99 = (firsts[int(len(firsts) * share)] * 1_000 for share in (0.5, 0.99))
-    failed = long["failed"] + short["failed"]
+    failed = sum(result[2]["failed"] for result in results.values())
     print(
-        f"{role:8} {request_s * 1e6:8.0f} us/request {token_s * 1e6:8.2f} us/token "
+        f"{role:8} {user[0] + kernel[0]:6.0f} us/request (kernel {kernel[0]:4.0f}) "
+        f"{user[1] + kernel[1]:6.2f} us/token (kernel {kernel[1]:5.2f}) "
         f"first token p50 {p50:6.2f} ms p99 {p99:6.2f} ms failed {failed}",
         flush=True,
     )
