Routing: modules split by job; a new owner's own word is followed at once

An unsolicited redirect by which a new owner names itself was ignored, so a router found it only when its renewals went unanswered (1.8 s at a lease of 2 s).

--- a/sassafrashook/routing/_client.py
+++ b/sassafrashook/routing/_client.py
@@ -1,18 +1,14 @@
 """The router's side of the permits."""
 
-from dataclasses import dataclass
-
 import msgspec
 
 from sassafrashook.base import Core
 from sassafrashook.gateways import Permit
 from sassafrashook.messages import (
-    Holding,
     PermitGranted,
     PermitOutcome,
     PermitRefused,
     PermitReleased,
-    PermitRequested,
     PermitWithdrawn,
     SessionAccepted,
     SessionClosed,
@@ -29,6 +25,7 @@
     StopRequested,
     WithdrawRequested,
 )
+from sassafrashook.routing._holdings import Held, Wait, make_holding
 from sassafrashook.routing._owner_session import OwnerSession, SessionPhase
 from sassafrashook.utils import hash_key
 
@@ -39,35 +36,6 @@
 CRASHES_KEPT_S = 30.0
 
 
-@dataclass(slots=True, eq=False)
-class Wait:
-    """One request that waits for a permit.
-
-    :param request_id: under which the owner was asked, 0 while it was not.
-    :param asked: seconds when it was asked first under this id.
-    """
-
-    token: object
-    query: PermitRequested
-    deadline: float
-    request_id: int = 0
-    asked: float = 0.0
-
-
-@dataclass(slots=True, eq=False)
-class Held:
-    """One permit in use.
-
-    :param deadline: seconds until which its request may run.
-    :param release: what to tell the owner once the session is open, or ``None`` while in use.
-    """
-
-    permit: Permit
-    query: PermitRequested
-    deadline: float
-    release: PermitReleased | None = None
-
-
 class PermitClient(Core):
     """Gets permits from whoever owns the running counts, and gives them back.
 
@@ -357,16 +325,4 @@
     def _list_holdings(self, now):
         if self.session_.phase_ != SessionPhase.OPENING:
             return []
-        return [_make_holding(held, now) for held in self.held_.values()]
-
-
-def _make_holding(held, now):
-    return Holding(
-        request_id=held.permit.request_id,
-        upstream_id=held.permit.upstream_id,
-        boot_id=held.permit.boot_id,
-        account=held.query.account,
-        work_class=held.query.work_class,
-        fingerprint=held.query.fingerprint,
-        running_ms=max(0, int((held.deadline - now) * 1000)),
-    )
+        return [make_holding(held, now) for held in self.held_.values()]
--- a/sassafrashook/routing/_ledger.py
+++ b/sassafrashook/routing/_ledger.py
@@ -3,7 +3,6 @@
 from sassafrashook.base import Core
 from sassafrashook.messages import (
     CacheEvent,
-    CacheEventKind,
     LoadReport,
     PermitOutcome,
     PermitRefused,
@@ -31,11 +30,11 @@
 from sassafrashook.routing._state import OwnerState
 from sassafrashook.routing._takeover import Takeover
 from sassafrashook.routing._waiting import Waiting
+from sassafrashook.routing._watch import UpstreamWatch
 from sassafrashook.utils import Interval
 
 QUARANTINE_RESEND_S = 1.0
 STALE_RETRY_MS = 500
-DELIVERY_MARGIN_S = 0.5
 
 
 class PermitLedger(Core):
@@ -128,6 +127,7 @@
         self.isolation_ = Isolation(self.state_, self.assigner_)
         self.waiting_ = Waiting(self.state_, self.assigner_, self.isolation_)
         self.takeover_ = Takeover(self.state_, self.assigner_)
+        self.watch_ = UpstreamWatch(self.state_, self.assigner_, self.takeover_)
         self.sessions_ = SessionTable(epoch, lease_ms)
         self.quarantine_resend_at_ = 0.0
         self._handlers = {
@@ -276,32 +276,19 @@
         self._release(router, PermitReleased(message.request_id, PermitOutcome.UNUSED), now)
 
     def _see_upstream(self, event, now):
-        announcement = event.announcement
-        upstreams = self.state_.upstreams_
-        is_first = upstreams.get(announcement.upstream_id) is None
-        known = upstreams.see(announcement, now)
-        if known is None:
-            self.state_.count("announcements_ignored", announcement.upstream_id)
-            return
-        if is_first:
-            self.takeover_.note_seen(known)
-        elif known.announcement.boot_id == announcement.boot_id:
-            self.state_.suspects_.note_alive(known)
-            known.crashed_ = False
-        else:
-            self._replace_boot(known, upstreams.get(announcement.upstream_id), now)
+        self.watch_.see(event.announcement, now)
         self._drain_all(now)
 
-    def _replace_boot(self, old, new, now):
-        if not old.announcement.leaving and (old.permits_ or old.broken_):
-            self.assigner_.note_crash(old, now)
-        since = now - self.use_within_ms / 1000 - DELIVERY_MARGIN_S
-        self.assigner_.carry_over(old, new, since)
-
     def _lose_upstream(self, event, now):
-        self.state_.upstreams_.leave(event.upstream_id)
+        self.watch_.lose(event.upstream_id)
         self._drain_all(now)
 
+    def _note_load(self, message, now):
+        self.watch_.note_load(message, now)
+
+    def _note_cache(self, message, now):
+        self.watch_.note_cache(message)
+
     def _configure(self, event, now):
         if event.fleet_state.revision < self.state_.fleet_state_.revision:
             return
@@ -315,27 +302,6 @@
         for suspect in event.suspects:
             self.state_.suspects_.learn(suspect.fingerprint, suspect.boots, now)
 
-    def _note_load(self, message, now):
-        upstream = self.state_.upstreams_.get(message.upstream_id)
-        if upstream is None or not upstream.accepts_report(message):
-            return
-        upstream.warm_up_.state_cold(message.cold)
-        self.takeover_.note_load(upstream, message, now)
-        self.state_.upstreams_.refresh(upstream)
-
-    def _note_cache(self, message, now):
-        upstream = self.state_.upstreams_.get(message.upstream_id)
-        if upstream is None or message.boot_id != upstream.announcement.boot_id:
-            return
-        if upstream.note_cache_sequence(message.sequence):
-            self.state_.upstreams_.refresh(upstream)
-        if message.kind == CacheEventKind.STORED:
-            self.state_.hints_.put(message.conversation_key, upstream)
-        elif message.kind == CacheEventKind.EVICTED:
-            self.state_.hints_.drop(message.conversation_key, upstream)
-        else:
-            upstream.cache_clears_ += 1
-
     def _drain_all(self, now):
         for service in list(self.state_.services_.values()):
             self.waiting_.drain(service, now)
--- a/sassafrashook/routing/_owner_session.py
+++ b/sassafrashook/routing/_owner_session.py
@@ -136,19 +136,34 @@
     def redirect(self, name, message, now):
         """Take a :class:`~sassafrashook.messages.SessionRedirected`.
 
+        A new owner says so of itself with sequence 0; then it is asked next.
+
         :returns: whether the session was lost by it.
         """
+        if message.sequence == 0:
+            return self._follow(name, message.owner, now)
         renewal = self.renewals_.pop(message.sequence, None)
         if renewal is None or renewal.controller != name:
             return False
         is_lost = self.owner_ == name
         if is_lost:
             self.search(now)
-        if self.phase_ == SessionPhase.SEARCHING and message.owner in self.controllers:
-            self.candidate_ = self.controllers.index(message.owner)
-            self.next_send_ = now
+        if self.phase_ == SessionPhase.SEARCHING:
+            self._ask_next(message.owner, now)
         return is_lost
 
+    def _follow(self, name, owner, now):
+        if name != owner or owner == self.owner_:
+            return False
+        self.search(now)
+        self._ask_next(owner, now)
+        return True
+
+    def _ask_next(self, owner, now):
+        if owner in self.controllers:
+            self.candidate_ = self.controllers.index(owner)
+            self.next_send_ = now
+
     def _begin_opening(self, name, epoch, is_known, sequence, now):
         if is_known and (self.phase_ == SessionPhase.OPENING or sequence < self.sequence_):
             return None
--- a/sassafrashook/routing/_sessions.py
+++ b/sassafrashook/routing/_sessions.py
@@ -4,7 +4,7 @@
 
 from sassafrashook.routing._events import KnownRouter
 from sassafrashook.routing._services import ServiceState
-from sassafrashook.routing._upstreams import UpstreamState
+from sassafrashook.routing._upstream import UpstreamState
 
 
 @dataclass(slots=True, eq=False)
--- a/sassafrashook/routing/_takeover.py
+++ b/sassafrashook/routing/_takeover.py
@@ -3,7 +3,7 @@
 from sassafrashook.messages import UpstreamAnnouncement, UpstreamKind
 from sassafrashook.routing._assignment import RUNNING_MARGIN_S, RUNNING_MAX_MS
 from sassafrashook.routing._sessions import PermitRecord
-from sassafrashook.routing._upstreams import UpstreamState
+from sassafrashook.routing._upstream import UpstreamState
 
 REPORT_LAG_S = 1.0
 EARLIER_RAMP = -1
--- a/sassafrashook/routing/tests/test_client.py
+++ b/sassafrashook/routing/tests/test_client.py
@@ -107,6 +107,17 @@
     assert driver.client.session_.owner_ == "c3"
 
 
+def test_new_owner_that_says_so_is_asked_at_once(driver):
+    driver.open()
+    driver.hear(SessionRedirected(0, "c3"), name="c3")
+    assert driver.find_opened("c3").epoch == 0
+    driver.open(epoch=2, name="c3")
+    driver.hear(SessionRedirected(0, "c1"), name="c1")
+    late = driver.find_opened("c1")
+    driver.hear(SessionAccepted(late.sequence, 1, 2000, 1), name="c1")
+    assert driver.client.session_.owner_ != "c1"
+
+
 def test_view_is_fresh_from_when_the_renewal_was_sent(driver):
     opened = driver.find(SessionOpened)[0]
     driver.now = 1.5
--- a/sassafrashook/routing/tests/test_random.py
+++ b/sassafrashook/routing/tests/test_random.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sassafrashook.routing import _assignment, _poison, _upstreams
+from sassafrashook.routing import _assignment, _poison, _upstream, _upstreams
 from sassafrashook.routing._warmup import WarmUp
 from sassafrashook.routing.tests.fleet import Faults, Fleet
 
@@ -103,7 +103,7 @@
     def make_warm(capacity, cold_capacity):
         return WarmUp(capacity, capacity)
 
-    monkeypatch.setattr(_upstreams, "WarmUp", make_warm)
+    monkeypatch.setattr(_upstream, "WarmUp", make_warm)
     return {}
 
 
@@ -117,7 +117,7 @@
     def takes_new_work(upstream):
         return not upstream.drained_ and not upstream.gone_
 
-    monkeypatch.setattr(_upstreams.UpstreamState, "takes_new_work", takes_new_work)
+    monkeypatch.setattr(_upstream.UpstreamState, "takes_new_work", takes_new_work)
     monkeypatch.setattr(_assignment, "check_grant", lambda *_: None)
     return {}
 
--- a/sassafrashook/routing/tests/test_warmup.py
+++ b/sassafrashook/routing/tests/test_warmup.py
@@ -47,7 +47,7 @@
 
 def test_without_warm_up_the_check_fails(monkeypatch):
     monkeypatch.setattr(
-        "sassafrashook.routing._upstreams.WarmUp", lambda capacity, _: WarmUp(capacity, capacity)
+        "sassafrashook.routing._upstream.WarmUp", lambda capacity, _: WarmUp(capacity, capacity)
     )
     driver = make_cold_driver()
     count_grants(driver)
