--- a/sassafrashook/routing/_admission.py
+++ b/sassafrashook/routing/_admission.py
@@ -6,6 +6,7 @@
 is next.
 """
 
+import heapq
 from bisect import bisect_left, insort
 from dataclasses import dataclass
 
@@ -17,6 +18,9 @@
 RETRY_SPREAD = 0.25
 HOLDING_WEIGHT = 1 / 32
 HOLDING_PRIOR_DIVISOR = 4
+ACCOUNTS_MIN = 64
+HEAPS_MIN = 1_024
+OUTDATED_FACTOR = 8
 
 
 @dataclass(slots=True, eq=False)
@@ -51,17 +55,25 @@
 class AccountQueue:
     """The entries of one account.
 
+    :param name: of the account.
     :param share: weight of the account.
     :param start: virtual time at which its next entry starts.
+
+    Attributes
+    ----------
+    entitled_ : whether it lies within the fairness window.
+    return_at_ : seconds when the last refused caller was told to come back.
     """
 
-    __slots__ = ("share", "start", "keys_", "entries_", "return_at_")
+    __slots__ = ("name", "share", "start", "keys_", "entries_", "entitled_", "return_at_")
 
-    def __init__(self, share, start):
+    def __init__(self, name, share, start):
+        self.name = name
         self.share = share
         self.start = start
         self.keys_ = []
         self.entries_ = {}
+        self.entitled_ = False
         self.return_at_ = 0.0
 
     def add(self, entry):
@@ -82,15 +94,28 @@
 class AdmissionQueue:
     """Requests of one service that wait for a permit.
 
+    Each operation costs O(log n) in the number of accounts. The heaps hold outdated items too,
+    which are dropped when they come up.
+
     Attributes
     ----------
     accounts_ : the account queues, idle ones included while they are ahead of the others.
+    virtual_time_ : the least start of all accounts with entries.
+    starts_ : heap of those accounts by start.
+    later_ : heap of those beyond the fairness window, by start.
+    heads_ : heap of those within it, by their first entry.
     holding_s_ : moving average of how long a permit is held, 0 while unknown.
     """
 
     def __init__(self):
         self.accounts_ = {}
+        self.accounts_max_ = ACCOUNTS_MIN
         self.virtual_time_ = 0.0
+        self.starts_ = []
+        self.later_ = []
+        self.heads_ = []
+        self.backlogged_ = 0
+        self.shares_ = 0.0
         self.length_ = 0
         self.holding_s_ = 0.0
 
@@ -99,40 +124,63 @@
 
     def push(self, entry):
         """Add an entry."""
-        self._account(entry).add(entry)
+        account = self._account(entry)
+        account.add(entry)
         self.length_ += 1
+        if len(account.keys_) == 1:
+            self.backlogged_ += 1
+            self.shares_ += account.share
+            heapq.heappush(self.starts_, (account.start, account.name))
+            heapq.heappush(self.later_, (account.start, account.name))
+        elif account.entitled_ and account.head() is entry:
+            heapq.heappush(self.heads_, (account.keys_[0], account.name))
 
     def remove(self, entry):
         """Remove an entry that is in the queue."""
-        self.accounts_[entry.query.account].remove(entry)
+        account = self.accounts_[entry.query.account]
+        was_head = account.head() is entry
+        account.remove(entry)
         self.length_ -= 1
-
-    def pop(self, blocked=frozenset()):
+        if not account.keys_:
+            self.backlogged_ -= 1
+            self.shares_ -= account.share
+            account.entitled_ = False
+        elif account.entitled_ and was_head:
+            heapq.heappush(self.heads_, (account.keys_[0], account.name))
+        if len(self.heads_) + len(self.starts_) > OUTDATED_FACTOR * self.backlogged_ + HEAPS_MIN:
+            self._rebuild()
+
+    def pop(self, is_blocked=None):
         """Remove and return the entry that is next, or ``None``.
 
-        :param blocked: names of accounts that may have nothing more now.
+        :param is_blocked: tells of an account's name whether it may have nothing more now.
         """
-        backlogged = [
-            account
-            for name, account in self.accounts_.items()
-            if account.keys_ and name not in blocked
-        ]
-        if not backlogged:
-            return None
-        self.virtual_time_ = min(account.start for account in backlogged)
-        limit = self.virtual_time_ + FAIRNESS_WINDOW
-        entitled = [account for account in backlogged if account.start <= limit]
-        account = min(entitled, key=lambda candidate: candidate.keys_[0])
-        entry = account.head()
-        account.remove(entry)
-        self.length_ -= 1
-        return entry
+        self._promote()
+        blocked = []
+        found = None
+        while found is None and (account := self._pop_head()) is not None:
+            if is_blocked is not None and is_blocked(account.name):
+                blocked.append((account.keys_[0], account.name))
+            else:
+                found = account.head()
+        for item in blocked:
+            heapq.heappush(self.heads_, item)
+        if found is not None:
+            self.remove(found)
+        return found
 
     def charge(self, entry):
         """Count a grant to an entry's account."""
         account = self._account(entry)
-        backlogged = [a.share for a in self.accounts_.values() if a.keys_ or a is account]
-        account.start += sum(backlogged) / len(backlogged) / account.share
+        idle = not account.keys_
+        mean = (self.shares_ + idle * account.share) / (self.backlogged_ + idle)
+        account.start += mean / account.share
+        if idle:
+            return
+        heapq.heappush(self.starts_, (account.start, account.name))
+        if account.start > self.virtual_time_ + FAIRNESS_WINDOW:
+            account.entitled_ = False
+            heapq.heappush(self.later_, (account.start, account.name))
 
     def count_waiting(self, account):
         """Return how many entries of an account wait."""
@@ -169,18 +217,64 @@
         return min(max(wait, RETRY_AFTER_MIN_S * rng.uniform(1, 2)), RETRY_AFTER_MAX_S)
 
     def _grant_interval(self, account, running, completion_s):
-        shares = sum(a.share for a in self.accounts_.values() if a.keys_ or a is account)
+        shares = self.shares_ + (0.0 if account.keys_ else account.share)
         holding = self.holding_s_ or completion_s / HOLDING_PRIOR_DIVISOR
         return holding / max(running, 1) * shares / account.share
 
+    def _rebuild(self):
+        """Drop what is outdated from the heaps."""
+        current = [account for account in self.accounts_.values() if account.keys_]
+        self.starts_ = [(account.start, account.name) for account in current]
+        self.later_ = [(a.start, a.name) for a in current if not a.entitled_]
+        self.heads_ = [(a.keys_[0], a.name) for a in current if a.entitled_]
+        for heap in (self.starts_, self.later_, self.heads_):
+            heapq.heapify(heap)
+
+    def _promote(self):
+        """Move the window on, and let the accounts in that it reaches."""
+        while self.starts_ and not self._is_current(self.starts_[0]):
+            heapq.heappop(self.starts_)
+        if self.starts_:
+            self.virtual_time_ = self.starts_[0][0]
+        limit = self.virtual_time_ + FAIRNESS_WINDOW
+        while self.later_ and self.later_[0][0] <= limit:
+            self._entitle_next()
+
+    def _entitle_next(self):
+        item = heapq.heappop(self.later_)
+        account = self.accounts_.get(item[1])
+        if self._is_current(item) and not account.entitled_:
+            account.entitled_ = True
+            heapq.heappush(self.heads_, (account.keys_[0], account.name))
+
+    def _pop_head(self):
+        """Return the account whose first entry is next, beyond the window if need be."""
+        while self.heads_ or self.later_:
+            if not self.heads_:
+                self._entitle_next()
+                continue
+            key, name = heapq.heappop(self.heads_)
+            account = self.accounts_.get(name)
+            if account is not None and account.entitled_ and account.keys_[0] == key:
+                return account
+        return None
+
+    def _is_current(self, item):
+        account = self.accounts_.get(item[1])
+        return account is not None and bool(account.keys_) and account.start == item[0]
+
     def _account(self, entry):
         name = entry.query.account
         account = self.accounts_.get(name)
         if account is None:
-            self._forget_idle()
-            account = self.accounts_[name] = AccountQueue(entry.share, self.virtual_time_)
+            if len(self.accounts_) >= self.accounts_max_:
+                self._forget_idle()
+            account = AccountQueue(name, entry.share, self.virtual_time_)
+            self.accounts_[name] = account
         elif not account.keys_:
             account.start = max(account.start, self.virtual_time_)
+        if account.keys_:
+            self.shares_ += entry.share - account.share
         account.share = entry.share
         return account
 
@@ -192,3 +286,4 @@
         ]
         for name in idle:
             del self.accounts_[name]
+        self.accounts_max_ = max(ACCOUNTS_MIN, 2 * len(self.accounts_))
--- a/sassafrashook/routing/_waiting.py
+++ b/sassafrashook/routing/_waiting.py
@@ -90,12 +90,8 @@
         group = self.state.upstreams_.find_group(service.name, "")
         if group is None or not group.has_room():
             return None
-        blocked = {
-            account
-            for account in service.accounts_
-            if service.is_at_ceiling(account, group, self.state.rules.account_ceiling)
-        }
-        return service.queue_.pop(blocked)
+        ceiling = self.state.rules.account_ceiling
+        return service.queue_.pop(lambda account: service.is_at_ceiling(account, group, ceiling))
 
     def _must_wait(self, entry):
         group = self.state.find_group(entry.query)
--- a/sassafrashook/routing/tests/test_admission.py
+++ b/sassafrashook/routing/tests/test_admission.py
@@ -147,7 +147,9 @@
     assert load.waits[100] == 0.0
 
 
-def test_queue_order_is_kept_under_random_load():
+@pytest.mark.parametrize("heaps_min", [0, 1_024])
+def test_queue_order_is_kept_under_random_load(monkeypatch, heaps_min):
+    monkeypatch.setattr(_admission, "HEAPS_MIN", heaps_min)
     rng = random.Random(5)
     queue = _admission.AdmissionQueue()
     load = Workload()
@@ -161,6 +163,11 @@
         entry = waiting._make_entry(session, query, rng.random())
         queue.push(entry)
         entries.append(entry)
+        if rng.random() < 0.3:
+            queue.remove(entries.pop(rng.randrange(len(entries))))
     popped = [queue.pop() for _ in entries]
-    assert sorted(entry.sequence for entry in popped) == [entry.sequence for entry in entries]
+    assert {entry.sequence for entry in popped} == {entry.sequence for entry in entries}
+    for name in {entry.query.account for entry in entries}:
+        keys = [entry.key() for entry in popped if entry.query.account == name]
+        assert keys == sorted(keys)
     assert len(queue) == 0 and queue.pop() is None
