--- a/sassafrashook/routing/_isolation.py
+++ b/sassafrashook/routing/_isolation.py
@@ -49,6 +49,8 @@
 
     def _run_one(self, entry, now):
         query = entry.query
+        if now > entry.session.lease_until_:
+            return True
         if self.state.suspects_.is_quarantined(query.fingerprint):
             self.assigner.refuse(entry, RefusalReason.QUARANTINED, 0)
             return True
--- a/sassafrashook/routing/_sessions.py
+++ b/sassafrashook/routing/_sessions.py
@@ -6,6 +6,8 @@
 from sassafrashook.routing._services import ServiceState
 from sassafrashook.routing._upstream import UpstreamState
 
+RETIRED_BOOTS_MAX = 8
+
 
 @dataclass(slots=True, eq=False)
 class PermitRecord:
@@ -124,7 +126,7 @@
             return None, None
         if session is None or session.boot_id != message.boot_id:
             if session is not None:
-                self.retired_.setdefault(router, []).append(session.boot_id)
+                self._retire(session)
             session = self.sessions_[router] = Session(router, message.boot_id)
         if message.sequence <= session.sequence_:
             return None, None
@@ -139,5 +141,10 @@
 
     def close(self, router):
         """Forget a session."""
-        session = self.sessions_.pop(router)
-        self.retired_.setdefault(router, []).append(session.boot_id)
+        self._retire(self.sessions_.pop(router))
+
+    def _retire(self, session):
+        session.lease_until_ = float("-inf")
+        boots = self.retired_.setdefault(session.router, [])
+        boots.append(session.boot_id)
+        del boots[:-RETIRED_BOOTS_MAX]
--- a/sassafrashook/routing/_waiting.py
+++ b/sassafrashook/routing/_waiting.py
@@ -74,6 +74,9 @@
             self._refuse_late(entry, 0.0, now)
 
     def _settle(self, entry, now):
+        if now > entry.session.lease_until_:
+            self._unlist(entry)
+            return True
         if self.state.suspects_.is_suspect(entry.query.fingerprint):
             self.isolation.add(entry)
             return True
--- a/sassafrashook/routing/tests/test_takeover.py
+++ b/sassafrashook/routing/tests/test_takeover.py
@@ -129,6 +129,20 @@
     assert sum(driver.ledger.count_running(f"e{index}") for index in range(3)) == 1
 
 
+def test_requests_of_a_dead_router_are_not_granted():
+    driver = LedgerDriver(engines=1)
+    driver.open("r2")
+    for request_id in range(1, 9):
+        driver.ask(request_id, account=f"a{request_id % 3}")
+    assert driver.ask(100, router="r2", account="b", work_class="plan") is None
+    driver.pass_time(2.5)
+    assert driver.ask(101, account="c", work_class="plan") is None
+    driver.release(1)
+    driver.release(2)
+    assert driver.find_answer(100) is None
+    assert driver.ledger.count_running("e0") == 7
+
+
 def test_reopened_session_frees_what_its_router_does_not_hold():
     driver = LedgerDriver()
     grants = {request_id: driver.ask(request_id) for request_id in (1, 2)}
--- a/sassafrashook/routing/tests/test_warmup.py
+++ b/sassafrashook/routing/tests/test_warmup.py
@@ -21,6 +21,8 @@
     make_query,
 )
 
+VIOLATIONS = "invariant_violations"
+
 
 def make_cold_driver(**options):
     """Return a ledger with one engine that bears two of eight requests when cold."""
@@ -155,7 +157,12 @@
 def test_without_zones_the_invariant_refuses(monkeypatch):
     monkeypatch.setattr(UpstreamTable, "set_zones", lambda table, zones: None)
     driver = LedgerDriver()
+    counted = []
+    tell = driver.tell
+    driver.tell = lambda event: counted.extend(tell(event)) or driver.actions
     assert drain(driver) == set()
+    violations = [action for action in counted if getattr(action, "name", "") == VIOLATIONS]
+    assert violations and {action.attribute for action in violations} == {"zone"}
 
 
 def test_zone_that_comes_back_is_cold():
