--- a/sassafrashook/routing/_admission.py
+++ b/sassafrashook/routing/_admission.py
@@ -187,6 +187,10 @@
         queue = self.accounts_.get(account)
         return len(queue.keys_) if queue else 0
 
+    def has_others(self, account):
+        """Return whether an account is not the only one that waits."""
+        return self.backlogged_ > (self.count_waiting(account) > 0)
+
     def note_holding(self, seconds):
         """Count how long a permit was held."""
         if not self.holding_s_:
--- a/sassafrashook/routing/_services.py
+++ b/sassafrashook/routing/_services.py
@@ -74,10 +74,14 @@
         """Return how many of a group may be kept free at once."""
         return max(1, len(group.points_) // ISOLATION_FRACTION)
 
-    def is_at_ceiling(self, account, group, ceiling):
+    def is_at_ceiling(self, account, group, rules, is_shared):
         """Return whether an account holds all that one account may hold of a group.
 
-        :param ceiling: part of the group's limit; the rest is kept for other accounts.
+        :param rules: the :class:`PermitLedger`; its ``account_ceiling`` is the part of the group's
+            limit, the rest is kept for other accounts.
+        :param is_shared: whether several accounts are configured.
         """
         running = self.accounts_.get(account, 0)
-        return running >= max(1, math.ceil(group.limit_ * ceiling))
+        if not is_shared and running == self.running_ and not self.queue_.has_others(account):
+            return False
+        return running >= max(1, math.ceil(group.limit_ * rules.account_ceiling))
--- a/sassafrashook/routing/_waiting.py
+++ b/sassafrashook/routing/_waiting.py
@@ -93,13 +93,16 @@
         group = self.state.upstreams_.find_group(service.name, "")
         if group is None or not group.has_room():
             return None
-        ceiling = self.state.rules.account_ceiling
-        return service.queue_.pop(lambda account: service.is_at_ceiling(account, group, ceiling))
+        return service.queue_.pop(lambda account: self._is_at_ceiling(service, account, group))
 
     def _must_wait(self, entry):
         group = self.state.find_group(entry.query)
-        service, ceiling = entry.service, self.state.rules.account_ceiling
-        return len(service.queue_) > 0 or service.is_at_ceiling(entry.query.account, group, ceiling)
+        service = entry.service
+        return len(service.queue_) > 0 or self._is_at_ceiling(service, entry.query.account, group)
+
+    def _is_at_ceiling(self, service, account, group):
+        is_shared = len(self.state.shares_) > 1
+        return service.is_at_ceiling(account, group, self.state.rules, is_shared)
 
     def _admit(self, entry, now):
         service, rules = entry.service, self.state.rules
--- a/sassafrashook/routing/tests/test_admission.py
+++ b/sassafrashook/routing/tests/test_admission.py
@@ -147,6 +147,12 @@
     assert load.waits[100] == 0.0
 
 
+def test_a_lone_account_may_use_everything():
+    driver = LedgerDriver(engines=1)
+    answers = [driver.ask(request_id) for request_id in range(1, 9)]
+    assert all(isinstance(answer, PermitGranted) for answer in answers)
+
+
 @pytest.mark.parametrize("heaps_min", [0, 1_024])
 def test_queue_order_is_kept_under_random_load(monkeypatch, heaps_min):
     monkeypatch.setattr(_admission, "HEAPS_MIN", heaps_min)
--- a/sassafrashook/routing/tests/test_takeover.py
+++ b/sassafrashook/routing/tests/test_takeover.py
@@ -152,6 +152,16 @@
     assert sum(driver.ledger.count_running(f"e{index}") for index in range(3)) == 1
 
 
+def test_without_comparing_holdings_the_check_fails(monkeypatch):
+    monkeypatch.setattr(PermitLedger, "_take_holdings", lambda *_: None)
+    driver = LedgerDriver()
+    driver.ledger.sessions_.get("r1").lease_until_ = 99.0
+    driver.ask(1)
+    driver.open("r1", sequence=10, epoch=0)
+    driver.open("r1", sequence=11)
+    assert sum(driver.ledger.count_running(f"e{index}") for index in range(3)) == 1
+
+
 def test_closed_session_leaves_nothing_behind():
     driver = LedgerDriver()
     for request_id in range(1, 40):
