--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,9 @@
 
 bench-routing: $(VENV)/.installed
 	$(BIN)/python -m benchmarks.routing
+
+chaos: $(VENV)/.installed
+	$(BIN)/python scripts/chaos.py $(SEED)
+
+soak: $(VENV)/.installed
+	SOAK=$(SEED) $(BIN)/python scripts/run_tests.py
--- /dev/null
+++ b/sassafrashook/operations/tests/test_cuts.py
@@ -0,0 +1,112 @@
+"""Real processes cut off, streams that go silent, and requests that crash their engines."""
+
+import random
+import signal
+
+import pytest
+
+from fakes.engine import POISON
+from fakes.fleet import Fleet, Sizes, StepError
+from fakes.load import Load, wait_for
+
+ENGINE_OPTIONS = ["--capacity=16", "--cold-capacity=8", "--token-ms=5"]
+SEED = 7
+ZONE_DEADLINE_S = 3.0
+CHAT = {"model": "advisor", "stream": True, "max_tokens": 3}
+
+
+def send_chat(fleet, router, text, conversation="c"):
+    body = {**CHAT, "messages": [{"role": "user", "content": text}]}
+    headers = {"X-Conversation-Id": conversation, "Content-Type": "application/json"}
+    return fleet.send(router, "POST", "/v1/chat/completions", headers, body)
+
+
+def count_requests(fleet, names):
+    return sum(fleet.read_records(name)["counts"].get("requests", 0) for name in names)
+
+
+@pytest.fixture
+def cut_fleet():
+    with Fleet(Sizes(engine_options=ENGINE_OPTIONS), proxied=["router-1"]) as fleet:
+        fleet.start_serving()
+        yield fleet
+
+
+def test_router_that_is_cut_off_gives_a_drained_zone_nothing(cut_fleet):
+    fleet = cut_fleet
+    zone = fleet.zones[0]
+    for proxy in fleet.proxies_of("router-1"):
+        proxy.freeze("all")
+    fleet.operate("zone", "drain", zone)
+    wait_for(ZONE_DEADLINE_S)
+    before = count_requests(fleet, fleet.engines_in(zone))
+    assert not fleet.is_serving("router-1")
+    for number in range(5):
+        answer = send_chat(fleet, 0, f"question {number}", f"c{number}")
+        error = answer.read_error()
+        assert (answer.status, error["verdict"]) == (503, "not_run")
+        assert error["retry_after_ms"] > 0
+    assert count_requests(fleet, fleet.engines_in(zone)) == before
+    for proxy in fleet.proxies_of("router-1"):
+        proxy.heal()
+    fleet.wait_until(lambda: fleet.is_serving("router-1"), "the router serves again")
+    placed = {send_chat(fleet, 0, "question", f"d{n}").engine for n in range(9)}
+    assert placed and not placed & fleet.engines_in(zone)
+
+
+def test_load_goes_on_while_streams_between_processes_go_silent():
+    names = [*(f"controller-{n}" for n in (1, 2, 3)), *(f"router-{n}" for n in (1, 2, 3))]
+    with Fleet(Sizes(engine_options=ENGINE_OPTIONS), proxied=names) as fleet:
+        fleet.start_serving()
+        load = Load(fleet, random.Random(SEED)).start()
+        for _ in range(2):
+            wait_for(1.0)
+            served = load.counts["whole"]
+            for proxy in fleet.proxies.values():
+                proxy.freeze("existing")
+            fleet.wait_until(
+                lambda served=served: load.counts["whole"] > served + 20, "chats are served again"
+            )
+        load.stop()
+        assert load.check() == []
+        assert load.counts["cut"] == load.counts["connection_lost"] == 0
+
+
+def test_frozen_router_sends_nothing_stale_when_it_goes_on(cut_fleet):
+    """The zone is drained while the router is frozen with requests in hand."""
+    fleet = cut_fleet
+    load = Load(fleet, random.Random(SEED), orders=1).start()
+    wait_for(1.0)
+    fleet.processes["router-2"].signal(signal.SIGSTOP)
+    fleet.operate("zone", "drain", fleet.zones[1])
+    wait_for(ZONE_DEADLINE_S)
+    before = count_requests(fleet, fleet.engines_in(fleet.zones[1]))
+    fleet.processes["router-2"].signal(signal.SIGCONT)
+    wait_for(2.0)
+    assert count_requests(fleet, fleet.engines_in(fleet.zones[1])) == before
+    load.stop()
+    assert load.check() == []
+
+
+def test_request_that_crashes_engines_costs_two_at_most():
+    with Fleet(Sizes(engines=4, engine_options=ENGINE_OPTIONS)) as fleet:
+        fleet.start_serving()
+        load = Load(fleet, random.Random(SEED), chats=4, orders=0).start()
+        wait_for(1.0)
+        answers = [send_poison(fleet, number) for number in range(8)]
+        load.stop()
+        lost = [name for name in fleet.engines if fleet.processes[name].popen.poll() is not None]
+        assert 1 <= len(lost) <= 2
+        assert "quarantined" in {answer.read_error().get("reason") for answer in answers}
+        assert not any(answer.is_whole for answer in answers)
+        assert load.check() == []
+        assert load.counts["cut"] == load.counts["connection_lost"] == 0
+        assert load.counts["whole"] > 0
+
+
+def send_poison(fleet, number):
+    answer = send_chat(fleet, number % 3, f"say {POISON}", f"poison-{number % 2}")
+    wait_for(0.2)
+    if answer.status == 200 and not answer.has_error:
+        raise StepError(f"silently cut: {answer.body!r}")
+    return answer
