--- a/sassafrashook/routing/_waiting.py
+++ b/sassafrashook/routing/_waiting.py
@@ -33,14 +33,15 @@
         if state.suspects_.is_quarantined(query.fingerprint):
             self.assigner.refuse(entry, RefusalReason.QUARANTINED, 0)
         elif not state.may_grant():
-            self._add(entry)
+            self._admit(entry, 0.0, now)
         elif not self._is_served(query):
             self.assigner.refuse(entry, RefusalReason.NO_UPSTREAM, self._spread(ABSENT_RETRY_S))
         elif state.suspects_.is_suspect(query.fingerprint):
             self._add_suspect(entry)
             self.drain(entry.service, now)
         elif self._must_wait(entry) or not self.assigner.try_grant(entry, now):
-            self._admit(entry, now)
+            wait_s = entry.service.queue_.estimate_wait(entry, entry.service.running_)
+            self._admit(entry, wait_s, now)
 
     def withdraw(self, entry):
         """Forget an entry."""
@@ -104,9 +105,8 @@
         is_shared = len(self.state.shares_) > 1
         return service.is_at_ceiling(account, group, self.state.rules, is_shared)
 
-    def _admit(self, entry, now):
+    def _admit(self, entry, wait_s, now):
         service, rules = entry.service, self.state.rules
-        wait_s = service.queue_.estimate_wait(entry, service.running_)
         if len(service.queue_) >= rules.queue_max:
             self._refuse_late(entry, wait_s, now, RefusalReason.QUEUE_FULL)
         elif service.queue_.count_waiting(entry.query.account) >= rules.account_queue_max:
--- a/sassafrashook/routing/tests/test_takeover.py
+++ b/sassafrashook/routing/tests/test_takeover.py
@@ -60,6 +60,15 @@
     assert loads == [4, 2]
 
 
+def test_queue_is_capped_while_nothing_is_granted():
+    driver = TakeoverDriver()
+    driver.ledger.queue_max = 5
+    driver.open("r1")
+    answers = [driver.ask(request_id) for request_id in range(1, 10)]
+    assert answers[:5] == [None] * 5
+    assert {answer.reason for answer in answers[5:]} == {"queue_full"}
+
+
 def test_another_boot_is_no_report():
     driver = TakeoverDriver()
     driver.open("r1")
