--- a/sassafrashook/consensus/_core.py
+++ b/sassafrashook/consensus/_core.py
@@ -55,6 +55,8 @@
 SNAPSHOT_PIECE_BYTES = 256 * 1024
 SNAPSHOT_ENTRIES = 500
 TRAILING_ENTRIES = 100
+SNAPSHOT_COST_FACTOR = 4
+MAX_SNAPSHOT_INTERVALS = 50
 
 
 class ReplicaCore(
@@ -88,7 +90,8 @@
     :param max_batch_bytes: their size.
     :param max_uncommitted_entries: proposals beyond this are refused.
     :param snapshot_piece_bytes: size of one piece of a snapshot.
-    :param snapshot_entries: a snapshot is taken after this many committed entries.
+    :param snapshot_entries: a snapshot is taken after this many committed entries, later if
+        the state is large against the entries.
     :param trailing_entries: entries kept behind a snapshot for members that lag.
 
     Attributes: ``term_``, ``role_``, ``leader_`` (a name), ``commit_index_``,
@@ -269,6 +272,7 @@
         self.commit_index_ = self.snapshot_.index if self.snapshot_ else 0
         self.durable_index_ = self.log_.last_index
         self.snapshot_pending_ = False
+        self.bytes_since_snapshot_ = sum(len(entry.data) for entry in recovered.entries)
         self.restore_pending_ = False
         if self.snapshot_:
             self._actions.append(Restore(self.snapshot_))
@@ -386,20 +390,29 @@
             raise InvariantError(f"entry {index} is not synced and must not be applied")
         entries = tuple(self.log_.read(self.commit_index_ + 1, index))
         self.commit_index_ = index
+        self.bytes_since_snapshot_ += sum(len(entry.data) for entry in entries)
         self._actions.append(Apply(entries))
         self._want_snapshot()
 
     def _want_snapshot(self):
-        done = self.snapshot_.index if self.snapshot_ else 0
-        if self.snapshot_pending_ or self.commit_index_ - done < self.snapshot_entries:
-            return
+        """Ask for a snapshot once its cost is small against what the log has grown by."""
         configuration = self._configuration_at(self.commit_index_)
-        if configuration is None:
+        if self.snapshot_pending_ or configuration is None or not self._has_grown():
             return
         self.snapshot_pending_ = True
+        self.bytes_since_snapshot_ = 0
         term = self.log_.term_at(self.commit_index_)
         self._actions.append(TakeSnapshot(self.commit_index_, term, *configuration))
 
+    def _has_grown(self):
+        done = self.snapshot_.index if self.snapshot_ else 0
+        size = len(self.snapshot_.data) if self.snapshot_ else 0
+        entries = self.commit_index_ - done
+        if entries < self.snapshot_entries:
+            return False
+        is_long = entries >= MAX_SNAPSHOT_INTERVALS * self.snapshot_entries
+        return is_long or self.bytes_since_snapshot_ * SNAPSHOT_COST_FACTOR >= size
+
     def _on_snapshot_saved(self, event, now):
         self.snapshot_pending_ = False
         if self.snapshot_ and event.snapshot.index <= self.snapshot_.index:
--- a/sassafrashook/consensus/_replica.py
+++ b/sassafrashook/consensus/_replica.py
@@ -214,7 +214,7 @@
     def stop(self):
         """Stop taking part and release the data folder; waiting callers are told ``unknown``."""
         gevent.killall(self._greenlets)
-        self._writer.join()
+        self._writer.stop()
         self._waiters.resolve_all(ProposalError(ProposalFailure.UNKNOWN))
         for waiter in self._reads.values():
             waiter.result.set(False)
--- a/sassafrashook/consensus/_writer.py
+++ b/sassafrashook/consensus/_writer.py
@@ -1,9 +1,10 @@
 """Writes and syncs a replica's files without stalling the event loop."""
 
 import gevent
+from gevent.pool import Group
 from gevent.queue import SimpleQueue
 
-from sassafrashook.consensus._actions import Persist, Persisted, Snapshot, SnapshotSaved
+from sassafrashook.consensus._actions import Persisted, Snapshot, SnapshotSaved
 from sassafrashook.storage import StorageError
 
 __all__ = ["StorageWriter"]
@@ -22,7 +23,8 @@
         self.report = report
         self.fail = fail
         self._jobs = SimpleQueue()
-        self._pending = None
+        self._pending = set()
+        self._saving = Group()
         self._pool = gevent.get_hub().threadpool
 
     def put(self, persist):
@@ -30,13 +32,14 @@
         self._jobs.put(persist)
 
     def put_snapshot(self, action, data):
-        """Queue a local snapshot.
+        """Save a local snapshot beside the log; a received one is written after it.
 
         :param action: the :class:`TakeSnapshot`.
         :param data: the encoded state.
         """
         members = list(action.members)
-        self._jobs.put(Snapshot(action.index, action.term, action.members_index, members, data))
+        snapshot = Snapshot(action.index, action.term, action.members_index, members, data)
+        self._saving.spawn(self._save, snapshot)
 
     def run(self):
         """Write in order until a write fails."""
@@ -46,10 +49,11 @@
         except StorageError as error:
             self.fail(error)
 
-    def join(self):
-        """Wait for a write that is under way in the thread pool."""
-        if self._pending is not None:
-            self._pending.wait()
+    def stop(self):
+        """Begin no further snapshot, and wait for what is under way in the thread pool."""
+        self._saving.kill()
+        for pending in list(self._pending):
+            pending.wait()
 
     def _take_jobs(self):
         jobs = [self._jobs.get()]
@@ -58,22 +62,24 @@
         return jobs
 
     def _write(self, jobs):
-        persists = []
-        for job in jobs:
-            if isinstance(job, Persist):
-                persists.append(job)
-                continue
-            self._persist(persists)
-            persists = []
-            self._call(self.storage.save_snapshot, job)
-            self.report(SnapshotSaved(job))
-        self._persist(persists)
-
-    def _persist(self, persists):
-        if persists:
-            self._call(self.storage.persist, persists)
-            self.report(Persisted(persists[-1].sequence))
+        if any(job.snapshot is not None for job in jobs):
+            self._saving.join()
+        self._call(self.storage.persist, jobs)
+        self.report(Persisted(jobs[-1].sequence))
+
+    def _save(self, snapshot):
+        try:
+            self._call(self.storage.save_snapshot, snapshot)
+        except StorageError as error:
+            self.fail(error)
+        else:
+            self.report(SnapshotSaved(snapshot))
 
     def _call(self, function, argument):
-        self._pending = self._pool.spawn(function, argument)
-        self._pending.get()
+        pending = self._pool.spawn(function, argument)
+        self._pending.add(pending)
+        try:
+            pending.get()
+        finally:
+            if pending.ready():
+                self._pending.discard(pending)
