--- a/sassafrashook/consensus/_core.py
+++ b/sassafrashook/consensus/_core.py
@@ -1,30 +1,22 @@
 """The replicated log's decisions, without input or output."""
 
-from collections import Counter, deque
+from collections import Counter
 
 from sassafrashook.base import Core
 from sassafrashook.consensus._actions import (
-    Apply,
-    InvariantError,
-    Persist,
     Persisted,
     ProposalsOffered,
     ReadOffered,
     ReplaceMember,
-    Restore,
     Role,
-    RoleChanged,
-    SendMessage,
     SnapshotSaved,
-    TakeSnapshot,
     TransferLeadership,
 )
 from sassafrashook.consensus._admission import AdmissionMixin
+from sassafrashook.consensus._durability import DurabilityMixin
 from sassafrashook.consensus._elections import ElectionMixin
-from sassafrashook.consensus._log import EntryLog
-from sassafrashook.consensus._membership import MembershipMixin, decode_members
+from sassafrashook.consensus._membership import MembershipMixin
 from sassafrashook.consensus._messages import (
-    MEMBERS,
     AppendAnswered,
     AppendRequested,
     ElectionRequested,
@@ -55,8 +47,6 @@
 SNAPSHOT_PIECE_BYTES = 256 * 1024
 SNAPSHOT_ENTRIES = 500
 TRAILING_ENTRIES = 100
-SNAPSHOT_COST_FACTOR = 4
-MAX_SNAPSHOT_INTERVALS = 50
 
 
 class ReplicaCore(
@@ -66,6 +56,7 @@
     SnapshotTransferMixin,
     MembershipMixin,
     ReadMixin,
+    DurabilityMixin,
     Core,
 ):
     """One replica of a Raft-style replicated log.
@@ -249,174 +240,3 @@
         if self.role_ is Role.UNBOUND:
             return self.announce_deadline_
         return self.election_deadline_
-
-    def _reset_outputs(self):
-        self.sequence_ = 0
-        self.persisted_sequence_ = 0
-        self.state_sequence_ = 0
-        self._actions = []
-        self._held = deque()
-        self._outstanding = deque()
-        self._new_messages = []
-        self._state_changed = False
-        self._changed_from = None
-        self._install = None
-        self._compact = False
-        self._told_role = None
-
-    def _recover(self, recovered):
-        self.term_ = recovered.term
-        self.voted_for_ = recovered.voted_for
-        self.snapshot_ = recovered.snapshot
-        self.log_ = EntryLog(recovered.base_index, recovered.base_term, recovered.entries)
-        self.commit_index_ = self.snapshot_.index if self.snapshot_ else 0
-        self.durable_index_ = self.log_.last_index
-        self.snapshot_pending_ = False
-        self.bytes_since_snapshot_ = sum(len(entry.data) for entry in recovered.entries)
-        self.restore_pending_ = False
-        if self.snapshot_:
-            self._actions.append(Restore(self.snapshot_))
-
-    def _send(self, peer, message):
-        self._new_messages.append(SendMessage(peer, message))
-
-    def _header(self, recipient):
-        return (
-            self.group,
-            self.name,
-            self.identity,
-            recipient,
-            self.boot,
-            self.boot_id,
-            self.term_,
-            self.configuration_index_,
-        )
-
-    def _append_entry(self, entry):
-        self.log_.append(entry)
-        self._note_changed(entry.index)
-        if entry.kind == MEMBERS:
-            self._add_configuration(entry.index, decode_members(entry.data))
-
-    def _truncate(self, index):
-        if index <= self.commit_index_:
-            raise InvariantError(f"entry {index} is committed and must not be replaced")
-        self.log_.truncate(index)
-        self.durable_index_ = min(self.durable_index_, index - 1)
-        self._outstanding = deque((s, min(last, index - 1)) for s, last in self._outstanding)
-        self._drop_configurations(index)
-        self._note_changed(index)
-
-    def _note_changed(self, index):
-        if self._changed_from is None or index < self._changed_from:
-            self._changed_from = index
-
-    def _set_term(self, term, voted_for=""):
-        if term < self.term_ or (term == self.term_ and self.voted_for_ not in ("", voted_for)):
-            raise InvariantError(f"term {term} or its vote would be taken back")
-        self.term_ = term
-        self.voted_for_ = voted_for
-        self._state_changed = True
-
-    def _finish(self, now):
-        """Bundle what changed into one :class:`Persist`, and release what may be sent."""
-        if self.role_ is Role.LEADER:
-            self._start_wanted_round(now)
-        self._emit_persist()
-        for action in self._new_messages:
-            self._held.append((self.state_sequence_, action))
-        self._new_messages = []
-        self._release_messages()
-        self._tell_role()
-        actions = self._actions
-        self._actions = []
-        return actions
-
-    def _emit_persist(self):
-        if not (self._state_changed or self._changed_from is not None or self._compact):
-            return
-        self.sequence_ += 1
-        if self._state_changed:
-            self.state_sequence_ = self.sequence_
-        log = self.log_
-        first = log.base_index + 1 if self._compact else self._changed_from
-        entries = () if first is None else tuple(log.read(first, log.last_index))
-        self._actions.append(
-            Persist(
-                self.sequence_,
-                self.term_,
-                self.voted_for_,
-                self.genesis_,
-                entries,
-                self._compact,
-                log.base_index,
-                log.base_term,
-                self._install,
-            )
-        )
-        self._outstanding.append((self.sequence_, log.last_index))
-        if self._install is not None:
-            self._install_sequence = self.sequence_
-        self._state_changed = False
-        self._changed_from = None
-        self._compact = False
-        self._install = None
-
-    def _release_messages(self):
-        while self._held and self._held[0][0] <= self.persisted_sequence_:
-            self._actions.append(self._held.popleft()[1])
-
-    def _tell_role(self):
-        told = RoleChanged(self.role_, self.term_, self.leader_)
-        if told != self._told_role:
-            self._told_role = told
-            self._actions.append(told)
-
-    def _on_persisted(self, event, now):
-        self.persisted_sequence_ = max(self.persisted_sequence_, event.sequence)
-        while self._outstanding and self._outstanding[0][0] <= event.sequence:
-            self.durable_index_ = max(self.durable_index_, self._outstanding.popleft()[1])
-        self._finish_restore()
-        if self.role_ is Role.LEADER:
-            self._advance_commit(now)
-        else:
-            self._count_votes(now)
-            self._acknowledge_synced(now)
-
-    def _commit_to(self, index):
-        if index <= self.commit_index_ or self.restore_pending_:
-            return
-        if index > self.durable_index_:
-            raise InvariantError(f"entry {index} is not synced and must not be applied")
-        entries = tuple(self.log_.read(self.commit_index_ + 1, index))
-        self.commit_index_ = index
-        self.bytes_since_snapshot_ += sum(len(entry.data) for entry in entries)
-        self._actions.append(Apply(entries))
-        self._want_snapshot()
-
-    def _want_snapshot(self):
-        """Ask for a snapshot once its cost is small against what the log has grown by."""
-        configuration = self._configuration_at(self.commit_index_)
-        if self.snapshot_pending_ or configuration is None or not self._has_grown():
-            return
-        self.snapshot_pending_ = True
-        self.bytes_since_snapshot_ = 0
-        term = self.log_.term_at(self.commit_index_)
-        self._actions.append(TakeSnapshot(self.commit_index_, term, *configuration))
-
-    def _has_grown(self):
-        done = self.snapshot_.index if self.snapshot_ else 0
-        size = len(self.snapshot_.data) if self.snapshot_ else 0
-        entries = self.commit_index_ - done
-        if entries < self.snapshot_entries:
-            return False
-        is_long = entries >= MAX_SNAPSHOT_INTERVALS * self.snapshot_entries
-        return is_long or self.bytes_since_snapshot_ * SNAPSHOT_COST_FACTOR >= size
-
-    def _on_snapshot_saved(self, event, now):
-        self.snapshot_pending_ = False
-        if self.snapshot_ and event.snapshot.index <= self.snapshot_.index:
-            return
-        self.snapshot_ = event.snapshot
-        self.log_.compact(self.snapshot_.index - self.trailing_entries)
-        self._compact = True
--- a/sassafrashook/consensus/_membership.py
+++ b/sassafrashook/consensus/_membership.py
@@ -100,10 +100,12 @@
         self._announce_to_all()
 
     def _announce_to_all(self):
-        names = {*self.members, *(member.name for member in self.configuration_)}
-        for name in sorted(names - {self.name}):
+        for name in sorted(self._names() - {self.name}):
             self._announce(name, "")
 
+    def _names(self):
+        return {*self.members, *(member.name for member in self.configuration_)}
+
     def _announce(self, name, recipient):
         genesis = self.genesis_ or Genesis({})
         message = IdentityAnnounced(*self._header(recipient), genesis.bindings, genesis.sealed)
@@ -178,7 +180,7 @@
         """
         if self.role_ is not Role.LEADER:
             return "not_leader"
-        if name == self.name or name not in [m.name for m in self.configuration_]:
+        if name == self.name or name not in self._names():
             return "not_another_member"
         if self._announced_identity(name, now) is None:
             return "no_new_identity"
