--- a/sassafrashook/consensus/tests/test_core.py
+++ b/sassafrashook/consensus/tests/test_core.py
@@ -128,6 +128,22 @@
     assert core.role_ is Role.UNBOUND
 
 
+def test_founding_binds_each_name_to_one_identity_for_good():
+    core = make_core(recovered=RecoveredState(), bootstrap=True)
+    shown = {"a": "ia", "b": "ib"}
+    for name, identity in (("b", "ib"), ("b", "other"), ("c", "ic")):
+        bindings = {**shown, name: identity}
+        header = head(name, 0, identity=identity, configuration=-1)
+        persist_all(core, core.handle(IdentityAnnounced(*header, bindings, False), 1.0), 1.0)
+    assert core.genesis_ == Genesis(SEALED.bindings, False)
+    assert not core.handle(ask_vote("b", 1, configuration=-1), LATER)
+    for name in "bc":
+        header = head(name, 0, configuration=-1)
+        core.handle(IdentityAnnounced(*header, SEALED.bindings, False), 1.0)
+    assert core.genesis_ == SEALED
+    assert core.role_ is Role.FOLLOWER
+
+
 def test_unknown_and_copied_identities_are_refused_and_counted():
     core = make_core()
     core.handle(heartbeat("b", 1), LATER)
--- /dev/null
+++ b/sassafrashook/consensus/tests/writing_process.py
@@ -0,0 +1,39 @@
+"""A process that proposes numbers to a group of one and prints each that was committed."""
+
+import sys
+import time
+
+from returns.result import Success
+
+from sassafrashook.consensus import Replica
+from sassafrashook.consensus.tests.test_replica import Recorder
+
+WAIT_S = 30
+
+
+def main(folder):
+    """Print how many commands were recovered, then each reply, until killed."""
+    replica = Replica(
+        "a",
+        ("a",),
+        folder,
+        Recorder(),
+        None,
+        bootstrap=True,
+        heartbeat_ms=20,
+        election_min_ms=50,
+        election_max_ms=100,
+        snapshot_entries=20,
+    )
+    replica.start()
+    while not replica.leading_term(time.monotonic()):
+        replica.confirm_read(time.monotonic() + 0.1)
+    print(replica.state_machine.state[0], flush=True)
+    while True:
+        result = replica.propose(b"x", time.monotonic() + WAIT_S)
+        if isinstance(result, Success):
+            print(result.unwrap().decode(), flush=True)
+
+
+if __name__ == "__main__":
+    main(sys.argv[1])
