--- a/sassafrashook/consensus/_durability.py
+++ b/sassafrashook/consensus/_durability.py
@@ -193,5 +193,14 @@
         if self.snapshot_ and event.snapshot.index <= self.snapshot_.index:
             return
         self.snapshot_ = event.snapshot
-        self.log_.compact(self.snapshot_.index - self.trailing_entries)
+        self.log_.compact(self._find_compaction_index(now))
         self._compact = True
+
+    def _find_compaction_index(self, now):
+        """Keep some entries for members that lag, and those after a snapshot on its way."""
+        index = self.snapshot_.index - self.trailing_entries
+        transfer_index = self._find_transfer_index(now)
+        if transfer_index is None:
+            return index
+        longest = MAX_SNAPSHOT_INTERVALS * self.snapshot_entries
+        return min(index, max(transfer_index, self.snapshot_.index - longest))
--- a/sassafrashook/consensus/_progress.py
+++ b/sassafrashook/consensus/_progress.py
@@ -21,7 +21,7 @@
         "match_index",
         "next_index",
         "probing",
-        "snapshot_index",
+        "snapshot",
         "snapshot_offset",
         "snapshot_resend_at",
     )
@@ -35,7 +35,7 @@
         self.in_flight_bytes = 0
         self.probing = True
         self.last_progress_at = now
-        self.snapshot_index = 0
+        self.snapshot = None
         self.snapshot_offset = 0
         self.snapshot_resend_at = now
 
@@ -58,6 +58,8 @@
             self.match_index = index
             self.last_progress_at = now
         self.next_index = max(self.next_index, self.match_index + 1)
+        if self.snapshot is not None and self.snapshot.index <= self.match_index:
+            self.snapshot = None
         return advanced
 
     def restart(self, next_index, now):
--- a/sassafrashook/consensus/_snapshot_transfer.py
+++ b/sassafrashook/consensus/_snapshot_transfer.py
@@ -20,14 +20,17 @@
         self._install_sequence = 0
 
     def _send_snapshot(self, member, progress, now):
-        """Send the piece that is due, unless it was sent a short while ago."""
-        snapshot = self.snapshot_
-        if progress.snapshot_index != snapshot.index:
-            progress.snapshot_index = snapshot.index
+        """Send the piece that is due, unless it was sent a short while ago.
+
+        A transfer goes on with the snapshot that it began with, however many are taken meanwhile.
+        """
+        if progress.snapshot is None:
+            progress.snapshot = self.snapshot_
             progress.snapshot_offset = 0
         elif now < progress.snapshot_resend_at:
             return
         progress.snapshot_resend_at = now + RESEND_HEARTBEATS * self.heartbeat_s_
+        snapshot = progress.snapshot
         offset = progress.snapshot_offset
         piece = SnapshotPiece(
             *self._header(member.identity),
@@ -43,13 +46,20 @@
         )
         self._send(member.name, piece)
 
+    def _find_transfer_index(self, now):
+        """Return the lowest index of the snapshots that live members are receiving, or ``None``."""
+        live_since = now - self.election_max_s_
+        progresses = [p for p in self.progress_.values() if p.heard_at >= live_since]
+        indexes = [p.snapshot.index for p in progresses if p.snapshot is not None]
+        return min(indexes, default=None)
+
     def _on_snapshot_answered(self, message, now):
         progress = self.progress_.get(message.identity)
         if progress is None or message.term != self.term_:
             return
         progress.heard_at = now
         self._note_round(progress, message.round_number, now)
-        if message.index == progress.snapshot_index:
+        if progress.snapshot is not None and message.index == progress.snapshot.index:
             progress.snapshot_offset = message.offset
             progress.snapshot_resend_at = now
             self._continue_sending(message.identity, now)
--- a/sassafrashook/consensus/tests/test_core.py
+++ b/sassafrashook/consensus/tests/test_core.py
@@ -8,6 +8,7 @@
 from sassafrashook.consensus import (
     CONSENSUS_MESSAGES,
     InvariantError,
+    Member,
     Persist,
     Persisted,
     Proposal,
@@ -17,6 +18,8 @@
     ReplicaCore,
     Role,
     SendMessage,
+    Snapshot,
+    SnapshotSaved,
 )
 from sassafrashook.consensus._actions import Genesis
 from sassafrashook.consensus._messages import (
@@ -24,6 +27,8 @@
     AppendRequested,
     Entry,
     IdentityAnnounced,
+    SnapshotAnswered,
+    SnapshotPiece,
     VoteAnswered,
     VoteRequested,
 )
@@ -203,3 +208,18 @@
     data = msgspec.msgpack.decode(msgspec.msgpack.encode(message))
     (kind,) = [k for k in CONSENSUS_MESSAGES if k.__name__ == data[0]]
     assert msgspec.convert(data, kind) == message
+
+
+def test_transfer_of_a_snapshot_goes_on_while_newer_ones_are_taken():
+    members = [Member(name, identity) for name, identity in SEALED.bindings.items()]
+    old = Snapshot(10, 1, 0, members, b"x" * 20)
+    recovered = RecoveredState(genesis=SEALED, base_index=10, base_term=1, snapshot=old, term=1)
+    core = make_core(recovered=recovered, snapshot_piece_bytes=8, trailing_entries=0)
+    elect(core)
+    refused = AppendAnswered(*head("b", core.term_), False, 0, 0, core.round_)
+    (piece,) = find_sent(core.handle(refused, LATER), SnapshotPiece)
+    core.handle(SnapshotSaved(Snapshot(11, 2, 0, members, b"y" * 20)), LATER)
+    answer = SnapshotAnswered(*head("b", core.term_), 10, 8, core.round_)
+    (second,) = find_sent(core.handle(answer, LATER), SnapshotPiece)
+    assert (piece.offset, second.offset, second.index) == (0, 8, 10)
+    assert core.log_.base_index == 10
