Random runs cover attempts that ended unsent; clocks out of range are refused

Keys are freed by not_run completions in the runs now. Caught with the mechanism off: a key freed whatever its outcome, and a released attempt granted again.

--- a/sassafrashook/state/_machine.py
+++ b/sassafrashook/state/_machine.py
@@ -18,6 +18,7 @@
 __all__ = ["FleetStateMachine", "UnsupportedVersionError"]
 
 DIGEST_BYTES = 16
+MAX_CLOCK_MS = 2**53
 _ENCODER = msgspec.msgpack.Encoder()
 
 
@@ -130,7 +131,7 @@
         return self.revisions_.fleet_state()
 
     def _apply_envelope(self, envelope):
-        if envelope is None:
+        if envelope is None or not 0 <= envelope.now_ms <= MAX_CLOCK_MS:
             return CommandRefused("malformed")
         if envelope.version > self.version_ or envelope.version < 1:
             return CommandRefused("unsupported_version")
--- a/sassafrashook/state/tests/test_replicas.py
+++ b/sassafrashook/state/tests/test_replicas.py
@@ -75,6 +75,7 @@
         self.deadlines = {}
         self.granted = {}
         self.recorded = {}
+        self.released = set()
         self.outcomes = {}
         self.sent = []
         self.revision = 0
@@ -121,13 +122,18 @@
         return ClaimBatch([self.make_claim() for _ in range(self.rng.randint(1, 3))])
 
     def make_claim(self):
-        key = f"k{self.rng.randint(max(0, self.now_ms // 200 - 30), self.now_ms // 200)}"
+        newest = self.now_ms // 400
+        key = f"k{self.rng.randint(max(0, newest - 12), newest)}"
         deadline_ms = self.deadlines.setdefault(key, self.now_ms + self.rng.randint(100, 1_500))
         attempt = f"{key}-{self.rng.randint(1, 4)}"
         account = f"a{hash_digit(key)}"
         if self.rng.random() < 0.4:
+            if key in self.granted and self.rng.random() < 0.7:
+                attempt = self.granted[key][0]
             body = b"x" * self.rng.randint(0, 30)
-            answer = RecordedAnswer(self.rng.choice(("ran", "may_have_run")), 200, "t", body)
+            answer = RecordedAnswer(
+                self.rng.choice(("ran", "may_have_run", "not_run", "not_run")), 200, "t", body
+            )
             return CompleteClaim(attempt, account, "s", key, answer)
         return Claim(attempt, account, "s", key, self.rng.choice("ddde"), deadline_ms)
 
@@ -182,14 +188,11 @@
     def check_claim(self, entry, decision):
         key = entry.key
         if decision.status == ClaimStatus.GRANTED:
-            first = self.granted.setdefault(key, (entry.attempt, entry.digest))
-            if first != (entry.attempt, entry.digest):
-                raise ViolationError(f"{key} was granted to two attempts or bodies")
-            if key in self.recorded:
-                raise ViolationError(f"{key} was granted after its outcome was recorded")
-            if self.replicas[0].clock_ms_ >= self.deadlines[key]:
-                raise ViolationError(f"{key} was granted past its deadline")
+            self.check_grant(entry)
         if decision.status == ClaimStatus.RECORDED:
+            is_first = key not in self.recorded
+            if is_first and isinstance(entry, CompleteClaim) and entry.answer.verdict == "not_run":
+                self.released.add(entry.attempt)
             verdict = self.recorded.setdefault(key, decision.answer.verdict)
             if verdict == "ran" and decision.answer.verdict != "ran":
                 raise ViolationError(f"the verdict on {key} changed")
@@ -197,6 +200,23 @@
             if isinstance(entry, Claim) and entry.digest != self.granted[key][1]:
                 raise ViolationError(f"another body of {key} got its answer")
 
+    def check_grant(self, entry):
+        key = entry.key
+        holder, digest = self.granted.get(key, (entry.attempt, entry.digest))
+        if holder != entry.attempt and holder in self.released:
+            self.recorded.pop(key)
+        elif (holder, digest) != (entry.attempt, entry.digest):
+            raise ViolationError(f"{key} was granted to two attempts or bodies")
+        if entry.attempt in self.released:
+            raise ViolationError(f"{key} was granted to an attempt that had ended")
+        if digest != entry.digest:
+            raise ViolationError(f"{key} was granted for another body")
+        if key in self.recorded:
+            raise ViolationError(f"{key} was granted after its outcome was recorded")
+        if self.replicas[0].clock_ms_ >= self.deadlines[key]:
+            raise ViolationError(f"{key} was granted past its deadline")
+        self.granted[key] = (entry.attempt, entry.digest)
+
     def check_change(self, command, reply):
         if reply.reason in ("deadline_passed", "too_many_commands"):
             return
@@ -253,6 +273,23 @@
         return True
 
 
+class _EveryEndFrees(ClaimTable):
+    """Frees a key whatever its outcome was."""
+
+    def complete(self, command, now_ms):
+        reply = super().complete(command, now_ms)
+        record = self.records_.get((command.account, command.service, command.key))
+        if record is not None and record.answer is not None:
+            record.released = list({*record.released, record.attempt})
+        return reply
+
+
+class _ReleasedAttemptsForgotten(ClaimTable):
+    def _grant_again(self, record, command):
+        super()._grant_again(record, command)
+        record.released = []
+
+
 class _NoMemory(CommandMemory):
     def recall(self, command):
         return False, None
@@ -289,6 +326,8 @@
         ("claims_class", _NoDeadlines, "granted"),
         ("claims_class", _ForgottenAtExpiry, "granted to two attempts"),
         ("claims_class", _AnyDigest, "another body"),
+        ("claims_class", _EveryEndFrees, "granted to two attempts"),
+        ("claims_class", _ReleasedAttemptsForgotten, "an attempt that had ended"),
         ("memory_class", _NoMemory, "two outcomes"),
         ("memory_class", _EarlyMemory, "two outcomes"),
         ("orders_class", _LastHolderGoes, "last holder"),
--- a/sassafrashook/state/tests/test_state.py
+++ b/sassafrashook/state/tests/test_state.py
@@ -276,6 +276,8 @@
     [
         (b"", "malformed"),
         (b"\xc1\x00", "malformed"),
+        (encode_command(AdvanceClock(), 2**64 - 1), "malformed"),
+        (encode_command(AdvanceClock(), -1), "malformed"),
         (encode_command(AdvanceClock(), 1, version=2), "unsupported_version"),
         (encode_command(AdvanceClock(), 1, version=0), "unsupported_version"),
         (encode_command(CommandRefused("x"), 9_999), "unknown_command"),
