A refused attempt is not granted later by a late copy of its message

Cause: since an attempt that ended unsent frees its key, a late copy of a claim that had already been told running could take the key; nobody runs then and the key stays taken until its deadline. Refused attempts are remembered, the latest 32 a key, and meet their first outcome; a repeated not_run completion is answered as the first one was.

--- a/sassafrashook/state/_claims.py
+++ b/sassafrashook/state/_claims.py
@@ -21,6 +21,7 @@
     :param forget_ms: from then on the record is forgotten.
     :param retired: whether ``keep_ms`` has passed, so that the record goes when room is short.
     :param released: attempts that recorded, before a byte was sent, that they will never run.
+    :param refused: attempts, latest last, that were told that another one runs.
     """
 
     account: str
@@ -34,6 +35,7 @@
     answer: RecordedAnswer | None = None
     retired: bool = False
     released: list[str] = []
+    refused: list[str] = []
 
     @property
     def name(self):
@@ -53,7 +55,8 @@
     forgetting a record never lets the same call run again.
 
     An attempt that recorded ``not_run`` will never run; another attempt may then be granted the
-    key, and the released one never again.
+    key, and the released one never again. An attempt that was refused because another one ran is
+    not granted later either: a late copy of its message would take the key for nobody.
 
     :param limits: a :class:`~sassafrashook.state.StateLimits`.
     """
@@ -97,7 +100,7 @@
         if record is None:
             return ClaimReply(ClaimStatus.EXPIRED)
         if record.attempt != command.attempt:
-            return ClaimReply(ClaimStatus.CONFLICT)
+            return _repeat_release(record, command)
         if record.answer is None and command.answer.verdict == Verdict.NOT_RUN:
             record.released = [*record.released, record.attempt]
         if record.answer is None or _refines(record.answer, command.answer):
@@ -136,16 +139,23 @@
         if not self._matches_digest(record, command):
             return ClaimReply(ClaimStatus.CONFLICT)
         self._extend(record, command, now_ms)
+        if command.attempt in record.refused:
+            return ClaimReply(ClaimStatus.RUNNING)
         if self._may_grant_again(record, command, now_ms):
             self._grant_again(record, command)
         if record.answer is not None:
             return ClaimReply(ClaimStatus.RECORDED, record.answer)
         if record.attempt != command.attempt:
-            return ClaimReply(ClaimStatus.RUNNING)
+            return self._refuse_attempt(record, command)
         if record.deadline_ms <= now_ms:
             return ClaimReply(ClaimStatus.EXPIRED)
         return ClaimReply(ClaimStatus.GRANTED)
 
+    def _refuse_attempt(self, record, command):
+        latest = [*record.refused, command.attempt]
+        record.refused = latest[-self.limits.max_refused_attempts :]
+        return ClaimReply(ClaimStatus.RUNNING)
+
     def _may_grant_again(self, record, command, now_ms):
         if record.answer is None or record.attempt not in record.released:
             return False
@@ -248,6 +258,14 @@
     return (command.account, command.service, command.key)
 
 
+def _repeat_release(record, command):
+    """Decide on the completion of an attempt that does not hold the key, or no longer does."""
+    was_released = command.attempt in record.released
+    if was_released and command.answer.verdict == Verdict.NOT_RUN:
+        return ClaimReply(ClaimStatus.RECORDED, command.answer)
+    return ClaimReply(ClaimStatus.CONFLICT)
+
+
 def _body_bytes(answer):
     return len(answer.body) if answer is not None else 0
 
--- a/sassafrashook/state/_limits.py
+++ b/sassafrashook/state/_limits.py
@@ -16,6 +16,7 @@
     :param max_account_claims: records within their deadlines that one client account may hold.
     :param max_key_chars: longest idempotency key, attempt or digest.
     :param max_released_attempts: attempts at one key that may end unsent before it stays refused.
+    :param max_refused_attempts: attempts at one key that are remembered as refused.
     :param max_answer_bytes: longest recorded body; a longer one is recorded without its body.
     :param max_answers_bytes: all recorded bodies together.
     :param command_horizon_ms: how far ahead an operator command's deadline may lie.
@@ -38,6 +39,7 @@
     max_account_claims: int = 50_000
     max_key_chars: int = 256
     max_released_attempts: int = 32
+    max_refused_attempts: int = 32
     max_answer_bytes: int = 65_536
     max_answers_bytes: int = 16_777_216
     command_horizon_ms: int = 86_400_000
--- a/sassafrashook/state/tests/test_histories.py
+++ b/sassafrashook/state/tests/test_histories.py
@@ -24,7 +24,7 @@
 from sassafrashook.state.tests.linearizability import Operation, is_linearizable
 
 FIRST_SEED = int(os.environ.get("SEED", "1"))
-SEEDS = range(FIRST_SEED, FIRST_SEED + 60 * int(os.environ.get("SOAK", "1")))
+SEEDS = range(FIRST_SEED, FIRST_SEED + 180 * int(os.environ.get("SOAK", "1")))
 CLIENTS = 3
 OPERATIONS = 5
 SENDS = 3
@@ -100,8 +100,8 @@
         entry = Claim(attempt, "a", "s", key, digest, NEVER_MS)
         return propose(state, ClaimBatch([entry]), now_ms).entries[0].status
     if kind == "complete":
-        key, attempt = values
-        entry = CompleteClaim(attempt, "a", "s", key, RecordedAnswer("ran", 200, "", b""))
+        key, attempt, verdict = values
+        entry = CompleteClaim(attempt, "a", "s", key, RecordedAnswer(verdict, 200, "", b""))
         return propose(state, ClaimBatch([entry]), now_ms).entries[0].status
     if kind == "apply":
         command_id, expected = values
@@ -150,29 +150,48 @@
     key = rng.choice(("k1", "k2"))
     if rng.random() < 0.3:
         granted = [o.call for o in network.history if o.result == ClaimStatus.GRANTED]
-        return "complete", key, next((c[2] for c in granted if c[1] == key), name)
+        holder = next((c[2] for c in reversed(granted) if c[1] == key), name)
+        return "complete", key, holder, rng.choice(("ran", "not_run", "not_run"))
     return "claim", key, name, rng.choice(("d1", "d1", "d1", "d2"))
 
 
 def specify_claim(state, call):
+    """State of a key: the attempt that holds it, its digest, its verdict, the released ones."""
     records = dict(state)
-    kind, key, attempt, *digest = call
+    kind, key, attempt, value = call
     record = records.get(key)
     if kind == "complete":
-        if record is None:
-            return state, ClaimStatus.EXPIRED
-        if record[0] != attempt:
-            return state, ClaimStatus.CONFLICT
-        records[key] = (*record[:2], True)
-        return tuple(sorted(records.items())), ClaimStatus.RECORDED
+        records[key], result = specify_completion(record, attempt, value)
+    else:
+        records[key], result = specify_request(record, attempt, value)
+    return tuple(sorted((k, r) for k, r in records.items() if r is not None)), result
+
+
+def specify_completion(record, attempt, verdict):
+    if record is None:
+        return None, ClaimStatus.EXPIRED
+    holder, digest, first, released = record
+    if holder != attempt:
+        repeats = attempt in released and verdict == "not_run"
+        return record, ClaimStatus.RECORDED if repeats else ClaimStatus.CONFLICT
+    if first:
+        return record, ClaimStatus.RECORDED
+    if verdict == "not_run":
+        released = (*released, attempt)
+    return (holder, digest, verdict, released), ClaimStatus.RECORDED
+
+
+def specify_request(record, attempt, digest):
     if record is None:
-        records[key] = (attempt, digest[0], False)
-        return tuple(sorted(records.items())), ClaimStatus.GRANTED
-    if record[1] != digest[0]:
-        return state, ClaimStatus.CONFLICT
-    if record[2]:
-        return state, ClaimStatus.RECORDED
-    return state, ClaimStatus.GRANTED if record[0] == attempt else ClaimStatus.RUNNING
+        return (attempt, digest, "", ()), ClaimStatus.GRANTED
+    holder, known, verdict, released = record
+    if known != digest:
+        return record, ClaimStatus.CONFLICT
+    if verdict == "not_run" and attempt not in released:
+        return (attempt, digest, "", released), ClaimStatus.GRANTED
+    if verdict:
+        return record, ClaimStatus.RECORDED
+    return record, ClaimStatus.GRANTED if holder == attempt else ClaimStatus.RUNNING
 
 
 CASES = {
@@ -233,6 +252,13 @@
         return super().complete(command, now_ms)
 
 
+class _LateCopiesGranted(ClaimTable):
+    def _refuse_attempt(self, record, command):
+        reply = super()._refuse_attempt(record, command)
+        record.refused = []
+        return reply
+
+
 @pytest.mark.parametrize(
     ("case", "part", "broken"),
     [
@@ -241,6 +267,7 @@
         ("claims", "claims_class", _AnyDigest),
         ("claims", "claims_class", _AnyAttempt),
         ("claims", "claims_class", _Overwriting),
+        ("claims", "claims_class", _LateCopiesGranted),
     ],
 )
 def test_search_catches_a_missing_mechanism(case, part, broken):
