--- a/sassafrashook/routing/_sessions.py
+++ b/sassafrashook/routing/_sessions.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from sassafrashook.routing._events import KnownRouter
 from sassafrashook.routing._services import ServiceState
 from sassafrashook.routing._upstreams import UpstreamState
 
@@ -12,6 +13,7 @@
 
     :param upstream: the state under which it is counted.
     :param boot_id: boot of the upstream that it was granted for.
+    :param ramp: ``ramp_`` of the upstream's :class:`WarmUp` at that time.
     :param service: the :class:`ServiceState` that it is counted for.
     :param granted: seconds when it was granted or taken over.
     :param isolated: whether nothing else may run beside it.
@@ -22,6 +24,7 @@
     request_id: int
     upstream: UpstreamState
     boot_id: str
+    ramp: int
     service: ServiceState
     account: str
     fingerprint: int
@@ -29,6 +32,10 @@
     isolated: bool = False
     grant: object = None
 
+    def is_of_this_boot(self):
+        """Return whether its upstream has not started anew since it was granted."""
+        return self.boot_id == self.upstream.announcement.boot_id
+
 
 class Session:
     """One router's session in one term.
@@ -65,6 +72,10 @@
         self.waiting_ = {}
         self.ended_ = set()
 
+    def identity(self):
+        """Return the router's process as a :class:`KnownRouter`."""
+        return KnownRouter(self.router, self.boot_id)
+
     def note_ended(self, request_id):
         """Remember a release that came before the permit was known to this term."""
         if not self.reported_:
--- a/sassafrashook/routing/_upstreams.py
+++ b/sassafrashook/routing/_upstreams.py
@@ -81,7 +81,9 @@
     def room(self):
         """Its load if it may take one more, else -1."""
         load = self.load
-        return load if self.live_ and not self.reserved_ and load < self.warm_up_.limit_ else -1
+        if not self.live_ or load >= self.warm_up_.limit_:
+            return -1
+        return -1 if self.reserved_ or self.runs_isolated() else load
 
     def takes_new_work(self):
         """Return whether it is there, not leaving, and in an open zone."""
