A question about a key leaves no refused attempt

Routers ask about a key by a claim whose deadline has passed, which can't be granted; each would have taken one of the 32 remembered refusals.

--- a/sassafrashook/state/_claims.py
+++ b/sassafrashook/state/_claims.py
@@ -146,12 +146,15 @@
         if record.answer is not None:
             return ClaimReply(ClaimStatus.RECORDED, record.answer)
         if record.attempt != command.attempt:
-            return self._refuse_attempt(record, command)
+            return self._refuse_attempt(record, command, now_ms)
         if record.deadline_ms <= now_ms:
             return ClaimReply(ClaimStatus.EXPIRED)
         return ClaimReply(ClaimStatus.GRANTED)
 
-    def _refuse_attempt(self, record, command):
+    def _refuse_attempt(self, record, command, now_ms):
+        """Refuse an attempt for good; one past its deadline needs no memory, as with questions."""
+        if command.deadline_ms <= now_ms:
+            return ClaimReply(ClaimStatus.RUNNING)
         latest = [*record.refused, command.attempt]
         record.refused = latest[-self.limits.max_refused_attempts :]
         return ClaimReply(ClaimStatus.RUNNING)
--- a/sassafrashook/state/tests/test_histories.py
+++ b/sassafrashook/state/tests/test_histories.py
@@ -253,8 +253,8 @@
 
 
 class _LateCopiesGranted(ClaimTable):
-    def _refuse_attempt(self, record, command):
-        reply = super()._refuse_attempt(record, command)
+    def _refuse_attempt(self, record, command, now_ms):
+        reply = super()._refuse_attempt(record, command, now_ms)
         record.refused = []
         return reply
 
--- a/sassafrashook/state/tests/test_state.py
+++ b/sassafrashook/state/tests/test_state.py
@@ -152,6 +152,16 @@
     assert claim(state, "a2").status == ClaimStatus.RECORDED
 
 
+def test_refused_attempt_stays_refused_but_a_question_leaves_nothing():
+    state = FleetStateMachine()
+    claim(state, "a1")
+    assert claim(state, "a2").status == ClaimStatus.RUNNING
+    assert claim(state, "a3", deadline_ms=1).status == ClaimStatus.RUNNING
+    complete(state, "a1", "not_run", b"")
+    assert claim(state, "a2").status == ClaimStatus.RUNNING
+    assert claim(state, "a3").status == ClaimStatus.GRANTED
+
+
 def test_only_an_unsettled_verdict_is_refined():
     state = FleetStateMachine()
     claim(state, "a1")
