--- a/sassafrashook/membership/_liveness.py
+++ b/sassafrashook/membership/_liveness.py
@@ -4,7 +4,7 @@
 
 REPORT_INTERVAL_S = 60.0
 RETRY_SHARE = 8  # one in this many targets is a node that did not answer
-VIEW_SIZE = 32
+VIEW_SIZE = 12
 VIEW_TRIES = 8
 ROTATE_SHARE = 16  # one in this many rounds replaces one node of the view
 
