--- a/sassafrashook/membership/_core.py
+++ b/sassafrashook/membership/_core.py
@@ -225,7 +225,8 @@
             self.transit_.drop(name)
 
     def _hear_announcement(self, event, now):
-        if self._is_joining(now) and len(self.deferred_) < DEFERRED_LIMIT:
+        may_defer = not event.announcement.leaving and len(self.deferred_) < DEFERRED_LIMIT
+        if may_defer and self._is_joining(now):
             self.deferred_.append((event, now + event.announcement.valid_ms / 1000))
             return
         remaining_s = event.announcement.valid_ms / 1000
--- a/sassafrashook/membership/tests/test_proofs.py
+++ b/sassafrashook/membership/tests/test_proofs.py
@@ -6,6 +6,7 @@
 from sassafrashook.membership import LeaveHeard, UpstreamSeen, _core, _rumors
 from sassafrashook.membership._budget import ByteBudget
 from sassafrashook.membership._directory import Directory
+from sassafrashook.membership._entries import Entry
 from sassafrashook.membership._intake import Intake
 from sassafrashook.membership._memory import Memory
 from sassafrashook.membership._messages import UpstreamRecord
@@ -45,6 +46,10 @@
     monkeypatch.setattr(PeerTable, "_deny", lambda self, departure: PeerAdmission.STALE)
 
 
+def prefer_the_newest_claim(monkeypatch):
+    monkeypatch.setattr(Entry, "age", (float("inf"), ""))
+
+
 def take_any_sequence(monkeypatch):
     def refresh(self, entry, sequence, remaining_s, now):
         announcement = replace(entry.announcement, sequence=sequence)
@@ -61,6 +66,7 @@
         (trust_transit, "validity"),
         (never_compare, ": nodes "),
         (never_deny, ": nodes "),
+        (prefer_the_newest_claim, "instead of"),
         (take_any_sequence, "sequence went back"),
     ],
 )
--- a/sassafrashook/membership/tests/test_rules.py
+++ b/sassafrashook/membership/tests/test_rules.py
@@ -297,6 +297,19 @@
     assert sorted(bucket for s in sent for bucket in s.message.buckets) == list(range(8))
 
 
+def test_node_that_joins_defers_announcements_but_no_departure():
+    node = Node()
+    node.tell(PeersChanged(("r2",)), 0.0)
+    node.hear(0.5, valid_ms=3_000)
+    node.hear(0.5, name="engine-2", leaving=True)
+    assert node.boots() == {}
+    assert node.core.directory_.memory_.get("engine-2", "b1").final
+    node.advance(2.0)
+    assert node.boots() == {"engine-1": "b1"}
+    node.advance(3.5)
+    assert node.boots() == {}
+
+
 def test_parameters_are_checked_by_name():
     core = MembershipCore(OWN, random.Random(1), measure, fanout=0)
     with pytest.raises(ParameterError, match="'fanout'.*0.*in \\[1, 16\\]"):
