--- a/sassafrashook/membership/_core.py
+++ b/sassafrashook/membership/_core.py
@@ -68,7 +68,7 @@
     >>> import random
     >>> from sassafrashook.membership import MembershipCore, PeerRecord
     >>> own = PeerRecord("r1", "router", "10.0.0.1", 7000, "muscat-a", "b1", 1)
-    >>> core = MembershipCore(own, random.Random(1), len)
+    >>> core = MembershipCore(own, random.Random(1), lambda message: 100)
     >>> core.start(0.0)
     []
     >>> core.upstreams(0.0)
--- a/sassafrashook/membership/_service.py
+++ b/sassafrashook/membership/_service.py
@@ -49,7 +49,8 @@
     >>> import random
     >>> from sassafrashook.membership import MembershipCore, MembershipService, PeerRecord
     >>> own = PeerRecord("r1", "router", "10.0.0.1", 7000, "muscat-a", "b1", 1)
-    >>> service = MembershipService(MembershipCore(own, random.Random(1), len), sender=None)
+    >>> core = MembershipCore(own, random.Random(1), lambda message: 100)
+    >>> service = MembershipService(core, sender=None)
     >>> service.start()
     >>> service.upstreams()
     []
