Relay: events are carried from the loop's callback while the request's greenlet sleeps

A switch of greenlets and a Waiter for each event were the largest part of user time after the system calls (recv, send and the loop are 10 us of kernel time a token and can't be fewer).

While a caller is slow the upstream's progress deadline is suspended; seen failing without. Ruled out: a header reader of our own (no gain beyond the noise of the runs).

--- a/sassafrashook/proxy/_chats.py
+++ b/sassafrashook/proxy/_chats.py
@@ -18,6 +18,7 @@
     fail_expired,
     open_exchange,
 )
+from sassafrashook.proxy._pump import StreamPump
 
 __all__ = ["ChatRelay"]
 
@@ -66,6 +67,7 @@
         "_delivered",
         "_delivered_bytes",
         "_origin",
+        "_failure",
         "_first_token_ms",
     )
 
@@ -85,6 +87,7 @@
         self._delivered = []
         self._delivered_bytes = 0
         self._origin = None
+        self._failure = None
         self._first_token_ms = -1
 
     def start(self):
@@ -187,7 +190,7 @@
             return ExchangeFailure(ExchangeFailureKind.CUT, Verdict.MAY_HAVE_RUN, detail)
         position = str(self.scanner.position_)
         if resuming and response.get(headers.RESUME_POSITION) != position:
-            return self._fail_foreign("the engine did not resume at the position")
+            return exchange.fail_foreign("the engine did not resume at the position")
         return None
 
     def _receive_first(self, permit, exchange):
@@ -202,7 +205,7 @@
             return received.failure()
         body = received.unwrap()
         if self.status == HTTP_OK and not self._is_ours(body):
-            return self._fail_foreign("the answer names another request")
+            return exchange.fail_foreign("the answer names another request")
         self.body = body
         self.run.note_verdict(Verdict.RAN)
         self._complete(permit, exchange)
@@ -210,13 +213,13 @@
 
     def _receive_first_events(self, permit, exchange):
         if not self.content_type.startswith(EVENT_STREAM):
-            return self._fail_foreign("the answer is not an event stream")
+            return exchange.fail_foreign("the answer is not an event stream")
         self._permit = permit
         failure = None
         try:
             self._pending = self.scanner.push(exchange.connection.take_body())
         except StreamError as error:
-            failure = self._fail_foreign(str(error))
+            failure = exchange.fail_foreign(str(error))
         while failure is None and not self._pending:
             failure = self._receive_events(exchange)
         if failure is None:
@@ -237,15 +240,11 @@
             try:
                 self._pending = self.scanner.push(data)
             except StreamError as error:
-                return self._fail_foreign(str(error))
+                return exchange.fail_foreign(str(error))
             if self._pending:
                 return None
         return failure
 
-    def _fail_foreign(self, detail):
-        self.context.count("foreign_answers", self.run.service.name)
-        return ExchangeFailure(ExchangeFailureKind.FOREIGN, Verdict.MAY_HAVE_RUN, detail)
-
     def _is_ours(self, body):
         try:
             return _decode_completion_id(body).id.startswith(ID_PREFIX + self.run.request_id)
@@ -259,17 +258,41 @@
         while not self._pending:
             if self._finished:
                 raise StopIteration
-            failure = self._receive_events(self._exchange)
+            failure = self._failure
+            self._failure = None
+            if failure is None and self.scanner.ended_:
+                self._complete(self._permit, self._exchange)
+                self._finished = True
+                continue
+            failure = failure or self._receive_events(self._exchange)
             if failure is not None:
                 self._recover(failure)
         events = self._pending
         self._pending = b""
         self._note_delivered(events)
-        if self.scanner.ended_ and self._exchange is not None:
-            self._complete(self._permit, self._exchange)
-            self._finished = True
+        if self._exchange is not None:
+            self._exchange.suspend_deadline()
         return events
 
+    def pump(self, send):
+        """Relay events by :class:`~sassafrashook.proxy._pump.StreamPump` as long as all goes well.
+
+        :param send: sends bytes without waiting, and returns how many were taken.
+        :returns: bytes that are still to be sent to the caller.
+        :raises OSError: if the caller's socket broke.
+        """
+        if self._finished or self._pending or self.scanner.ended_ or self._failure is not None:
+            return b""
+        if self._exchange.response.message_complete:
+            return b""
+        pump = StreamPump(self._exchange, self.scanner, send, self._note_delivered)
+        pump.run()
+        self._exchange.suspend_deadline()
+        self._failure = pump.failure_
+        if pump.send_error_ is not None:
+            raise pump.send_error_
+        return pump.rest_
+
     def _note_delivered(self, events):
         self.run.started = True
         self._delivered_bytes += len(events)
--- a/sassafrashook/proxy/_connections.py
+++ b/sassafrashook/proxy/_connections.py
@@ -34,17 +34,18 @@
     :param sock: the connected gevent socket.
     :param address: ``(host, port)``.
 
-    Attributes: ``idle_deadline``, monotonic seconds after which it is not reused; ``response``,
-    the parser of the exchange that is under way, or ``None``.
+    Attributes: ``idle_deadline``, monotonic seconds after which it is not reused; ``readable``,
+    the loop's watcher of the socket; ``response``, the parser of the exchange that is under way,
+    or ``None``.
     """
 
-    __slots__ = ("sock", "address", "idle_deadline", "response", "_raw", "_readable")
+    __slots__ = ("sock", "address", "idle_deadline", "response", "readable", "_raw")
 
     def __init__(self, sock, address):
         self.sock = sock
         self.address = address
         self._raw = sock._sock
-        self._readable = get_hub().loop.io(sock.fileno(), READABLE)
+        self.readable = get_hub().loop.io(sock.fileno(), READABLE)
         self.idle_deadline = 0.0
         self.response = None
 
@@ -69,13 +70,20 @@
         :raises geventhttpclient.response.HTTPParseError: if it is not HTTP.
         """
         while True:
-            gsocket.wait(self._readable)
+            gsocket.wait(self.readable)
             try:
-                data = self._raw.recv(RECEIVE_BYTES)
+                return self.receive_now()
             except BlockingIOError:
                 continue
-            self.response.feed(data)
-            return len(data)
+
+    def receive_now(self):
+        """Receive without waiting; see :meth:`receive`.
+
+        :raises BlockingIOError: if there is nothing to receive.
+        """
+        data = self._raw.recv(RECEIVE_BYTES)
+        self.response.feed(data)
+        return len(data)
 
     def take_body(self):
         """Return the received part of the body, ``bytes``."""
@@ -104,8 +112,8 @@
 
     def close(self):
         """Close the socket."""
-        self._readable.stop()
-        self._readable.close()
+        self.readable.stop()
+        self.readable.close()
         self.sock.close()
 
 
--- a/sassafrashook/proxy/_exchanges.py
+++ b/sassafrashook/proxy/_exchanges.py
@@ -88,11 +88,12 @@
         :returns: ``None``, or an :class:`ExchangeFailure`.
         """
         self.sent_at = self.clock.monotonic()
-        self.watch.attach(self.connection.sock, self._next_deadline())
+        self.watch.attach(self.connection.sock)
+        self.extend_deadline()
         try:
             self.response = self.connection.begin(method, data)
         except OSError as error:
-            return self._fail(str(error))
+            return self.fail(str(error))
         return None
 
     def receive(self):
@@ -100,15 +101,23 @@
 
         :returns: ``None``, or an :class:`ExchangeFailure` if the response ended too early.
         """
+        self.extend_deadline()
         try:
             count = self.connection.receive()
         except (OSError, HTTPParseError) as error:
-            return self._fail(str(error))
+            return self.fail(str(error))
         if count == 0 and not self.response.message_complete:
-            return self._fail("connection closed in mid-answer")
+            return self.fail("connection closed in mid-answer")
+        return None
+
+    def extend_deadline(self):
+        """Expect the next bytes within the progress limit from now."""
         deadline = self.clock.monotonic() + self.progress_s
         self.watch.upstream_deadline = deadline if deadline < self.deadline else self.deadline
-        return None
+
+    def suspend_deadline(self):
+        """Expect nothing while nothing is received: the caller is to take what there is."""
+        self.watch.upstream_deadline = math.inf
 
     def receive_head(self, request_id):
         """Receive status and headers, and check that they are the answer to this request.
@@ -120,8 +129,7 @@
             if failure is not None:
                 return failure
         if self._is_foreign(request_id):
-            detail = "the response names another request"
-            return ExchangeFailure(ExchangeFailureKind.FOREIGN, Verdict.MAY_HAVE_RUN, detail)
+            return self.fail_foreign("the response names another request")
         return None
 
     def receive_whole(self, limit):
@@ -138,7 +146,7 @@
                 kind = ExchangeFailureKind.TOO_LARGE
                 return Failure(ExchangeFailure(kind, Verdict.MAY_HAVE_RUN, "answer too large"))
         if not self._is_framed():
-            return Failure(self._fail("the answer has neither length nor end marker"))
+            return Failure(self.fail("the answer has neither length nor end marker"))
         return Success(self.connection.take_body())
 
     def _is_framed(self):
@@ -151,10 +159,12 @@
     def _is_foreign(self, request_id):
         return self.response.get(headers.REQUEST_ID) != request_id
 
-    def _next_deadline(self):
-        return min(self.clock.monotonic() + self.progress_s, self.deadline)
+    def fail_foreign(self, detail):
+        """Return the failure of an answer that is not the answer to this request."""
+        return ExchangeFailure(ExchangeFailureKind.FOREIGN, Verdict.MAY_HAVE_RUN, detail)
 
-    def _fail(self, detail):
+    def fail(self, detail):
+        """Return the failure of a connection that broke, with the reason that is known."""
         watch = self.watch
         if watch.caller_gone:
             kind = ExchangeFailureKind.CALLER_GONE
--- a/sassafrashook/proxy/_monitor.py
+++ b/sassafrashook/proxy/_monitor.py
@@ -43,13 +43,9 @@
         self.upstream_deadline = math.inf
         self.expired = False
 
-    def attach(self, upstream, deadline):
-        """Watch a new upstream socket.
-
-        :param deadline: monotonic seconds by which it must make progress.
-        """
+    def attach(self, upstream):
+        """Watch a new upstream socket."""
         self.upstream = upstream
-        self.upstream_deadline = deadline
         self.expired = False
 
     def detach(self):
--- a/sassafrashook/proxy/_runs.py
+++ b/sassafrashook/proxy/_runs.py
@@ -174,6 +174,8 @@
         :returns: the :class:`~sassafrashook.messages.PermitOutcome` that was reported.
         """
         self.note_verdict(failure.verdict)
+        if failure.kind is ExchangeFailureKind.FOREIGN:
+            self.context.count("foreign_answers", self.service.name)
         outcome = self._find_outcome(permit, failure)
         self.release(permit, outcome)
         return outcome
--- a/sassafrashook/proxy/_server.py
+++ b/sassafrashook/proxy/_server.py
@@ -8,7 +8,9 @@
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from sassafrashook.base import Parametrized
+from sassafrashook.outcomes import Refusal, RefusalReason, Verdict
 from sassafrashook.proxy._chats import ChatRelay
+from sassafrashook.proxy._errors import encode_error
 from sassafrashook.proxy._monitor import Watch
 from sassafrashook.proxy._reading import SKIP_REST
 from sassafrashook.proxy._resources import CALLER_SOCKET
@@ -19,6 +21,10 @@
 MS_PER_S = 1_000
 POLL_S = 0.02
 LINGER_S = 1.0
+BAD_REQUEST_HEAD = (
+    b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\n"
+    b"Content-Type: application/json\r\nContent-Length: %d\r\n\r\n"
+)
 LINGER_BYTES = 1_048_576
 
 
@@ -97,17 +103,13 @@
             super().process_result()
 
     def _relay(self):
-        events = next(self.result, b"")
-        self.write(events)
+        relay = self.result
         send = self.socket._sock.send
-        for events in self.result:
-            chunk = b"%x\r\n%b\r\n" % (len(events), events)
-            try:
-                sent = send(chunk)
-            except BlockingIOError:
-                sent = 0
-            if sent < len(chunk):
-                self._sendall(chunk[sent:])
+        for events in relay:
+            self.write(events)
+            rest = relay.pump(send)
+            if rest:
+                self._sendall(rest)
         self._sendall(b"0\r\n\r\n")
 
     def _sendall(self, data):
@@ -122,8 +124,11 @@
         """Write no access log."""
 
     def _handle_client_error(self, ex):
+        """Answer what is no HTTP request with a JSON error."""
         self.server.context.count("bad_input", "http")
-        return super()._handle_client_error(ex)
+        detail = "this is not a valid HTTP request"
+        body = encode_error(Refusal(Verdict.NOT_RUN, RefusalReason.BAD_REQUEST, 0, detail))
+        return "400", BAD_REQUEST_HEAD % len(body) + body
 
     def log_error(self, msg, *args):
         """Write nothing: bad input is counted."""
--- a/sassafrashook/proxy/tests/test_callers.py
+++ b/sassafrashook/proxy/tests/test_callers.py
@@ -16,7 +16,7 @@
     UpstreamAnnouncement,
 )
 from sassafrashook.outcomes import Refusal, RefusalReason, Verdict
-from sassafrashook.proxy import SystemClock, _reading
+from sassafrashook.proxy import SystemClock, _exchanges, _reading
 from sassafrashook.proxy._events import EventScanner, StreamError
 from sassafrashook.proxy._requests import decode_chat, decode_deadline, decode_report
 from sassafrashook.proxy.tests._support import (
@@ -77,6 +77,29 @@
         assert router.permits.outcomes == [PermitOutcome.CANCELLED]
 
 
+def stall(monkeypatch):
+    """Let a caller read nothing for a second; returns the outcomes of the permits."""
+    monkeypatch.setattr("fakes.engine.make_tokens", lambda messages, count: ["x" * 8_192] * count)
+    with serve(("assistant", make_engine(token_s=0.0)), progress_ms=200) as router:
+        data = b""
+        with socket.create_connection(router.server.address) as sock:
+            sock.sendall(head(encode_chat("plan", count=2_000), "Connection: close\r\n"))
+            gevent.sleep(1.0)
+            while chunk := sock.recv(1_000_000):
+                data += chunk
+        assert data.endswith(b"data: [DONE]\n\n\r\n0\r\n\r\n")
+    return router.permits.outcomes
+
+
+def test_slow_caller_does_not_make_its_upstream_look_silent(monkeypatch):
+    assert stall(monkeypatch) == [PermitOutcome.FINISHED]
+
+
+def test_suspension_of_the_progress_deadline_is_needed(monkeypatch):
+    monkeypatch.setattr(_exchanges.Exchange, "suspend_deadline", lambda self: None)
+    assert PermitOutcome.BROKE in stall(monkeypatch)
+
+
 def test_refusal_goes_out_with_reason_and_time_to_come_back():
     with serve(("assistant", make_engine())) as router:
         router.permits.refusal = Refusal(Verdict.NOT_RUN, RefusalReason.ACCOUNT_SHARE, 2_300)
@@ -123,6 +146,7 @@
         (b"POST /ledger/x HTTP/1.1\r\nAuthorization: Bearer wrong\r\n\r\n", b"401"),
         (b"DELETE /v1/chat/completions HTTP/1.1\r\n\r\n", b"405"),
         (b"nonsense\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\n" + b"a: b\r\n" * 200 + b"\r\n", b"400"),
         (b"GET / HTTP/1.1\r\nX: " + b"y" * 70_000 + b"\r\n\r\n", b"400"),
         (b"POST / HTTP/1.1\r\nContent-Length: -4\r\n\r\n", b"400"),
         (b"POST /ledger/x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", b"400"),
@@ -132,6 +156,7 @@
     with serve(("assistant", make_engine()), max_body_bytes=1_000) as router:
         answer = send_raw(router, data, timeout_s=0.5)
         assert answer.startswith(b"HTTP/1.1 " + status)
+        assert b'"verdict":"not_run"' in answer
         counted = [name for name, _ in router.counts]
         assert "bad_input" in counted or "refusals" in counted
         assert request(router, "GET", "/healthz")[0] == 200
