--- a/sassafrashook/consensus/_replica.py
+++ b/sassafrashook/consensus/_replica.py
@@ -217,7 +217,7 @@
         self._writer.join()
         self._waiters.resolve_all(ProposalError(ProposalFailure.UNKNOWN))
         for waiter in self._reads.values():
-            waiter.result.set(-1)
+            waiter.result.set(False)
         if self.failure_ is None:
             self.failure_ = "stopped"
         self._folder.close()
@@ -244,6 +244,8 @@
         """Commit and apply one command; see :class:`~sassafrashook.gateways.ReplicatedLog`."""
         if self.failure_ is not None or deadline <= self.clock():
             return Failure(ProposalError(ProposalFailure.NOT_ACCEPTED, self.leader()))
+        if self._inputs.qsize() >= MAX_QUEUED_INPUTS:
+            return Failure(ProposalError(ProposalFailure.NOT_ACCEPTED, self.leader()))
         waiter = Waiter(self._draw_token(), command)
         self._inputs.put(waiter)
         try:
@@ -262,30 +264,26 @@
 
     def confirm_read(self, deadline):
         """Wait for a linearizable read; see :class:`~sassafrashook.gateways.ReplicatedLog`."""
-        index = -1
-        while index < 0 and self.failure_ is None and self.clock() < deadline:
-            index = self._request_read(deadline)
-        while self.applied_index_ < index and self.failure_ is None and self.clock() < deadline:
-            gevent.sleep(POLL_MS / 10_000)
-        if index < 0 or self.applied_index_ < index or self.failure_ is not None:
-            return Failure(ProposalError(ProposalFailure.NOT_LEADER, self.leader()))
-        return Success(self.applied_index_)
+        while self.failure_ is None and self.clock() < deadline:
+            if self._request_read(deadline):
+                return Success(self.applied_index_)
+        return Failure(ProposalError(ProposalFailure.NOT_LEADER, self.leader()))
 
     def _request_read(self, deadline):
-        """Ask once; :returns: the index to wait for, or -1."""
+        """Ask once for an index and wait until it is applied; :returns: whether it is."""
         waiter = Waiter(self._draw_token(), b"")
         self._reads[waiter.token] = waiter
         self._inputs.put(ReadOffered(waiter.token))
         timeout = max(0.0, min(READ_RETRY_MS / 1000, deadline - self.clock()))
         try:
-            index = waiter.result.get(timeout=timeout)
+            is_applied = waiter.result.get(timeout=timeout)
         except gevent.Timeout:
-            return -1
+            return False
         finally:
             self._reads.pop(waiter.token, None)
-        if index < 0:
+        if not is_applied:
             gevent.sleep(POLL_MS / 1000)
-        return index
+        return is_applied
 
     def leader(self):
         """Return the name of the replica believed to lead, or an empty string."""
@@ -318,21 +316,32 @@
         :returns: ``Success`` of the list of members once the new identity votes and has synced
             that, or ``Failure`` of the obstacle, ``str``; a change begun goes on by itself.
         """
-        passing = ("change_in_progress", "no_new_identity")
         core = self.core_
-        self._wait_until(
-            lambda: core.is_replacing(name) or core.find_obstacle(name) not in passing, deadline
-        )
-        obstacle = core.find_obstacle(name)
-        if obstacle and not core.is_replacing(name):
-            return Failure(obstacle)
+        identity = self._wait_for_replacement(name, deadline)
+        if identity is None:
+            return Failure(core.find_obstacle(name, self.clock()) or "deadline_passed")
         self._inputs.put(ReplaceMember(name))
-        done = self._wait_until(lambda: self.core_.has_replaced(name), deadline)
+        done = self._wait_until(lambda: core.has_replaced(name, identity), deadline)
         return Success(self.members()) if done else Failure("deadline_passed")
 
-    def has_replaced(self, name):
-        """Return whether the newest identity of a name votes and has synced that it does."""
-        return self.core_.has_replaced(name)
+    def has_replaced(self, name, lost):
+        """Return whether a lost identity of a name is gone for good.
+
+        :param lost: the identity that was replaced.
+        """
+        present = [member.identity for member in self.members() if member.name == name]
+        is_single = len(present) == 1 and lost not in present
+        return is_single and self.core_.has_replaced(name, present[0])
+
+    def _wait_for_replacement(self, name, deadline):
+        core = self.core_
+        passing = ("change_in_progress", "no_new_identity")
+        self._wait_until(
+            lambda: core.find_replacement(name, self.clock()) is not None
+            or core.find_obstacle(name, self.clock()) not in passing,
+            deadline,
+        )
+        return core.find_replacement(name, self.clock())
 
     def _wait_until(self, condition, deadline):
         while not condition() and self.clock() < deadline and self.failure_ is None:
@@ -417,6 +426,7 @@
             self._performers[type(action)](self, action)
             changed = changed or isinstance(action, (Apply, Restore, RoleChanged))
         if changed:
+            self._answer_reads()
             for callback in self._callbacks:
                 callback()
 
@@ -451,8 +461,20 @@
 
     def _note_read(self, action):
         waiter = self._reads.get(action.token)
-        if waiter is not None:
-            waiter.result.set(action.index if isinstance(action, ReadConfirmed) else -1)
+        if waiter is None:
+            return
+        if isinstance(action, ReadRefused):
+            waiter.result.set(False)
+            return
+        waiter.index = action.index
+        waiter.offered = True
+        self._answer_reads()
+
+    def _answer_reads(self):
+        """Answer the confirmed reads whose index the state machine holds."""
+        for waiter in self._reads.values():
+            if waiter.offered and waiter.index <= self.applied_index_:
+                waiter.result.set(True)
 
     def _log_role(self, action):
         logging.info(
--- a/sassafrashook/controller/_configuration.py
+++ b/sassafrashook/controller/_configuration.py
@@ -64,6 +64,7 @@
     :param clock: returns monotonic seconds.
     :param resend_ms: when an unconfirmed publication is sent again.
     :param silent_after_ms: silence after which a router takes no new work, since its lease is over.
+    :param sleep: waits for a number of seconds.
 
     Attributes: ``routers_``, progress by router name.
 
@@ -84,13 +85,16 @@
         "silent_after_ms": Interval(int, 100, 3_600_000),
     }
 
-    def __init__(self, log, state, sender, clock, resend_ms=500, silent_after_ms=10_000):
+    def __init__(
+        self, log, state, sender, clock, resend_ms=500, silent_after_ms=10_000, sleep=gevent.sleep
+    ):
         self.log = log
         self.state = state
         self.sender = sender
         self.clock = clock
         self.resend_ms = resend_ms
         self.silent_after_ms = silent_after_ms
+        self.sleep = sleep
 
     def start(self):
         """Start publishing."""
@@ -120,7 +124,8 @@
         if isinstance(message, ConfigurationConfirmed) and message.revision >= progress.revision:
             progress.revision = message.revision
             progress.digest = message.digest
-        self._wake.set()
+        if self._can_publish():
+            self._send(message.router, progress, self.clock())
 
     def rollout(self, revision):
         """Return how far a revision has come, as this leader knows.
@@ -148,7 +153,7 @@
         """
         rollout = self.rollout(revision)
         while not rollout.in_force and self.clock() < deadline:
-            gevent.sleep(ROLLOUT_POLL_MS / 1000)
+            self.sleep(ROLLOUT_POLL_MS / 1000)
             rollout = self.rollout(revision)
         return rollout
 
@@ -157,8 +162,7 @@
 
         :returns: number of messages sent.
         """
-        self._note_term()
-        if self.log.leading_term(self.clock()) == 0 or not self._encode_publication():
+        if not self._can_publish():
             return 0
         now = self.clock()
         return sum(self._send(name, progress, now) for name, progress in self.routers_.items())
@@ -167,7 +171,14 @@
         while True:
             self._wake.wait(self.resend_ms / 1000)
             self._wake.clear()
-            self.publish()
+            try:
+                self.publish()
+            except Exception as error:  # a fault must not end the task
+                log_event("publication_failed", level="error", error=repr(error))
+
+    def _can_publish(self):
+        self._note_term()
+        return self.log.leading_term(self.clock()) != 0 and self._encode_publication()
 
     def _send(self, name, progress, now):
         publication = self._publication
--- a/sassafrashook/operations/_controller.py
+++ b/sassafrashook/operations/_controller.py
@@ -72,17 +72,14 @@
         :param body: may state the lost ``identity``; once that is gone, a resend of the command
             is answered as the first one was.
         """
-        if not self._is_gone(name, body.get("identity")):
+        lost = body.get("identity")
+        if not lost or not self.replica.has_replaced(name, lost):
             result = self.replica.replace_member(name, deadline)
             if isinstance(result, Failure):
                 log_event("replace_failed", level="warning", member=name, obstacle=result.failure())
                 return Success({"outcome": "refused", "reason": str(result.failure())})
         return Success({"outcome": "committed", "members": self.list_members()})
 
-    def _is_gone(self, name, identity):
-        identities = {member.identity for member in self.replica.members()}
-        return bool(identity) and identity not in identities and self.replica.has_replaced(name)
-
     def _describe(self, member, addresses):
         peer = addresses.get(member.name)
         host, port = (peer.host, peer.port) if peer else ("", 0)
@@ -118,6 +115,7 @@
         self.process_.mesh_.subscribe(CONSENSUS_MESSAGES, self.replica_.deliver)
         for service in self.services_:
             service.start()
+        self.replica_.subscribe(self.permits_.wake)
         self.process_.start()
         self._server = serve_wsgi(self.settings.operator_endpoint, self.admin_)
 
