An upstream that refuses connections gets nothing until it is heard of again

Cause: the announcements of a killed engine outlast it by up to their validity, and the owner went on placing a third of the requests there; each cost a refused connection and a retry, and the retry budget ran out. Ruled out: a budget that is too small (a larger one would let a brown-out multiply).

--- a/sassafrashook/routing/_assignment.py
+++ b/sassafrashook/routing/_assignment.py
@@ -199,6 +199,7 @@
         """Let the limit of an upstream follow from how a permit's use ended there."""
         upstream = record.upstream
         if outcome == PermitOutcome.FINISHED:
+            self.state.upstreams_.reach(upstream)
             upstream.warm_up_.note_finished(first_token_ms, record.ramp)
             self.state.suspects_.note_alive(upstream)
         elif outcome in BROKEN_OUTCOMES:
@@ -209,3 +210,4 @@
             upstream.warm_up_.note_busy(upstream.load)
         elif outcome == PermitOutcome.CONNECT_FAILED:
             upstream.warm_up_.restart()
+            self.state.upstreams_.hold_back(upstream, now)
--- a/sassafrashook/routing/_ledger.py
+++ b/sassafrashook/routing/_ledger.py
@@ -175,7 +175,7 @@
             self.takeover_.next_deadline(),
             self.waiting_.deadlines_.next_deadline(),
             self.assigner_.deadlines_.next_deadline(),
-            self.state_.upstreams_.expiries_.next_deadline(),
+            self.state_.upstreams_.next_deadline(),
             self.state_.suspects_.expiries_.next_deadline(),
             self.isolation_.next_deadline(),
             self.quarantine_resend_at_ if self.state_.suspects_.pending_ else None,
--- a/sassafrashook/routing/_upstream.py
+++ b/sassafrashook/routing/_upstream.py
@@ -20,6 +20,7 @@
     reported_ : requests running by its last report, ``None`` before one came.
     broken_ : fingerprints whose answers broke there lately, with the time of it.
     crashed_ : whether this boot is known to have crashed.
+    unreachable_ : whether a router could not connect to it lately.
     counted_load, counted_limit, counted_room : the numbers under which the groups hold it.
     """
 
@@ -36,6 +37,7 @@
         "live_",
         "broken_",
         "crashed_",
+        "unreachable_",
         "counted_load",
         "counted_limit",
         "counted_room",
@@ -60,6 +62,7 @@
         self.live_ = False
         self.broken_ = {}
         self.crashed_ = False
+        self.unreachable_ = False
         self.counted_load = 0
         self.counted_limit = 0
         self.counted_room = -1
@@ -84,7 +87,8 @@
 
     def takes_new_work(self):
         """Return whether it is there, not leaving, and in an open zone."""
-        return not (self.gone_ or self.drained_ or self.announcement.leaving)
+        is_away = self.gone_ or self.unreachable_
+        return not (is_away or self.drained_ or self.announcement.leaving)
 
     def count_of_this_boot(self):
         """Return how many permits were granted for its present boot."""
--- a/sassafrashook/routing/_upstreams.py
+++ b/sassafrashook/routing/_upstreams.py
@@ -5,6 +5,7 @@
 from sassafrashook.routing._upstream import UpstreamState
 
 UPSTREAM_KEPT_S = 600.0
+UNREACHABLE_S = 1.0
 
 
 class UpstreamTable:
@@ -19,6 +20,7 @@
         self.groups_ = {}
         self.drained_zones_ = frozenset()
         self.expiries_ = DeadlineTable()
+        self.retries_ = DeadlineTable()
 
     def get(self, upstream_id):
         """Return an upstream's state, or ``None``."""
@@ -69,8 +71,32 @@
             upstream.gone_ = True
             self.refresh(upstream)
 
+    def hold_back(self, upstream, now):
+        """Give an upstream nothing until it is heard of again, or for a while.
+
+        Its announcements outlast it; without this, each request placed there in the meantime
+        would cost a connection attempt and a retry.
+        """
+        upstream.unreachable_ = True
+        self.retries_.add(upstream, now + UNREACHABLE_S)
+        self.refresh(upstream)
+
+    def reach(self, upstream):
+        """Let an upstream that was heard of have new work again."""
+        if upstream.unreachable_:
+            upstream.unreachable_ = False
+            self.retries_.remove(upstream)
+            self.refresh(upstream)
+
+    def next_deadline(self):
+        """Return when :meth:`expire` must be called next, or ``None``."""
+        deadlines = (self.expiries_.next_deadline(), self.retries_.next_deadline())
+        return min((d for d in deadlines if d is not None), default=None)
+
     def expire(self, now):
         """Treat upstreams whose announcements ran out as gone, and forget those long gone."""
+        for upstream in self.retries_.pop_due(now):
+            self.reach(upstream)
         for upstream_id in self.expiries_.pop_due(now):
             upstream = self.upstreams_[upstream_id]
             if not upstream.gone_:
@@ -129,6 +155,8 @@
         came_back = upstream.gone_ or upstream.announcement.leaving
         regroup = announcement.models != upstream.announcement.models
         upstream.gone_ = False
+        upstream.unreachable_ = False
+        self.retries_.remove(upstream)
         upstream.announcement = announcement
         upstream.warm_up_.resize(announcement.capacity, announcement.cold_capacity)
         upstream.warm_up_.state_cold(announcement.cold)
@@ -153,6 +181,7 @@
         upstream.gone_ = True
         upstream.groups_ = []
         self.expiries_.remove(upstream.upstream_id)
+        self.retries_.remove(upstream)
         del self.upstreams_[upstream.upstream_id]
 
     def _open_group(self, service, model):
--- a/sassafrashook/routing/tests/test_warmup.py
+++ b/sassafrashook/routing/tests/test_warmup.py
@@ -208,3 +208,39 @@
         driver.ask(request_id, key=rng.getrandbits(64), account=f"a{request_id % 3}")
     rest = [driver.ledger.count_running(f"e{index}") for index in (2, 5, 8)]
     assert rest == [8, 8, 8]
+
+
+def lose_connection(driver):
+    """Have one permit end in a refused connection; return the upstream's name."""
+    grant = driver.ask(1)
+    driver.release(1, PermitOutcome.CONNECT_FAILED)
+    return grant.upstream_id
+
+
+def place_many(driver, first, count=12):
+    """Return where further requests are placed, each ended at once."""
+    placed = set()
+    for request_id in range(first, first + count):
+        placed.add(driver.ask(request_id).upstream_id)
+        driver.release(request_id)
+    return placed
+
+
+def test_unreachable_upstream_gets_nothing_until_it_is_heard_of_or_a_while_has_passed():
+    driver = LedgerDriver()
+    lost = lose_connection(driver)
+    assert lost not in place_many(driver, 10)
+    driver.tell(UpstreamSeen(make_announcement(lost, sequence=2)))
+    assert lost in place_many(driver, 30)
+
+    driver = LedgerDriver()
+    lost = lose_connection(driver)
+    driver.pass_time(1.1)
+    assert lost in place_many(driver, 10)
+
+
+def test_every_request_would_try_an_unreachable_upstream_otherwise(monkeypatch):
+    monkeypatch.setattr(UpstreamTable, "hold_back", lambda self, upstream, now: None)
+    driver = LedgerDriver()
+    lost = lose_connection(driver)
+    assert lost in place_many(driver, 10)
