--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 SEED ?= 1
 
-.PHONY: demo test lint format bench bench-routing soak chaos dist
+.PHONY: demo test lint format bench bench-routing bench-membership bench-relay bench-stalls soak chaos dist
 
 $(VENV)/.installed: requirements.txt requirements-dev.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -36,3 +36,15 @@
 
 soak: $(VENV)/.installed
 	SOAK=$(SEED) $(BIN)/python scripts/run_tests.py
+
+bench: $(VENV)/.installed
+	$(BIN)/python -m benchmarks.slopes
+
+bench-membership: $(VENV)/.installed
+	$(BIN)/python -m benchmarks.membership
+
+bench-relay: $(VENV)/.installed
+	$(BIN)/python -m benchmarks.relay
+
+bench-stalls: $(VENV)/.installed
+	$(BIN)/python -m benchmarks.stalls
