--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 PYTHON ?= python3
 BIN := $(VENV)/bin
 SEED ?= 1
+SOAK ?= 200
 
 .PHONY: demo test lint format bench bench-routing bench-membership bench-relay bench-stalls soak chaos dist
 
@@ -35,7 +36,7 @@
 	$(BIN)/python scripts/chaos.py $(SEED)
 
 soak: $(VENV)/.installed
-	SOAK=$(SEED) $(BIN)/python scripts/run_tests.py
+	SOAK=$(SOAK) $(BIN)/python scripts/run_tests.py
 
 bench: $(VENV)/.installed
 	$(BIN)/python -m benchmarks.slopes
--- /dev/null
+++ b/sassafrashook/operations/tests/test_security.py
@@ -0,0 +1,85 @@
+"""Keys of callers, upstreams and operators, and certificates between processes."""
+
+import json
+import shutil
+
+import pytest
+from geventhttpclient import HTTPClient
+
+from fakes import fleet as fleet_module
+from fakes.certificates import write_certificates
+from fakes.fleet import Fleet, Sizes
+
+NAMES = [*(f"controller-{n}" for n in (1, 2, 3)), "router-1"]
+WRONG_KEY = "a-wrong-key-0123456789"
+
+
+@pytest.fixture
+def certificates(tmp_path):
+    write_certificates(tmp_path, NAMES)
+    return tmp_path
+
+
+def read_counter(fleet, process, name, reason):
+    page = fleet.get(fleet.ports[process].metrics, "/metrics").body.decode()
+    wanted = f'sassafrashook_{name}_total{{reason="{reason}"}}'
+    lines = [line for line in page.splitlines() if line.startswith(wanted)]
+    return sum(float(line.rpartition(" ")[2]) for line in lines)
+
+
+def post(fleet, process, path, body, key):
+    client = HTTPClient("127.0.0.1", fleet.ports[process].front, network_timeout=10)
+    try:
+        headers = {"Authorization": f"Bearer {key}", "Content-Type": "application/json"}
+        return client.post(path, json.dumps(body), headers).status_code
+    finally:
+        client.close()
+
+
+def test_fleet_over_certificates_refuses_a_stranger(certificates, tmp_path_factory):
+    with Fleet(Sizes(routers=1, engines=1), tls=certificates) as fleet:
+        fleet.start_serving()
+        assert fleet.chat().is_whole
+        fleet.processes["router-1"].kill()
+        strange = tmp_path_factory.mktemp("strange")
+        write_certificates(strange, ["router-1"])
+        for suffix in ("crt", "key"):
+            shutil.copy(strange / f"router-1.{suffix}", certificates)
+        fleet.start_router("router-1")
+        leader = fleet.find_leader()
+        fleet.wait_until(
+            lambda: read_counter(fleet, leader, "connections_lost", "SSLError"), "a refusal"
+        )
+        assert not fleet.is_serving("router-1")
+
+
+def test_certificate_of_another_process_is_refused(certificates):
+    """A router's certificate does not let its holder speak as a controller."""
+    for suffix in ("crt", "key"):
+        shutil.copy(certificates / f"router-1.{suffix}", certificates / f"controller-3.{suffix}")
+    with Fleet(Sizes(routers=1, engines=0), tls=certificates) as fleet:
+        fleet.start()
+        leader = fleet.find_leader()
+        assert leader != "controller-3"
+        fleet.wait_until(
+            lambda: read_counter(fleet, leader, "connections_refused", "bad_message"), "a refusal"
+        )
+
+
+def test_wrong_keys_change_nothing_and_are_counted(monkeypatch):
+    with Fleet(Sizes(routers=1, engines=1)) as fleet:
+        fleet.start_serving()
+        leader = fleet.find_leader()
+        before = fleet.read_status(leader)["revision"]
+        assert (
+            post(fleet, leader, "/v1/zones/muscat-a/drain", {"command_id": "x"}, WRONG_KEY) == 401
+        )
+        assert fleet.read_status(leader)["revision"] == before
+        assert read_counter(fleet, leader, "operator_refusals", "unauthenticated") == 1
+        announcement = fleet.list_upstreams()[0] | {"leaving": True, "sequence": 10**9}
+        assert post(fleet, "router-1", "/v1/announcements", announcement, WRONG_KEY) == 401
+        assert not any(entry["leaving"] for entry in fleet.list_upstreams())
+        monkeypatch.setitem(fleet_module.CALLER_KEYS, "muscat-central", WRONG_KEY)
+        answer = fleet.send(0, "POST", "/v1/chat/completions", {}, {"model": "advisor"})
+        assert (answer.status, answer.read_error()["verdict"]) == (401, "not_run")
+        assert read_counter(fleet, "router-1", "refusals", "unauthenticated") >= 1
