A follower sends the replacement of a member to the leader

Cause: it answered 200 with the outcome refused, for which the operator's client does not go on to the next controller. Ruled out: a slow catch-up; the log showed only not_leader for 30 s.

--- a/sassafrashook/controller/_admin_resources.py
+++ b/sassafrashook/controller/_admin_resources.py
@@ -11,6 +11,7 @@
 )
 from sassafrashook.controller._documents import check_configuration, convert_document
 from sassafrashook.controller._orders import OrderRequest
+from sassafrashook.gateways import ProposalError, ProposalFailure
 from sassafrashook.outcomes import Verdict
 from sassafrashook.state import ApplyConfiguration, CommandOutcome, OrderStatus, SetZone
 
@@ -64,6 +65,13 @@
         if isinstance(confirmed, Failure):
             raise describe_proposal_error(confirmed.failure())
 
+    def require_leader(self):
+        """Send the operator to the leader unless this controller is confirmed to lead."""
+        log = self.application.log
+        if log.leading_term(self.application.clock()) == 0:
+            error = ProposalError(ProposalFailure.NOT_LEADER, log.leader())
+            raise describe_proposal_error(error)
+
     def change(self, command, wait_ms, response):
         """Commit an operator's change and answer with its outcome."""
         application = self.application
@@ -211,6 +219,7 @@
 
     def on_post_replace(self, request, response, name):
         """Put a new member in the place of a lost one."""
+        self.require_leader()
         body = self.application.read_body(request)
         deadline = self.application.find_deadline()
         result = self.application.members.replace_member(name, body, deadline)
--- a/sassafrashook/controller/tests/test_admin.py
+++ b/sassafrashook/controller/tests/test_admin.py
@@ -185,7 +185,9 @@
 
 def test_follower_names_the_leader_and_answers_no_read(site):
     site.log.term, site.log.leader_name = 0, "c2"
-    for answer in (site.put("c1", 0), site.get("/v1/zones"), site.get("/v1/configuration")):
+    paths = ("/v1/zones", "/v1/configuration", "/v1/members", "/v1/upstreams")
+    answers = [site.get(path) for path in paths]
+    for answer in (*answers, site.put("c1", 0), site.post("/v1/members/c3/replace")):
         assert (answer.status_code, answer.json["leader"]) == (421, "c2")
         assert (answer.json["reason"], answer.json["verdict"]) == ("not_leader", "not_run")
     assert site.get("/v1/status").json["leading"] is False
