A broken or missing answer leaves an order unknown instead of ending in a fault

An upstream that dies before it answers raises the HTTP library's parse error, which is neither an OSError nor a ValueError. The order then stayed issued until its deadline and the operator got an internal error. Three broken answers, each seen failing before the change.

--- a/sassafrashook/controller/_order_client.py
+++ b/sassafrashook/controller/_order_client.py
@@ -7,6 +7,7 @@
 from gevent import socket
 from geventhttpclient import HTTPClient
 from geventhttpclient.connectionpool import ConnectionPool
+from geventhttpclient.response import HTTPParseError
 
 from sassafrashook.state import OrderStatus
 
@@ -110,7 +111,7 @@
         text = response.read().decode(errors="replace")[:MAX_DETAIL_CHARS]
     except (_NotSentError, ConnectionRefusedError) as error:
         return OrderResponse(OrderStatus.REFUSED, f"not sent: {error}")
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, HTTPParseError) as error:
         return OrderResponse(OrderStatus.UNKNOWN, repr(error)[:MAX_DETAIL_CHARS])
     if 200 <= response.status_code < 300:
         return OrderResponse(OrderStatus.DONE, text)
--- a/sassafrashook/controller/tests/test_orders.py
+++ b/sassafrashook/controller/tests/test_orders.py
@@ -11,6 +11,7 @@
 import pytest
 from gevent import socket as gevent_socket
 from gevent.pywsgi import WSGIServer
+from gevent.server import StreamServer
 
 from sassafrashook.controller import (
     CommandProposer,
@@ -197,6 +198,21 @@
     assert response.status == OrderStatus.REFUSED
 
 
+@pytest.mark.parametrize(
+    "answer", [b"", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", b"\x00\xff\r\n\r\n"]
+)
+def test_broken_answer_leaves_the_order_unknown(answer):
+    def respond(connection, address):
+        connection.recv(65_536)
+        connection.sendall(answer)
+
+    server = StreamServer(("127.0.0.1", 0), respond)
+    server.start()
+    response = send_order("127.0.0.1", server.server_port, DOCUMENT, 5_000, lambda: True)
+    server.stop()
+    assert response.status == OrderStatus.UNKNOWN
+
+
 def test_silent_upstream_leaves_the_order_unknown():
     listener = gevent_socket.socket()
     listener.bind(("127.0.0.1", 0))
