--- a/sassafrashook/consensus/tests/test_core.py
+++ b/sassafrashook/consensus/tests/test_core.py
@@ -8,6 +8,7 @@
 from sassafrashook.consensus import (
     CONSENSUS_MESSAGES,
     InvariantError,
+    Member,
     Persist,
     Persisted,
     Proposal,
@@ -17,6 +18,8 @@
     ReplicaCore,
     Role,
     SendMessage,
+    Snapshot,
+    SnapshotSaved,
 )
 from sassafrashook.consensus._actions import Genesis
 from sassafrashook.consensus._messages import (
@@ -24,6 +27,8 @@
     AppendRequested,
     Entry,
     IdentityAnnounced,
+    SnapshotAnswered,
+    SnapshotPiece,
     VoteAnswered,
     VoteRequested,
 )
@@ -128,6 +133,22 @@
     assert core.role_ is Role.UNBOUND
 
 
+def test_founding_binds_each_name_to_one_identity_for_good():
+    core = make_core(recovered=RecoveredState(), bootstrap=True)
+    shown = {"a": "ia", "b": "ib"}
+    for name, identity in (("b", "ib"), ("b", "other"), ("c", "ic")):
+        bindings = {**shown, name: identity}
+        header = head(name, 0, identity=identity, configuration=-1)
+        persist_all(core, core.handle(IdentityAnnounced(*header, bindings, False), 1.0), 1.0)
+    assert core.genesis_ == Genesis(SEALED.bindings, False)
+    assert not core.handle(ask_vote("b", 1, configuration=-1), LATER)
+    for name in "bc":
+        header = head(name, 0, configuration=-1)
+        core.handle(IdentityAnnounced(*header, SEALED.bindings, False), 1.0)
+    assert core.genesis_ == SEALED
+    assert core.role_ is Role.FOLLOWER
+
+
 def test_unknown_and_copied_identities_are_refused_and_counted():
     core = make_core()
     core.handle(heartbeat("b", 1), LATER)
@@ -187,3 +208,18 @@
     data = msgspec.msgpack.decode(msgspec.msgpack.encode(message))
     (kind,) = [k for k in CONSENSUS_MESSAGES if k.__name__ == data[0]]
     assert msgspec.convert(data, kind) == message
+
+
+def test_transfer_of_a_snapshot_goes_on_while_newer_ones_are_taken():
+    members = [Member(name, identity) for name, identity in SEALED.bindings.items()]
+    old = Snapshot(10, 1, 0, members, b"x" * 20)
+    recovered = RecoveredState(genesis=SEALED, base_index=10, base_term=1, snapshot=old, term=1)
+    core = make_core(recovered=recovered, snapshot_piece_bytes=8, trailing_entries=0)
+    elect(core)
+    refused = AppendAnswered(*head("b", core.term_), False, 0, 0, core.round_)
+    (piece,) = find_sent(core.handle(refused, LATER), SnapshotPiece)
+    core.handle(SnapshotSaved(Snapshot(11, 2, 0, members, b"y" * 20)), LATER)
+    answer = SnapshotAnswered(*head("b", core.term_), 10, 8, core.round_)
+    (second,) = find_sent(core.handle(answer, LATER), SnapshotPiece)
+    assert (piece.offset, second.offset, second.index) == (0, 8, 10)
+    assert core.log_.base_index == 10
--- a/sassafrashook/routing/_client.py
+++ b/sassafrashook/routing/_client.py
@@ -1,18 +1,14 @@
 """The router's side of the permits."""
 
-from dataclasses import dataclass
-
 import msgspec
 
 from sassafrashook.base import Core
 from sassafrashook.gateways import Permit
 from sassafrashook.messages import (
-    Holding,
     PermitGranted,
     PermitOutcome,
     PermitRefused,
     PermitReleased,
-    PermitRequested,
     PermitWithdrawn,
     SessionAccepted,
     SessionClosed,
@@ -29,6 +25,7 @@
     StopRequested,
     WithdrawRequested,
 )
+from sassafrashook.routing._holdings import Held, Wait, make_holding
 from sassafrashook.routing._owner_session import OwnerSession, SessionPhase
 from sassafrashook.utils import hash_key
 
@@ -39,35 +36,6 @@
 CRASHES_KEPT_S = 30.0
 
 
-@dataclass(slots=True, eq=False)
-class Wait:
-    """One request that waits for a permit.
-
-    :param request_id: under which the owner was asked, 0 while it was not.
-    :param asked: seconds when it was asked first under this id.
-    """
-
-    token: object
-    query: PermitRequested
-    deadline: float
-    request_id: int = 0
-    asked: float = 0.0
-
-
-@dataclass(slots=True, eq=False)
-class Held:
-    """One permit in use.
-
-    :param deadline: seconds until which its request may run.
-    :param release: what to tell the owner once the session is open, or ``None`` while in use.
-    """
-
-    permit: Permit
-    query: PermitRequested
-    deadline: float
-    release: PermitReleased | None = None
-
-
 class PermitClient(Core):
     """Gets permits from whoever owns the running counts, and gives them back.
 
@@ -125,7 +93,8 @@
         self.replayed_epoch_ = 0
         self.deadlines_ = DeadlineTable()
         self.resends_ = DeadlineTable()
-        self.request_id_ = hash_key("request", boot_id) >> REQUEST_ID_BITS
+        self.first_request_id_ = hash_key("request", boot_id) >> REQUEST_ID_BITS
+        self.request_id_ = self.first_request_id_
         self.stopping_ = False
         self.closed_ = False
         self.actions_ = []
@@ -309,7 +278,7 @@
         wait = self.asked_.get(message.request_id)
         is_current = name == self.session_.owner_ and message.epoch == self.session_.epoch_
         if wait is None or not is_current:
-            if message.request_id not in self.held_:
+            if self._is_unheld(message.request_id):
                 unused = PermitReleased(message.request_id, PermitOutcome.UNUSED)
                 self.actions_.append(Send(name, unused))
             return
@@ -331,6 +300,11 @@
         self.held_[permit.request_id] = Held(permit, wait.query, running_until)
         self.actions_.append(Acquired(wait.token, permit))
 
+    def _is_unheld(self, request_id):
+        """Return whether an id is of this process and no permit in use; others are not its own."""
+        is_own = self.first_request_id_ < request_id <= self.request_id_
+        return is_own and request_id not in self.held_
+
     def _return_late(self, name, wait, message, now):
         self.actions_.append(Count("permits_late", message.upstream_id))
         unused = PermitReleased(message.request_id, PermitOutcome.UNUSED)
@@ -357,16 +331,4 @@
     def _list_holdings(self, now):
         if self.session_.phase_ != SessionPhase.OPENING:
             return []
-        return [_make_holding(held, now) for held in self.held_.values()]
-
-
-def _make_holding(held, now):
-    return Holding(
-        request_id=held.permit.request_id,
-        upstream_id=held.permit.upstream_id,
-        boot_id=held.permit.boot_id,
-        account=held.query.account,
-        work_class=held.query.work_class,
-        fingerprint=held.query.fingerprint,
-        running_ms=max(0, int((held.deadline - now) * 1000)),
-    )
+        return [make_holding(held, now) for held in self.held_.values()]
--- a/sassafrashook/routing/tests/test_warmup.py
+++ b/sassafrashook/routing/tests/test_warmup.py
@@ -21,6 +21,8 @@
     make_query,
 )
 
+VIOLATIONS = "invariant_violations"
+
 
 def make_cold_driver(**options):
     """Return a ledger with one engine that bears two of eight requests when cold."""
@@ -47,7 +49,7 @@
 
 def test_without_warm_up_the_check_fails(monkeypatch):
     monkeypatch.setattr(
-        "sassafrashook.routing._upstreams.WarmUp", lambda capacity, _: WarmUp(capacity, capacity)
+        "sassafrashook.routing._upstream.WarmUp", lambda capacity, _: WarmUp(capacity, capacity)
     )
     driver = make_cold_driver()
     count_grants(driver)
@@ -155,7 +157,12 @@
 def test_without_zones_the_invariant_refuses(monkeypatch):
     monkeypatch.setattr(UpstreamTable, "set_zones", lambda table, zones: None)
     driver = LedgerDriver()
+    counted = []
+    tell = driver.tell
+    driver.tell = lambda event: counted.extend(tell(event)) or driver.actions
     assert drain(driver) == set()
+    violations = [action for action in counted if getattr(action, "name", "") == VIOLATIONS]
+    assert violations and {action.attribute for action in violations} == {"zone"}
 
 
 def test_zone_that_comes_back_is_cold():
@@ -201,3 +208,39 @@
         driver.ask(request_id, key=rng.getrandbits(64), account=f"a{request_id % 3}")
     rest = [driver.ledger.count_running(f"e{index}") for index in (2, 5, 8)]
     assert rest == [8, 8, 8]
+
+
+def lose_connection(driver):
+    """Have one permit end in a refused connection; return the upstream's name."""
+    grant = driver.ask(1)
+    driver.release(1, PermitOutcome.CONNECT_FAILED)
+    return grant.upstream_id
+
+
+def place_many(driver, first, count=12):
+    """Return where further requests are placed, each ended at once."""
+    placed = set()
+    for request_id in range(first, first + count):
+        placed.add(driver.ask(request_id).upstream_id)
+        driver.release(request_id)
+    return placed
+
+
+def test_unreachable_upstream_gets_nothing_until_it_is_heard_of_or_a_while_has_passed():
+    driver = LedgerDriver()
+    lost = lose_connection(driver)
+    assert lost not in place_many(driver, 10)
+    driver.tell(UpstreamSeen(make_announcement(lost, sequence=2)))
+    assert lost in place_many(driver, 30)
+
+    driver = LedgerDriver()
+    lost = lose_connection(driver)
+    driver.pass_time(1.1)
+    assert lost in place_many(driver, 10)
+
+
+def test_every_request_would_try_an_unreachable_upstream_otherwise(monkeypatch):
+    monkeypatch.setattr(UpstreamTable, "hold_back", lambda self, upstream, now: None)
+    driver = LedgerDriver()
+    lost = lose_connection(driver)
+    assert lost in place_many(driver, 10)
