--- a/sassafrashook/operations/_client.py
+++ b/sassafrashook/operations/_client.py
@@ -8,6 +8,7 @@
 
 import gevent
 from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPParseError
 from returns.result import Failure, Success
 
 from sassafrashook.outcomes import Verdict
@@ -132,7 +133,7 @@
             return _Attempt(answer, _may_be_accepted(answer), str(answer.body))
         except ConnectionRefusedError:
             return _Attempt(None, False, f"{address.host}:{address.port} refuses connections")
-        except (OSError, ValueError) as error:
+        except (OSError, ValueError, HTTPParseError) as error:
             problem = f"{address.host}:{address.port}: {error or type(error).__name__}"
             return _Attempt(None, True, problem)
         finally:
--- a/sassafrashook/operations/_controller.py
+++ b/sassafrashook/operations/_controller.py
@@ -20,6 +20,7 @@
     PermitService,
     UpstreamDirectory,
 )
+from sassafrashook.gateways import ProposalError, ProposalFailure
 from sassafrashook.membership import UpstreamLeft, UpstreamSeen
 from sassafrashook.operations._process import (
     Process,
@@ -77,6 +78,9 @@
             result = self.replica.replace_member(name, deadline)
             if isinstance(result, Failure):
                 log_event("replace_failed", level="warning", member=name, obstacle=result.failure())
+                if result.failure() == "not_leader":
+                    error = ProposalError(ProposalFailure.NOT_LEADER, self.replica.leader())
+                    return Failure(error)
                 return Success({"outcome": "refused", "reason": str(result.failure())})
         return Success({"outcome": "committed", "members": self.list_members()})
 
--- a/sassafrashook/operations/tests/test_security.py
+++ b/sassafrashook/operations/tests/test_security.py
@@ -55,10 +55,14 @@
 
 def test_certificate_of_another_process_is_refused(certificates):
     """A router's certificate does not let its holder speak as a controller."""
-    for suffix in ("crt", "key"):
-        shutil.copy(certificates / f"router-1.{suffix}", certificates / f"controller-3.{suffix}")
-    with Fleet(Sizes(routers=1, engines=0), tls=certificates) as fleet:
-        fleet.start()
+    with Fleet(Sizes(routers=1, engines=1), tls=certificates) as fleet:
+        fleet.start_serving()
+        fleet.processes["controller-3"].kill()
+        for suffix in ("crt", "key"):
+            shutil.copy(
+                certificates / f"router-1.{suffix}", certificates / f"controller-3.{suffix}"
+            )
+        fleet.start_controller("controller-3")
         leader = fleet.find_leader()
         assert leader != "controller-3"
         fleet.wait_until(
--- a/sassafrashook/telemetry/_metrics.py
+++ b/sassafrashook/telemetry/_metrics.py
@@ -34,7 +34,7 @@
         self.process = process
         self.totals_ = {}
         self._registry = CollectorRegistry()
-        reader = PrometheusMetricReader(disable_target_info=True, registry=self._registry)
+        reader = PrometheusMetricReader(True, scope_info_enabled=False, registry=self._registry)
         resource = Resource({"service.name": "sassafrashook", "service.instance.id": process})
         provider = MeterProvider([reader], resource, shutdown_on_exit=False)
         self._meter = provider.get_meter("sassafrashook")
