--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -128,9 +128,9 @@
 
 def report_usage(port, options):
     """Print the port, then the processor time at each SIGUSR1 until killed."""
-    print(port, flush=True)
     asked = gevent.event.Event()
     gevent.signal_handler(signal.SIGUSR1, asked.set)
+    print(port, flush=True)
     samples = start_sampling() if options.profile else None
     while True:
         asked.wait()
--- a/sassafrashook/proxy/_calls.py
+++ b/sassafrashook/proxy/_calls.py
@@ -111,7 +111,8 @@
         run = self.run
         context = self.context
         wait_s = context.first_byte_ms / MS_PER_S
-        opened = open_exchange(context.pools_, permit, run.watch, wait_s, run.deadline, False)
+        fresh = run.attempts > 1
+        opened = open_exchange(context.pools_, permit, run.watch, wait_s, run.deadline, fresh)
         if isinstance(opened, Failure):
             return opened
         exchange = opened.unwrap()
--- a/sassafrashook/proxy/_chats.py
+++ b/sassafrashook/proxy/_chats.py
@@ -140,7 +140,8 @@
             detail = "the part already delivered is too large to resume on another engine"
             return ExchangeFailure(ExchangeFailureKind.NOT_RESUMABLE, Verdict.NOT_RUN, detail)
         wait_s = context.first_byte_ms / MS_PER_S
-        opened = open_exchange(context.pools_, permit, run.watch, wait_s, run.deadline, resuming)
+        fresh = run.attempts > 1
+        opened = open_exchange(context.pools_, permit, run.watch, wait_s, run.deadline, fresh)
         if isinstance(opened, Failure):
             return opened.failure()
         exchange = self._exchange = opened.unwrap()
@@ -187,7 +188,7 @@
             return ExchangeFailure(ExchangeFailureKind.BUSY, Verdict.NOT_RUN, "upstream is busy")
         if status >= HTTP_SERVER_ERROR or (resuming and status != HTTP_OK):
             detail = f"upstream answered {status}"
-            return ExchangeFailure(ExchangeFailureKind.CUT, Verdict.MAY_HAVE_RUN, detail)
+            return ExchangeFailure(ExchangeFailureKind.ERROR_STATUS, Verdict.MAY_HAVE_RUN, detail)
         position = str(self.scanner.position_)
         if resuming and response.get(headers.RESUME_POSITION) != position:
             return exchange.fail_foreign("the engine did not resume at the position")
--- a/sassafrashook/proxy/_exchanges.py
+++ b/sassafrashook/proxy/_exchanges.py
@@ -25,6 +25,7 @@
     SILENT = "silent"
     FOREIGN = "foreign"
     BUSY = "busy"
+    ERROR_STATUS = "error_status"
     TOO_LARGE = "too_large"
     NOT_RESUMABLE = "not_resumable"
 
--- a/sassafrashook/proxy/_runs.py
+++ b/sassafrashook/proxy/_runs.py
@@ -26,9 +26,15 @@
     ExchangeFailureKind.CONNECT_FAILED: PermitOutcome.CONNECT_FAILED,
     ExchangeFailureKind.PERMIT_EXPIRED: PermitOutcome.UNUSED,
     ExchangeFailureKind.BUSY: PermitOutcome.BUSY,
+    ExchangeFailureKind.ERROR_STATUS: PermitOutcome.BROKE,
     ExchangeFailureKind.TOO_LARGE: PermitOutcome.BROKE,
     ExchangeFailureKind.NOT_RESUMABLE: PermitOutcome.UNUSED,
 }
+CONNECTION_FAILURES = (
+    ExchangeFailureKind.CUT,
+    ExchangeFailureKind.FOREIGN,
+    ExchangeFailureKind.SILENT,
+)
 VERDICT_ORDER = (Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN, Verdict.RAN)
 
 
@@ -216,7 +222,8 @@
         if failure.kind is ExchangeFailureKind.PERMIT_EXPIRED:
             return
         upstream_id = permit.upstream_id
-        if outcome is PermitOutcome.BROKE and self.started and upstream_id not in self._resumed:
+        is_alive = outcome is PermitOutcome.BROKE and failure.kind in CONNECTION_FAILURES
+        if is_alive and upstream_id not in self._resumed:
             self._resumed.append(upstream_id)
             self.preferred = upstream_id
             return
--- a/sassafrashook/proxy/_server.py
+++ b/sassafrashook/proxy/_server.py
@@ -31,6 +31,8 @@
 class CallerHandler(WSGIHandler):
     """Handles one caller's connection."""
 
+    corked = None
+
     def handle(self):
         """Serve requests until the connection ends."""
         self.server.handlers_.add(self)
@@ -106,7 +108,11 @@
         relay = self.result
         send = self.socket._sock.send
         for events in relay:
+            self.corked = []
             self.write(events)
+            data = b"".join(self.corked)
+            self.corked = None
+            self._sendall(data)
             rest = relay.pump(send)
             if rest:
                 self._sendall(rest)
@@ -114,6 +120,9 @@
 
     def _sendall(self, data):
         """Send, waiting as long as the caller makes progress."""
+        if self.corked is not None:
+            self.corked.append(data)
+            return
         self.watch.caller_deadline = self.server.context.clock.monotonic() + self.server.caller_s
         try:
             super()._sendall(data)
