--- a/sassafrashook/routing/tests/test_random.py
+++ b/sassafrashook/routing/tests/test_random.py
@@ -4,12 +4,14 @@
 
 import pytest
 
-from sassafrashook.routing import _assignment, _poison, _upstreams
+from sassafrashook.routing import _assignment, _poison, _upstream, _upstreams
 from sassafrashook.routing._warmup import WarmUp
 from sassafrashook.routing.tests.fleet import Faults, Fleet
 
 SEED = int(os.environ.get("SEED", "1"))
 RUNS = int(os.environ.get("SOAK", "40"))
+FAULTY_ONCE = (2038, 2064, 2140, 2221, 2235, 2269, 2276, 2290, 4168, 4243, 4357, 4528, 4726)
+FAULTY_ONCE += (5310, 5328, 5659, 5886, 6398)
 
 
 def disturb(fleet, rng, owner_loss):
@@ -68,7 +70,7 @@
     return fleet
 
 
-@pytest.mark.parametrize("seed", range(SEED * 1_000, SEED * 1_000 + RUNS))
+@pytest.mark.parametrize("seed", [*range(SEED * 1_000, SEED * 1_000 + RUNS), *FAULTY_ONCE])
 def test_promises_hold(seed):
     fleet = run_fleet(seed)
     assert not fleet.violations, f"seed {seed}: {fleet.violations[:5]}"
@@ -103,7 +105,7 @@
     def make_warm(capacity, cold_capacity):
         return WarmUp(capacity, capacity)
 
-    monkeypatch.setattr(_upstreams, "WarmUp", make_warm)
+    monkeypatch.setattr(_upstream, "WarmUp", make_warm)
     return {}
 
 
@@ -117,7 +119,7 @@
     def takes_new_work(upstream):
         return not upstream.drained_ and not upstream.gone_
 
-    monkeypatch.setattr(_upstreams.UpstreamState, "takes_new_work", takes_new_work)
+    monkeypatch.setattr(_upstream.UpstreamState, "takes_new_work", takes_new_work)
     monkeypatch.setattr(_assignment, "check_grant", lambda *_: None)
     return {}
 
--- a/sassafrashook/routing/tests/test_takeover.py
+++ b/sassafrashook/routing/tests/test_takeover.py
@@ -60,6 +60,15 @@
     assert loads == [4, 2]
 
 
+def test_queue_is_capped_while_nothing_is_granted():
+    driver = TakeoverDriver()
+    driver.ledger.queue_max = 5
+    driver.open("r1")
+    answers = [driver.ask(request_id) for request_id in range(1, 10)]
+    assert answers[:5] == [None] * 5
+    assert {answer.reason for answer in answers[5:]} == {"queue_full"}
+
+
 def test_another_boot_is_no_report():
     driver = TakeoverDriver()
     driver.open("r1")
@@ -129,6 +138,20 @@
     assert sum(driver.ledger.count_running(f"e{index}") for index in range(3)) == 1
 
 
+def test_requests_of_a_dead_router_are_not_granted():
+    driver = LedgerDriver(engines=1)
+    driver.open("r2")
+    for request_id in range(1, 9):
+        driver.ask(request_id, account=f"a{request_id % 3}")
+    assert driver.ask(100, router="r2", account="b", work_class="plan") is None
+    driver.pass_time(2.5)
+    assert driver.ask(101, account="c", work_class="plan") is None
+    driver.release(1)
+    driver.release(2)
+    assert driver.find_answer(100) is None
+    assert driver.ledger.count_running("e0") == 7
+
+
 def test_reopened_session_frees_what_its_router_does_not_hold():
     driver = LedgerDriver()
     grants = {request_id: driver.ask(request_id) for request_id in (1, 2)}
@@ -138,6 +161,16 @@
     assert sum(driver.ledger.count_running(f"e{index}") for index in range(3)) == 1
 
 
+def test_without_comparing_holdings_the_check_fails(monkeypatch):
+    monkeypatch.setattr(PermitLedger, "_take_holdings", lambda *_: None)
+    driver = LedgerDriver()
+    driver.ledger.sessions_.get("r1").lease_until_ = 99.0
+    driver.ask(1)
+    driver.open("r1", sequence=10, epoch=0)
+    driver.open("r1", sequence=11)
+    assert sum(driver.ledger.count_running(f"e{index}") for index in range(3)) == 1
+
+
 def test_closed_session_leaves_nothing_behind():
     driver = LedgerDriver()
     for request_id in range(1, 40):
--- a/sassafrashook/routing/tests/test_warmup.py
+++ b/sassafrashook/routing/tests/test_warmup.py
@@ -21,6 +21,8 @@
     make_query,
 )
 
+VIOLATIONS = "invariant_violations"
+
 
 def make_cold_driver(**options):
     """Return a ledger with one engine that bears two of eight requests when cold."""
@@ -47,7 +49,7 @@
 
 def test_without_warm_up_the_check_fails(monkeypatch):
     monkeypatch.setattr(
-        "sassafrashook.routing._upstreams.WarmUp", lambda capacity, _: WarmUp(capacity, capacity)
+        "sassafrashook.routing._upstream.WarmUp", lambda capacity, _: WarmUp(capacity, capacity)
     )
     driver = make_cold_driver()
     count_grants(driver)
@@ -155,7 +157,12 @@
 def test_without_zones_the_invariant_refuses(monkeypatch):
     monkeypatch.setattr(UpstreamTable, "set_zones", lambda table, zones: None)
     driver = LedgerDriver()
+    counted = []
+    tell = driver.tell
+    driver.tell = lambda event: counted.extend(tell(event)) or driver.actions
     assert drain(driver) == set()
+    violations = [action for action in counted if getattr(action, "name", "") == VIOLATIONS]
+    assert violations and {action.attribute for action in violations} == {"zone"}
 
 
 def test_zone_that_comes_back_is_cold():
