Chat attempts: request building and head checks in a module of their own

Mended: a stream cut after nothing but a comment was asked for anew as if nothing had been sent; it is now resumed at position 0. Delivered events of an unexpected shape no longer raise.

--- a/fakes/__init__.py
+++ b/fakes/__init__.py
@@ -164,8 +164,25 @@
         return [json.dumps(fields).encode()]
 
 
-def run_fake(upstream):
-    """Run a fake as a process until SIGTERM; it prints ``port=N`` once it listens."""
+def run_fake(kind, options, **more):
+    """Run a fake as a process until SIGTERM; it prints ``port=N`` once it listens.
+
+    :param kind: class of the fake.
+    :param options: what :func:`parse_options` returned.
+    :param more: further parameters of the class.
+    """
+    common = {name: getattr(options, name) for name in ("capacity", "cold_capacity")}
+    upstream = kind(
+        options.id,
+        options.service,
+        options.zone,
+        options.port,
+        options.router,
+        read_key(options.key_file),
+        checks_fencing=options.checks_fencing,
+        **common,
+        **more,
+    )
     upstream.start()
     print(f"port={upstream.port}", flush=True)
     stopped = gevent.event.Event()
@@ -195,24 +212,3 @@
     parser.add_argument("--cold-capacity", type=int, default=2)
     parser.add_argument("--checks-fencing", action="store_true")
     return parser.parse_args()
-
-
-def common_arguments(options):
-    """Return the arguments that all fakes take from the command line."""
-    return (
-        options.id,
-        options.service,
-        options.zone,
-        options.port,
-        options.router,
-        read_key(options.key_file),
-    )
-
-
-def common_options(options):
-    """Return the fields of the announcement that come from the command line."""
-    return {
-        "capacity": options.capacity,
-        "cold_capacity": options.cold_capacity,
-        "checks_fencing": options.checks_fencing,
-    }
--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -8,14 +8,7 @@
 
 import gevent
 
-from fakes import (
-    REPORT_S,
-    FakeUpstream,
-    common_arguments,
-    common_options,
-    parse_options,
-    run_fake,
-)
+from fakes import REPORT_S, FakeUpstream, parse_options, run_fake
 
 POISON = "CRASH-ENGINE"
 CACHE_EVENT_GAP = 5
@@ -94,12 +87,10 @@
             return self.answer(environ, start_response, {"cancelled": True})
         if path == "/v1/orders":
             return self._order(environ, start_response, body)
-        if path == "/v1/kv/export":
-            return self.answer(environ, start_response, {"keys": list(self.cache)})
-        if path == "/v1/kv/import":
+        if path.startswith("/v1/kv/"):
             for key in body.get("keys", []):
                 self._remember(key)
-            return self.answer(environ, start_response, {"imported": True})
+            return self.answer(environ, start_response, {"keys": list(self.cache)})
         return self.answer(environ, start_response, {}, "404 Not Found")
 
     def _order(self, environ, start_response, body):
@@ -204,9 +195,9 @@
     parser.add_argument("--warm-after", type=int, default=0)
     parser.add_argument("--model", action="append", default=[])
     options = parse_options(parser)
-    engine = FakeEngine(
-        *common_arguments(options),
-        **common_options(options),
+    run_fake(
+        FakeEngine,
+        options,
         tokens=options.tokens,
         token_s=options.token_ms / 1_000,
         cache_size=options.cache_size,
@@ -214,7 +205,6 @@
         models=options.model,
         crash=lambda: os._exit(1),
     )
-    run_fake(engine)
 
 
 if __name__ == "__main__":
--- a/fakes/ledger.py
+++ b/fakes/ledger.py
@@ -6,7 +6,7 @@
 
 import gevent
 
-from fakes import FakeUpstream, common_arguments, common_options, parse_options, run_fake
+from fakes import FakeUpstream, parse_options, run_fake
 
 
 class FakeLedger(FakeUpstream):
@@ -70,13 +70,12 @@
     parser.add_argument("--delay-ms", type=float, default=0.0)
     parser.add_argument("--close-before-answer", action="store_true")
     options = parse_options(parser)
-    ledger = FakeLedger(
-        *common_arguments(options),
-        **common_options(options),
+    run_fake(
+        FakeLedger,
+        options,
         delay_s=options.delay_ms / 1_000,
         close_before_answer=options.close_before_answer,
     )
-    run_fake(ledger)
 
 
 if __name__ == "__main__":
--- a/sassafrashook/proxy/_chats.py
+++ b/sassafrashook/proxy/_chats.py
@@ -3,18 +3,22 @@
 import math
 
 import gevent
-import msgspec
 from returns.result import Failure, Success
 
 from sassafrashook.messages import PermitOutcome
 from sassafrashook.outcomes import Verdict
-from sassafrashook.proxy import _headers as headers
+from sassafrashook.proxy._chat_requests import (
+    HTTP_OK,
+    DeliveredPart,
+    build_chat_request,
+    check_head,
+    is_answer_to,
+)
 from sassafrashook.proxy._errors import encode_error_event
-from sassafrashook.proxy._events import ID_PREFIX, EventScanner, StreamError, read_text
+from sassafrashook.proxy._events import EventScanner, StreamError
 from sassafrashook.proxy._exchanges import (
     ExchangeFailure,
     ExchangeFailureKind,
-    build_request,
     fail_expired,
     open_exchange,
 )
@@ -22,25 +26,11 @@
 
 __all__ = ["ChatRelay"]
 
-CHAT_TARGET = "/v1/chat/completions"
 EVENT_STREAM = "text/event-stream"
-RESUME_FIELD = "resume_text"
 MS_PER_S = 1_000
-HTTP_OK = 200
-HTTP_SERVER_ERROR = 500
-BUSY_STATUSES = (429, 503)
 FINISH_S = 0.05
 
 
-class CompletionId(msgspec.Struct):
-    """The part of a whole completion that names the request it answers."""
-
-    id: str
-
-
-_decode_completion_id = msgspec.json.Decoder(CompletionId).decode
-
-
 class ChatRelay:
     """Relays the answer to one chat; iterating gives the bytes of a streamed answer.
 
@@ -65,7 +55,6 @@
         "_pending",
         "_finished",
         "_delivered",
-        "_delivered_bytes",
         "_origin",
         "_failure",
         "_first_token_ms",
@@ -84,8 +73,7 @@
         self._exchange = None
         self._pending = b""
         self._finished = False
-        self._delivered = []
-        self._delivered_bytes = 0
+        self._delivered = DeliveredPart(self.context.max_resume_bytes)
         self._origin = None
         self._failure = None
         self._first_token_ms = -1
@@ -134,8 +122,8 @@
     def _try(self, permit):
         run = self.run
         context = self.context
-        resuming = self.scanner.position_ > 0
-        data = self._build_request(permit, resuming)
+        position = self.scanner.position_ if run.started else None
+        data = self._build_request(permit, position)
         if data is None:
             detail = "the part already delivered is too large to resume on another engine"
             return ExchangeFailure(ExchangeFailureKind.NOT_RESUMABLE, Verdict.NOT_RUN, detail)
@@ -151,48 +139,18 @@
             return fail_expired()
         failure = exchange.send("POST", data) or exchange.receive_head(run.attempt_id)
         if failure is None:
-            failure = self._check_head(exchange, resuming)
+            failure = check_head(exchange, position)
         if failure is None:
             failure = self._receive_first(permit, exchange)
         return failure
 
-    def _build_request(self, permit, resuming):
-        run = self.run
+    def _build_request(self, permit, position):
         body = self.chat.body
-        fields = {
-            "Host": f"{permit.host}:{permit.port}",
-            "Content-Type": "application/json",
-            headers.REQUEST_ID: run.attempt_id,
-            headers.PRIORITY: permit.priority,
-            headers.CONVERSATION_KEY: run.conversation_key,
-        }
-        if resuming:
-            fields[headers.RESUME_POSITION] = self.scanner.position_
-            if (permit.upstream_id, permit.boot_id) != self._origin:
-                body = self._add_delivered(body)
-                if body is None:
-                    return None
-        return build_request("POST", CHAT_TARGET, fields, body)
-
-    def _add_delivered(self, body):
-        if self._delivered_bytes > self.context.max_resume_bytes:
-            return None
-        document = msgspec.json.decode(body)
-        document[RESUME_FIELD] = read_text(b"".join(self._delivered))
-        return msgspec.json.encode(document)
-
-    def _check_head(self, exchange, resuming):
-        response = exchange.response
-        status = response.status_code
-        if status in BUSY_STATUSES and response.get(headers.VERDICT) == Verdict.NOT_RUN:
-            return ExchangeFailure(ExchangeFailureKind.BUSY, Verdict.NOT_RUN, "upstream is busy")
-        if status >= HTTP_SERVER_ERROR or (resuming and status != HTTP_OK):
-            detail = f"upstream answered {status}"
-            return ExchangeFailure(ExchangeFailureKind.ERROR_STATUS, Verdict.MAY_HAVE_RUN, detail)
-        position = str(self.scanner.position_)
-        if resuming and response.get(headers.RESUME_POSITION) != position:
-            return exchange.fail_foreign("the engine did not resume at the position")
-        return None
+        if position is not None and (permit.upstream_id, permit.boot_id) != self._origin:
+            body = self._delivered.add_to(body)
+            if body is None:
+                return None
+        return build_chat_request(self.run, permit, body, position)
 
     def _receive_first(self, permit, exchange):
         response = exchange.response
@@ -205,7 +163,7 @@
         if isinstance(received, Failure):
             return received.failure()
         body = received.unwrap()
-        if self.status == HTTP_OK and not self._is_ours(body):
+        if self.status == HTTP_OK and not is_answer_to(body, self.run.request_id):
             return exchange.fail_foreign("the answer names another request")
         self.body = body
         self.run.note_verdict(Verdict.RAN)
@@ -246,12 +204,6 @@
                 return None
         return failure
 
-    def _is_ours(self, body):
-        try:
-            return _decode_completion_id(body).id.startswith(ID_PREFIX + self.run.request_id)
-        except (msgspec.MsgspecError, UnicodeDecodeError):
-            return False
-
     def __iter__(self):
         return self
 
@@ -296,11 +248,7 @@
 
     def _note_delivered(self, events):
         self.run.started = True
-        self._delivered_bytes += len(events)
-        if self._delivered_bytes <= self.context.max_resume_bytes:
-            self._delivered.append(events)
-        else:
-            self._delivered.clear()
+        self._delivered.add(events)
 
     def _recover(self, failure):
         refusal = self._give_up_attempt(self._permit, failure)
--- a/sassafrashook/proxy/_events.py
+++ b/sassafrashook/proxy/_events.py
@@ -31,7 +31,7 @@
 class Choice(msgspec.Struct):
     """One choice of an event."""
 
-    delta: Delta
+    delta: Delta = msgspec.field(default_factory=Delta)
 
 
 class EventText(msgspec.Struct):
--- a/sassafrashook/proxy/tests/test_callers.py
+++ b/sassafrashook/proxy/tests/test_callers.py
@@ -232,6 +232,25 @@
     assert router.retries.asked == [("engine-2", Verdict.MAY_HAVE_RUN)]
 
 
+def test_stream_that_is_cut_after_a_comment_goes_on_as_a_stream():
+    def comment(sock, _):
+        sent = sock.recv(65_536).decode()
+        request_id = sent.partition("X-Request-Id: ")[2].split("\r\n")[0]
+        lines = f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: {request_id}"
+        sock.sendall(f"{lines}\r\nTransfer-Encoding: chunked\r\n\r\n8\r\n: ping\n\n\r\n".encode())
+
+    commenter = StreamServer(("127.0.0.1", 0), comment)
+    commenter.start()
+    with serve(("assistant", make_engine())) as router:
+        address = ("engine-2", "127.0.0.1", commenter.server_port)
+        router.permits.addresses["assistant"].insert(1, address)
+        router.permits.boot_ids["engine-2"] = "b"
+        _, _, body = request(router, "POST", CHAT, encode_chat("plan"))
+        commenter.stop()
+    assert body.startswith(b": ping\n\ndata: ")
+    assert read_stream(body) == (expect_text("plan"), True, None)
+
+
 @FUZZ
 @given(st.binary() | st.text().map(str.encode) | st.dictionaries(st.text(), st.text()).map(str))
 def test_decoders_give_a_value_or_a_refusal(data):
--- a/sassafrashook/proxy/tests/test_faults.py
+++ b/sassafrashook/proxy/tests/test_faults.py
@@ -247,9 +247,7 @@
     assert results["wrong"] == 0
     assert results["error"] > 0
     assert router.counts[("foreign_answers", "assistant")] > 0
-    check_head = _chats.ChatRelay._check_head
-    monkeypatch.setattr(
-        _chats.ChatRelay, "_check_head", lambda self, exchange, _: check_head(self, exchange, False)
-    )
+    check_head = _chats.check_head
+    monkeypatch.setattr(_chats, "check_head", lambda exchange, _: check_head(exchange, None))
     results, _, _ = run_callers(["cut"], streams=(True,))
     assert results["wrong"] > 0
