--- a/sassafrashook/proxy/_admission.py
+++ b/sassafrashook/proxy/_admission.py
@@ -8,9 +8,10 @@
 from sassafrashook.messages import UpstreamKind
 from sassafrashook.outcomes import Refusal, RefusalReason, Verdict
 from sassafrashook.proxy import _headers as headers
+from sassafrashook.proxy._reading import SKIP_REST
 from sassafrashook.proxy._requests import decode_deadline, refuse_input
 
-__all__ = ["Admission", "admit", "find_engine_service", "find_plain_service", "read_key"]
+__all__ = ["Admission", "admit_unread", "find_engine_service", "find_plain_service", "read_key"]
 
 BEARER = "Bearer "
 ANY_ACCOUNT = "default"
@@ -36,6 +37,17 @@
     return text[len(BEARER) :] if text.startswith(BEARER) else ""
 
 
+def admit_unread(context, accounts, request):
+    """Check a caller's headers before its body is read; see :func:`admit`.
+
+    The body of a caller that is refused is not read, and its connection ends.
+    """
+    admitted = admit(context, accounts, request)
+    if isinstance(admitted, Failure):
+        request.env[SKIP_REST] = True
+    return admitted
+
+
 def admit(context, accounts, request):
     """Check what a caller's headers say.
 
--- a/sassafrashook/proxy/_resources.py
+++ b/sassafrashook/proxy/_resources.py
@@ -7,7 +7,7 @@
 
 from sassafrashook.outcomes import RefusalReason
 from sassafrashook.proxy import _headers as headers
-from sassafrashook.proxy._admission import admit, find_engine_service, find_plain_service
+from sassafrashook.proxy._admission import admit_unread, find_engine_service, find_plain_service
 from sassafrashook.proxy._calls import Call, RepeatableCall
 from sassafrashook.proxy._chats import ChatRelay
 from sassafrashook.proxy._errors import encode_error, find_status, retry_after_s
@@ -76,19 +76,19 @@
             response.data = relay.body
 
     def _start(self, request):
+        admitted = admit_unread(self.context, self.accounts, request)
+        if isinstance(admitted, Failure):
+            return admitted
+        admission = admitted.unwrap()
         return (
             read_body(request, self.context.max_body_bytes)
             .bind(decode_chat)
-            .bind(lambda chat: self._admit(request, chat))
+            .bind(lambda chat: self._prepare(request, admission, chat))
             .bind(_start_relay)
         )
 
-    def _admit(self, request, chat):
+    def _prepare(self, request, admission, chat):
         context = self.context
-        admitted = admit(context, self.accounts, request)
-        if isinstance(admitted, Failure):
-            return admitted
-        admission = admitted.unwrap()
         service = find_engine_service(admission.configuration, chat.model)
         if service is None:
             return refuse_input("no service runs this model", RefusalReason.UNKNOWN_SERVICE)
@@ -134,9 +134,7 @@
 
     def __call__(self, request, response, **_):
         """Route one call."""
-        result = read_body(request, self.context.max_body_bytes).bind(
-            lambda body: self._execute(request, body)
-        )
+        result = self._route(request)
         if isinstance(result, Failure):
             answer_refusal(self.context, response, result.failure())
             return
@@ -150,11 +148,15 @@
         if answer.replayed:
             response.set_header(headers.IDEMPOTENCY_REPLAYED, "true")
 
-    def _execute(self, request, body):
-        admitted = admit(self.context, self.accounts, request)
+    def _route(self, request):
+        admitted = admit_unread(self.context, self.accounts, request)
         if isinstance(admitted, Failure):
             return admitted
         admission = admitted.unwrap()
+        body = read_body(request, self.context.max_body_bytes)
+        return body.bind(lambda data: self._execute(request, admission, data))
+
+    def _execute(self, request, admission, body):
         service = find_plain_service(admission.configuration, request.path)
         if service is None:
             return refuse_input("no service takes this path", RefusalReason.UNKNOWN_SERVICE)
--- a/sassafrashook/transport/_mesh.py
+++ b/sassafrashook/transport/_mesh.py
@@ -5,7 +5,7 @@
 
 import gevent
 from absl import logging
-from gevent import socket
+from gevent import socket, ssl
 from gevent.server import StreamServer
 
 from sassafrashook.gateways import Sender
@@ -179,6 +179,8 @@
             self._receive(connection)
         except CodecError:
             self.count("connections_refused", "bad_message", 1)
+        except ssl.SSLError:
+            self.count("connections_refused", "certificate", 1)
         except OSError as error:
             self.count("connections_lost", type(error).__name__, 1)
         except Exception as error:
