--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 SEED ?= 1
 
-.PHONY: demo test lint format bench bench-routing soak chaos dist
+.PHONY: demo test lint format bench bench-routing bench-membership bench-relay bench-stalls soak chaos dist
 
 $(VENV)/.installed: requirements.txt requirements-dev.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -30,3 +30,21 @@
 
 bench-routing: $(VENV)/.installed
 	$(BIN)/python -m benchmarks.routing
+
+chaos: $(VENV)/.installed
+	$(BIN)/python scripts/chaos.py $(SEED)
+
+soak: $(VENV)/.installed
+	SOAK=$(SEED) $(BIN)/python scripts/run_tests.py
+
+bench: $(VENV)/.installed
+	$(BIN)/python -m benchmarks.slopes
+
+bench-membership: $(VENV)/.installed
+	$(BIN)/python -m benchmarks.membership
+
+bench-relay: $(VENV)/.installed
+	$(BIN)/python -m benchmarks.relay
+
+bench-stalls: $(VENV)/.installed
+	$(BIN)/python -m benchmarks.stalls
--- a/sassafrashook/membership/_core.py
+++ b/sassafrashook/membership/_core.py
@@ -68,7 +68,7 @@
     >>> import random
     >>> from sassafrashook.membership import MembershipCore, PeerRecord
     >>> own = PeerRecord("r1", "router", "10.0.0.1", 7000, "muscat-a", "b1", 1)
-    >>> core = MembershipCore(own, random.Random(1), len)
+    >>> core = MembershipCore(own, random.Random(1), lambda message: 100)
     >>> core.start(0.0)
     []
     >>> core.upstreams(0.0)
@@ -225,7 +225,8 @@
             self.transit_.drop(name)
 
     def _hear_announcement(self, event, now):
-        if self._is_joining(now) and len(self.deferred_) < DEFERRED_LIMIT:
+        may_defer = not event.announcement.leaving and len(self.deferred_) < DEFERRED_LIMIT
+        if may_defer and self._is_joining(now):
             self.deferred_.append((event, now + event.announcement.valid_ms / 1000))
             return
         remaining_s = event.announcement.valid_ms / 1000
--- a/sassafrashook/routing/_owner_session.py
+++ b/sassafrashook/routing/_owner_session.py
@@ -100,6 +100,15 @@
         self.next_send_ = now + self.lease_s_ / RENEWALS_PER_LEASE
         return [self._open(self.owner_, self.epoch_, [], now)]
 
+    def probe(self, controller, now):
+        """Ask a controller that says of itself that it became the owner.
+
+        :returns: the actions.
+        """
+        if controller not in self.controllers or controller == self.owner_:
+            return []
+        return [self._open(controller, 0, [], now)]
+
     def accept(self, name, message, now):
         """Take a :class:`~sassafrashook.messages.SessionAccepted`.
 
@@ -112,33 +121,49 @@
         fresh_until = renewal.sent + self.lease_s_ * (1 - CLOCK_DRIFT)
         self.fresh_until_ = max(self.fresh_until_, fresh_until)
         self.revision_ = max(self.revision_, message.revision)
-        interval = self.lease_s_ / RENEWALS_PER_LEASE
-        self.answer_by_ = now + interval * RENEWALS_MISSED_MAX + ANSWER_TIMEOUT_S
         is_known = self.owner_ == name and self.epoch_ == message.epoch
         if message.needs_holdings:
             return self._begin_opening(name, message.epoch, is_known, message.sequence, now)
-        if not is_known or self.phase_ != SessionPhase.OPENING:
+        if not is_known or self.phase_ == SessionPhase.SEARCHING:
+            return None
+        self._expect_answer(now)
+        if self.phase_ == SessionPhase.OPEN:
             return None
         self.phase_ = SessionPhase.OPEN
-        self.next_send_ = now + interval
+        self.next_send_ = now + self.lease_s_ / RENEWALS_PER_LEASE
         return self.phase_
 
     def redirect(self, name, message, now):
         """Take a :class:`~sassafrashook.messages.SessionRedirected`.
 
+        A new owner says so of itself with sequence 0; then it is asked next.
+
         :returns: whether the session was lost by it.
         """
+        if message.sequence == 0:
+            return self._follow(name, message.owner, now)
         renewal = self.renewals_.pop(message.sequence, None)
         if renewal is None or renewal.controller != name:
             return False
         is_lost = self.owner_ == name
         if is_lost:
             self.search(now)
-        if self.phase_ == SessionPhase.SEARCHING and message.owner in self.controllers:
-            self.candidate_ = self.controllers.index(message.owner)
-            self.next_send_ = now
+        if self.phase_ == SessionPhase.SEARCHING:
+            self._ask_next(message.owner, now)
         return is_lost
 
+    def _follow(self, name, owner, now):
+        if name != owner or owner == self.owner_:
+            return False
+        self.search(now)
+        self._ask_next(owner, now)
+        return True
+
+    def _ask_next(self, owner, now):
+        if owner in self.controllers:
+            self.candidate_ = self.controllers.index(owner)
+            self.next_send_ = now
+
     def _begin_opening(self, name, epoch, is_known, sequence, now):
         if is_known and (self.phase_ == SessionPhase.OPENING or sequence < self.sequence_):
             return None
@@ -146,8 +171,13 @@
         self.owner_ = name
         self.epoch_ = epoch
         self.next_send_ = now
+        self._expect_answer(now)
         return self.phase_
 
+    def _expect_answer(self, now):
+        renewals_s = self.lease_s_ / RENEWALS_PER_LEASE * RENEWALS_MISSED_MAX
+        self.answer_by_ = now + renewals_s + ANSWER_TIMEOUT_S
+
     def _open(self, controller, epoch, holdings, now):
         self.sequence_ += 1
         self.renewals_[self.sequence_] = Renewal(controller, now)
