--- a/sassafrashook/routing/_sessions.py
+++ b/sassafrashook/routing/_sessions.py
@@ -19,6 +19,7 @@
     :param service: the :class:`ServiceState` that it is counted for.
     :param granted: seconds when it was granted or taken over.
     :param isolated: whether nothing else may run beside it.
+    :param is_ended: whether its request had ended when it was taken over.
     :param grant: the message that granted it, ``None`` if an earlier owner did.
     """
 
@@ -32,6 +33,7 @@
     fingerprint: int
     granted: float
     isolated: bool = False
+    is_ended: bool = False
     grant: object = None
 
     def is_of_this_boot(self):
--- a/sassafrashook/routing/_takeover.py
+++ b/sassafrashook/routing/_takeover.py
@@ -71,6 +71,7 @@
             account=holding.account,
             fingerprint=holding.fingerprint,
             granted=now,
+            is_ended=holding.running_ms <= 0,
         )
         if upstream.charge_ and session.identity() in self.missing_:
             upstream.charge_ -= 1
@@ -150,7 +151,8 @@
         return max(0, running - explained)
 
     def _keep_warm(self, upstream, running):
-        if self.state.taken_over_ or upstream.warm_up_.stated_cold_:
+        has_restarted = upstream.warm_up_.ramp_ > 0 or upstream.warm_up_.stated_cold_
+        if self.state.taken_over_ or has_restarted:
             return
         upstream.warm_up_.raise_limit(running)
         self.state.upstreams_.refresh(upstream)
--- a/sassafrashook/routing/_upstream.py
+++ b/sassafrashook/routing/_upstream.py
@@ -87,8 +87,9 @@
         return not (self.gone_ or self.drained_ or self.announcement.leaving)
 
     def count_of_this_boot(self):
-        """Return how many permits were granted for its present boot."""
-        return sum(record.is_of_this_boot() for record in self.permits_)
+        """Return how many requests run that were granted for its present boot."""
+        running = [record for record in self.permits_ if not record.is_ended]
+        return sum(record.is_of_this_boot() for record in running)
 
     def accepts_report(self, report):
         """Take note of a load report's order.
