--- a/sassafrashook/routing/tests/fleet.py
+++ b/sassafrashook/routing/tests/fleet.py
@@ -349,6 +349,18 @@
         else:
             self.answers["broken"] += 1
 
+    def leave(self, engine):
+        """An engine says that it leaves; it starts anew once it runs nothing."""
+        engine.leaving_since = self.now
+        self.at(6.0, self.start_anew, engine)
+
+    def start_anew(self, engine):
+        if engine.running:
+            self.at(1.0, self.start_anew, engine)
+        elif self.engines.get(engine.name) is engine:
+            reborn = Engine(engine.name, engine.zone, engine.incarnation + 1, self.now)
+            self.engines[engine.name] = reborn
+
     def announce_all(self):
         for engine in list(self.engines.values()):
             engine.sequence += 1
