--- a/sassafrashook/membership/_liveness.py
+++ b/sassafrashook/membership/_liveness.py
@@ -94,6 +94,14 @@
             names[count - 1 :] = [self.rng.choice(self._unreachable)]
         return names
 
+    def choose_any(self, count):
+        """Pick known nodes at random, in the view or not.
+
+        :param count: how many at most.
+        :returns: distinct names.
+        """
+        return self.rng.sample(self._names, min(count, len(self._names)))
+
     def hear(self, name, now):
         """Note that a message came from a node."""
         state = self.states_.get(name)
--- a/sassafrashook/membership/_reconciliation.py
+++ b/sassafrashook/membership/_reconciliation.py
@@ -14,7 +14,7 @@
 
 SETTLE_S = 1.0
 UNSETTLED_LIMIT_S = 3.0
-JOIN_FANOUT = 8
+JOIN_FANOUT = 32  # a power of two, so that each node is asked for one bucket
 
 
 class Reconciliation:
@@ -53,10 +53,10 @@
 
     def join(self, now):
         """Ask several nodes for a share of the list each."""
-        names = self.core.liveness_.choose(JOIN_FANOUT)
+        names = self.core.liveness_.choose_any(JOIN_FANOUT)
         for index, peer in enumerate(names):
-            buckets = list(range(index, MINIMUM_BUCKETS, len(names)))
-            message = BucketContents(*self.core.stamp(now), MINIMUM_BUCKETS, buckets, [])
+            buckets = list(range(index, JOIN_FANOUT, len(names)))
+            message = BucketContents(*self.core.stamp(now), JOIN_FANOUT, buckets, [])
             self.core.send(peer, message, now)
 
     def _hear_gossip(self, peer, message, delay_s, now):
--- a/sassafrashook/membership/tests/test_rules.py
+++ b/sassafrashook/membership/tests/test_rules.py
@@ -294,7 +294,7 @@
     node.tell(PeersChanged(tuple(f"r{index}" for index in range(2, 8))), 0.0)
     sent = node.found(Send)
     assert len(sent) == 6
-    assert sorted(bucket for s in sent for bucket in s.message.buckets) == list(range(8))
+    assert sorted(bucket for s in sent for bucket in s.message.buckets) == list(range(32))
 
 
 def test_node_that_joins_defers_announcements_but_no_departure():
