--- a/sassafrashook/consensus/_membership.py
+++ b/sassafrashook/consensus/_membership.py
@@ -68,7 +68,9 @@
         self._refresh_configuration()
 
     def _configuration_at(self, index):
-        return [c for c in self._configurations if c[0] <= index][-1]
+        """Return index and members in force at an index, or ``None`` if they are not known."""
+        known = [c for c in self._configurations if c[0] <= index]
+        return known[-1] if known else None
 
     def _is_voter(self, identity):
         return any(m.voter and m.identity == identity for m in self.configuration_)
@@ -95,9 +97,14 @@
         if now < self.announce_deadline_:
             return
         self.announce_deadline_ = now + self.heartbeat_s_
-        for name in self.members:
-            if name != self.name:
-                self._announce(name, "")
+        self._announce_to_all()
+
+    def _announce_to_all(self):
+        for name in sorted(self._names() - {self.name}):
+            self._announce(name, "")
+
+    def _names(self):
+        return {*self.members, *(member.name for member in self.configuration_)}
 
     def _announce(self, name, recipient):
         genesis = self.genesis_ or Genesis({})
@@ -173,7 +180,7 @@
         """
         if self.role_ is not Role.LEADER:
             return "not_leader"
-        if name == self.name or name not in [m.name for m in self.configuration_]:
+        if name == self.name or name not in self._names():
             return "not_another_member"
         if self._announced_identity(name, now) is None:
             return "no_new_identity"
--- a/sassafrashook/consensus/_replica.py
+++ b/sassafrashook/consensus/_replica.py
@@ -6,27 +6,14 @@
 from dataclasses import dataclass
 
 import gevent
-from absl import logging
-from gevent.queue import Empty, SimpleQueue
+from gevent.queue import SimpleQueue
 from returns.result import Failure, Success
 
 from sassafrashook.base import Parametrized
 from sassafrashook.consensus._actions import (
-    Apply,
-    Persist,
-    Proposal,
-    ProposalAppended,
-    ProposalRefused,
-    ProposalsOffered,
-    ReadConfirmed,
     ReadOffered,
-    ReadRefused,
     ReplaceMember,
-    Restore,
     Role,
-    RoleChanged,
-    SendMessage,
-    TakeSnapshot,
     TransferLeadership,
 )
 from sassafrashook.consensus._core import (
@@ -37,7 +24,7 @@
     SNAPSHOT_ENTRIES,
     ReplicaCore,
 )
-from sassafrashook.consensus._messages import COMMAND
+from sassafrashook.consensus._loop import MAX_QUEUED_INPUTS, LoopMixin
 from sassafrashook.consensus._persistence import ReplicaStorage
 from sassafrashook.consensus._waiters import ProposalWaiters, Waiter
 from sassafrashook.consensus._writer import StorageWriter
@@ -47,8 +34,6 @@
 
 __all__ = ["Replica", "ReplicaStatus"]
 
-MAX_QUEUED_INPUTS = 20_000
-MAX_BATCH_INPUTS = 512
 READ_RETRY_MS = 300
 POLL_MS = 20
 
@@ -75,7 +60,7 @@
     failure: str = ""
 
 
-class Replica(Parametrized, ReplicatedLog):
+class Replica(LoopMixin, Parametrized, ReplicatedLog):
     """Drives one :class:`~sassafrashook.consensus.ReplicaCore` under gevent.
 
     One greenlet owns the core and the state machine; a second one writes and syncs files in the
@@ -214,10 +199,10 @@
     def stop(self):
         """Stop taking part and release the data folder; waiting callers are told ``unknown``."""
         gevent.killall(self._greenlets)
-        self._writer.join()
+        self._writer.stop()
         self._waiters.resolve_all(ProposalError(ProposalFailure.UNKNOWN))
         for waiter in self._reads.values():
-            waiter.result.set(-1)
+            waiter.result.set(False)
         if self.failure_ is None:
             self.failure_ = "stopped"
         self._folder.close()
@@ -244,6 +229,8 @@
         """Commit and apply one command; see :class:`~sassafrashook.gateways.ReplicatedLog`."""
         if self.failure_ is not None or deadline <= self.clock():
             return Failure(ProposalError(ProposalFailure.NOT_ACCEPTED, self.leader()))
+        if self._inputs.qsize() >= MAX_QUEUED_INPUTS:
+            return Failure(ProposalError(ProposalFailure.NOT_ACCEPTED, self.leader()))
         waiter = Waiter(self._draw_token(), command)
         self._inputs.put(waiter)
         try:
@@ -262,30 +249,26 @@
 
     def confirm_read(self, deadline):
         """Wait for a linearizable read; see :class:`~sassafrashook.gateways.ReplicatedLog`."""
-        index = -1
-        while index < 0 and self.failure_ is None and self.clock() < deadline:
-            index = self._request_read(deadline)
-        while self.applied_index_ < index and self.failure_ is None and self.clock() < deadline:
-            gevent.sleep(POLL_MS / 10_000)
-        if index < 0 or self.applied_index_ < index or self.failure_ is not None:
-            return Failure(ProposalError(ProposalFailure.NOT_LEADER, self.leader()))
-        return Success(self.applied_index_)
+        while self.failure_ is None and self.clock() < deadline:
+            if self._request_read(deadline):
+                return Success(self.applied_index_)
+        return Failure(ProposalError(ProposalFailure.NOT_LEADER, self.leader()))
 
     def _request_read(self, deadline):
-        """Ask once; :returns: the index to wait for, or -1."""
+        """Ask once for an index and wait until it is applied; :returns: whether it is."""
         waiter = Waiter(self._draw_token(), b"")
         self._reads[waiter.token] = waiter
         self._inputs.put(ReadOffered(waiter.token))
         timeout = max(0.0, min(READ_RETRY_MS / 1000, deadline - self.clock()))
         try:
-            index = waiter.result.get(timeout=timeout)
+            is_applied = waiter.result.get(timeout=timeout)
         except gevent.Timeout:
-            return -1
+            return False
         finally:
             self._reads.pop(waiter.token, None)
-        if index < 0:
+        if not is_applied:
             gevent.sleep(POLL_MS / 1000)
-        return index
+        return is_applied
 
     def leader(self):
         """Return the name of the replica believed to lead, or an empty string."""
@@ -382,121 +365,3 @@
     def _draw_token(self):
         self._next_token += 1
         return self._next_token
-
-    def _run(self):
-        try:
-            while True:
-                self._run_once()
-        except Exception as error:
-            self._fail(error)
-
-    def _run_once(self):
-        inputs = self._take_inputs()
-        now = self.clock()
-        if now >= self.core_.next_deadline():
-            self._perform(self.core_.advance(now))
-        waiters = [item for item in inputs if isinstance(item, Waiter)]
-        for item in inputs:
-            if not isinstance(item, Waiter):
-                self._perform(self.core_.handle(item, self.clock()))
-        self._offer(waiters)
-
-    def _take_inputs(self):
-        timeout = max(0.0, self.core_.next_deadline() - self.clock())
-        try:
-            inputs = [self._inputs.get(timeout=timeout)]
-        except Empty:
-            return []
-        while len(inputs) < MAX_BATCH_INPUTS and not self._inputs.empty():
-            inputs.append(self._inputs.get())
-        return inputs
-
-    def _offer(self, waiters):
-        """Offer the commands that somebody still waits for, together."""
-        waiters = [waiter for waiter in waiters if not waiter.abandoned]
-        if not waiters:
-            return
-        for waiter in waiters:
-            waiter.offered = True
-            self._waiters.add(waiter)
-        proposals = tuple(Proposal(waiter.token, waiter.command) for waiter in waiters)
-        self._perform(self.core_.handle(ProposalsOffered(proposals), self.clock()))
-
-    def _perform(self, actions):
-        changed = False
-        for action in actions:
-            self._performers[type(action)](self, action)
-            changed = changed or isinstance(action, (Apply, Restore, RoleChanged))
-        if changed:
-            for callback in self._callbacks:
-                callback()
-
-    def _send(self, action):
-        self.sender.send(action.peer, action.message)
-
-    def _persist(self, action):
-        self._writer.put(action)
-
-    def _apply(self, action):
-        for entry in action.entries:
-            reply = b""
-            if entry.kind == COMMAND:
-                reply = self.state_machine.apply(entry.index, entry.data)
-            self.applied_index_ = entry.index
-            self._waiters.note_applied(entry, reply)
-
-    def _restore(self, action):
-        self.state_machine.restore(action.snapshot.data)
-        self.applied_index_ = action.snapshot.index
-        self._waiters.note_skipped(action.snapshot.index)
-
-    def _take_snapshot(self, action):
-        self._writer.put_snapshot(action, self.state_machine.save())
-
-    def _note_appended(self, action):
-        self._waiters.note_appended(action.token, action.index, action.term)
-
-    def _note_refused(self, action):
-        error = ProposalError(action.failure, action.leader)
-        self._waiters.resolve(action.token, Failure(error))
-
-    def _note_read(self, action):
-        waiter = self._reads.get(action.token)
-        if waiter is not None:
-            waiter.result.set(action.index if isinstance(action, ReadConfirmed) else -1)
-
-    def _log_role(self, action):
-        logging.info(
-            "event=role_changed group=%s replica=%s role=%s term=%d leader=%s",
-            self.group,
-            self.name,
-            action.role,
-            action.term,
-            action.leader or "-",
-        )
-
-    def _fail(self, error):
-        """Stop for good: nothing more is sent, acknowledged or answered."""
-        if self.failure_ is not None:
-            return
-        self.failure_ = error
-        logging.error(
-            'event=replica_stopped group=%s replica=%s error="%s"', self.group, self.name, error
-        )
-        self._waiters.resolve_all(ProposalError(ProposalFailure.UNKNOWN))
-        if self.on_failure is not None:
-            self.on_failure(error)
-        gevent.killall([g for g in self._greenlets if g is not gevent.getcurrent()], block=False)
-
-    _performers = {
-        Apply: _apply,
-        Persist: _persist,
-        ProposalAppended: _note_appended,
-        ProposalRefused: _note_refused,
-        ReadConfirmed: _note_read,
-        ReadRefused: _note_read,
-        Restore: _restore,
-        RoleChanged: _log_role,
-        SendMessage: _send,
-        TakeSnapshot: _take_snapshot,
-    }
--- a/sassafrashook/controller/_permits.py
+++ b/sassafrashook/controller/_permits.py
@@ -5,7 +5,6 @@
 
 import gevent
 import gevent.pool
-import msgspec
 from gevent.queue import Empty, Full, Queue
 from returns.result import Success
 
@@ -159,6 +158,11 @@
             return
         self._enqueue(_Delivery(sender, message))
 
+    def wake(self):
+        """Look at the term at once; told whenever the log has changed."""
+        if self.log.leading_term(self.clock()) not in (0, self.epoch_):
+            self._enqueue(None)
+
     def note_upstream(self, announcement):
         """Take an announcement that membership heard."""
         self.upstreams_[announcement.upstream_id] = announcement
@@ -182,11 +186,11 @@
                 self._feed(item)
             self._advance()
             self._sweep_routers()
-        except (AssertionError, msgspec.MsgspecError) as error:
+        except Exception as error:  # no fault may leave a half-told owner in charge
             self._give_up(error)
 
     def _give_up(self, error):
-        """Answer nothing more in this term, after a broken invariant or an unreadable state."""
+        """Answer nothing more in this term, after a broken invariant or another fault."""
         log_event("owner_failed", level="error", epoch=self.epoch_, error=repr(error))
         self._count("owner_failures", type(error).__name__)
         self._failed_term = self.log.leading_term(self.clock())
@@ -248,6 +252,8 @@
         self._feed(self.events.RoutersKnown(known))
         for announcement in list(self.upstreams_.values()):
             self._feed(self.events.UpstreamSeen(announcement))
+        for router, _ in self._heard:
+            self.sender.send(router, SessionRedirected(0, self.name))
 
     def _drop_ledger(self):
         if self.ledger_ is not None:
--- a/sassafrashook/routing/_client.py
+++ b/sassafrashook/routing/_client.py
@@ -1,18 +1,14 @@
 """The router's side of the permits."""
 
-from dataclasses import dataclass
-
 import msgspec
 
 from sassafrashook.base import Core
 from sassafrashook.gateways import Permit
 from sassafrashook.messages import (
-    Holding,
     PermitGranted,
     PermitOutcome,
     PermitRefused,
     PermitReleased,
-    PermitRequested,
     PermitWithdrawn,
     SessionAccepted,
     SessionClosed,
@@ -29,40 +25,15 @@
     StopRequested,
     WithdrawRequested,
 )
+from sassafrashook.routing._holdings import Held, Wait, make_holding
 from sassafrashook.routing._owner_session import OwnerSession, SessionPhase
+from sassafrashook.utils import hash_key
 
 ANSWER_MARGIN_MS = 20
 RESEND_S = 0.5
 RETRY_AFTER_MS = 500
-
-
-@dataclass(slots=True, eq=False)
-class Wait:
-    """One request that waits for a permit.
-
-    :param request_id: under which the owner was asked, 0 while it was not.
-    :param asked: seconds when it was asked first under this id.
-    """
-
-    token: object
-    query: PermitRequested
-    deadline: float
-    request_id: int = 0
-    asked: float = 0.0
-
-
-@dataclass(slots=True, eq=False)
-class Held:
-    """One permit in use.
-
-    :param deadline: seconds until which its request may run.
-    :param release: what to tell the owner once the session is open, or ``None`` while in use.
-    """
-
-    permit: Permit
-    query: PermitRequested
-    deadline: float
-    release: PermitReleased | None = None
+REQUEST_ID_BITS = 16  # ids of two boots must not meet, since old messages may still arrive
+CRASHES_KEPT_S = 30.0
 
 
 class PermitClient(Core):
@@ -82,6 +53,7 @@
     session_ : the :class:`OwnerSession`.
     waits_ : requests that wait, by token.
     held_ : permits in use, by request id.
+    crashed_ : permits whose upstream crashed lately, told again to a new owner.
     closed_ : whether the session was closed after :class:`StopRequested`.
 
     :raises ParameterError: if a parameter is outside its range.
@@ -117,9 +89,12 @@
         self.waits_ = {}
         self.asked_ = {}
         self.held_ = {}
+        self.crashed_ = {}
+        self.replayed_epoch_ = 0
         self.deadlines_ = DeadlineTable()
         self.resends_ = DeadlineTable()
-        self.request_id_ = 0
+        self.first_request_id_ = hash_key("request", boot_id) >> REQUEST_ID_BITS
+        self.request_id_ = self.first_request_id_
         self.stopping_ = False
         self.closed_ = False
         self.actions_ = []
@@ -249,12 +224,24 @@
             return
         held.release = PermitReleased(event.request_id, event.outcome, event.first_token_ms)
         if self.session_.is_open():
-            self._send_release(held)
+            self._send_release(held, now)
 
-    def _send_release(self, held):
+    def _send_release(self, held, now):
         del self.held_[held.release.request_id]
+        if held.release.outcome == PermitOutcome.CRASHED:
+            self.crashed_[held.release.request_id] = held
+            held.deadline = now + CRASHES_KEPT_S
         self.actions_.append(Send(self.session_.owner_, held.release))
 
+    def _replay_crashes(self, now):
+        """Hold again what an earlier owner was told of crashes, so that a new one learns of it."""
+        if self.replayed_epoch_ == self.session_.epoch_:
+            return
+        self.replayed_epoch_ = self.session_.epoch_
+        recent = {key: held for key, held in self.crashed_.items() if held.deadline > now}
+        self.crashed_ = {}
+        self.held_.update(recent)
+
     def _handle_message(self, event, now):
         self._handlers[type(event.message)](event.name, event.message, now)
 
@@ -262,14 +249,17 @@
         phase = self.session_.accept(name, message, now)
         if phase == SessionPhase.OPENING:
             self._unask_all()
+            self._replay_crashes(now)
         elif phase == SessionPhase.OPEN:
             for held in [held for held in self.held_.values() if held.release is not None]:
-                self._send_release(held)
+                self._send_release(held, now)
             for wait in list(self.waits_.values()):
                 self._ask(wait, now)
 
     def _redirect_session(self, name, message, now):
-        if self.session_.redirect(name, message, now):
+        if message.sequence == 0:
+            self.actions_.extend(self.session_.probe(name, now))
+        elif self.session_.redirect(name, message, now):
             self._unask_all()
 
     def _lose_controller(self, event, now):
@@ -288,7 +278,7 @@
         wait = self.asked_.get(message.request_id)
         is_current = name == self.session_.owner_ and message.epoch == self.session_.epoch_
         if wait is None or not is_current:
-            if message.request_id not in self.held_:
+            if self._is_unheld(message.request_id):
                 unused = PermitReleased(message.request_id, PermitOutcome.UNUSED)
                 self.actions_.append(Send(name, unused))
             return
@@ -310,6 +300,11 @@
         self.held_[permit.request_id] = Held(permit, wait.query, running_until)
         self.actions_.append(Acquired(wait.token, permit))
 
+    def _is_unheld(self, request_id):
+        """Return whether an id is of this process and no permit in use; others are not its own."""
+        is_own = self.first_request_id_ < request_id <= self.request_id_
+        return is_own and request_id not in self.held_
+
     def _return_late(self, name, wait, message, now):
         self.actions_.append(Count("permits_late", message.upstream_id))
         unused = PermitReleased(message.request_id, PermitOutcome.UNUSED)
@@ -336,16 +331,4 @@
     def _list_holdings(self, now):
         if self.session_.phase_ != SessionPhase.OPENING:
             return []
-        return [_make_holding(held, now) for held in self.held_.values()]
-
-
-def _make_holding(held, now):
-    return Holding(
-        request_id=held.permit.request_id,
-        upstream_id=held.permit.upstream_id,
-        boot_id=held.permit.boot_id,
-        account=held.query.account,
-        work_class=held.query.work_class,
-        fingerprint=held.query.fingerprint,
-        running_ms=max(0, int((held.deadline - now) * 1000)),
-    )
+        return [make_holding(held, now) for held in self.held_.values()]
--- a/sassafrashook/routing/_isolation.py
+++ b/sassafrashook/routing/_isolation.py
@@ -37,15 +37,20 @@
 
     def next_deadline(self):
         """Return when an upstream may be kept free no longer, or ``None``."""
+        if not self.state.may_grant():
+            return None
         kept = [
             until
             for service in self.state.services_.values()
-            for until in service.reserved_.values()
+            for upstream, until in service.reserved_.items()
+            if not upstream.load
         ]
         return min(kept, default=None)
 
     def _run_one(self, entry, now):
         query = entry.query
+        if now > entry.session.lease_until_:
+            return True
         if self.state.suspects_.is_quarantined(query.fingerprint):
             self.assigner.refuse(entry, RefusalReason.QUARANTINED, 0)
             return True
--- a/sassafrashook/routing/_ledger.py
+++ b/sassafrashook/routing/_ledger.py
@@ -3,7 +3,6 @@
 from sassafrashook.base import Core
 from sassafrashook.messages import (
     CacheEvent,
-    CacheEventKind,
     LoadReport,
     PermitOutcome,
     PermitRefused,
@@ -15,12 +14,14 @@
     SessionOpened,
 )
 from sassafrashook.outcomes import RefusalReason
-from sassafrashook.routing._actions import Quarantine, Send
+from sassafrashook.routing._actions import Quarantine, RecordSuspect, Send
 from sassafrashook.routing._assignment import Assigner
 from sassafrashook.routing._events import (
     FleetStateChanged,
     FromRouter,
     RoutersKnown,
+    Suspect,
+    SuspectsKnown,
     UpstreamLeft,
     UpstreamSeen,
 )
@@ -29,11 +30,11 @@
 from sassafrashook.routing._state import OwnerState
 from sassafrashook.routing._takeover import Takeover
 from sassafrashook.routing._waiting import Waiting
+from sassafrashook.routing._watch import UpstreamWatch
 from sassafrashook.utils import Interval
 
 QUARANTINE_RESEND_S = 1.0
 STALE_RETRY_MS = 500
-DELIVERY_MARGIN_S = 0.5
 
 
 class PermitLedger(Core):
@@ -126,6 +127,7 @@
         self.isolation_ = Isolation(self.state_, self.assigner_)
         self.waiting_ = Waiting(self.state_, self.assigner_, self.isolation_)
         self.takeover_ = Takeover(self.state_, self.assigner_)
+        self.watch_ = UpstreamWatch(self.state_, self.assigner_, self.takeover_)
         self.sessions_ = SessionTable(epoch, lease_ms)
         self.quarantine_resend_at_ = 0.0
         self._handlers = {
@@ -134,6 +136,7 @@
             UpstreamLeft: self._lose_upstream,
             FleetStateChanged: self._configure,
             RoutersKnown: self._begin_takeover,
+            SuspectsKnown: self._learn_suspects,
             SessionOpened: self._open_session,
             SessionClosed: self._close_session,
             PermitRequested: self._request,
@@ -146,7 +149,8 @@
     def handle(self, event, now):
         """Take one event: see :mod:`sassafrashook.routing` for the events.
 
-        :returns: :class:`Send`, :class:`Quarantine` and :class:`Count` actions.
+        :returns: :class:`Send`, :class:`Quarantine`, :class:`RecordSuspect` and :class:`Count`
+            actions.
         """
         self._handlers[type(event)](event, now)
         return self._take_actions()
@@ -184,6 +188,10 @@
         return upstream.load if upstream else 0
 
     def _take_actions(self):
+        suspects = self.state_.suspects_
+        for fingerprint in suspects.take_changed() if suspects.changed_ else ():
+            boots = tuple(sorted(suspects.crashes_.get(fingerprint, ())))
+            self.state_.actions_.append(RecordSuspect(Suspect(fingerprint, boots)))
         actions = self.state_.actions_
         self.state_.actions_ = []
         return actions
@@ -268,32 +276,19 @@
         self._release(router, PermitReleased(message.request_id, PermitOutcome.UNUSED), now)
 
     def _see_upstream(self, event, now):
-        announcement = event.announcement
-        upstreams = self.state_.upstreams_
-        is_first = upstreams.get(announcement.upstream_id) is None
-        known = upstreams.see(announcement, now)
-        if known is None:
-            self.state_.count("announcements_ignored", announcement.upstream_id)
-            return
-        if is_first:
-            self.takeover_.note_seen(known)
-        elif known.announcement.boot_id == announcement.boot_id:
-            self.state_.suspects_.note_alive(known)
-            known.crashed_ = False
-        else:
-            self._replace_boot(known, upstreams.get(announcement.upstream_id), now)
+        self.watch_.see(event.announcement, now)
         self._drain_all(now)
 
-    def _replace_boot(self, old, new, now):
-        if not old.announcement.leaving and (old.permits_ or old.broken_):
-            self.assigner_.note_crash(old, now)
-        since = now - self.use_within_ms / 1000 - DELIVERY_MARGIN_S
-        self.assigner_.carry_over(old, new, since)
-
     def _lose_upstream(self, event, now):
-        self.state_.upstreams_.leave(event.upstream_id)
+        self.watch_.lose(event.upstream_id)
         self._drain_all(now)
 
+    def _note_load(self, message, now):
+        self.watch_.note_load(message, now)
+
+    def _note_cache(self, message, now):
+        self.watch_.note_cache(message)
+
     def _configure(self, event, now):
         if event.fleet_state.revision < self.state_.fleet_state_.revision:
             return
@@ -303,26 +298,9 @@
     def _begin_takeover(self, event, now):
         self.takeover_.begin(event.routers, now, self.takeover_ms / 1000)
 
-    def _note_load(self, message, now):
-        upstream = self.state_.upstreams_.get(message.upstream_id)
-        if upstream is None or not upstream.accepts_report(message):
-            return
-        upstream.warm_up_.state_cold(message.cold)
-        self.takeover_.note_load(upstream, message, now)
-        self.state_.upstreams_.refresh(upstream)
-
-    def _note_cache(self, message, now):
-        upstream = self.state_.upstreams_.get(message.upstream_id)
-        if upstream is None or message.boot_id != upstream.announcement.boot_id:
-            return
-        if upstream.note_cache_sequence(message.sequence):
-            self.state_.upstreams_.refresh(upstream)
-        if message.kind == CacheEventKind.STORED:
-            self.state_.hints_.put(message.conversation_key, upstream)
-        elif message.kind == CacheEventKind.EVICTED:
-            self.state_.hints_.drop(message.conversation_key, upstream)
-        else:
-            upstream.cache_clears_ += 1
+    def _learn_suspects(self, event, now):
+        for suspect in event.suspects:
+            self.state_.suspects_.learn(suspect.fingerprint, suspect.boots, now)
 
     def _drain_all(self, now):
         for service in list(self.state_.services_.values()):
--- a/sassafrashook/routing/_sessions.py
+++ b/sassafrashook/routing/_sessions.py
@@ -2,8 +2,11 @@
 
 from dataclasses import dataclass
 
+from sassafrashook.routing._events import KnownRouter
 from sassafrashook.routing._services import ServiceState
-from sassafrashook.routing._upstreams import UpstreamState
+from sassafrashook.routing._upstream import UpstreamState
+
+RETIRED_BOOTS_MAX = 8
 
 
 @dataclass(slots=True, eq=False)
@@ -12,6 +15,7 @@
 
     :param upstream: the state under which it is counted.
     :param boot_id: boot of the upstream that it was granted for.
+    :param ramp: ``ramp_`` of the upstream's :class:`WarmUp` at that time.
     :param service: the :class:`ServiceState` that it is counted for.
     :param granted: seconds when it was granted or taken over.
     :param isolated: whether nothing else may run beside it.
@@ -22,6 +26,7 @@
     request_id: int
     upstream: UpstreamState
     boot_id: str
+    ramp: int
     service: ServiceState
     account: str
     fingerprint: int
@@ -29,6 +34,10 @@
     isolated: bool = False
     grant: object = None
 
+    def is_of_this_boot(self):
+        """Return whether its upstream has not started anew since it was granted."""
+        return self.boot_id == self.upstream.announcement.boot_id
+
 
 class Session:
     """One router's session in one term.
@@ -65,6 +74,10 @@
         self.waiting_ = {}
         self.ended_ = set()
 
+    def identity(self):
+        """Return the router's process as a :class:`KnownRouter`."""
+        return KnownRouter(self.router, self.boot_id)
+
     def note_ended(self, request_id):
         """Remember a release that came before the permit was known to this term."""
         if not self.reported_:
@@ -113,7 +126,7 @@
             return None, None
         if session is None or session.boot_id != message.boot_id:
             if session is not None:
-                self.retired_.setdefault(router, []).append(session.boot_id)
+                self._retire(session)
             session = self.sessions_[router] = Session(router, message.boot_id)
         if message.sequence <= session.sequence_:
             return None, None
@@ -128,5 +141,10 @@
 
     def close(self, router):
         """Forget a session."""
-        session = self.sessions_.pop(router)
-        self.retired_.setdefault(router, []).append(session.boot_id)
+        self._retire(self.sessions_.pop(router))
+
+    def _retire(self, session):
+        session.lease_until_ = float("-inf")
+        boots = self.retired_.setdefault(session.router, [])
+        boots.append(session.boot_id)
+        del boots[:-RETIRED_BOOTS_MAX]
--- a/sassafrashook/routing/_takeover.py
+++ b/sassafrashook/routing/_takeover.py
@@ -3,9 +3,10 @@
 from sassafrashook.messages import UpstreamAnnouncement, UpstreamKind
 from sassafrashook.routing._assignment import RUNNING_MARGIN_S, RUNNING_MAX_MS
 from sassafrashook.routing._sessions import PermitRecord
-from sassafrashook.routing._upstreams import UpstreamState
+from sassafrashook.routing._upstream import UpstreamState
 
 REPORT_LAG_S = 1.0
+EARLIER_RAMP = -1
 
 
 class Takeover:
@@ -20,16 +21,17 @@
 
     Attributes
     ----------
-    missing_ : boot id of each router that has not reported yet, by name.
+    missing_ : set of the routers that have not reported yet; one name may be there with two boots.
     deadline_ : seconds after which the missing routers can start nothing more.
     charges_until_ : seconds after which nothing of an earlier term can run any longer.
-    unknown_ : stand-ins for upstreams that routers hold permits of but that were not seen yet.
+    unknown_ : stand-ins for upstreams that routers hold permits of but that were not
+        seen yet, by name.
     """
 
     def __init__(self, state, assigner):
         self.state = state
         self.assigner = assigner
-        self.missing_ = {}
+        self.missing_ = set()
         self.deadline_ = None
         self.charges_until_ = None
         self.unknown_ = {}
@@ -39,7 +41,7 @@
 
         :param routers: :class:`KnownRouter` values.
         """
-        self.missing_ = {router.name: router.boot_id for router in routers}
+        self.missing_ = set(routers)
         if not self.missing_:
             self.state.taken_over_ = True
             return
@@ -48,38 +50,42 @@
         self.charges_until_ = self.deadline_ + running_s
 
     def adopt(self, session, holding, now):
-        """Count a permit that an earlier owner granted."""
+        """Count a permit that an earlier owner granted.
+
+        It counts at the upstream's present boot even if it was granted for another, since its
+        request may have reached either.
+        """
         state = self.state
         if holding.request_id in session.ended_ or holding.request_id in session.permits_:
             return
         upstream = state.upstreams_.get(holding.upstream_id)
-        if upstream is None or upstream.announcement.boot_id != holding.boot_id:
+        if upstream is None:
             upstream = self._find_unknown(holding)
         record = PermitRecord(
             session=session,
             request_id=holding.request_id,
             upstream=upstream,
             boot_id=holding.boot_id,
+            ramp=EARLIER_RAMP,
             service=state.get_service(upstream.announcement.service),
             account=holding.account,
             fingerprint=holding.fingerprint,
             granted=now,
         )
-        was_missing = self.missing_.get(session.router) == session.boot_id
-        if upstream.charge_ and was_missing:
+        if upstream.charge_ and session.identity() in self.missing_:
             upstream.charge_ -= 1
         self.assigner.count_permit(record, holding.running_ms)
-        self._keep_warm(upstream, upstream.load)
+        self._keep_warm(upstream, upstream.count_of_this_boot())
 
     def note_seen(self, upstream):
         """Count at a newly seen upstream what was held there all along."""
         if self.charges_until_ is not None and self.taken_over_with_missing():
             upstream.charge_ = upstream.announcement.capacity
         unknown = self.unknown_.pop(upstream.upstream_id, None)
-        if unknown is not None and unknown.announcement.boot_id == upstream.announcement.boot_id:
+        if unknown is not None:
             for record in list(unknown.permits_):
                 self.assigner.move(record, upstream)
-            self._keep_warm(upstream, upstream.load)
+            self._keep_warm(upstream, upstream.count_of_this_boot())
         self.state.upstreams_.refresh(upstream)
 
     def taken_over_with_missing(self):
@@ -88,9 +94,9 @@
 
     def note_reported(self, session, now):
         """Count a router's report."""
-        if self.missing_.get(session.router) != session.boot_id:
+        if session.identity() not in self.missing_:
             return
-        del self.missing_[session.router]
+        self.missing_.remove(session.identity())
         if not self.missing_:
             self.state.taken_over_ = True
             self._clear_charges()
@@ -120,7 +126,7 @@
 
     def _find_unknown(self, holding):
         unknown = self.unknown_.get(holding.upstream_id)
-        if unknown is None or unknown.announcement.boot_id != holding.boot_id:
+        if unknown is None:
             unknown = self.unknown_[holding.upstream_id] = _make_unknown(holding)
         return unknown
 
--- a/sassafrashook/state/tests/test_state.py
+++ b/sassafrashook/state/tests/test_state.py
@@ -152,6 +152,16 @@
     assert claim(state, "a2").status == ClaimStatus.RECORDED
 
 
+def test_refused_attempt_stays_refused_but_a_question_leaves_nothing():
+    state = FleetStateMachine()
+    claim(state, "a1")
+    assert claim(state, "a2").status == ClaimStatus.RUNNING
+    assert claim(state, "a3", deadline_ms=1).status == ClaimStatus.RUNNING
+    complete(state, "a1", "not_run", b"")
+    assert claim(state, "a2").status == ClaimStatus.RUNNING
+    assert claim(state, "a3").status == ClaimStatus.GRANTED
+
+
 def test_only_an_unsettled_verdict_is_refined():
     state = FleetStateMachine()
     claim(state, "a1")
@@ -242,6 +252,11 @@
     assert issue(state, "c3", now_ms=10_001, checks_fencing=True).outcome == ACCEPTED
 
 
+def test_order_may_not_keep_others_waiting_for_long():
+    reply = issue(FleetStateMachine(), "c1", deadline_ms=1_000_000)
+    assert reply.reason == "deadline_too_far"
+
+
 def test_weight_store_loads_are_rationed():
     state = FleetStateMachine(StateLimits(max_loads=2))
     numbers = [issue(state, f"c{n}", f"u{n}").fencing for n in range(2)]
@@ -271,6 +286,8 @@
     [
         (b"", "malformed"),
         (b"\xc1\x00", "malformed"),
+        (encode_command(AdvanceClock(), 2**64 - 1), "malformed"),
+        (encode_command(AdvanceClock(), -1), "malformed"),
         (encode_command(AdvanceClock(), 1, version=2), "unsupported_version"),
         (encode_command(AdvanceClock(), 1, version=0), "unsupported_version"),
         (encode_command(CommandRefused("x"), 9_999), "unknown_command"),
