A new owner waits until its list of upstreams was found complete

Ruled out: drained zones, which left one engine open at the time. Long-lived tasks run under the watch that ends the process when one fails.

--- a/sassafrashook/consensus/_replica.py
+++ b/sassafrashook/consensus/_replica.py
@@ -30,6 +30,7 @@
 from sassafrashook.consensus._writer import StorageWriter
 from sassafrashook.gateways import ProposalError, ProposalFailure, ReplicatedLog
 from sassafrashook.storage import DataFolder, LocalFileSystem
+from sassafrashook.tasks import spawn_task
 from sassafrashook.utils import Interval
 
 __all__ = ["Replica", "ReplicaStatus"]
@@ -173,7 +174,7 @@
         except Exception:
             self._folder.close()
             raise
-        self._greenlets = [gevent.spawn(self._run), gevent.spawn(self._writer.run)]
+        self._greenlets = [spawn_task(self._run), spawn_task(self._writer.run)]
 
     def _open_core(self):
         storage = ReplicaStorage(self._folder)
--- a/sassafrashook/controller/_claims.py
+++ b/sassafrashook/controller/_claims.py
@@ -18,6 +18,7 @@
     RecordedAnswer,
 )
 from sassafrashook.state import Claim, ClaimBatch, CompleteClaim
+from sassafrashook.tasks import spawn_task
 from sassafrashook.telemetry import log_event
 from sassafrashook.utils import Interval
 
@@ -101,7 +102,7 @@
         self._account_counts = Counter()
         self._filled = Event()
         self._is_stopping = False
-        self._tasks = [gevent.spawn(self._run) for _ in range(self.max_proposals)]
+        self._tasks = [spawn_task(self._run) for _ in range(self.max_proposals)]
 
     def stop(self):
         """Refuse what still waits, let proposals under way end, and end the tasks."""
--- a/sassafrashook/controller/_clock.py
+++ b/sassafrashook/controller/_clock.py
@@ -4,6 +4,7 @@
 
 from sassafrashook.controller._service import ControllerService
 from sassafrashook.state import AdvanceClock
+from sassafrashook.tasks import spawn_task
 from sassafrashook.utils import Interval
 
 __all__ = ["ClockService"]
@@ -39,7 +40,7 @@
     def start(self):
         """Start proposing."""
         self.validate_parameters()
-        self._task = gevent.spawn(self._run)
+        self._task = spawn_task(self._run)
 
     def stop(self):
         """Stop proposing."""
--- a/sassafrashook/controller/_configuration.py
+++ b/sassafrashook/controller/_configuration.py
@@ -14,6 +14,7 @@
     SessionOpened,
 )
 from sassafrashook.state import digest_document
+from sassafrashook.tasks import spawn_task
 from sassafrashook.telemetry import log_event
 from sassafrashook.utils import Interval
 
@@ -105,7 +106,7 @@
         self._publication = _Publication()
         self._wake = Event()
         self.state.subscribe(self._wake.set)
-        self._task = gevent.spawn(self._run)
+        self._task = spawn_task(self._run)
 
     def stop(self):
         """Stop publishing."""
--- a/sassafrashook/controller/_permits.py
+++ b/sassafrashook/controller/_permits.py
@@ -22,6 +22,7 @@
     SessionRedirected,
 )
 from sassafrashook.state import ForgetRouter, QuarantineFingerprint, RegisterRouter
+from sassafrashook.tasks import spawn_task
 from sassafrashook.telemetry import log_event
 from sassafrashook.utils import Interval
 
@@ -61,6 +62,9 @@
     :param router_memory_ms: silence after which a boot of a router is forgotten; longer than any
         request runs.
     :param quarantine_ms: how long a fingerprint stays in quarantine.
+    :param is_ready: returns whether the list of upstreams was found complete since the start; an
+        owner without it would refuse everything for want of upstreams.
+    :param ready_timeout_ms: how long after the start that is waited for.
     :param on_failure: called without arguments when the owner of this term must not go on, so that
         another controller may lead; or ``None``.
 
@@ -93,6 +97,7 @@
         "commit_timeout_ms": Interval(int, 1, 60_000),
         "router_memory_ms": Interval(int, 1_000, 172_800_000),
         "quarantine_ms": Interval(int, 1_000, 86_400_000),
+        "ready_timeout_ms": Interval(int, 0, 60_000),
     }
 
     def __init__(
@@ -112,6 +117,8 @@
         router_memory_ms=600_000,
         quarantine_ms=3_600_000,
         on_failure=None,
+        is_ready=lambda: True,
+        ready_timeout_ms=5_000,
     ):
         self.name = name
         self.log = log
@@ -128,6 +135,8 @@
         self.router_memory_ms = router_memory_ms
         self.quarantine_ms = quarantine_ms
         self.on_failure = on_failure
+        self.is_ready = is_ready
+        self.ready_timeout_ms = ready_timeout_ms
 
     def start(self):
         """Start the owning task."""
@@ -135,6 +144,7 @@
         self.ledger_ = None
         self.epoch_ = 0
         self.upstreams_ = {}
+        self._ready_by = self.clock() + self.ready_timeout_ms / 1000
         self._inbox = Queue(self.max_inbox)
         self._held = deque(maxlen=self.max_held)
         self._heard = {}
@@ -143,7 +153,7 @@
         self._failed_term = 0
         self._sweep_at = self.clock()
         self._helpers = gevent.pool.Group()
-        self._task = gevent.spawn(self._run)
+        self._task = spawn_task(self._run)
 
     def stop(self):
         """End the owning task and its proposals."""
@@ -237,6 +247,8 @@
             self._replay_held()
 
     def _begin_term(self, term):
+        if not self.is_ready() and self.clock() < self._ready_by:
+            return
         deadline = self.clock() + self.commit_timeout_ms / 1000
         confirmed = self.log.confirm_read(deadline)
         if not isinstance(confirmed, Success):
--- a/sassafrashook/operations/_controller.py
+++ b/sassafrashook/operations/_controller.py
@@ -152,7 +152,7 @@
         upstreams = AnnouncedUpstreams(self.process_.membership_)
         self.permits_ = PermitService(
             name, log, state, mesh, proposer, self._make_ledger, routing, clock, metrics,
-            on_failure=self._step_down,
+            on_failure=self._step_down, is_ready=lambda: self.process_.membership_.synchronised,
         )  # fmt: skip
         configuration = ConfigurationService(log, state, mesh, clock)
         claims = ClaimService(proposer, mesh, metrics)
--- a/sassafrashook/proxy/_monitor.py
+++ b/sassafrashook/proxy/_monitor.py
@@ -7,6 +7,7 @@
 import gevent
 
 from sassafrashook.base import Parametrized
+from sassafrashook.tasks import spawn_task
 from sassafrashook.utils import Interval
 
 __all__ = ["Monitor", "Watch"]
@@ -101,7 +102,7 @@
         """Start the greenlet."""
         self.validate_parameters()
         if self.greenlet_ is None:
-            self.greenlet_ = gevent.spawn(self._run)
+            self.greenlet_ = spawn_task(self._run)
 
     def stop(self):
         """End the greenlet."""
