--- a/sassafrashook/controller/tests/test_services.py
+++ b/sassafrashook/controller/tests/test_services.py
@@ -111,7 +111,7 @@
         self.started.append(service)
         return service
 
-    def start_permits(self, ledger_class=FakeLedger):
+    def start_permits(self, ledger_class=FakeLedger, **options):
         self.ledgers = []
 
         def build(epoch):
@@ -119,7 +119,15 @@
             return self.ledgers[-1]
 
         service = PermitService(
-            NAME, self.log, self.state, self.outbox, self.proposer, build, EVENTS, self.clock
+            NAME,
+            self.log,
+            self.state,
+            self.outbox,
+            self.proposer,
+            build,
+            EVENTS,
+            self.clock,
+            **options,
         )
         return self.start(service)
 
@@ -320,6 +328,20 @@
     assert [a.revision for a in world.outbox.take(SessionAccepted)] == [0, 1]
 
 
+@pytest.mark.parametrize("what", ["the list is complete", "the wait is over"])
+def test_owner_begins_once_the_list_of_upstreams_is_complete(world, what):
+    complete = []
+    service = world.start_permits(is_ready=lambda: bool(complete), ready_timeout_ms=5_000)
+    open_session(service)
+    assert not world.ledgers
+    if what == "the list is complete":
+        complete.append(True)
+    else:
+        world.clock.now += 5.0
+    open_session(service, sequence=2)
+    assert len(world.ledgers) == 1
+
+
 def test_new_term_has_a_new_owner_that_knows_the_routers(world):
     service = world.start_permits()
     open_session(service)
