Suspects run beside others, one at a time, where one upstream is left; docs

Ruled out: cold capacity (8 of 8 free), and a missing owner. One suspect beside others still tells the culprit at a second crash.

--- a/sassafrashook/routing/_isolation.py
+++ b/sassafrashook/routing/_isolation.py
@@ -1,4 +1,8 @@
-"""Runs suspect requests alone: nothing else runs at their upstream meanwhile."""
+"""Runs suspect requests alone: nothing else runs at their upstream meanwhile.
+
+Where one upstream is left, keeping it free would starve everybody else; a suspect then runs beside
+others, but never beside another suspect, so that a second crash still tells which one it was.
+"""
 
 from bisect import insort
 
@@ -58,12 +62,34 @@
             return self.assigner.try_grant(entry, now)
         if self.state.suspects_.running_.get(query.fingerprint):
             return False
+        last = self._find_last(entry)
+        if last is not None:
+            return self._run_beside(entry, last, now)
         upstream = self._find_upstream(entry, now)
         if upstream is None or upstream.load:
             return False
         self.assigner.grant(entry, upstream, True, now)
         return True
 
+    def _find_last(self, entry):
+        """Return the only live upstream of the group, or ``None`` if there are several or none."""
+        group = self.state.find_group(entry.query)
+        if group is None or len(group.upstreams_) != 1:
+            return None
+        return next(iter(group.upstreams_.values()))
+
+    def _run_beside(self, entry, upstream, now):
+        if upstream.reserved_:
+            del entry.service.reserved_[upstream]
+            upstream.reserved_ = False
+            self.state.upstreams_.refresh(upstream)
+        if self.state.suspects_.run_at(upstream):
+            return False
+        if self.assigner.place(entry.query) is not upstream:
+            return False
+        self.assigner.grant(entry, upstream, False, now)
+        return True
+
     def _find_upstream(self, entry, now):
         group = self.state.find_group(entry.query)
         if group is None:
--- a/sassafrashook/routing/_poison.py
+++ b/sassafrashook/routing/_poison.py
@@ -44,6 +44,10 @@
         """Return whether a fingerprint may only run alone."""
         return fingerprint in self.crashes_
 
+    def run_at(self, upstream):
+        """Return whether any suspect runs at an upstream."""
+        return any(record.fingerprint in self.crashes_ for record in upstream.permits_)
+
     def may_run(self, fingerprint, upstream):
         """Return whether one more run could cost too many upstreams.
 
--- a/sassafrashook/routing/tests/test_poison.py
+++ b/sassafrashook/routing/tests/test_poison.py
@@ -10,6 +10,7 @@
     SuspectsKnown,
     UpstreamSeen,
 )
+from sassafrashook.routing._isolation import Isolation
 from sassafrashook.routing.tests.builders import (
     LedgerDriver,
     make_announcement,
@@ -132,3 +133,43 @@
     grant = later.ask(1, fingerprint=POISON)
     crash(later, grant.upstream_id)
     assert later.ask(2, fingerprint=POISON).reason == "quarantined"
+
+
+def lose_all_but_one(driver):
+    """Crash one of two engines with requests on it; return who runs at the other one afterwards.
+
+    :returns: the suspects that were granted, and whether an ordinary request was.
+    """
+    for request_id in range(1, 5):
+        driver.ask(request_id, key=0)
+    lost = driver.ask(100, key=0, fingerprint=POISON).upstream_id
+    suspects = [r.fingerprint for r in driver.ledger.state_.upstreams_.get(lost).permits_]
+    crash(driver, lost)
+    for request_id in range(1, 5):
+        driver.release(request_id)
+    answers = [driver.ask(200 + n, fingerprint=f) for n, f in enumerate(suspects)]
+    granted = [answer for answer in answers if isinstance(answer, PermitGranted)]
+    ordinary = driver.ask(300)
+    return granted, isinstance(ordinary, PermitGranted)
+
+
+def test_suspects_run_one_by_one_beside_others_where_one_upstream_is_left():
+    driver = LedgerDriver(engines=2)
+    granted, ordinary = lose_all_but_one(driver)
+    assert len(granted) == 1
+    assert ordinary
+    driver.release(granted[0].request_id)
+    assert any(isinstance(driver.find_answer(200 + n), PermitGranted) for n in range(5))
+
+
+def test_last_upstream_would_be_kept_from_others_otherwise(monkeypatch):
+    monkeypatch.setattr(Isolation, "_find_last", lambda self, entry: None)
+    assert lose_all_but_one(LedgerDriver(engines=2))[1] is False
+
+
+def test_second_crash_beside_others_quarantines_the_suspect_only():
+    driver = LedgerDriver(engines=2)
+    granted, _ = lose_all_but_one(driver)
+    actions = crash(driver, granted[0].upstream_id)
+    assert len(find(actions, Quarantine)) == 1
+    assert not driver.ledger.state_.suspects_.is_quarantined(300)
