Ends of permits are told again until the owner confirms them

Ruled out: drained zones (the reason was waiting_target). The owner lists ended ids in its next answer, some 5 bytes each; what is not listed within a second is sent again.

--- a/fakes/load.py
+++ b/fakes/load.py
@@ -33,6 +33,7 @@
     body: bytes
     answers: list = field(default_factory=list)
     receipt: bytes = b""
+    reasons: Counter = field(default_factory=Counter)
 
 
 class Load:
@@ -166,7 +167,9 @@
             if answer.status < 300:
                 self._note_receipt(order, answer)
                 return
-            verdict = answer.read_error().get("verdict", "ran")
+            error = answer.read_error()
+            order.reasons[error.get("reason", "")] += 1
+            verdict = error.get("verdict", "ran")
             order.answers.append((answer.status, verdict))
             if verdict != "not_run" and answer.status != 409:
                 return
--- a/sassafrashook/messages/_permits.py
+++ b/sassafrashook/messages/_permits.py
@@ -139,6 +139,7 @@
     :param lease_ms: lease length, counted by the router from when it sent the renewal.
     :param revision: committed configuration revision.
     :param needs_holdings: whether the router must renew at once with its holdings.
+    :param released: ids of the permits and waits whose end the owner learnt since the last answer.
     """
 
     sequence: int
@@ -146,6 +147,7 @@
     lease_ms: int
     revision: int
     needs_holdings: bool = False
+    released: list[int] = []
 
 
 class SessionRedirected(Message):
--- a/sassafrashook/routing/_client.py
+++ b/sassafrashook/routing/_client.py
@@ -31,6 +31,7 @@
 
 ANSWER_MARGIN_MS = 20
 RESEND_S = 0.5
+CONFIRM_S = 1.0
 RETRY_AFTER_MS = 500
 REQUEST_ID_BITS = 16  # ids of two boots must not meet, since old messages may still arrive
 CRASHES_KEPT_S = 30.0
@@ -54,6 +55,7 @@
     waits_ : requests that wait, by token.
     held_ : permits in use, by request id.
     crashed_ : permits whose upstream crashed lately, told again to a new owner.
+    unconfirmed_ : ends that the owner has not confirmed, with when they were told, by request id.
     closed_ : whether the session was closed after :class:`StopRequested`.
 
     :raises ParameterError: if a parameter is outside its range.
@@ -97,6 +99,7 @@
         self.request_id_ = self.first_request_id_
         self.stopping_ = False
         self.closed_ = False
+        self.unconfirmed_ = {}
         self.actions_ = []
         self._handlers = {
             AcquireRequested: self._acquire,
@@ -189,14 +192,13 @@
     def _withdraw(self, event, now):
         wait = self.waits_.get(event.token)
         if wait is not None:
-            self._forget(wait, withdraw=True)
+            self._forget(wait, now, withdraw=True)
 
-    def _forget(self, wait, withdraw=False):
+    def _forget(self, wait, now, withdraw=False):
         del self.waits_[wait.token]
         self.deadlines_.remove(wait)
         if wait.request_id and withdraw and self.session_.is_open():
-            withdrawn = PermitWithdrawn(wait.request_id)
-            self.actions_.append(Send(self.session_.owner_, withdrawn))
+            self._end(PermitWithdrawn(wait.request_id), now)
         self._unask(wait)
 
     def _unask(self, wait):
@@ -211,7 +213,7 @@
             reason = RefusalReason.NO_OWNER
         else:
             reason = RefusalReason.STALE_VIEW
-        self._forget(wait, withdraw=True)
+        self._forget(wait, now, withdraw=True)
         self._refuse(wait, reason, self._spread())
 
     def _refuse(self, wait, reason, retry_after_ms):
@@ -231,7 +233,7 @@
         if held.release.outcome == PermitOutcome.CRASHED:
             self.crashed_[held.release.request_id] = held
             held.deadline = now + CRASHES_KEPT_S
-        self.actions_.append(Send(self.session_.owner_, held.release))
+        self._end(held.release, now)
 
     def _replay_crashes(self, now):
         """Hold again what an earlier owner was told of crashes, so that a new one learns of it."""
@@ -247,8 +249,11 @@
 
     def _accept_session(self, name, message, now):
         phase = self.session_.accept(name, message, now)
+        if name == self.session_.owner_ and message.epoch == self.session_.epoch_:
+            self._confirm_ends(message.released, now)
         if phase == SessionPhase.OPENING:
             self._unask_all()
+            self.unconfirmed_.clear()
             self._replay_crashes(now)
         elif phase == SessionPhase.OPEN:
             for held in [held for held in self.held_.values() if held.release is not None]:
@@ -256,6 +261,24 @@
             for wait in list(self.waits_.values()):
                 self._ask(wait, now)
 
+    def _confirm_ends(self, request_ids, now):
+        """Forget what the owner knows to have ended, and tell it again of what may be lost."""
+        for request_id in request_ids:
+            self.unconfirmed_.pop(request_id, None)
+        if not self.session_.is_open():
+            return
+        lost = [m for m, sent in self.unconfirmed_.values() if sent + CONFIRM_S <= now]
+        for message in lost:
+            self._end(message, now)
+
+    def _end(self, message, now):
+        """Tell the owner that a permit or a wait has ended, until it confirms that.
+
+        :param message: a :class:`PermitReleased` or :class:`PermitWithdrawn`.
+        """
+        self.unconfirmed_[message.request_id] = (message, now)
+        self.actions_.append(Send(self.session_.owner_, message))
+
     def _redirect_session(self, name, message, now):
         if message.sequence == 0:
             self.actions_.extend(self.session_.probe(name, now))
@@ -279,8 +302,7 @@
         is_current = name == self.session_.owner_ and message.epoch == self.session_.epoch_
         if wait is None or not is_current:
             if self._is_unheld(message.request_id):
-                unused = PermitReleased(message.request_id, PermitOutcome.UNUSED)
-                self.actions_.append(Send(name, unused))
+                self._return_unused(name, message, now)
             return
         use_by = wait.asked + message.use_within_ms / 1000
         if now >= use_by:
@@ -295,7 +317,7 @@
             use_by=use_by,
             priority=message.priority,
         )
-        self._forget(wait)
+        self._forget(wait, now)
         running_until = now + wait.query.running_ms / 1000
         self.held_[permit.request_id] = Held(permit, wait.query, running_until)
         self.actions_.append(Acquired(wait.token, permit))
@@ -307,11 +329,17 @@
 
     def _return_late(self, name, wait, message, now):
         self.actions_.append(Count("permits_late", message.upstream_id))
-        unused = PermitReleased(message.request_id, PermitOutcome.UNUSED)
-        self.actions_.append(Send(name, unused))
+        self._return_unused(name, message, now)
         self._unask(wait)
         self._ask(wait, now)
 
+    def _return_unused(self, name, message, now):
+        unused = PermitReleased(message.request_id, PermitOutcome.UNUSED)
+        if name == self.session_.owner_:
+            self._end(unused, now)
+        else:
+            self.actions_.append(Send(name, unused))
+
     def _take_refusal(self, name, message, now):
         wait = self.asked_.get(message.request_id)
         if wait is None or name != self.session_.owner_:
@@ -319,7 +347,7 @@
         if message.reason == RefusalReason.STALE_VIEW:
             self._reopen(now)
             return
-        self._forget(wait)
+        self._forget(wait, now)
         self._refuse(wait, RefusalReason(message.reason), message.retry_after_ms)
 
     def _stop(self, event, now):
--- a/sassafrashook/routing/_ledger.py
+++ b/sassafrashook/routing/_ledger.py
@@ -216,6 +216,7 @@
             lease_ms=self.lease_ms,
             revision=self.state_.fleet_state_.revision,
             needs_holdings=not session.reported_,
+            released=session.take_confirmed(),
         )
         self.state_.actions_.append(Send(router, accepted))
         self._drain_all(now)
@@ -260,6 +261,7 @@
         session = self.sessions_.get(router)
         if session is None:
             return
+        session.confirmed_.append(message.request_id)
         record = session.permits_.get(message.request_id)
         if record is None:
             session.note_ended(message.request_id)
@@ -271,6 +273,7 @@
         session = self.sessions_.get(router)
         entry = session.waiting_.get(message.request_id) if session else None
         if entry is not None:
+            session.confirmed_.append(message.request_id)
             self.waiting_.withdraw(entry)
             return
         self._release(router, PermitReleased(message.request_id, PermitOutcome.UNUSED), now)
--- a/sassafrashook/routing/_sessions.py
+++ b/sassafrashook/routing/_sessions.py
@@ -6,6 +6,7 @@
 from sassafrashook.routing._services import ServiceState
 from sassafrashook.routing._upstream import UpstreamState
 
+CONFIRMED_MAX = 2_000
 RETIRED_BOOTS_MAX = 8
 
 
@@ -52,6 +53,7 @@
     reported_ : whether its permits of earlier terms are known.
     permits_ : permits in use, by request id.
     waiting_ : queue entries, by request id.
+    confirmed_ : request ids whose end is to be confirmed with the next answer.
     ended_ : request ids that were released or withdrawn before they were known.
     """
 
@@ -63,6 +65,7 @@
         "reported_",
         "permits_",
         "waiting_",
+        "confirmed_",
         "ended_",
     )
 
@@ -74,12 +77,19 @@
         self.reported_ = False
         self.permits_ = {}
         self.waiting_ = {}
+        self.confirmed_ = []
         self.ended_ = set()
 
     def identity(self):
         """Return the router's process as a :class:`KnownRouter`."""
         return KnownRouter(self.router, self.boot_id)
 
+    def take_confirmed(self):
+        """Return the ids whose end is to be confirmed, a bounded number at once."""
+        taken = self.confirmed_[:CONFIRMED_MAX]
+        del self.confirmed_[:CONFIRMED_MAX]
+        return taken
+
     def note_ended(self, request_id):
         """Remember a release that came before the permit was known to this term."""
         if not self.reported_:
--- a/sassafrashook/routing/tests/test_client.py
+++ b/sassafrashook/routing/tests/test_client.py
@@ -28,7 +28,7 @@
     StopRequested,
     WithdrawRequested,
 )
-from sassafrashook.routing.tests.builders import make_query
+from sassafrashook.routing.tests.builders import LedgerDriver, make_query
 
 
 class ClientDriver:
@@ -188,3 +188,66 @@
     assert driver.find(PermitReleased) and driver.find(SessionClosed)
     driver.acquire("next")
     assert driver.find(Refused)[0].refusal.reason == RefusalReason.STOPPING
+
+
+class LossyPair:
+    """A ledger and a client that lose the first message of one type between them."""
+
+    def __init__(self, lost_kind):
+        self.lost_kind = lost_kind
+        self.owner = LedgerDriver(engines=1)
+        self.client = PermitClient("r1", "other-boot", ["c1"], random.Random(1))
+        self.taken = []
+        self.exchange(self.client.advance(0.0))
+
+    def exchange(self, actions):
+        for action in actions:
+            if not isinstance(action, Send):
+                self.taken.append(action)
+            elif isinstance(action.message, self.lost_kind):
+                self.lost_kind = ()
+            else:
+                for answer in self.owner.hear(action.message):
+                    if isinstance(answer, Send):
+                        message = FromController("c1", answer.message)
+                        self.exchange(self.client.handle(message, self.owner.now))
+
+    def tell(self, event):
+        self.exchange(self.client.handle(event, self.owner.now))
+
+    def pass_time(self, seconds):
+        until = self.owner.now + seconds
+        while (due := self.client.next_deadline()) <= until:
+            self.owner.now = max(self.owner.now, due)
+            self.exchange(self.client.advance(self.owner.now))
+        self.owner.now = until
+
+
+def lose_release(kind):
+    """Return what the owner counts some renewals after the end of a permit was lost."""
+    pair = LossyPair(kind)
+    pair.tell(AcquireRequested("t", make_query(0, running_ms=60_000), 5.0))
+    permit = next(item.permit for item in pair.taken if isinstance(item, Acquired))
+    pair.tell(ReleaseRequested(permit.request_id, PermitOutcome.FINISHED))
+    pair.pass_time(4.0)
+    return pair.owner.ledger.count_running("e0")
+
+
+def test_lost_release_is_told_again_until_it_is_confirmed():
+    assert lose_release(PermitReleased) == 0
+
+
+def test_lost_release_would_count_until_its_running_deadline(monkeypatch):
+    monkeypatch.setattr(PermitClient, "_confirm_ends", lambda self, request_ids, now: None)
+    assert lose_release(PermitReleased) == 1
+
+
+def test_confirmed_ends_are_forgotten():
+    pair = LossyPair(())
+    for number in range(20):
+        pair.tell(AcquireRequested(number, make_query(0), pair.owner.now + 5.0))
+        permit = [item.permit for item in pair.taken if isinstance(item, Acquired)][-1]
+        pair.tell(ReleaseRequested(permit.request_id, PermitOutcome.FINISHED))
+    assert len(pair.client.unconfirmed_) == 20
+    pair.pass_time(2.0)
+    assert not pair.client.unconfirmed_
--- a/scripts/chaos.py
+++ b/scripts/chaos.py
@@ -209,6 +209,8 @@
         unserved = [order for order in load.orders if not order.receipt]
         print(f"seed={seed} chats={dict(load.counts)} reasons={dict(load.reasons)}")
         print(f"orders={len(load.orders)} without_receipt={len(unserved)}")
+        for order in unserved:
+            print(f"unserved {order.key}: {dict(order.reasons)}")
         if load.counts["cut"] or load.counts["connection_lost"]:
             wrong.append("a router that was not killed cut a connection")
         for text in wrong:
