--- a/sassafrashook/router/_permits.py
+++ b/sassafrashook/router/_permits.py
@@ -31,7 +31,7 @@
 from sassafrashook.tasks import spawn_task
 
 ANSWER_MARGIN_MS = 100
-CLOSE_MS = 2_000
+CLOSE_MS = 5_000
 POLL_MS = 10
 
 
--- a/sassafrashook/routing/_client.py
+++ b/sassafrashook/routing/_client.py
@@ -152,11 +152,15 @@
         return actions
 
     def _renew(self, now):
-        if self.stopping_ and not self.closed_ and not self.waits_ and not self.held_:
+        if self.stopping_ and not self.closed_ and not self._has_duties():
             self._close()
         if not self.closed_:
             self.actions_ += self.session_.renew(self._list_holdings(now), now)
 
+    def _has_duties(self):
+        """Return whether the owner may still count anything for this router."""
+        return bool(self.waits_ or self.held_ or self.unconfirmed_)
+
     def _close(self):
         self.closed_ = True
         if self.session_.owner_:
