--- a/sassafrashook/charts/_chart.py
+++ b/sassafrashook/charts/_chart.py
@@ -15,6 +15,8 @@
 
 import yaml
 
+from sassafrashook.settings import UniqueKeyLoader
+
 CHART_KEYS = {"name", "initial", "events", "states"}
 STATE_KEYS = {"transitions", "ignored", "final"}
 
@@ -42,22 +44,6 @@
         self.event = event
 
 
-class UniqueKeyLoader(yaml.SafeLoader):
-    """Loads plain YAML and refuses a key that stands twice."""
-
-    def construct_mapping(self, node, deep=False):
-        """Build a mapping; see PyYAML."""
-        seen = set()
-        for key_node, _ in node.value:
-            key = self.construct_object(key_node, deep=True)
-            if key in seen:
-                raise yaml.constructor.ConstructorError(
-                    None, None, f"key {key!r} stands twice", key_node.start_mark
-                )
-            seen.add(key)
-        return super().construct_mapping(node, deep)
-
-
 class Chart:
     """A checked state chart.
 
--- a/sassafrashook/operations/_cli.py
+++ b/sassafrashook/operations/_cli.py
@@ -1,101 +1,21 @@
 """The command line: ``sassafrashook <noun> <verb>``."""
 
-import os
 import sys
-import time
 
 import fire
-import msgspec
-from returns.pipeline import is_successful
 
 from sassafrashook.configuration import Configuration
-from sassafrashook.operations._client import (
-    ControllerAddress,
-    ExitCode,
-    OperatorClient,
+from sassafrashook.operations._client import ExitCode
+from sassafrashook.operations._commands import ConfigurationChange, OperatorCommands
+from sassafrashook.operations._exits import (
+    convert_or_exit,
+    detect_kind,
+    exit_with,
+    load_or_exit,
+    load_settings_or_exit,
 )
-from sassafrashook.operations._output import print_answer, print_error
-from sassafrashook.settings import (
-    ControllerSettings,
-    RouterSettings,
-    check_exposure,
-    load_document,
-)
-
-CONTROLLERS_VARIABLE = "SASSAFRASHOOK_CONTROLLERS"
-KEY_FILE_VARIABLE = "SASSAFRASHOOK_KEY_FILE"
-TIMEOUT_MS = 15_000
-
-
-class OperatorCommands:
-    """Base of the commands that controllers answer.
-
-    :param controllers: operator addresses of the controllers, ``host:port,host:port``; default
-        from the environment variable ``SASSAFRASHOOK_CONTROLLERS``.
-    :param key_file: file that holds the operator's key; default from ``SASSAFRASHOOK_KEY_FILE``.
-    :param timeout_ms: how long to try.
-    :param json: whether to print the answer as JSON.
-    """
-
-    def __init__(self, controllers=None, key_file=None, timeout_ms=TIMEOUT_MS, json=False):
-        self._controllers = controllers
-        self._key_file = key_file
-        self._timeout_ms = timeout_ms
-        self._json = json
-
-    def _call(self, method, path, body=None, command_id=None):
-        result = self._make_client().call(method, path, body, command_id)
-        if not is_successful(result):
-            error = result.failure()
-            exit_with(error.exit_code, error.detail)
-        answer = result.unwrap()
-        if answer.status >= 400:
-            exit_with(ExitCode.REFUSED, _describe_refusal(answer.body))
-        return answer.body
-
-    def _print(self, body, columns=None, rows=None):
-        print_answer(body, self._json, columns, rows)
-
-    def _make_client(self):
-        text = self._controllers or os.environ.get(CONTROLLERS_VARIABLE, "")
-        if isinstance(text, (list, tuple)):
-            text = ",".join(text)
-        try:
-            addresses = [ControllerAddress.parse(part) for part in text.split(",") if part]
-        except ValueError:
-            exit_with(ExitCode.USAGE, f"--controllers={text!r}: must be host:port,host:port")
-        if not addresses:
-            exit_with(ExitCode.USAGE, f"give --controllers or set {CONTROLLERS_VARIABLE}")
-        deadline = time.monotonic() + self._timeout_ms / 1000
-        return OperatorClient(addresses, self._read_key(), deadline)
-
-    def _read_key(self):
-        path = self._key_file or os.environ.get(KEY_FILE_VARIABLE)
-        if path is None:
-            return ""
-        try:
-            with open(path, encoding="utf-8") as file:
-                return file.read().strip()
-        except OSError as error:
-            exit_with(ExitCode.USAGE, f"--key-file={path!r}: {error.strerror}")
-
-
-class ConfigurationChange(OperatorCommands):
-    """Base of the commands that replace the configuration."""
-
-    def _apply(self, configuration, expected_revision, command_id, wait):
-        if expected_revision is None:
-            expected_revision = self._call("GET", "/v1/configuration")["revision"]
-        command = {
-            "expected_revision": expected_revision,
-            "document": msgspec.to_builtins(configuration),
-            "wait_ms": self._timeout_ms if wait else 0,
-        }
-        body = self._call("PUT", "/v1/configuration", command, command_id)
-        rollout = body.pop("rollout", None)
-        self._print(body)
-        if wait:
-            _report_rollout(rollout)
+from sassafrashook.operations._output import print_answer
+from sassafrashook.settings import ControllerSettings, RouterSettings
 
 
 class ConfigCommands(ConfigurationChange):
@@ -251,64 +171,6 @@
         self._print(self._call("GET", "/v1/status"))
 
 
-def detect_kind(file):
-    """Return the class of a document by the key that only it has."""
-    kinds = {"operator_endpoint": ControllerSettings, "caller_endpoint": RouterSettings}
-    try:
-        with open(file, encoding="utf-8") as text:
-            keys = {line.partition(":")[0] for line in text}
-    except (OSError, UnicodeDecodeError):
-        return Configuration
-    return next((kind for key, kind in kinds.items() if key in keys), Configuration)
-
-
-def load_or_exit(file, kind):
-    """Return a checked document, or end the process with a usage error."""
-    result = load_document(file, kind)
-    if not is_successful(result):
-        exit_with(ExitCode.USAGE, str(result.failure()))
-    return result.unwrap()
-
-
-def load_settings_or_exit(file, kind):
-    """Return checked settings, or end the process before any socket opens."""
-    settings = load_or_exit(file, kind)
-    exposure = check_exposure(settings)
-    if not is_successful(exposure):
-        exit_with(ExitCode.USAGE, f"{file}: {exposure.failure()}")
-    return settings
-
-
-def convert_or_exit(document):
-    """Return a configuration built from plain values, or end the process with a usage error."""
-    try:
-        return msgspec.convert(document, Configuration)
-    except msgspec.ValidationError as error:
-        exit_with(ExitCode.USAGE, str(error))
-
-
-def exit_with(code, text):
-    """Print why a command failed and end the process."""
-    print_error(text)
-    sys.exit(int(code))
-
-
-def _report_rollout(rollout):
-    if rollout["in_force"]:
-        silent = ", ".join(rollout["silent"])
-        note = f"; silent and so without new work: {silent}" if silent else ""
-        print(f"in force everywhere: revision {rollout['revision']}{note}")
-        return
-    names = ", ".join(rollout["pending"])
-    exit_with(ExitCode.NOT_IN_FORCE, f"accepted; not yet confirmed by: {names}")
-
-
-def _describe_refusal(body):
-    reason = body.get("reason", "refused")
-    rest = " ".join(f"{key}={value}" for key, value in body.items() if key != "reason")
-    return f"{reason} {rest}".strip()
-
-
 def main():
     """Run one command."""
     fire.Fire(
--- a/sassafrashook/settings/__init__.py
+++ b/sassafrashook/settings/__init__.py
@@ -1,6 +1,11 @@
 """Checked YAML documents: each process's settings and the operators' configuration."""
 
-from sassafrashook.settings._documents import DocumentError, load_document, read_document
+from sassafrashook.settings._documents import (
+    DocumentError,
+    UniqueKeyLoader,
+    load_document,
+    read_document,
+)
 from sassafrashook.settings._keys import Keys, KeysError, load_keys
 from sassafrashook.settings._settings import (
     ControllerSettings,
@@ -24,6 +29,7 @@
     "ProcessSettings",
     "RouterSettings",
     "TlsFiles",
+    "UniqueKeyLoader",
     "check_exposure",
     "load_document",
     "load_keys",
--- a/sassafrashook/settings/_settings.py
+++ b/sassafrashook/settings/_settings.py
@@ -89,7 +89,7 @@
     routers: list[Peer] = []
     tls: TlsFiles | None = None
     keys: KeyFiles = KeyFiles()
-    control_bytes_per_s: Annotated[int, Meta(ge=512, le=1_000_000)] = 4_096
+    control_bytes_per_s: Annotated[int, Meta(ge=2_048, le=1_000_000)] = 4_096
     log_level: LogLevel = "info"
 
 
