--- a/examples/embed_routing.py
+++ b/examples/embed_routing.py
@@ -22,6 +22,7 @@
     Send,
     UpstreamSeen,
 )
+from sassafrashook.utils import hash_key
 
 ENGINES = 3
 CHATS = 6
