--- a/examples/embed_routing.py
+++ b/examples/embed_routing.py
@@ -63,9 +63,8 @@
 
     def chat(self, conversation, now):
         """Place one chat; return the engine."""
-        query = PermitRequested(
-            0, "advice", conversation, "shop", "default", 0, 60_000, conversation
-        )
+        key = hash_key(f"chat-{conversation}")
+        query = PermitRequested(0, "advice", key, "shop", "default", 0, 60_000, key)
         self.carry(self.client.handle(AcquireRequested(conversation, query, now + 1), now), now)
         return self.permits[conversation]
 
