--- a/sassafrashook/operations/_cli.py
+++ b/sassafrashook/operations/_cli.py
@@ -3,6 +3,7 @@
 import sys
 
 import fire
+from returns.pipeline import is_successful
 
 from sassafrashook.configuration import Configuration
 from sassafrashook.operations._client import ExitCode
@@ -164,11 +165,26 @@
 
 
 class StatusCommand(OperatorCommands):
-    """The state of the fleet."""
+    """What each controller says of itself."""
 
     def __call__(self):
-        """Show the state of the fleet."""
-        self._print(self._call("GET", "/v1/status"))
+        """Show every controller, reachable or not."""
+        entries = [self._ask(address) for address in self._find_addresses()]
+        columns = ["controller", "name", "leading", "term", "leader", "revision", "problem"]
+        rows = [[entry.get(column, "") for column in columns] for entry in entries]
+        self._print({"controllers": entries}, columns, rows)
+        if all("problem" in entry for entry in entries):
+            exit_with(ExitCode.UNAVAILABLE, "no controller answers")
+
+    def _ask(self, address):
+        place = f"{address.host}:{address.port}"
+        result = self._make_client([address]).call("GET", "/v1/status")
+        if not is_successful(result):
+            return {"controller": place, "problem": result.failure().detail}
+        answer = result.unwrap()
+        if answer.status >= 400:
+            return {"controller": place, "problem": answer.body.get("reason", "refused")}
+        return {"controller": place, **answer.body}
 
 
 def main():
--- a/sassafrashook/operations/_commands.py
+++ b/sassafrashook/operations/_commands.py
@@ -32,7 +32,7 @@
         self._json = json
 
     def _call(self, method, path, body=None, command_id=None):
-        result = self._make_client().call(method, path, body, command_id)
+        result = self._make_client(self._find_addresses()).call(method, path, body, command_id)
         if not is_successful(result):
             error = result.failure()
             exit_with(error.exit_code, error.detail)
@@ -44,7 +44,7 @@
     def _print(self, body, columns=None, rows=None):
         print_answer(body, self._json, columns, rows)
 
-    def _make_client(self):
+    def _find_addresses(self):
         text = self._controllers or os.environ.get(CONTROLLERS_VARIABLE, "")
         if isinstance(text, (list, tuple)):
             text = ",".join(text)
@@ -54,6 +54,9 @@
             exit_with(ExitCode.USAGE, f"--controllers={text!r}: must be host:port,host:port")
         if not addresses:
             exit_with(ExitCode.USAGE, f"give --controllers or set {CONTROLLERS_VARIABLE}")
+        return addresses
+
+    def _make_client(self, addresses):
         deadline = time.monotonic() + self._timeout_ms / 1000
         return OperatorClient(addresses, self._read_key(), deadline)
 
--- a/sassafrashook/operations/tests/test_cli.py
+++ b/sassafrashook/operations/tests/test_cli.py
@@ -49,6 +49,9 @@
     result = run("zone", "list", "--controllers=127.0.0.1:1", "--timeout_ms=300")
     assert result.returncode == ExitCode.UNAVAILABLE
     assert run("zone", "list", "--controllers=nonsense").returncode == ExitCode.USAGE
+    status = run("status", "--controllers=127.0.0.1:1,127.0.0.1:2", "--timeout_ms=300")
+    assert status.returncode == ExitCode.UNAVAILABLE
+    assert status.stdout.count("refuses connections") == 2
 
 
 def test_text_output_is_aligned():
