Unused names removed or used: retry time, content type of the scrape page, one admission check

Found by counting names that stand once. The scrape page now states the content type of its text format, which was defined and not used; everything else behaves as before.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -114,7 +114,7 @@
     return float(result.stdout.strip().splitlines()[-1])
 
 
-def make_fleet_state(accounts=()):
+def make_fleet_state():
     """Return a configuration with one service."""
     return FleetState(
         revision=1,
--- a/sassafrashook/controller/_admin.py
+++ b/sassafrashook/controller/_admin.py
@@ -5,7 +5,7 @@
 
 from sassafrashook.controller import _admin_resources as resources
 from sassafrashook.controller._admin_documents import ErrorAnswer
-from sassafrashook.controller._admin_errors import AdminError, write_json
+from sassafrashook.controller._admin_errors import RETRY_AFTER_S, AdminError, write_json
 from sassafrashook.controller._service import ControllerService
 from sassafrashook.telemetry import log_event
 from sassafrashook.utils import Interval
@@ -164,7 +164,7 @@
     def _answer_error(self, request, response, error, parameters):
         self.count("operator_refusals", error.answer.reason)
         if error.status == 503:
-            response.set_header("Retry-After", "1")
+            response.set_header("Retry-After", RETRY_AFTER_S)
         write_json(response, error.answer, error.status)
 
     def _answer_http_error(self, request, response, error, parameters):
--- a/sassafrashook/operations/_process.py
+++ b/sassafrashook/operations/_process.py
@@ -24,7 +24,7 @@
 from sassafrashook.messages import ROUTER_MESSAGES
 from sassafrashook.settings import load_keys
 from sassafrashook.tasks import watch_tasks
-from sassafrashook.telemetry import Metrics, configure_logs, log_event
+from sassafrashook.telemetry import SCRAPE_CONTENT_TYPE, Metrics, configure_logs, log_event
 from sassafrashook.transport import (
     Certificates,
     Mesh,
@@ -171,7 +171,7 @@
 
     def on_get(self, _request, response):
         """Answer with all counters in the text format that scrapers read."""
-        response.content_type = falcon.MEDIA_TEXT
+        response.content_type = SCRAPE_CONTENT_TYPE
         response.data = self.metrics.render_page()
 
 
--- a/sassafrashook/proxy/_admission.py
+++ b/sassafrashook/proxy/_admission.py
@@ -38,22 +38,20 @@
 
 
 def admit_unread(context, accounts, request):
-    """Check a caller's headers before its body is read; see :func:`admit`.
+    """Check what a caller's headers say, before its body is read.
 
     The body of a caller that is refused is not read, and its connection ends.
+
+    :param accounts: mapping from bearer key to client account, or ``None`` to ask for no key.
+    :returns: ``Success`` of an :class:`Admission`, or ``Failure`` of a refusal.
     """
-    admitted = admit(context, accounts, request)
+    admitted = _admit(context, accounts, request)
     if isinstance(admitted, Failure):
         request.env[SKIP_REST] = True
     return admitted
 
 
-def admit(context, accounts, request):
-    """Check what a caller's headers say.
-
-    :param accounts: mapping from bearer key to client account, or ``None`` to ask for no key.
-    :returns: ``Success`` of an :class:`Admission`, or ``Failure`` of a refusal.
-    """
+def _admit(context, accounts, request):
     account = ANY_ACCOUNT if accounts is None else accounts.get(read_key(request))
     if account is None:
         return _fail(RefusalReason.UNAUTHENTICATED, "the bearer key is not known")
--- a/sassafrashook/proxy/_requests.py
+++ b/sassafrashook/proxy/_requests.py
@@ -11,7 +11,6 @@
 __all__ = ["Chat", "decode_chat", "decode_deadline", "decode_report", "refuse_input"]
 
 MAX_DEADLINE_MS = 86_400_000
-MAX_HEADER_CHARS = 256
 MS_PER_S = 1_000
 
 
--- a/sassafrashook/state/_orders.py
+++ b/sassafrashook/state/_orders.py
@@ -12,7 +12,6 @@
 
 __all__ = ["OrderJournal", "OrderRecord"]
 
-DROP_KINDS = (OrderKind.UNLOAD_MODEL, OrderKind.UNLOAD_ADAPTER, OrderKind.CHANGE_ROLE)
 LOAD_KINDS = (OrderKind.LOAD_MODEL, OrderKind.LOAD_ADAPTER)
 FINISHED = (OrderStatus.DONE, OrderStatus.REFUSED)
 
