Consensus: the leader can admit and remove members; commits need one copy more than disks that may be lost

A group can be founded by a part of its hosts: the rest announce themselves and are admitted one at a time. A voter that stays silent is removed only while more than 2f+1 would vote. A removed voter that returns still asks for votes; the leader takes that as its announcement. Both are off by default.

--- a/sassafrashook/consensus/_admission.py
+++ b/sassafrashook/consensus/_admission.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from sassafrashook.consensus._messages import ConsensusMessage, IdentityAnnounced
+from sassafrashook.consensus._messages import ConsensusMessage, IdentityAnnounced, VoteRequested
 
 __all__ = ["AdmissionMixin"]
 
@@ -35,6 +35,8 @@
         if message.identity == self.identity:
             return "duplicate_identity"
         if not self._is_known(message):
+            if isinstance(message, VoteRequested):
+                self._note_stranger(message, now)
             return "unknown_identity"
         return self._check_boot(message, now)
 
--- a/sassafrashook/consensus/_core.py
+++ b/sassafrashook/consensus/_core.py
@@ -47,6 +47,7 @@
 SNAPSHOT_PIECE_BYTES = 256 * 1024
 SNAPSHOT_ENTRIES = 500
 TRAILING_ENTRIES = 100
+NO_LOSSES = 0
 
 
 class ReplicaCore(
@@ -84,6 +85,10 @@
     :param snapshot_entries: a snapshot is taken after this many committed entries, later if
         the state is large against the entries.
     :param trailing_entries: entries kept behind a snapshot for members that lag.
+    :param tolerated_losses: disks that may be lost at once; an entry is committed once one more
+        than these hold it, a majority at least.
+    :param manages_members: whether the leader admits replicas that announce themselves, and
+        removes silent ones that the group can do without.
 
     Attributes: ``term_``, ``role_``, ``leader_`` (a name), ``commit_index_``,
     ``durable_index_``, and ``refusals_``, a counter of refused messages by reason.
@@ -114,6 +119,8 @@
         "snapshot_piece_bytes": Interval(int, 1),
         "snapshot_entries": Interval(int, 1),
         "trailing_entries": Interval(int, 0),
+        "tolerated_losses": Interval(int, 0, 16),
+        "manages_members": Options(bool),
     }
 
     _handlers = {
@@ -157,6 +164,8 @@
         snapshot_piece_bytes=SNAPSHOT_PIECE_BYTES,
         snapshot_entries=SNAPSHOT_ENTRIES,
         trailing_entries=TRAILING_ENTRIES,
+        tolerated_losses=NO_LOSSES,
+        manages_members=False,
     ):
         self.name = name
         self.identity = identity
@@ -178,6 +187,8 @@
         self.snapshot_piece_bytes = snapshot_piece_bytes
         self.snapshot_entries = snapshot_entries
         self.trailing_entries = trailing_entries
+        self.tolerated_losses = tolerated_losses
+        self.manages_members = manages_members
 
     def start(self, recovered, now):
         """Begin from what the data folder holds.
@@ -233,6 +244,13 @@
             self._start_pre_vote(now)
         return self._finish(now)
 
+    def add_contacts(self, names):
+        """Learn names of members to announce this replica to while it is not one itself.
+
+        :param names: iterable of names.
+        """
+        self.contacts_ |= set(names) - {self.name}
+
     def next_deadline(self):
         """Return when :meth:`advance` must be called next, seconds."""
         if self.role_ is Role.LEADER:
--- a/sassafrashook/consensus/_membership.py
+++ b/sassafrashook/consensus/_membership.py
@@ -9,6 +9,7 @@
 
 ANNOUNCEMENT_HEARTBEATS = 10
 SILENT_LEARNER_TIMEOUTS = 5
+SILENT_VOTER_TIMEOUTS = 2  # longer than a restart of a process takes
 
 
 def encode_members(members):
@@ -32,6 +33,7 @@
     def _start_membership(self, genesis, now):
         self.genesis_ = genesis
         self.announced_ = {}
+        self.contacts_ = set()
         self._shown = {}
         self.announce_deadline_ = now
         self._configurations = []
@@ -104,7 +106,8 @@
             self._announce(name, "")
 
     def _names(self):
-        return {*self.members, *(member.name for member in self.configuration_)}
+        members = (member.name for member in self.configuration_)
+        return {*self.members, *self.contacts_, *members}
 
     def _announce(self, name, recipient):
         genesis = self.genesis_ or Genesis({})
@@ -233,6 +236,42 @@
                 self._propose_members(others, now)
                 return
 
+    def _advance_members(self, now):
+        """Admit a replica that announced itself, then remove a voter that is not needed.
+
+        A group of ``2 * tolerated_losses + 1`` voters keeps its silent ones, since a smaller
+        group would bear fewer losses.
+        """
+        if not self.manages_members or self.role_ is not Role.LEADER or self._is_changing():
+            return
+        if any(not member.voter for member in self.configuration_):
+            return
+        for name in sorted(self.announced_):
+            identity = self._announced_identity(name, now)
+            if identity is not None and name != self.name:
+                learner = Member(name, identity, voter=False)
+                self._propose_members([*self.configuration_, learner], now)
+                return
+        self._remove_silent(now)
+
+    def _remove_silent(self, now):
+        if len(self.configuration_) <= 2 * self.tolerated_losses + 1:
+            return
+        silent_s = SILENT_VOTER_TIMEOUTS * self.election_max_s_
+        for member in self._other_members():
+            if now >= self.progress_[member.identity].heard_at + silent_s:
+                kept = [m for m in self.configuration_ if m is not member]
+                self._propose_members(kept, now)
+                return
+
+    def _note_stranger(self, message, now):
+        """Take a vote request of a replica that was removed while it was away as its announcement.
+
+        It still holds itself to be a member, so it does not announce itself.
+        """
+        if self.manages_members and self._member(message.identity) is None:
+            self.announced_[message.sender] = (message.identity, now)
+
     def _advance_learner(self, learner, now):
         others = [m for m in self.configuration_ if m.name != learner.name]
         has_old = len(others) + 1 < len(self.configuration_)
--- a/sassafrashook/consensus/_replica.py
+++ b/sassafrashook/consensus/_replica.py
@@ -21,6 +21,7 @@
     ELECTION_MAX_MS,
     ELECTION_MIN_MS,
     HEARTBEAT_MS,
+    NO_LOSSES,
     SNAPSHOT_ENTRIES,
     ReplicaCore,
 )
@@ -82,6 +83,8 @@
     :param election_max_ms: longest time until a silent leader is challenged.
     :param drift_fraction: bound on how much faster or slower a clock may run.
     :param snapshot_entries: a snapshot is taken after this many committed entries.
+    :param tolerated_losses: disks that may be lost at once; see :class:`ReplicaCore`.
+    :param manages_members: whether the leader admits and removes members by itself.
     :param file_system: a :class:`~sassafrashook.storage.FileSystem`.
     :param on_failure: called with the error after which the process must stop.
 
@@ -133,6 +136,8 @@
         election_max_ms=ELECTION_MAX_MS,
         drift_fraction=DRIFT_FRACTION,
         snapshot_entries=SNAPSHOT_ENTRIES,
+        tolerated_losses=NO_LOSSES,
+        manages_members=False,
         file_system=None,
         on_failure=None,
     ):
@@ -150,6 +155,8 @@
         self.election_max_ms = election_max_ms
         self.drift_fraction = drift_fraction
         self.snapshot_entries = snapshot_entries
+        self.tolerated_losses = tolerated_losses
+        self.manages_members = manages_members
         self.file_system = file_system
         self.on_failure = on_failure
 
@@ -194,6 +201,8 @@
             election_max_ms=self.election_max_ms,
             drift_fraction=self.drift_fraction,
             snapshot_entries=self.snapshot_entries,
+            tolerated_losses=self.tolerated_losses,
+            manages_members=self.manages_members,
         )
         self._perform(self.core_.start(recovered, self.clock()))
 
@@ -338,6 +347,10 @@
         """Return the newest list of :class:`Member` in the log."""
         return list(self.core_.configuration_)
 
+    def add_contacts(self, names):
+        """Learn names of members that this replica may announce itself to."""
+        self.core_.add_contacts(names)
+
     def refusals(self):
         """Return how many messages were refused, by reason."""
         return dict(self.core_.refusals_)
--- a/sassafrashook/consensus/_replication.py
+++ b/sassafrashook/consensus/_replication.py
@@ -48,6 +48,7 @@
         if self.role_ is Role.LEADER:
             self._advance_commit(now)
             self._advance_replacement(now)
+        self._advance_members(now)
 
     def _resend_lost(self, now):
         for progress in self.progress_.values():
@@ -155,12 +156,13 @@
             self._send_entries(member, now)
 
     def _advance_commit(self, now):
-        """Commit what a quorum has synced in this term, this replica included."""
+        """Commit what enough voters have synced in this term, this replica included."""
         if self.role_ is not Role.LEADER:
             return
         voters = [member for member in self.configuration_ if member.voter]
         synced = sorted(self._synced_index(member) for member in voters)
-        index = min(synced[(len(synced) - 1) // 2], self.durable_index_)
+        copies = max(len(synced) // 2 + 1, min(self.tolerated_losses + 1, len(synced)))
+        index = min(synced[len(synced) - copies], self.durable_index_)
         if index > self.commit_index_ and self.log_.term_at(index) == self.term_:
             self._commit_to(index)
             self._note_round_progress(now)
--- a/sassafrashook/consensus/tests/harness.py
+++ b/sassafrashook/consensus/tests/harness.py
@@ -62,6 +62,7 @@
     :param early: whether writes are reported as synced before they are.
     :param ignored_syncs: parts of paths whose syncs do nothing.
     :param keeps_identity: whether a host whose disk was lost comes back under its old identity.
+    :param founders: number of hosts that found the group, 0 for all; the leader admits the rest.
     """
 
     duration_s: float = 6.0
@@ -84,6 +85,7 @@
     ignored_syncs: tuple = ()
     keeps_identity: bool = False
     parameters: dict = field(default_factory=dict)
+    founders: int = 0
 
 
 class Host:
@@ -127,14 +129,16 @@
             folder.identity_,
             folder.boot_,
             f"{self.name}{self.boot}",
-            self.run.names,
+            self.run.names[: self.run.faults.founders or None],
             random.Random(self.rng.random()),
             GROUP,
             bootstrap=True,
             **{**PARAMETERS, **self.run.faults.parameters},
         )
         self.core = core
-        self.perform(core.start(recovered, self.clock()))
+        actions = core.start(recovered, self.clock())
+        core.add_contacts(self.run.names)
+        self.perform(actions)
 
     def _draw_identity(self):
         if not self.run.faults.keeps_identity:
@@ -258,7 +262,7 @@
         self.now = 0.0
         self.events = []
         self.count = 0
-        self.names = tuple("abcde"[:size])
+        self.names = tuple("abcdef"[:size])
         self.hosts = {name: Host(self, name) for name in self.names}
         self.cuts = set()
         self.quiet = False
@@ -477,6 +481,8 @@
                 self.repairs += 1
                 if not self.quiet and self.rng.random() < 0.5:
                     self._lose_disk(self.rng.choice(list(self.hosts.values())))
+            elif core.manages_members:
+                continue
             elif not core.find_obstacle(host.name, leading[0].clock()):
                 leading[0].handle(ReplaceMember(host.name))
         self.at(self.now + 0.05, self._repair)
