--- /dev/null
+++ b/sassafrashook/daemons/_controller.py
@@ -0,0 +1,116 @@
+"""The controller: a replica of the agreed state, and the registrations of upstreams."""
+
+import time
+
+import gevent
+from gevent.event import Event
+
+from sassafrashook.consensus import CONSENSUS_MESSAGES, Replica
+from sassafrashook.daemons._process import serve_application
+from sassafrashook.fleet import FLEET_MESSAGES, FleetController, FleetState
+from sassafrashook.registry import Registry
+from sassafrashook.storage import StorageError
+from sassafrashook.telemetry import log_event
+from sassafrashook.transport import Mesh, PeerAddress
+
+SILENT_HEARTBEATS = 3.5  # an upstream is silent after this many intervals
+CONSENSUS_HEARTBEAT_MS = 100
+ELECTION_MIN_MS = 600  # six heartbeats
+ELECTION_MAX_MS = 1_200
+SNAPSHOT_ENTRIES = 100  # documents are large against entries
+TRANSFER_S = 1.0
+ANSWERS_S = 0.3  # time for answers that are under way
+FLUSH_MS = 200
+
+
+class ControllerDaemon:
+    """Everything that a controller runs.
+
+    :param settings: a :class:`~sassafrashook.daemons.NodeSettings`.
+    :param make_application: called with the :class:`~sassafrashook.fleet.FleetController` and the
+        settings; returns the WSGI application for operators and upstreams.
+
+    :ivar failed_: set when the process must end.
+    """
+
+    def __init__(self, settings, make_application):
+        self.settings = settings
+        self.failed_ = Event()
+        self.mesh_ = Mesh(
+            settings.name,
+            (settings.name, settings.stream_port),
+            (),
+            (*FLEET_MESSAGES, *CONSENSUS_MESSAGES),
+        )
+        self.state_ = FleetState()
+        self.replica_ = Replica(
+            settings.name,
+            settings.seeds,
+            settings.data_folder,
+            self.state_,
+            self.mesh_,
+            bootstrap=settings.founds,
+            heartbeat_ms=CONSENSUS_HEARTBEAT_MS,
+            election_min_ms=ELECTION_MIN_MS,
+            election_max_ms=ELECTION_MAX_MS,
+            snapshot_entries=SNAPSHOT_ENTRIES,
+            tolerated_losses=settings.tolerated_losses,
+            manages_members=True,
+            on_failure=self._fail,
+        )
+        registry = Registry(SILENT_HEARTBEATS * settings.heartbeat_ms / 1_000)
+        self.fleet_ = FleetController(
+            settings.name, self.replica_, self.state_, registry, self.mesh_, settings.stream_port
+        )
+        self._application = make_application(self.fleet_, settings)
+        self._server = None
+
+    def start(self):
+        """Recover the state and take part.
+
+        :raises OSError: if an address or the data folder can't be used.
+        """
+        self._learn(self.settings.seeds)
+        try:
+            self.replica_.start()
+        except StorageError as error:
+            raise OSError(f"data folder: {error}") from error
+        self.mesh_.subscribe(CONSENSUS_MESSAGES, self._deliver)
+        self.mesh_.start()
+        self.fleet_.start()
+        self.fleet_.set_seeds(self.settings.seeds)
+        self._server = serve_application(self.settings.control, self._application)
+
+    def _deliver(self, sender, message):
+        self._learn((sender,))
+        self.replica_.deliver(sender, message)
+
+    def _learn(self, names):
+        for name in names:
+            if name != self.settings.name:
+                self.mesh_.learn(PeerAddress(name, name, self.settings.stream_port))
+
+    def reload(self, settings):
+        """Take changed settings; only the seeds can change while it runs."""
+        self._learn(settings.seeds)
+        self.fleet_.set_seeds(settings.seeds)
+
+    def stop(self, deadline):
+        """Hand leadership over and stop.
+
+        :param deadline: monotonic seconds.
+        """
+        if self.replica_.leader() == self.settings.name:
+            until = min(deadline, time.monotonic() + TRANSFER_S)
+            handed_over = self.replica_.transfer_leadership(until)
+            log_event("leadership_handed_over", done=handed_over)
+        self._server.stop_accepting()
+        gevent.sleep(ANSWERS_S)
+        self._server.stop(timeout=0)
+        self.fleet_.stop()
+        self.replica_.stop()
+        self.mesh_.stop(FLUSH_MS)
+
+    def _fail(self, error):
+        log_event("replica_failed", level="error", error=error)
+        self.failed_.set()
--- /dev/null
+++ b/sassafrashook/daemons/_router.py
@@ -0,0 +1,136 @@
+"""The router: follows the controllers and forwards clients' requests."""
+
+import random
+import time
+
+import falcon
+import gevent
+from gevent.event import Event
+
+from sassafrashook.daemons._process import serve_application
+from sassafrashook.fleet import FLEET_MESSAGES, FleetFollower, FleetView, OtherLoads
+from sassafrashook.gateway import Gateway, GatewayLimits, GatewayServer
+from sassafrashook.http1 import ConnectionPool
+from sassafrashook.placement import Placement, WarmupShares
+from sassafrashook.registry import Registry
+from sassafrashook.tasks import spawn_task
+from sassafrashook.telemetry import Metrics, log_event
+from sassafrashook.transport import Mesh
+
+CONNECT_TIMEOUT_S = 0.25  # a zone is a millisecond away; a lost opening packet takes seconds
+LOADS_S = 0.2
+MAINTENANCE_S = 1.0
+SILENT_S = 3_600.0  # routers leave it to the controllers to find an upstream silent
+EVACUATED_COLD_HEARTBEATS = 2.5  # after these an upstream has told whether it is cold
+
+
+class ReadinessResource:
+    """Answers the balancer.
+
+    :param is_ready: called without arguments.
+    """
+
+    def __init__(self, is_ready):
+        self.is_ready = is_ready
+
+    def on_get(self, _request, response):
+        """Answer 200 while the router takes new connections."""
+        response.status = falcon.HTTP_200 if self.is_ready() else falcon.HTTP_503
+
+
+class RouterDaemon:
+    """Everything that a router runs.
+
+    :param settings: a :class:`~sassafrashook.daemons.NodeSettings`.
+    :param dialect: the deployment's :class:`~sassafrashook.gateway.Dialect`.
+    :param readiness_path: path of the balancer's question.
+
+    :ivar failed_: set when the process must end.
+    """
+
+    def __init__(self, settings, dialect, readiness_path):
+        self.settings = settings
+        self.readiness_path = readiness_path
+        self.failed_ = Event()
+        self.mesh_ = Mesh(settings.name, (settings.name, settings.stream_port), (), FLEET_MESSAGES)
+        self.view_ = FleetView(Registry(SILENT_S))
+        self.follower_ = FleetFollower(
+            settings.name, self.mesh_, self.view_, settings.stream_port, True, self._note_view
+        )
+        self.warmup_ = WarmupShares(
+            settings.name, settings.warmup_factor, settings.warmup_tolerance
+        )
+        zone = settings.availability_zone
+        self.placement_ = Placement(self.warmup_, random.Random(), zone)
+        self.pool_ = ConnectionPool(CONNECT_TIMEOUT_S)
+        limits = GatewayLimits(settings.retry_ratio, settings.retry_slack, settings.retry_window_s)
+        self.gateway_ = Gateway(
+            dialect, self.view_, self.placement_, self.pool_, limits, Metrics(settings.name)
+        )
+        self.server_ = GatewayServer(self.gateway_, *settings.router.clients)
+        self._readiness = None
+
+    def start(self):
+        """Follow the controllers and serve.
+
+        :raises OSError: if an address can't be used.
+        """
+        self.mesh_.subscribe(self.follower_.handled_messages, self.follower_.deliver)
+        self.mesh_.subscribe((OtherLoads,), self._note_loads)
+        self.mesh_.start()
+        self.follower_.set_seeds(self.settings.seeds)
+        self.follower_.start()
+        self.server_.start()
+        application = falcon.App()
+        application.add_route(self.readiness_path, ReadinessResource(self.is_ready))
+        self._readiness = serve_application(self.settings.router.readiness, application)
+        self._tasks = [spawn_task(self._report_loads), spawn_task(self._maintain)]
+
+    def is_ready(self):
+        """Return whether it can serve new connections."""
+        return self.view_.table_ is not None and not self.server_.is_stopping_
+
+    def reload(self, settings):
+        """Take changed settings; only the seeds can change while it runs."""
+        self.follower_.set_seeds(settings.seeds)
+
+    def stop(self, deadline):
+        """Serve what has begun, then stop.
+
+        :param deadline: monotonic seconds.
+        """
+        cut = self.server_.stop(deadline)
+        log_event("requests_cut", count=cut)
+        self.follower_.stop()
+        gevent.killall(self._tasks)
+        self._readiness.stop(timeout=0)
+        self.mesh_.stop()
+
+    def _note_view(self, returned):
+        """Hand what changed to the placement."""
+        registry, placement = self.view_.registry, self.placement_
+        self.warmup_.set_routers(self.view_.routers_)
+        placement.set_evacuated(self.view_.evacuated_)
+        gone = placement.set_registrations(registry.list_usable(), registry.cold_until_)
+        for key in gone:
+            self.pool_.drop(key)
+        if returned:
+            cold_s = EVACUATED_COLD_HEARTBEATS * self.settings.heartbeat_ms / 1_000
+            for zone in returned:
+                placement.make_cold(zone, time.monotonic() + cold_s)
+            log_event("zones_returned", zones=sorted(returned), presumed_cold_s=cold_s)
+
+    def _note_loads(self, _sender, message):
+        self.placement_.set_other_loads(message.loads, time.monotonic())
+
+    def _report_loads(self):
+        while True:
+            gevent.sleep(LOADS_S)
+            controller = self.follower_.nearest()
+            if controller is not None:
+                self.follower_.report_loads(controller, self.placement_.list_loads())
+
+    def _maintain(self):
+        while True:
+            gevent.sleep(MAINTENANCE_S)
+            self.pool_.close_expired()
--- /dev/null
+++ b/sassafrashook/fleet/_controller.py
@@ -0,0 +1,302 @@
+"""A controller's part in the state that all nodes share."""
+
+import time
+import uuid
+import zlib
+from collections import deque
+from dataclasses import dataclass
+from enum import StrEnum
+
+import gevent
+import msgspec
+from returns.result import Failure
+
+from sassafrashook.fleet._follower import FleetFollower, FleetView
+from sassafrashook.fleet._loads import LoadBoard
+from sassafrashook.fleet._messages import (
+    Heartbeat,
+    HeartbeatsHeard,
+    LoadReported,
+    LoadShared,
+    OtherLoads,
+    ViewChanged,
+    ViewRequested,
+)
+from sassafrashook.fleet._publisher import Position, Publisher
+from sassafrashook.fleet._state import (
+    PutDesiredState,
+    SetEvacuation,
+    encode_command,
+)
+from sassafrashook.gateways import ProposalFailure
+from sassafrashook.tasks import spawn_task
+from sassafrashook.telemetry import log_event
+from sassafrashook.transport import PeerAddress
+
+TICK_S = 0.05
+LOADS_S = 0.2  # between two rounds of loads
+HEARTBEATS_S = 0.3  # heartbeats are told to the other controllers in batches
+CONTACT_S = 1.5  # a controller heard within this time counts as connected
+COMMIT_S = 0.85  # a caller waits a second for an answer
+SPREAD_S = 0.8  # how long an upstream's leaving may take to reach the other nodes
+ROUTER_SPREAD_S = 0.5  # how long it waits for routers that lag
+POLL_S = 0.01
+MAX_HEARTBEATS = 2_000  # in one batch
+COMPRESSION_LEVEL = 6
+
+
+class OrderOutcome(StrEnum):
+    """What became of an operator's order."""
+
+    DONE = "done"
+    ELSEWHERE = "elsewhere"
+    UNKNOWN = "unknown"
+
+
+@dataclass(slots=True, frozen=True)
+class OrderReply:
+    """The answer to an operator's order.
+
+    :param leader: the controller to ask instead, where the outcome is ``elsewhere``.
+    """
+
+    outcome: OrderOutcome
+    leader: str = ""
+
+
+class FleetController:
+    """Keeps desired state and registrations, and tells them to everybody.
+
+    The desired state and evacuations are in the replicated log; registrations are in memory, on
+    every controller, and are heard again within a heartbeat.
+
+    :param name: this controller's IP number.
+    :param replica: a :class:`~sassafrashook.consensus.Replica`.
+    :param state: its :class:`~sassafrashook.fleet.FleetState`.
+    :param registry: a :class:`~sassafrashook.registry.Registry`.
+    :param mesh: a :class:`~sassafrashook.transport.Mesh`.
+    :param port: port of all nodes' streams.
+    """
+
+    handled_messages = (ViewRequested, HeartbeatsHeard, LoadReported, LoadShared)
+
+    def __init__(self, name, replica, state, registry, mesh, port):
+        self.name = name
+        self.replica = replica
+        self.state = state
+        self.registry = registry
+        self.mesh = mesh
+        self.port = port
+        self.publisher_ = Publisher(uuid.uuid4().hex[:16])
+        self.loads_ = LoadBoard()
+        self.follower_ = FleetFollower(
+            name, mesh, FleetView(registry), port, False, self._note_followed
+        )
+        self._heartbeats = deque(maxlen=MAX_HEARTBEATS)
+        self._was_connected = False
+        self._handlers = {
+            ViewRequested: self._on_view_requested,
+            HeartbeatsHeard: self._on_heartbeats_heard,
+            LoadReported: self._on_load_reported,
+            LoadShared: self._on_load_shared,
+        }
+
+    def start(self):
+        """Start to follow the other controllers and to publish."""
+        self.mesh.subscribe(self.handled_messages, self.deliver)
+        self.mesh.subscribe(self.follower_.handled_messages, self.follower_.deliver)
+        self.follower_.start()
+        self._tasks = [spawn_task(self._publish), spawn_task(self._share)]
+
+    def stop(self):
+        """Stop publishing."""
+        self.follower_.stop()
+        gevent.killall(self._tasks)
+
+    def set_seeds(self, names):
+        """Take the controllers that the settings name."""
+        self.follower_.set_seeds(names)
+        self.replica.add_contacts(names)
+
+    def deliver(self, sender, message):
+        """Take a message of another node."""
+        self._handlers[type(message)](sender, message)
+
+    def _on_view_requested(self, sender, request):
+        self.mesh.learn(PeerAddress(sender, sender, self.port))
+        self.publisher_.note_request(sender, request, time.monotonic())
+
+    def _on_heartbeats_heard(self, _sender, message):
+        now = time.monotonic()
+        for beat in message.heartbeats:
+            self.registry.note_heartbeat(beat.upstream_id, beat.boot_ms, beat.sequence, now)
+
+    def _on_load_reported(self, sender, message):
+        self.loads_.note_router(sender, message.loads, time.monotonic())
+
+    def _on_load_shared(self, sender, message):
+        self.loads_.note_controller(sender, message.loads, time.monotonic())
+
+    def _note_followed(self, _returned):
+        self.replica.add_contacts(self.follower_.controllers_)
+
+    def _member_names(self):
+        return {member.name for member in self.replica.members() if member.voter}
+
+    def _position(self):
+        state = self.state
+        return Position(self.registry.revision_, state.version_, state.evacuation_index_)
+
+    def _publish(self):
+        while True:
+            now = time.monotonic()
+            self._note_connection(now)
+            if self._was_connected:
+                for name in self.registry.expire(now):
+                    log_event("upstream_silent", upstream=name, silent_s=self.registry.silent_s)
+            routers = self.publisher_.list_routers(now)
+            for name, held in self.publisher_.list_due(self._position(), now):
+                self._send_view(name, held, routers, now)
+            gevent.sleep(TICK_S)
+
+    def _note_connection(self, now):
+        connected = self.is_connected(now)
+        if connected != self._was_connected:
+            self._was_connected = connected
+            event = "majority_connected" if connected else "majority_lost"
+            log_event(event, heard=sorted(self.publisher_.list_heard(now, CONTACT_S)))
+
+    def _send_view(self, name, held, routers, now):
+        state = self.state
+        is_newer = state.version_ > held.desired_version
+        change = ViewChanged(
+            self.publisher_.boot,
+            self.registry.revision_,
+            self.registry.list_changes(held.revision, now),
+            sorted(member.name for member in self.replica.members()),
+            routers,
+            state.evacuation_index_,
+            sorted(state.evacuated_),
+            state.version_ if is_newer else 0,
+            state.desired_ if is_newer else b"",
+        )
+        self.mesh.send(name, change)
+
+    def _share(self):
+        """Tell heartbeats and loads to the other controllers, and loads to routers."""
+        shared_at = 0.0
+        while True:
+            gevent.sleep(LOADS_S)
+            now = time.monotonic()
+            others = self._member_names() - {self.name}
+            own = self.loads_.sum_own(now)
+            beats = []
+            if now >= shared_at + HEARTBEATS_S:
+                beats = [self._heartbeats.popleft() for _ in range(len(self._heartbeats))]
+                shared_at = now
+            for name in others:
+                self.mesh.send(name, LoadShared(own))
+                if beats:
+                    self.mesh.send(name, HeartbeatsHeard(beats))
+            for router in self.loads_.list_routers(now):
+                self.mesh.send(router, OtherLoads(self.loads_.list_others(router, now)))
+
+    def is_connected(self, now):
+        """Return whether this controller hears a majority of the group, itself included."""
+        members = self._member_names()
+        heard = (self.publisher_.list_heard(now, CONTACT_S) & members) | ({self.name} & members)
+        return len(heard) * 2 > len(members)
+
+    def register(self, entry):
+        """Take an upstream's heartbeat.
+
+        A leaving upstream's is acknowledged only once a majority of controllers know it, for each
+        router that is in contact with the fleet hears from one of these.
+
+        :param entry: a :class:`~sassafrashook.registry.Registration`.
+        :returns: whether it may be acknowledged.
+        """
+        now = time.monotonic()
+        if not self.is_connected(now):
+            return False
+        changed = self.registry.merge(entry, now)
+        self._heartbeats.append(Heartbeat(entry.upstream_id, entry.boot_ms, entry.sequence))
+        if changed:
+            log_event(
+                "upstream_registered", upstream=entry.upstream_id, boot_ms=entry.boot_ms,
+                sequence=entry.sequence, state=entry.state.name.lower(), service=entry.service,
+                address=f"{entry.host}:{entry.port}", zone=entry.availability_zone,
+                cold_ms=round(entry.cold_ms), revision=self.registry.revision_,
+            )  # fmt: skip
+        return not entry.is_leaving or self._spread(self.registry.revision_)
+
+    def remove(self, upstream_id):
+        """Take an upstream's word that it leaves now; see :meth:`register`."""
+        now = time.monotonic()
+        if not self.is_connected(now):
+            return False
+        if self.registry.remove(upstream_id, now, time.time_ns() // 1_000_000):
+            revision = self.registry.revision_
+            log_event("upstream_left", upstream=upstream_id, revision=revision)
+        return self._spread(self.registry.revision_)
+
+    def _spread(self, revision):
+        """Wait until a majority of controllers holds a revision, and a moment for routers."""
+        started = time.monotonic()
+        while (now := time.monotonic()) < started + SPREAD_S:
+            members = self._member_names()
+            holding = {n for n in members if self.publisher_.has_reached(n, revision)}
+            holding |= {self.name} & members
+            has_majority = len(holding) * 2 > len(members)
+            lags = self.publisher_.lags(revision, now, CONTACT_S)
+            if has_majority and (not lags or now >= started + ROUTER_SPREAD_S):
+                return True
+            gevent.sleep(POLL_S)
+        log_event("spread_incomplete", level="warning", revision=revision, holding=sorted(holding))
+        return False
+
+    def put_desired_state(self, desired, document):
+        """Put a checked desired state in force.
+
+        :param desired: a :class:`~sassafrashook.routes.DesiredState`.
+        :param document: the operator's document, ``bytes``.
+        :returns: an :class:`OrderReply`.
+        """
+        if desired.version <= self.state.version_:
+            log_event("desired_state_passed", version=desired.version, held=self.state.version_)
+            return OrderReply(OrderOutcome.DONE)
+        encoded = zlib.compress(msgspec.msgpack.encode(desired), COMPRESSION_LEVEL)
+        packed = zlib.compress(document, COMPRESSION_LEVEL)
+        reply = self._propose(PutDesiredState(desired.version, packed, encoded))
+        log_event(
+            "desired_state_ordered", version=desired.version, outcome=reply.outcome,
+            leader=reply.leader, document_bytes=len(document), log_bytes=len(packed) + len(encoded),
+        )  # fmt: skip
+        return reply
+
+    def set_evacuation(self, zone, is_out):
+        """Take an availability zone out or back; :returns: an :class:`OrderReply`."""
+        reply = self._propose(SetEvacuation(zone, is_out))
+        outcome, leader = reply.outcome, reply.leader
+        log_event("evacuation_ordered", zone=zone, out=is_out, outcome=outcome, leader=leader)
+        return reply
+
+    def _propose(self, command):
+        deadline = time.monotonic() + COMMIT_S
+        result = self.replica.propose(encode_command(command), deadline)
+        if not isinstance(result, Failure):
+            return OrderReply(OrderOutcome.DONE)
+        error = result.failure()
+        if error.failure is ProposalFailure.NOT_LEADER and error.leader not in ("", self.name):
+            return OrderReply(OrderOutcome.ELSEWHERE, error.leader)
+        return OrderReply(OrderOutcome.UNKNOWN)
+
+    def read_document(self):
+        """Return the operator's document in force, or ``None`` if that is not certain.
+
+        :returns: ``bytes``, empty if there is none yet.
+        """
+        result = self.replica.confirm_read(time.monotonic() + COMMIT_S)
+        if isinstance(result, Failure):
+            return None
+        return zlib.decompress(self.state.document_) if self.state.document_ else b""
--- /dev/null
+++ b/sassafrashook/fleet/_messages.py
@@ -0,0 +1,101 @@
+"""Messages between controllers, and from and to routers."""
+
+import msgspec
+
+from sassafrashook.messages import Message
+from sassafrashook.registry import Registration
+
+__all__ = [
+    "FLEET_MESSAGES",
+    "Heartbeat",
+    "HeartbeatsHeard",
+    "LoadReported",
+    "LoadShared",
+    "OtherLoads",
+    "ViewChanged",
+    "ViewRequested",
+]
+
+
+class ViewRequested(Message):
+    """A node follows a controller; sent at intervals, and at once as an acknowledgement.
+
+    :param is_router: whether it is a router.
+    :param publisher_boot: start of the controller that ``revision`` is of.
+    :param revision: the controller's revision that the node holds.
+    :param desired_version: version of the desired state that it holds.
+    :param evacuation_index: log index of the evacuations that it holds.
+    """
+
+    is_router: bool
+    publisher_boot: str = ""
+    revision: int = 0
+    desired_version: int = 0
+    evacuation_index: int = 0
+
+
+class ViewChanged(Message):
+    """What changed at a controller since the revision that a node held.
+
+    :param boot: start of the controller.
+    :param revision: its revision with these changes.
+    :param registrations: those that changed.
+    :param controllers: names of all members of the group.
+    :param routers: names of all routers heard of lately.
+    :param evacuation_index: log index at which ``evacuated`` was decided.
+    :param evacuated: availability zones that are out.
+    :param desired_version: version of ``desired``, 0 if it is left out.
+    :param desired: the encoded desired state, compressed.
+    """
+
+    boot: str
+    revision: int
+    registrations: list[Registration]
+    controllers: list[str]
+    routers: list[str]
+    evacuation_index: int
+    evacuated: list[str]
+    desired_version: int = 0
+    desired: bytes = b""
+
+
+class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
+    """One heartbeat of an upstream."""
+
+    upstream_id: str
+    boot_ms: int
+    sequence: int
+
+
+class HeartbeatsHeard(Message):
+    """Heartbeats that reached one controller, told to the others."""
+
+    heartbeats: list[Heartbeat]
+
+
+class LoadReported(Message):
+    """How many of a router's requests run at each upstream, told to its nearest controller."""
+
+    loads: dict[str, int]
+
+
+class LoadShared(Message):
+    """The loads of a controller's routers, told to the other controllers."""
+
+    loads: dict[str, int]
+
+
+class OtherLoads(Message):
+    """How many requests of all other routers run at each upstream, told to a router."""
+
+    loads: dict[str, int]
+
+
+FLEET_MESSAGES = (
+    ViewRequested,
+    ViewChanged,
+    HeartbeatsHeard,
+    LoadReported,
+    LoadShared,
+    OtherLoads,
+)
--- /dev/null
+++ b/sassafrashook/fleet/_publisher.py
@@ -0,0 +1,107 @@
+"""Who follows a controller, and what each follower still has to be told."""
+
+from dataclasses import dataclass
+
+RESEND_S = 0.4  # longer than a round trip on a busy link
+KEEPALIVE_S = 1.0  # a follower hears at least this often that the controller is there
+FORGET_S = 3.0  # a follower that asks for nothing this long is gone
+ROUTER_MEMORY_S = 10.0  # a router that is away for a moment keeps its shares
+
+
+@dataclass(slots=True)
+class Follower:
+    """One follower.
+
+    :param held: what it holds, a :class:`Position`.
+    :param sent: what it was sent last.
+    """
+
+    is_router: bool
+    held: object
+    sent: object
+    sent_at: float
+    heard_at: float
+
+
+@dataclass(slots=True, frozen=True)
+class Position:
+    """How far a node is: its revision of a controller, desired state and evacuations."""
+
+    revision: int
+    desired_version: int
+    evacuation_index: int
+
+    def reaches(self, other):
+        """Return whether this is as far as another position in every respect."""
+        return (
+            self.revision >= other.revision
+            and self.desired_version >= other.desired_version
+            and self.evacuation_index >= other.evacuation_index
+        )
+
+
+class Publisher:
+    """Decides what is sent to which follower, and when it is sent again.
+
+    :param boot: identifies this start of the controller; revisions count from it.
+
+    :ivar followers_: :class:`Follower` by name.
+    """
+
+    def __init__(self, boot):
+        self.boot = boot
+        self.followers_ = {}
+
+    def note_request(self, name, request, now):
+        """Take a follower's :class:`~sassafrashook.fleet._messages.ViewRequested`."""
+        revision = request.revision if request.publisher_boot == self.boot else -1
+        held = Position(revision, request.desired_version, request.evacuation_index)
+        known = self.followers_.get(name)
+        if known is None:
+            nothing = Position(-1, 0, 0)
+            self.followers_[name] = Follower(request.is_router, held, nothing, float("-inf"), now)
+            return
+        known.held = held
+        known.heard_at = now
+
+    def list_due(self, current, now):
+        """Return the followers to send to now, and note that they were sent ``current``.
+
+        :param current: the :class:`Position` of this controller.
+        :returns: list of (name, held position).
+        """
+        due = []
+        for name, follower in self.followers_.items():
+            if now >= follower.heard_at + FORGET_S:
+                continue
+            is_new = not follower.sent.reaches(current)
+            pause = KEEPALIVE_S if follower.held.reaches(current) else RESEND_S
+            if is_new or now >= follower.sent_at + pause:
+                follower.sent = current
+                follower.sent_at = now
+                due.append((name, follower.held))
+        return due
+
+    def list_heard(self, now, within_s):
+        """Return the names of the followers heard within a time."""
+        return {n for n, f in self.followers_.items() if now < f.heard_at + within_s}
+
+    def list_routers(self, now):
+        """Return the names of the routers, those that are away for a moment too."""
+        for name, follower in list(self.followers_.items()):
+            if now >= follower.heard_at + ROUTER_MEMORY_S:
+                del self.followers_[name]
+        return sorted(n for n, f in self.followers_.items() if f.is_router)
+
+    def has_reached(self, name, revision):
+        """Return whether a follower holds a revision."""
+        follower = self.followers_.get(name)
+        return follower is not None and follower.held.revision >= revision
+
+    def lags(self, revision, now, within_s):
+        """Return whether a router heard within a time does not hold a revision."""
+        return any(
+            follower.is_router and follower.held.revision < revision
+            for follower in self.followers_.values()
+            if now < follower.heard_at + within_s
+        )
--- /dev/null
+++ b/sassafrashook/gateway/__init__.py
@@ -0,0 +1,24 @@
+"""Forwards clients' requests to upstreams, by routes."""
+
+from sassafrashook.gateway._dialect import (
+    AnswerFacts,
+    Dialect,
+    Forwarding,
+    PromptPart,
+    RequestFacts,
+)
+from sassafrashook.gateway._events import EventSplitter
+from sassafrashook.gateway._gateway import Gateway, GatewayLimits
+from sassafrashook.gateway._server import GatewayServer
+
+__all__ = [
+    "AnswerFacts",
+    "Dialect",
+    "EventSplitter",
+    "Forwarding",
+    "Gateway",
+    "GatewayLimits",
+    "GatewayServer",
+    "PromptPart",
+    "RequestFacts",
+]
--- /dev/null
+++ b/sassafrashook/gateway/_request.py
@@ -0,0 +1,253 @@
+"""One client's request, from its head to its final answer."""
+
+import time
+
+from returns.result import Failure
+
+from sassafrashook.gateway._attempt import Attempt, AttemptError, FailureKind
+from sassafrashook.gateway._events import EventSplitter
+from sassafrashook.http1 import drop_hop_by_hop
+from sassafrashook.outcomes import RefusalReason, RetryReason, Verdict
+from sassafrashook.placement import PlacementQuery
+from sassafrashook.routes import Repeatability
+from sassafrashook.telemetry import log_event
+from sassafrashook.utils import hash_key
+
+MAX_UNREACHABLE = 4  # upstreams tried without a byte sent
+MAX_REFUSED = 2  # upstreams that refused it before it is given up
+FALLBACK_DEADLINE_MS = 30_000  # for requests that state none, under their route's timeout
+STATUS_BAD_GATEWAY = 502
+STATUS_UNAVAILABLE = 503
+STATUS_TIMEOUT = 504
+TEXT = (b"Content-Type", b"text/plain")
+OWN_LENGTH = frozenset((b"content-length",))
+RETRY_REASONS = {
+    FailureKind.UNREACHABLE: RetryReason.CONNECT_FAILED,
+    FailureKind.REFUSED: RetryReason.UPSTREAM_BUSY,
+    FailureKind.BROKEN: RetryReason.STREAM_CUT,
+    FailureKind.TIMEOUT: RetryReason.STREAM_SILENT,
+    FailureKind.UNSIGNED: RetryReason.STREAM_CUT,
+    FailureKind.FAILED: RetryReason.UPSTREAM_FAILED,
+}
+
+
+class RequestRun:
+    """Runs one request at as many upstreams as its route, its verdicts and the budget allow.
+
+    :param gateway: the :class:`~sassafrashook.gateway.Gateway`.
+    :param client: the :class:`~sassafrashook.http1.ServerConnection`.
+    :param head: the :class:`~sassafrashook.http1.RequestHead`.
+    :param facts: its :class:`~sassafrashook.gateway.RequestFacts`.
+    :param route: its :class:`~sassafrashook.routes.Route`.
+    :param account: its :class:`~sassafrashook.routes.Account`, or ``None``.
+    :param body: the whole body.
+    :param started: monotonic seconds at which its head had arrived.
+    """
+
+    def __init__(self, gateway, client, head, facts, route, account, body, started):
+        self.gateway = gateway
+        self.client = client
+        self.head = head
+        self.facts = facts
+        self.route = route
+        self.account = account
+        self.body = body
+        self.started = started
+        self.table = gateway.view.table_
+        self.service = self.table.pick_service(route, facts.request_id)
+        wait_ms = facts.deadline_ms if facts.deadline_ms is not None else FALLBACK_DEADLINE_MS
+        self.deadline = started + min(wait_ms, route.timeout_ms) / 1_000
+        self.priority = self._find_priority()
+        self.last_event_id = facts.last_event_id
+        self.tried = set()
+        self.runs = 0
+        self.unreachable = 0
+        self.refused = 0
+        self.verdict = Verdict.NOT_RUN
+        self._events = EventSplitter()
+        self._attempt = None
+
+    def _find_priority(self):
+        if self.account is not None and self.account.priority is not None:
+            return self.account.priority
+        return self.route.priority
+
+    def execute(self):
+        """Run to the final answer."""
+        self.gateway.note_request(self.service.name)
+        self.client.on_gone = self._cancel
+        try:
+            self._run()
+        finally:
+            self.client.on_gone = None
+
+    def _cancel(self):
+        """The client left: stop the upstream's work."""
+        attempt = self._attempt
+        if attempt is not None and attempt.connection_ is not None:
+            attempt.connection_.abort()
+
+    def _run(self):
+        while not self.client.gone_:
+            chosen = self.gateway.placement.choose(self._make_query(), time.monotonic())
+            if isinstance(chosen, Failure):
+                self._refuse(chosen.failure().reason, chosen.failure().retry_after_ms)
+                return
+            upstream = chosen.unwrap()
+            error = self._try(upstream)
+            if error is None:
+                return
+            if not self._may_go_on(upstream, error):
+                self._give_up(error)
+                return
+        self._log("client_left", "-", "-")
+
+    def _make_query(self):
+        parts = self.facts.parts
+        session = None
+        if self.route.has_prompts and parts:
+            session = hash_key(parts[-2].part_id if len(parts) > 1 else parts[-1].part_id)
+        return PlacementQuery(self.service, session, frozenset(self.tried))
+
+    def _try(self, upstream):
+        """Run one attempt; :returns: ``None`` once answered, else the :class:`AttemptError`."""
+        attempt = self._attempt = Attempt(self, upstream)
+        self.tried.add(upstream.key)
+        upstream.running_ += 1
+        try:
+            head = attempt.begin()
+            if self.route.is_stream:
+                self._relay(attempt, head)
+            else:
+                self._answer(attempt, head)
+        except AttemptError as error:
+            self._note_failure(upstream, error)
+            return error
+        finally:
+            upstream.running_ -= 1
+            self._attempt = None
+            attempt.close()
+        upstream.note_outcome(True)
+        self._log("answered", upstream.entry.upstream_id, head.status)
+        return None
+
+    def _note_failure(self, upstream, error):
+        if error.kind in (FailureKind.FAILED, FailureKind.BROKEN, FailureKind.UNSIGNED):
+            upstream.note_outcome(False)
+        if error.verdict is not Verdict.NOT_RUN:
+            self.runs += 1
+            self.verdict = error.verdict
+        self.unreachable += error.kind is FailureKind.UNREACHABLE
+        self.refused += error.kind is FailureKind.REFUSED
+        if error.kind is not FailureKind.CLIENT_GONE:
+            log_event(
+                "attempt_failed", request=self.facts.request_id, route=self.route.name,
+                upstream=upstream.entry.upstream_id, kind=error.kind, verdict=error.verdict,
+                detail=error, running=upstream.running_, others=upstream.others_,
+                version=self.table.version, runs=self.runs,
+            )  # fmt: skip
+
+    def _answer(self, attempt, head):
+        body = attempt.read_whole()
+        attempt.finish()
+        self._send_whole(head, body)
+
+    def _send_whole(self, head, body):
+        self.client.send_response(head.status, drop_hop_by_hop(head.headers, OWN_LENGTH), body)
+
+    def _relay(self, attempt, head):
+        """Pass whole events on as they arrive."""
+        client = self.client
+        if not client.has_started():
+            client.start_response(head.status, drop_hop_by_hop(head.headers, OWN_LENGTH))
+        events = self._events
+        while (data := attempt.read_data()) is not None:
+            whole = events.feed(data)
+            if whole:
+                client.send_data(whole)
+        rest = events.take_rest()
+        attempt.finish()
+        if rest:
+            client.send_data(rest)
+        client.finish()
+
+    def _may_go_on(self, upstream, error):
+        """Return whether the request may be tried at another upstream."""
+        reason = self._find_obstacle(error)
+        if reason is None and error.kind is not FailureKind.UNREACHABLE:
+            if not self.gateway.spend_retry(self.service.name):
+                reason = "retry_budget"
+        if reason is not None:
+            self._log("not_retried", upstream.entry.upstream_id, reason)
+            return False
+        self._events.take_rest()
+        if self._events.last_id_ is not None:
+            self.last_event_id = self._events.last_id_
+        self.gateway.metrics.count("retries", RETRY_REASONS[error.kind])
+        return True
+
+    def _find_obstacle(self, error):
+        if error.kind is FailureKind.CLIENT_GONE or self.client.gone_:
+            return "client_left"
+        if time.monotonic() >= self.deadline:
+            return "deadline"
+        if self.unreachable >= MAX_UNREACHABLE or self.refused >= MAX_REFUSED:
+            return "attempts"
+        if error.verdict is Verdict.NOT_RUN:
+            return None
+        if not self.route.is_idempotent:
+            return "runs_once"
+        if self.client.has_started() and not self._may_resume():
+            return "not_resumable"
+        return "attempts" if self.runs >= self.route.max_upstreams else None
+
+    def _may_resume(self):
+        return self.route.repeatability is Repeatability.RESUMABLE_STREAM
+
+    def _give_up(self, error):
+        """Send the final answer after a failed attempt."""
+        if self.client.gone_:
+            self._log("client_left", "-", error.kind)
+            return
+        if self.client.has_started():
+            self._log("stream_broken", "-", error.kind)
+            self.client.abort()
+            return
+        if error.answer is not None:
+            self._log("failure_passed_on", "-", error.answer.head.status)
+            self._send_whole(error.answer.head, error.answer.body)
+            return
+        if self.verdict is Verdict.NOT_RUN:
+            self._refuse(RefusalReason.NO_CAPACITY, self._draw_retry_ms())
+            return
+        late = error.kind is FailureKind.TIMEOUT
+        status = STATUS_TIMEOUT if late else STATUS_BAD_GATEWAY
+        reason = RefusalReason.UPSTREAM_SILENT if late else RefusalReason.UPSTREAM_BROKE
+        self._send_own(status, reason, ())
+
+    def _draw_retry_ms(self):
+        return round(self.gateway.placement.rng.uniform(150, 500))
+
+    def _refuse(self, reason, retry_after_ms):
+        """Give the request up; 503 is a promise that it has not run, so it needs that verdict."""
+        if self.client.has_started():
+            self._log("stream_broken", "-", reason)
+            self.client.abort()
+        elif self.verdict is Verdict.NOT_RUN:
+            retry_after = (b"Retry-After", b"%.3f" % (retry_after_ms / 1_000))
+            self._send_own(STATUS_UNAVAILABLE, reason, (retry_after,))
+        else:
+            self._send_own(STATUS_BAD_GATEWAY, reason, ())
+
+    def _send_own(self, status, reason, fields):
+        self.gateway.metrics.count("refusals", reason)
+        self._log("refused", "-", f"{status}:{reason}")
+        self.client.send_response(status, [TEXT, *fields], f"{reason}\n".encode())
+
+    def _log(self, outcome, upstream, detail):
+        log_event(
+            "request_ended", request=self.facts.request_id, route=self.route.name,
+            service=self.service.name, upstream=upstream, outcome=outcome, detail=detail,
+            verdict=self.verdict, runs=self.runs, version=self.table.version,
+            ms=round((time.monotonic() - self.started) * 1_000),
+        )  # fmt: skip
--- a/sassafrashook/outcomes/_outcomes.py
+++ b/sassafrashook/outcomes/_outcomes.py
@@ -49,6 +49,7 @@
     STREAM_CUT = "stream_cut"
     STREAM_SILENT = "stream_silent"
     UPSTREAM_BUSY = "upstream_busy"
+    UPSTREAM_FAILED = "upstream_failed"
     UPSTREAM_LEFT = "upstream_left"
 
 
--- /dev/null
+++ b/sassafrashook/placement/__init__.py
@@ -0,0 +1,15 @@
+"""Decisions of one router that asks nobody: which upstream, whether again, and how much cold."""
+
+from sassafrashook.placement._budget import RetryBudget
+from sassafrashook.placement._placement import Placement, PlacementQuery, PlacementRefusal
+from sassafrashook.placement._upstreams import UpstreamState
+from sassafrashook.placement._warmup import WarmupShares
+
+__all__ = [
+    "Placement",
+    "PlacementQuery",
+    "PlacementRefusal",
+    "RetryBudget",
+    "UpstreamState",
+    "WarmupShares",
+]
--- /dev/null
+++ b/sassafrashook/placement/_placement.py
@@ -0,0 +1,203 @@
+"""Which upstream gets a request."""
+
+import math
+from dataclasses import dataclass
+
+from returns.result import Failure, Success
+
+from sassafrashook.base import Parametrized
+from sassafrashook.outcomes import RefusalReason
+from sassafrashook.placement._upstreams import UpstreamState
+from sassafrashook.utils import Interval, hash_key
+
+DISTRUSTED_PER_S = 1.0  # requests a second of one router that a possibly restarted upstream gets
+LOADS_VALID_S = 1.0  # of the loads that other routers told; five rounds of reports
+BUSY_RETRY_MS = (150, 500)
+ABSENT_RETRY_MS = (300, 900)
+PLAIN_QUEUE_FACTOR = 3.0  # short calls may wait at an upstream for two rounds of its slots
+
+
+@dataclass(slots=True, frozen=True)
+class PlacementQuery:
+    """One request that looks for an upstream.
+
+    :param service: a :class:`~sassafrashook.routes.Service`.
+    :param session: 64-bit number of the part of its prompt that later requests share; ``None``
+        if it has no prompt.
+    :param excluded: keys of the upstreams that it must not go to.
+    """
+
+    service: object
+    session: int | None = None
+    excluded: frozenset = frozenset()
+
+
+@dataclass(slots=True, frozen=True)
+class PlacementRefusal:
+    """No upstream can take a request now.
+
+    :param reason: a :class:`~sassafrashook.outcomes.RefusalReason`.
+    :param retry_after_ms: when to come back.
+    """
+
+    reason: RefusalReason
+    retry_after_ms: int
+
+
+class Placement(Parametrized):
+    """Places requests from one router's view; routers that see the same choose alike.
+
+    Requests of one session go to the first upstream of the session's own order whose load is
+    within a bound relative to the mean; calls without a prompt go where the load is least.
+
+    :param warmup: a :class:`~sassafrashook.placement.WarmupShares`.
+    :param rng: ``random.Random``.
+    :param zone: availability zone of the router, preferred among equals.
+    :param load_factor: bound on an upstream's load, relative to the mean of its service ...
+    :param load_slack: ... plus this many requests.
+
+    :ivar upstreams_: :class:`UpstreamState` by upstream name.
+
+    See also :class:`~sassafrashook.placement.RetryBudget`.
+    """
+
+    _parameter_constraints = {
+        "load_factor": Interval(float, 1.0, 10.0),
+        "load_slack": Interval(float, 0.0, 100.0),
+    }
+
+    def __init__(self, warmup, rng, zone="", load_factor=1.25, load_slack=2.0):
+        self.warmup = warmup
+        self.rng = rng
+        self.zone = zone
+        self.load_factor = load_factor
+        self.load_slack = load_slack
+        self.upstreams_ = {}
+        self.evacuated_ = frozenset()
+        self.loads_at_ = float("-inf")
+        self._by_service = {}
+        self._orders = {}
+        self._trials = {}
+
+    def set_registrations(self, entries, cold_until):
+        """Take the list of upstreams that may get requests.
+
+        :param entries: iterable of :class:`~sassafrashook.registry.Registration`.
+        :param cold_until: end of each one's warm-up by name, monotonic seconds.
+        :returns: keys of the boots that are gone.
+        """
+        old = self.upstreams_
+        self.upstreams_ = {}
+        for entry in entries:
+            name = entry.upstream_id
+            state = old.get(name)
+            if state is None or state.entry.boot_ms != entry.boot_ms:
+                state = UpstreamState(entry, cold_until[name])
+            elif entry.sequence > state.entry.sequence:
+                state.distrusted_ = False
+            state.entry = entry
+            state.cold_until = cold_until[name]
+            self.upstreams_[name] = state
+        self._by_service = {}
+        for state in self.upstreams_.values():
+            self._by_service.setdefault(state.entry.service, []).append(state)
+        self._orders = {name: hash_key(name) for name in self.upstreams_}
+        kept = {state.key for state in self.upstreams_.values()}
+        self._trials = {key: at for key, at in self._trials.items() if key in kept}
+        return [state.key for state in old.values() if state.key not in kept]
+
+    def set_evacuated(self, zones):
+        """Take the availability zones whose upstreams get nothing."""
+        self.evacuated_ = frozenset(zones)
+
+    def set_other_loads(self, loads, now):
+        """Take how many requests of other routers run at each upstream, by name."""
+        self.loads_at_ = now
+        for name, state in self.upstreams_.items():
+            state.others_ = loads.get(name, 0)
+
+    def make_cold(self, zone, until):
+        """Treat a zone's upstreams as cold, for they may have turned cold while it was out."""
+        for state in self.upstreams_.values():
+            if state.entry.availability_zone == zone:
+                state.presumed_cold_until_ = until
+
+    def choose(self, query, now):
+        """Choose an upstream for one request.
+
+        :param query: a :class:`PlacementQuery`.
+        :param now: monotonic seconds.
+        :returns: ``Success`` of an :class:`UpstreamState`, or ``Failure`` of a
+            :class:`PlacementRefusal`. A share of a cold upstream is spent by this.
+        """
+        candidates = [
+            state
+            for state in self._by_service.get(query.service.name, ())
+            if state.entry.availability_zone not in self.evacuated_
+            and state.key not in query.excluded
+        ]
+        if not candidates:
+            return Failure(self._refuse(RefusalReason.NO_UPSTREAM, ABSENT_RETRY_MS))
+        sound = [state for state in candidates if not state.is_suspended(now)]
+        ordered = self._order(query, self._prefer_healthy(sound), candidates, now)
+        for state in ordered:
+            if self._take_turn(state, query.service, now):
+                return Success(state)
+        reason = RefusalReason.NO_CAPACITY if sound else RefusalReason.NO_UPSTREAM
+        return Failure(self._refuse(reason, BUSY_RETRY_MS))
+
+    def _prefer_healthy(self, states):
+        healthy = [state for state in states if not state.is_failing()]
+        return healthy if len(healthy) * 2 >= len(states) else states
+
+    def _order(self, query, states, candidates, now):
+        """Return the upstreams to try, those within the bound first."""
+        are_shared = now < self.loads_at_ + LOADS_VALID_S
+        loads = {state.key: state.load(are_shared, now) for state in candidates}
+        room = [s for s in states if loads[s.key] < self._capacity(s, query)]
+        if query.session is None:
+            return sorted(room, key=lambda s: self._rank_plain(s, loads[s.key]))
+        mean = sum(loads.values()) / len(candidates)
+        bound = self.load_factor * mean + self.load_slack
+        room.sort(key=lambda s: hash_pair(query.session, self._orders[s.entry.upstream_id]))
+        within = [s for s in room if loads[s.key] + 1 <= bound]
+        beyond = sorted((s for s in room if loads[s.key] + 1 > bound), key=lambda s: loads[s.key])
+        return within + beyond
+
+    def _rank_plain(self, state, load):
+        is_far = state.entry.availability_zone != self.zone
+        return (load / max(1, state.entry.slots), is_far, self.rng.random())
+
+    def _capacity(self, state, query):
+        slots = state.entry.slots or query.service.slots or math.inf
+        return slots if query.session is not None else slots * PLAIN_QUEUE_FACTOR
+
+    def _take_turn(self, state, service, now):
+        """Return whether an upstream may get a request now, and count it if it is cold."""
+        if state.distrusted_:
+            last = self._trials.get(state.key, float("-inf"))
+            if now < last + 1 / DISTRUSTED_PER_S:
+                return False
+            self._trials[state.key] = now
+        if state.is_cold(now) and service.cold_per_s > 0:
+            return self.warmup.take(state.entry.upstream_id, service.cold_per_s, now)
+        return True
+
+    def _refuse(self, reason, bounds_ms):
+        return PlacementRefusal(reason, round(self.rng.uniform(*bounds_ms)))
+
+    def list_loads(self):
+        """Return how many of this router's requests run at each upstream, by name."""
+        return {name: s.running_ for name, s in self.upstreams_.items() if s.running_}
+
+
+def hash_pair(session, upstream):
+    """Return the place of an upstream in a session's order, the same on every router.
+
+    :param session: 64-bit number of the session.
+    :param upstream: 64-bit number of the upstream.
+    """
+    mixed = (session ^ upstream) * 0x9E3779B97F4A7C15 & 0xFFFFFFFFFFFFFFFF
+    mixed ^= mixed >> 32
+    mixed = mixed * 0xD6E8FEB86659FD93 & 0xFFFFFFFFFFFFFFFF
+    return mixed ^ (mixed >> 32)
--- /dev/null
+++ b/sassafrashook/placement/_upstreams.py
@@ -0,0 +1,94 @@
+"""What one router knows of one boot of an upstream."""
+
+SUSPEND_MIN_S = 0.3
+SUSPEND_MAX_S = 4.0
+OUTCOME_WEIGHT = 0.2  # of the newest outcome in the moving share of failures
+FAILING_SHARE = 0.5
+REPORT_VALID_S = 1.0  # a load that an answer told says little after this time
+
+
+class UpstreamState:
+    """One boot of an upstream, as one router sees it.
+
+    :param entry: its :class:`~sassafrashook.registry.Registration`.
+    :param cold_until: monotonic seconds until which it is cold.
+
+    :ivar running_: requests of this router that run there.
+    :ivar others_: requests of other routers that run there, as last shared.
+    :ivar reported_: all that run and wait there, as its last answer told, and when it did.
+    :ivar distrusted_: whether it failed in a way that a restart would explain, and has not been
+        heard of since.
+    """
+
+    __slots__ = (
+        "entry",
+        "cold_until",
+        "running_",
+        "others_",
+        "reported_",
+        "reported_at_",
+        "suspended_until_",
+        "failures_",
+        "failing_",
+        "distrusted_",
+        "presumed_cold_until_",
+    )
+
+    def __init__(self, entry, cold_until):
+        self.entry = entry
+        self.cold_until = cold_until
+        self.running_ = 0
+        self.others_ = 0
+        self.reported_ = 0
+        self.reported_at_ = float("-inf")
+        self.suspended_until_ = float("-inf")
+        self.failures_ = 0
+        self.failing_ = 0.0
+        self.distrusted_ = False
+        self.presumed_cold_until_ = float("-inf")
+
+    @property
+    def key(self):
+        """Identifies the boot, for idle connections."""
+        return (self.entry.upstream_id, self.entry.boot_ms)
+
+    def load(self, are_shared, now):
+        """Return the best estimate of what runs there, from all routers.
+
+        :param are_shared: whether ``others_`` is fresh; if not, the last answer's word is used.
+        """
+        if are_shared:
+            return self.running_ + self.others_
+        is_fresh = now < self.reported_at_ + REPORT_VALID_S
+        return max(self.running_, self.reported_ if is_fresh else 0)
+
+    def is_cold(self, now):
+        """Return whether it is cold, or must be presumed to be."""
+        return now < max(self.cold_until, self.presumed_cold_until_)
+
+    def is_suspended(self, now):
+        """Return whether it gets nothing for now."""
+        return now < self.suspended_until_
+
+    def note_report(self, running, waiting, now):
+        """Take the load that an answer told."""
+        self.reported_ = running + waiting
+        self.reported_at_ = now
+
+    def note_unreachable(self, now):
+        """Note that no connection could be opened or that it broke without an answer."""
+        self.failures_ += 1
+        pause = min(SUSPEND_MAX_S, SUSPEND_MIN_S * 2 ** (self.failures_ - 1))
+        self.suspended_until_ = now + pause
+        self.distrusted_ = True
+
+    def note_outcome(self, succeeded):
+        """Note an answer, and whether it was the one that the request deserved."""
+        if succeeded:
+            self.failures_ = 0
+            self.distrusted_ = False
+        self.failing_ += OUTCOME_WEIGHT * ((0.0 if succeeded else 1.0) - self.failing_)
+
+    def is_failing(self):
+        """Return whether most of its latest answers were failures."""
+        return self.failing_ > FAILING_SHARE
--- /dev/null
+++ b/sassafrashook/platform/__main__.py
@@ -0,0 +1,40 @@
+"""Starts a process on the platform: ``python3 -m sassafrashook.platform router|controller``."""
+
+import os
+import sys
+
+from sassafrashook.daemons import ControllerDaemon, RouterDaemon, run_daemon
+from sassafrashook.platform._control import make_control_application
+from sassafrashook.platform._dialect import PlatformDialect
+from sassafrashook.platform._settings import load_node_settings
+
+SETTINGS_VARIABLE = "SASSAFRASHOOK_NODE_FILE"
+SETTINGS_PATH = "/etc/sassafrashook/node.json"
+READINESS_PATH = "/readyz"
+EXIT_USAGE = 2
+
+
+def make_router(settings):
+    """Return the router of a node."""
+    return RouterDaemon(settings, PlatformDialect(), READINESS_PATH)
+
+
+def make_controller(settings):
+    """Return the controller of a node."""
+    return ControllerDaemon(settings, make_control_application)
+
+
+ROLES = {"router": make_router, "controller": make_controller}
+
+
+def main(arguments):
+    """Run the role that the arguments name; :returns: the exit code."""
+    if len(arguments) != 1 or arguments[0] not in ROLES:
+        sys.stderr.write(f"usage: python3 -m sassafrashook.platform {'|'.join(ROLES)}\n")
+        return EXIT_USAGE
+    path = os.environ.get(SETTINGS_VARIABLE, SETTINGS_PATH)
+    return run_daemon(path, load_node_settings, ROLES[arguments[0]])
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/sassafrashook/platform/_desired_state.py
@@ -0,0 +1,141 @@
+"""The operators' document."""
+
+import msgspec
+from returns.result import Failure, Success
+
+from sassafrashook.routes import (
+    Account,
+    ClientLimits,
+    DesiredState,
+    Repeatability,
+    Route,
+    Service,
+    WeightedService,
+    find_contradiction,
+)
+
+
+class _Split(msgspec.Struct, frozen=True):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, frozen=True):
+    """``max_attempts`` counts engines, not sends; ``session_affinity`` marks prompts."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float = 0.0
+    priority: int = 0
+    service: str | None = None
+    traffic_split: list[_Split] | None = None
+    max_attempts: int = 1
+    anonymous: bool = False
+    session_affinity: bool = False
+    stream_resumption: bool = False
+    target_itl_ms: float = 0.0
+
+
+class _Engine(msgspec.Struct, frozen=True):
+    """``engine_id`` holds no id but the limits of a service's model engines."""
+
+    kv_capacity_tokens: int = 0
+    slots: int = 0
+
+
+class _Service(msgspec.Struct, frozen=True):
+    name: str
+    health_path: str = "/healthz"
+    max_connections: int = 0
+    warmup_s: float = 0.0
+    warmup_per_s: float = 0.0
+    engine_id: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, frozen=True):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+class _Tenant(msgspec.Struct, frozen=True):
+    name: str
+    api_keys: list[str]
+    priority: int | None = None
+
+
+class _Config(msgspec.Struct, frozen=True):
+    version: int
+    route_table: list[_Route]
+    services: list[_Service]
+    limits: _Limits
+    tenants: list[_Tenant] | None = None
+
+
+def decode_desired_state(body):
+    """Decode and check the operators' document.
+
+    :param body: ``bytes``.
+    :returns: ``Success`` of a :class:`~sassafrashook.routes.DesiredState` or ``Failure`` of a text
+        that names the place in the document.
+    """
+    try:
+        config = msgspec.json.decode(body, type=_Config)
+        state = _convert(config)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        return Failure(str(error))
+    contradiction = find_contradiction(state)
+    return Failure(": ".join(contradiction)) if contradiction is not None else Success(state)
+
+
+def _convert(config):
+    limits = config.limits
+    accounts = None
+    if config.tenants is not None:
+        accounts = [Account(t.name, t.api_keys, t.priority) for t in config.tenants]
+    return DesiredState(
+        config.version,
+        [_convert_route(route) for route in config.route_table],
+        [_convert_service(service) for service in config.services],
+        ClientLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms,
+            limits.idle_timeout_ms,
+        ),
+        accounts,
+    )
+
+
+def _convert_route(route):
+    split = route.traffic_split
+    if not split:
+        split = [_Split(route.service, 1.0)] if route.service is not None else []
+    return Route(
+        route.name, route.host, route.path_prefix, _convert_kind(route),
+        [WeightedService(part.service, part.weight) for part in split],
+        route.timeout_ms, route.target_latency_ms, route.target_itl_ms, route.max_attempts,
+        route.priority, route.anonymous, route.session_affinity,
+    )  # fmt: skip
+
+
+def _convert_kind(route):
+    if route.kind == "streaming":
+        return Repeatability.RESUMABLE_STREAM if route.stream_resumption else Repeatability.STREAM
+    if route.kind == "safe":
+        return Repeatability.IDEMPOTENT
+    if route.kind == "unsafe":
+        return Repeatability.AT_MOST_ONCE
+    raise ValueError(f"route {route.name!r} has the unknown kind {route.kind!r}")
+
+
+def _convert_service(service):
+    engine = service.engine_id or _Engine()
+    return Service(
+        service.name, service.health_path, service.max_connections, service.warmup_s,
+        service.warmup_per_s, engine.kv_capacity_tokens, engine.slots,
+    )  # fmt: skip
--- /dev/null
+++ b/sassafrashook/platform/_settings.py
@@ -0,0 +1,101 @@
+"""The settings file that the platform writes for each process."""
+
+import msgspec
+from returns.result import Failure, Success
+
+from sassafrashook.daemons import NodeSettings, RouterEndpoints
+
+DEFAULT_HEARTBEAT_MS = 1_000
+
+
+class _Addresses(msgspec.Struct, frozen=True):
+    """``frontend`` is for clients, ``control_plane`` for operators and engines."""
+
+    frontend: str | None = None
+    readiness: str | None = None
+    control_plane: str | None = None
+
+
+class _Tolerance(msgspec.Struct, frozen=True):
+    machine_failures: int = 0
+
+
+class _Bounds(msgspec.Struct, frozen=True):
+    grace_period_s: float
+    retry_budget_ratio: float
+    budget_window_s: float
+    budget_slack: float
+    warmup_factor: float
+    warmup_tolerance: float
+
+
+class _NodeFile(msgspec.Struct, frozen=True):
+    """The fields in use; others are ignored.
+
+    ``seed_nodes`` are control plane addresses; ``bootstrap`` is true only at the first start of
+    the whole system.
+    """
+
+    ip: str
+    zone: str
+    listen_addresses: _Addresses
+    internal_port_range: tuple[int, int]
+    seed_nodes: list[str]
+    bounds: _Bounds
+    bootstrap: bool = False
+    data_dir: str | None = None
+    heartbeat_interval_ms: float = DEFAULT_HEARTBEAT_MS
+    fault_tolerance: _Tolerance = _Tolerance()
+
+
+def load_node_settings(path):
+    """Read the settings file.
+
+    :param path: its path.
+    :returns: ``Success`` of :class:`~sassafrashook.daemons.NodeSettings` or ``Failure`` of a text.
+    """
+    try:
+        with open(path, "rb") as file:
+            node = msgspec.json.decode(file.read(), type=_NodeFile)
+        return Success(_convert(node))
+    except (OSError, msgspec.MsgspecError, ValueError) as error:
+        return Failure(f"{path}: {error}")
+
+
+def _convert(node):
+    addresses, bounds = node.listen_addresses, node.bounds
+    router = None
+    if addresses.frontend is not None:
+        router = RouterEndpoints(
+            split_address(addresses.frontend), split_address(addresses.readiness or "")
+        )
+    control = addresses.control_plane
+    return NodeSettings(
+        name=node.ip,
+        availability_zone=node.zone,
+        stream_port=node.internal_port_range[0],
+        seeds=tuple(split_address(seed)[0] for seed in node.seed_nodes),
+        router=router,
+        control=split_address(control) if control is not None else None,
+        data_folder=node.data_dir,
+        founds=node.bootstrap,
+        tolerated_losses=node.fault_tolerance.machine_failures,
+        heartbeat_ms=node.heartbeat_interval_ms,
+        stop_ms=bounds.grace_period_s * 1_000,
+        retry_ratio=bounds.retry_budget_ratio,
+        retry_slack=bounds.budget_slack,
+        retry_window_s=bounds.budget_window_s,
+        warmup_factor=bounds.warmup_factor,
+        warmup_tolerance=bounds.warmup_tolerance,
+    )
+
+
+def split_address(text):
+    """Return host and port of ``IP:PORT``.
+
+    :raises ValueError: if it is not such an address.
+    """
+    host, separator, port = text.rpartition(":")
+    if not separator or not port.isdigit() or not 0 < int(port) < 65_536 or not host:
+        raise ValueError(f"{text!r} is no address")
+    return host, int(port)
