--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -174,9 +174,9 @@
     def _may_go_on(self, upstream, error):
         """Return whether the request may be tried at another upstream."""
         reason = self._find_obstacle(error)
-        if reason is None and error.kind is not FailureKind.UNREACHABLE:
-            if not self.gateway.spend_retry(self.service.name):
-                reason = "retry_budget"
+        has_arrived = error.kind is not FailureKind.UNREACHABLE
+        if reason is None and has_arrived and not self.gateway.spend_retry(self.service.name):
+            reason = "retry_budget"
         if reason is not None:
             self._log("not_retried", upstream.entry.upstream_id, reason)
             return False
