--- a/sassafrashook/daemons/_router.py
+++ b/sassafrashook/daemons/_router.py
@@ -111,13 +111,14 @@
         registry, placement = self.view_.registry, self.placement_
         self.warmup_.set_routers(self.view_.routers_)
         placement.set_evacuated(self.view_.evacuated_)
-        gone = placement.set_registrations(registry.list_usable(), registry.cold_until_)
+        now = time.monotonic()
+        gone = placement.set_registrations(registry.list_usable(), registry.cold_until_, now)
         for key in gone:
             self.pool_.drop(key)
         if returned:
             cold_s = EVACUATED_COLD_HEARTBEATS * self.settings.heartbeat_ms / 1_000
             for zone in returned:
-                placement.make_cold(zone, time.monotonic() + cold_s)
+                placement.make_cold(zone, now + cold_s)
             log_event("zones_returned", zones=sorted(returned), presumed_cold_s=cold_s)
 
     def _note_loads(self, _sender, message):
--- a/sassafrashook/gateway/_attempt.py
+++ b/sassafrashook/gateway/_attempt.py
@@ -53,15 +53,17 @@
 
     :param request: the :class:`~sassafrashook.gateway._request.RequestRun`.
     :param upstream: the chosen :class:`~sassafrashook.placement.UpstreamState`.
+    :param source: one that holds a part of the prompt that the chosen one lacks, or ``None``.
 
     :ivar connection_: the connection while it is in use.
     """
 
-    __slots__ = ("request", "upstream", "connection_", "head_", "is_reused_")
+    __slots__ = ("request", "upstream", "source", "connection_", "head_", "is_reused_")
 
-    def __init__(self, request, upstream):
+    def __init__(self, request, upstream, source):
         self.request = request
         self.upstream = upstream
+        self.source = source
         self.connection_ = None
         self.head_ = None
         self.is_reused_ = False
@@ -120,6 +122,7 @@
             request.account.name if request.account is not None else None,
             request.priority,
             request.last_event_id,
+            self.source.entry.address if self.source is not None else None,
         )
         fields = request.gateway.dialect.encode_forwarded(request.head.headers, forwarding)
         head = request.head
--- a/sassafrashook/gateway/_dialect.py
+++ b/sassafrashook/gateway/_dialect.py
@@ -60,6 +60,8 @@
     :param account: name of the client account, ``None`` if there is none.
     :param priority: rank of the request, 0 first; ``None`` if there is none.
     :param last_event_id: where a stream goes on, ``None`` from its beginning.
+    :param prompt_source: address of an upstream to copy read parts of the prompt from, ``None``
+        if there is none.
     """
 
     upstream_id: str
@@ -67,6 +69,7 @@
     account: str | None
     priority: int | None
     last_event_id: str | None
+    prompt_source: tuple | None = None
 
 
 class Dialect(ABC):
--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -89,12 +89,13 @@
 
     def _run(self):
         while not self.client.gone_:
-            chosen = self.gateway.placement.choose(self._make_query(), time.monotonic())
+            query = self._make_query()
+            chosen = self.gateway.placement.choose(query, time.monotonic())
             if isinstance(chosen, Failure):
                 self._refuse(chosen.failure().reason, chosen.failure().retry_after_ms)
                 return
             upstream = chosen.unwrap()
-            error = self._try(upstream)
+            error = self._try(query, upstream)
             if error is None:
                 return
             if not self._may_go_on(upstream, error):
@@ -109,9 +110,12 @@
             session = hash_key(parts[-2].part_id if len(parts) > 1 else parts[-1].part_id)
         return PlacementQuery(self.service, session, frozenset(self.tried))
 
-    def _try(self, upstream):
+    def _try(self, query, upstream):
         """Run one attempt; :returns: ``None`` once answered, else the :class:`AttemptError`."""
-        attempt = self._attempt = Attempt(self, upstream)
+        placement, now = self.gateway.placement, time.monotonic()
+        source = placement.find_source(query, upstream, now)
+        placement.note_begun(query, upstream, now)
+        attempt = self._attempt = Attempt(self, upstream, source)
         self.tried.add(upstream.key)
         upstream.running_ += 1
         try:
--- a/sassafrashook/placement/_placement.py
+++ b/sassafrashook/placement/_placement.py
@@ -7,6 +7,7 @@
 
 from sassafrashook.base import Parametrized
 from sassafrashook.outcomes import RefusalReason
+from sassafrashook.placement._holders import PromptHolders
 from sassafrashook.placement._upstreams import UpstreamState
 from sassafrashook.utils import Interval, hash_key
 
@@ -66,7 +67,7 @@
         "load_slack": Interval(float, 0.0, 100.0),
     }
 
-    def __init__(self, warmup, rng, zone="", load_factor=1.25, load_slack=2.0):
+    def __init__(self, warmup, rng, zone="", load_factor=1.6, load_slack=3.0):
         self.warmup = warmup
         self.rng = rng
         self.zone = zone
@@ -78,12 +79,14 @@
         self._by_service = {}
         self._orders = {}
         self._trials = {}
+        self._holders = PromptHolders()
 
-    def set_registrations(self, entries, cold_until):
+    def set_registrations(self, entries, cold_until, now):
         """Take the list of upstreams that may get requests.
 
         :param entries: iterable of :class:`~sassafrashook.registry.Registration`.
         :param cold_until: end of each one's warm-up by name, monotonic seconds.
+        :param now: monotonic seconds.
         :returns: keys of the boots that are gone.
         """
         old = self.upstreams_
@@ -92,7 +95,7 @@
             name = entry.upstream_id
             state = old.get(name)
             if state is None or state.entry.boot_ms != entry.boot_ms:
-                state = UpstreamState(entry, cold_until[name])
+                state = UpstreamState(entry, cold_until[name], now)
             elif entry.sequence > state.entry.sequence:
                 state.distrusted_ = False
             state.entry = entry
@@ -146,6 +149,36 @@
         reason = RefusalReason.NO_CAPACITY if sound else RefusalReason.NO_UPSTREAM
         return Failure(self._refuse(reason, BUSY_RETRY_MS))
 
+    def find_source(self, query, chosen, now):
+        """Return the upstream that a session's part of the prompt can be copied from.
+
+        :param chosen: the :class:`UpstreamState` that gets the request.
+        :returns: an :class:`UpstreamState`, or ``None`` if the chosen one should hold the part.
+        """
+        if query.session is None:
+            return None
+        held = self._holders.find(query.session, now)
+        if chosen.key in held:
+            return None
+        states = self._by_service.get(query.service.name, ())
+        usable = {s.key: s for s in states if s is not chosen and not s.is_suspended(now)}
+        for key in held:
+            if key in usable:
+                return usable[key]
+        settled = [s for s in states if s.is_settled(now)]
+        if not settled:
+            return None
+        first = min(settled, key=lambda s: self._rank_session(query.session, s))
+        return usable.get(first.key)
+
+    def note_begun(self, query, upstream, now):
+        """Note that an upstream has begun to run a request."""
+        if query.session is not None:
+            self._holders.note(query.session, upstream.key, now)
+
+    def _rank_session(self, session, state):
+        return hash_pair(session, self._orders[state.entry.upstream_id])
+
     def _prefer_healthy(self, states):
         healthy = [state for state in states if not state.is_failing()]
         return healthy if len(healthy) * 2 >= len(states) else states
@@ -159,7 +192,7 @@
             return sorted(room, key=lambda s: self._rank_plain(s, loads[s.key]))
         mean = sum(loads.values()) / len(candidates)
         bound = self.load_factor * mean + self.load_slack
-        room.sort(key=lambda s: hash_pair(query.session, self._orders[s.entry.upstream_id]))
+        room.sort(key=lambda s: self._rank_session(query.session, s))
         within = [s for s in room if loads[s.key] + 1 <= bound]
         beyond = sorted((s for s in room if loads[s.key] + 1 > bound), key=lambda s: loads[s.key])
         return within + beyond
--- a/sassafrashook/placement/_upstreams.py
+++ b/sassafrashook/placement/_upstreams.py
@@ -4,6 +4,7 @@
 SUSPEND_MAX_S = 4.0
 OUTCOME_WEIGHT = 0.2  # of the newest outcome in the moving share of failures
 FAILING_SHARE = 0.5
+SETTLED_S = 5.0  # most sessions return within this time
 REPORT_VALID_S = 1.0  # a load that an answer told says little after this time
 
 
@@ -12,6 +13,7 @@
 
     :param entry: its :class:`~sassafrashook.registry.Registration`.
     :param cold_until: monotonic seconds until which it is cold.
+    :param known_since: monotonic seconds since which this router knows it.
 
     :ivar running_: requests of this router that run there.
     :ivar others_: requests of other routers that run there, as last shared.
@@ -23,6 +25,7 @@
     __slots__ = (
         "entry",
         "cold_until",
+        "known_since",
         "running_",
         "others_",
         "reported_",
@@ -34,9 +37,10 @@
         "presumed_cold_until_",
     )
 
-    def __init__(self, entry, cold_until):
+    def __init__(self, entry, cold_until, known_since):
         self.entry = entry
         self.cold_until = cold_until
+        self.known_since = known_since
         self.running_ = 0
         self.others_ = 0
         self.reported_ = 0
@@ -62,6 +66,10 @@
         is_fresh = now < self.reported_at_ + REPORT_VALID_S
         return max(self.running_, self.reported_ if is_fresh else 0)
 
+    def is_settled(self, now):
+        """Return whether it has been there long enough to hold the sessions that hash to it."""
+        return now >= self.known_since + SETTLED_S
+
     def is_cold(self, now):
         """Return whether it is cold, or must be presumed to be."""
         return now < max(self.cold_until, self.presumed_cold_until_)
--- a/sassafrashook/platform/_dialect.py
+++ b/sassafrashook/platform/_dialect.py
@@ -76,6 +76,13 @@
         if forwarding.priority is not None:
             priority = min(LOWEST_PRIORITY, max(0, forwarding.priority))
             fields.append((b"X-Sassafrashook-Request-Priority", b"%d" % priority))
+        if forwarding.prompt_source is not None:
+            fields.append(
+                (
+                    b"Kv-Fetch",
+                    b"%s:%d" % (forwarding.prompt_source[0].encode(), forwarding.prompt_source[1]),
+                )
+            )
         if forwarding.last_event_id is not None:
             fields.append((b"Last-Event-Id", forwarding.last_event_id.encode("latin-1")))
         return fields
