--- a/sassafrashook/daemons/_router.py
+++ b/sassafrashook/daemons/_router.py
@@ -114,7 +114,9 @@
         self.warmup_.set_routers(self.view_.routers_)
         placement.set_evacuated(self.view_.evacuated_)
         now = time.monotonic()
-        gone = placement.set_registrations(registry.list_usable(), registry.cold_until_, now)
+        gone = placement.set_registrations(
+            registry.list_usable(), registry.cold_until_, now, registry.list_leaving()
+        )
         for key in gone:
             self.pool_.drop(key)
         if returned:
@@ -124,14 +126,19 @@
             log_event("zones_returned", zones=sorted(returned), presumed_cold_s=cold_s)
 
     def _note_loads(self, _sender, message):
-        self.placement_.set_other_loads(message.loads, time.monotonic())
+        now = time.monotonic()
+        self.placement_.set_other_loads(message.loads, now)
+        placed = [(news.part, news.upstream_id) for news in message.placed]
+        self.placement_.note_placed(placed, now)
 
     def _report_loads(self):
         while True:
             gevent.sleep(LOADS_S)
             controller = self.follower_.nearest()
+            placed = self.placement_.take_placed()
             if controller is not None:
-                self.follower_.report_loads(controller, self.placement_.list_loads())
+                loads = self.placement_.list_loads()
+                self.follower_.report_loads(controller, loads, placed)
 
     def _maintain(self):
         while True:
--- a/sassafrashook/fleet/_controller.py
+++ b/sassafrashook/fleet/_controller.py
@@ -42,6 +42,7 @@
 ROUTER_SPREAD_S = 0.5  # how long it waits for routers that lag
 POLL_S = 0.01
 MAX_HEARTBEATS = 2_000  # in one batch
+MAX_PLACED = 2_000  # in one batch
 COMPRESSION_LEVEL = 6
 
 
@@ -93,6 +94,8 @@
             name, mesh, FleetView(registry), port, False, self._note_followed
         )
         self._heartbeats = deque(maxlen=MAX_HEARTBEATS)
+        self._placed = deque(maxlen=MAX_PLACED)
+        self._placed_here = deque(maxlen=MAX_PLACED)
         self._was_connected = False
         self._handlers = {
             ViewRequested: self._on_view_requested,
@@ -133,9 +136,12 @@
 
     def _on_load_reported(self, sender, message):
         self.loads_.note_router(sender, message.loads, time.monotonic())
+        self._placed.extend((sender, placed) for placed in message.placed)
+        self._placed_here.extend(message.placed)
 
     def _on_load_shared(self, sender, message):
         self.loads_.note_controller(sender, message.loads, time.monotonic())
+        self._placed.extend(("", placed) for placed in message.placed)
 
     def _note_followed(self, _returned):
         self.replica.add_contacts(self.follower_.controllers_)
@@ -192,14 +198,16 @@
             own = self.loads_.sum_own(now)
             beats = []
             if now >= shared_at + HEARTBEATS_S:
-                beats = [self._heartbeats.popleft() for _ in range(len(self._heartbeats))]
+                beats = _take_all(self._heartbeats)
                 shared_at = now
+            placed_here, placed = _take_all(self._placed_here), _take_all(self._placed)
             for name in others:
-                self.mesh.send(name, LoadShared(own))
+                self.mesh.send(name, LoadShared(own, placed_here))
                 if beats:
                     self.mesh.send(name, HeartbeatsHeard(beats))
             for router in self.loads_.list_routers(now):
-                self.mesh.send(router, OtherLoads(self.loads_.list_others(router, now)))
+                news = [part for origin, part in placed if origin != router]
+                self.mesh.send(router, OtherLoads(self.loads_.list_others(router, now), news))
 
     def is_connected(self, now):
         """Return whether this controller hears a majority of the group, itself included."""
@@ -300,3 +308,8 @@
         if isinstance(result, Failure):
             return None
         return zlib.decompress(self.state.document_) if self.state.document_ else b""
+
+
+def _take_all(queue):
+    """Empty a queue; :returns: what it held."""
+    return [queue.popleft() for _ in range(len(queue))]
--- a/sassafrashook/fleet/_follower.py
+++ b/sassafrashook/fleet/_follower.py
@@ -6,7 +6,7 @@
 import gevent
 import msgspec
 
-from sassafrashook.fleet._messages import LoadReported, ViewChanged, ViewRequested
+from sassafrashook.fleet._messages import LoadReported, PartPlaced, ViewChanged, ViewRequested
 from sassafrashook.routes import DesiredState, RouteTable
 from sassafrashook.tasks import spawn_task
 from sassafrashook.telemetry import log_event
@@ -166,6 +166,11 @@
         heard = [name for name in self.controllers_ if self._is_heard(name, now)]
         return rank_nodes(hash_key(self.name), heard)[0] if heard else None
 
-    def report_loads(self, controller, loads):
-        """Tell a controller how many of this router's requests run at each upstream."""
-        self.mesh.send(controller, LoadReported(loads))
+    def report_loads(self, controller, loads, placed):
+        """Tell a controller this router's part of the load.
+
+        :param loads: number of requests that run, by upstream.
+        :param placed: pairs of part and upstream that began to hold it.
+        """
+        parts = [PartPlaced(part, name) for part, name in placed]
+        self.mesh.send(controller, LoadReported(loads, parts))
--- a/sassafrashook/fleet/_messages.py
+++ b/sassafrashook/fleet/_messages.py
@@ -12,6 +12,7 @@
     "LoadReported",
     "LoadShared",
     "OtherLoads",
+    "PartPlaced",
     "ViewChanged",
     "ViewRequested",
 ]
@@ -73,22 +74,39 @@
     heartbeats: list[Heartbeat]
 
 
+class PartPlaced(msgspec.Struct, frozen=True, array_like=True):
+    """An upstream began to hold a part of prompts.
+
+    :param part: 64-bit number of the part.
+    """
+
+    part: int
+    upstream_id: str
+
+
 class LoadReported(Message):
-    """How many of a router's requests run at each upstream, told to its nearest controller."""
+    """A router's part of the load, told to its nearest controller.
+
+    :param loads: number of its requests that run, by upstream.
+    :param placed: parts of prompts that upstreams began to hold.
+    """
 
     loads: dict[str, int]
+    placed: list[PartPlaced] = []
 
 
 class LoadShared(Message):
     """The loads of a controller's routers, told to the other controllers."""
 
     loads: dict[str, int]
+    placed: list[PartPlaced] = []
 
 
 class OtherLoads(Message):
-    """How many requests of all other routers run at each upstream, told to a router."""
+    """The loads of all other routers, told to a router."""
 
     loads: dict[str, int]
+    placed: list[PartPlaced] = []
 
 
 FLEET_MESSAGES = (
--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -64,6 +64,7 @@
         self.unreachable = 0
         self.refused = 0
         self.verdict = Verdict.NOT_RUN
+        self._shared_parts = self._list_shared_parts()
         self._events = EventSplitter()
         self._attempt = None
 
@@ -104,11 +105,15 @@
         self._log("client_left", "-", "-")
 
     def _make_query(self):
+        return PlacementQuery(self.service, self._shared_parts, frozenset(self.tried))
+
+    def _list_shared_parts(self):
+        """Return the parts that other requests share: all but the last, which is its own."""
         parts = self.facts.parts
-        session = None
-        if self.route.has_prompts and parts:
-            session = hash_key(parts[-2].part_id if len(parts) > 1 else parts[-1].part_id)
-        return PlacementQuery(self.service, session, frozenset(self.tried))
+        if not self.route.has_prompts or not parts:
+            return ()
+        shared = parts[:-1] or parts
+        return tuple(hash_key(part.part_id) for part in shared)
 
     def _try(self, query, upstream):
         """Run one attempt; :returns: ``None`` once answered, else the :class:`AttemptError`."""
--- a/sassafrashook/placement/_placement.py
+++ b/sassafrashook/placement/_placement.py
@@ -23,15 +23,20 @@
     """One request that looks for an upstream.
 
     :param service: a :class:`~sassafrashook.routes.Service`.
-    :param session: 64-bit number of the part of its prompt that later requests share; ``None``
-        if it has no prompt.
+    :param shared_parts: 64-bit numbers of the parts of its prompt that other requests share, in
+        order; the last one is that of its session. Empty if it has no prompt.
     :param excluded: keys of the upstreams that it must not go to.
     """
 
     service: object
-    session: int | None = None
+    shared_parts: tuple = ()
     excluded: frozenset = frozenset()
 
+    @property
+    def session(self):
+        """The number that decides where it goes, ``None`` without a prompt."""
+        return self.shared_parts[-1] if self.shared_parts else None
+
 
 @dataclass(slots=True, frozen=True)
 class PlacementRefusal:
@@ -80,13 +85,16 @@
         self._orders = {}
         self._trials = {}
         self._holders = PromptHolders()
+        self._placed = []
+        self._leaving = {}
 
-    def set_registrations(self, entries, cold_until, now):
+    def set_registrations(self, entries, cold_until, now, leaving=()):
         """Take the list of upstreams that may get requests.
 
         :param entries: iterable of :class:`~sassafrashook.registry.Registration`.
         :param cold_until: end of each one's warm-up by name, monotonic seconds.
         :param now: monotonic seconds.
+        :param leaving: registrations of upstreams that get nothing more but still run.
         :returns: keys of the boots that are gone.
         """
         old = self.upstreams_
@@ -105,6 +113,8 @@
         for state in self.upstreams_.values():
             self._by_service.setdefault(state.entry.service, []).append(state)
         self._orders = {name: hash_key(name) for name in self.upstreams_}
+        left = [UpstreamState(entry, now, now) for entry in leaving]
+        self._leaving = {state.key: state for state in left}
         kept = {state.key for state in self.upstreams_.values()}
         self._trials = {key: at for key, at in self._trials.items() if key in kept}
         return [state.key for state in old.values() if state.key not in kept]
@@ -157,24 +167,42 @@
         """
         if query.session is None:
             return None
-        held = self._holders.find(query.session, now)
-        if chosen.key in held:
-            return None
         states = self._by_service.get(query.service.name, ())
-        usable = {s.key: s for s in states if s is not chosen and not s.is_suspended(now)}
-        for key in held:
-            if key in usable:
-                return usable[key]
+        sources = {s.key: s for s in states if s is not chosen and not s.is_suspended(now)}
+        for part in reversed(query.shared_parts):
+            held = self._holders.find(part, now)
+            if chosen.key in held:
+                return None
+            for key in held:
+                source = sources.get(key) or self._leaving.get(key)
+                if source is not None:
+                    return source
         settled = [s for s in states if s.is_settled(now)]
         if not settled:
             return None
         first = min(settled, key=lambda s: self._rank_session(query.session, s))
-        return usable.get(first.key)
+        return sources.get(first.key)
 
     def note_begun(self, query, upstream, now):
         """Note that an upstream has begun to run a request."""
-        if query.session is not None:
-            self._holders.note(query.session, upstream.key, now)
+        for part in query.shared_parts:
+            if self._holders.note(part, upstream.key, now):
+                self._placed.append((part, upstream.entry.upstream_id))
+
+    def take_placed(self):
+        """Return the parts that upstreams have begun to hold since the last call.
+
+        :returns: list of pairs of part and name of the upstream.
+        """
+        placed, self._placed = self._placed, []
+        return placed
+
+    def note_placed(self, placed, now):
+        """Take the parts that other routers placed, pairs as in :meth:`take_placed`."""
+        for part, name in placed:
+            state = self.upstreams_.get(name)
+            if state is not None:
+                self._holders.note(part, state.key, now)
 
     def _rank_session(self, session, state):
         return hash_pair(session, self._orders[state.entry.upstream_id])
--- a/sassafrashook/registry/_registry.py
+++ b/sassafrashook/registry/_registry.py
@@ -143,3 +143,7 @@
                 by_address[entry.address] = entry
         usable = (RegistrationState.READY, RegistrationState.SILENT)
         return [entry for entry in by_address.values() if entry.state in usable]
+
+    def list_leaving(self):
+        """Return the registrations of upstreams that said they will leave and still run."""
+        return [e for e in self.entries_.values() if e.state == RegistrationState.DRAINING]
