Upstreams that seem down are tried by connections of their own; full and stalled disks are borne

A write on a full disk is undone and tried again, and a leader whose write takes over 0.6 s hands over. Tests fail without either.

--- a/sassafrashook/consensus/_loop.py
+++ b/sassafrashook/consensus/_loop.py
@@ -15,9 +15,11 @@
     ReadConfirmed,
     ReadRefused,
     Restore,
+    Role,
     RoleChanged,
     SendMessage,
     TakeSnapshot,
+    TransferLeadership,
 )
 from sassafrashook.consensus._messages import COMMAND
 from sassafrashook.consensus._waiters import Waiter
@@ -27,6 +29,7 @@
 
 MAX_QUEUED_INPUTS = 20_000
 MAX_BATCH_INPUTS = 512
+DISK_STALL_S = 0.6  # a leader whose write takes this long hands over; a commit waits for it
 
 
 class LoopMixin:
@@ -44,12 +47,18 @@
         now = self.clock()
         if now >= self.core_.next_deadline():
             self._perform(self.core_.advance(now))
+            self._hand_over_if_stalled(now)
         waiters = [item for item in inputs if isinstance(item, Waiter)]
         for item in inputs:
             if not isinstance(item, Waiter):
                 self._perform(self.core_.handle(item, self.clock()))
         self._offer(waiters)
 
+    def _hand_over_if_stalled(self, now):
+        if self.core_.role_ is Role.LEADER and self._writer.stalled_for(now) > DISK_STALL_S:
+            logging.warning("event=leader_disk_stalled replica=%s", self.name)
+            self._perform(self.core_.handle(TransferLeadership(), now))
+
     def _take_inputs(self):
         timeout = max(0.0, self.core_.next_deadline() - self.clock())
         try:
--- a/sassafrashook/consensus/_writer.py
+++ b/sassafrashook/consensus/_writer.py
@@ -1,14 +1,19 @@
 """Writes and syncs a replica's files without stalling the event loop."""
 
+import time
+
 import gevent
+from absl import logging
 from gevent.pool import Group
 from gevent.queue import SimpleQueue
 
 from sassafrashook.consensus._actions import Persisted, Snapshot, SnapshotSaved
-from sassafrashook.storage import StorageError
+from sassafrashook.storage import DiskFullError, StorageError
 
 __all__ = ["StorageWriter"]
 
+FULL_RETRY_S = 0.2  # between two tries on a full disk
+
 
 class StorageWriter:
     """Takes everything that queued up during one sync into the next.
@@ -25,6 +30,7 @@
         self._jobs = SimpleQueue()
         self._pending = set()
         self._saving = Group()
+        self._writing_since = None
         self._pool = gevent.get_hub().threadpool
 
     def put(self, persist):
@@ -55,6 +61,10 @@
         for pending in list(self._pending):
             pending.wait()
 
+    def stalled_for(self, now):
+        """Return how long the write that is under way has taken, seconds."""
+        return 0.0 if self._writing_since is None else now - self._writing_since
+
     def _take_jobs(self):
         jobs = [self._jobs.get()]
         while not self._jobs.empty():
@@ -64,7 +74,9 @@
     def _write(self, jobs):
         if any(job.snapshot is not None for job in jobs):
             self._saving.join()
+        self._writing_since = time.monotonic()
         self._call(self.storage.persist, jobs)
+        self._writing_since = None
         self.report(Persisted(jobs[-1].sequence))
 
     def _save(self, snapshot):
@@ -76,6 +88,17 @@
             self.report(SnapshotSaved(snapshot))
 
     def _call(self, function, argument):
+        """Run a write in the thread pool, again and again while the disk is full."""
+        while True:
+            try:
+                self._run(function, argument)
+            except DiskFullError as error:
+                logging.warning('event=disk_full error="%s" retry_s=%s', error, FULL_RETRY_S)
+                gevent.sleep(FULL_RETRY_S)
+            else:
+                return
+
+    def _run(self, function, argument):
         pending = self._pool.spawn(function, argument)
         self._pending.add(pending)
         try:
--- a/sassafrashook/consensus/tests/test_replica.py
+++ b/sassafrashook/consensus/tests/test_replica.py
@@ -12,7 +12,7 @@
 from sassafrashook.consensus import Entry, Replica, Role
 from sassafrashook.consensus._waiters import ProposalWaiters, Waiter
 from sassafrashook.gateways import ProposalFailure, Sender
-from sassafrashook.storage import FolderLockedError, LocalFileSystem, StorageError
+from sassafrashook.storage import DiskFullError, FolderLockedError, LocalFileSystem, StorageError
 
 WAIT_S = 30
 
@@ -232,6 +232,69 @@
         super().append(path, data)
 
 
+class FullFiles(LocalFileSystem):
+    """A disk that is full for a while and takes a part of what is written then."""
+
+    full = False
+    stalled = False
+    refused = 0
+
+    def append(self, path, data):
+        while self.stalled:
+            time.sleep(0.01)
+        if self.full:
+            self.refused += 1
+            super().append(path, bytes(data[: len(data) // 2]))
+            raise DiskFullError(path, "No space left on device")
+        super().append(path, data)
+
+
+def restart_with(group, name, files):
+    errors = []
+    group.stop(name)
+    replica = group.start(name, file_system=files, on_failure=errors.append)
+    replica.confirm_read(time.monotonic() + WAIT_S)
+    return replica, errors
+
+
+def test_a_full_disk_is_waited_for(make_group):
+    files = FullFiles()
+    group = make_group()
+    leader = group.find_leader()
+    victim = next(n for n in group.names if n != leader.name)
+    replica, errors = restart_with(group, victim, files)
+    files.full = True
+    for number in range(5):
+        group.propose(b"%d" % number)
+    wait_for(lambda: files.refused >= 3)
+    files.full = False
+    assert len(group.settle()) == 1
+    assert not errors
+    group.stop(victim)
+    group.start(victim)
+    assert len(group.settle()) == 1
+
+
+def test_a_leader_whose_disk_stalls_hands_over(make_group):
+    files = FullFiles()
+    group = make_group()
+    leader = group.find_leader()
+    replica, _ = restart_with(group, leader.name, files)
+    wait_for(lambda: group.find_leader() is not None)
+    replica.transfer_leadership(time.monotonic() + 1)
+    while group.find_leader().name != leader.name:
+        group.find_leader().transfer_leadership(time.monotonic() + 1, leader.name)
+        gevent.sleep(0.05)
+    files.stalled = True
+    gevent.spawn(group.propose, b"x")
+    try:
+        wait_for(lambda: group.find_leader().name != leader.name)
+        assert group.propose(b"y")
+    finally:
+        files.stalled = False
+    assert len(group.settle()) == 1
+
+
 def test_frozen_leader_checks_its_lease_with_the_present_time(make_group):
     skipped = [0.0]
     group = make_group(("a",), clock=lambda: time.monotonic() + skipped[0])
--- a/sassafrashook/daemons/_controller.py
+++ b/sassafrashook/daemons/_controller.py
@@ -9,7 +9,7 @@
 from sassafrashook.daemons._process import serve_application
 from sassafrashook.fleet import FLEET_MESSAGES, FleetController, FleetState
 from sassafrashook.registry import Registry
-from sassafrashook.storage import StorageError
+from sassafrashook.storage import DiskFullError, StorageError
 from sassafrashook.telemetry import log_event
 from sassafrashook.transport import Mesh, PeerAddress
 
@@ -18,6 +18,7 @@
 ELECTION_MIN_MS = 480  # six heartbeats
 ELECTION_MAX_MS = 960
 SNAPSHOT_ENTRIES = 1  # the state is one document; a restarted controller has it before an election
+FULL_RETRY_S = 0.3
 TRANSFER_S = 1.0
 ANSWERS_S = 0.3  # time for answers that are under way
 FLUSH_MS = 200
@@ -71,16 +72,26 @@
         :raises OSError: if an address or the data folder can't be used.
         """
         self._learn(self.settings.seeds)
-        try:
-            self.replica_.start()
-        except StorageError as error:
-            raise OSError(f"data folder: {error}") from error
+        self._start_replica()
         self.mesh_.subscribe(CONSENSUS_MESSAGES, self._deliver)
         self.mesh_.start()
         self.fleet_.start()
         self.fleet_.set_seeds(self.settings.seeds)
         self._server = serve_application(self.settings.control, self._application)
 
+    def _start_replica(self):
+        """Open the data folder, waiting while its disk is full."""
+        while True:
+            try:
+                self.replica_.start()
+            except DiskFullError as error:
+                log_event("disk_full", level="warning", reason=error, retry_s=FULL_RETRY_S)
+                gevent.sleep(FULL_RETRY_S)
+            except StorageError as error:
+                raise OSError(f"data folder: {error}") from error
+            else:
+                return
+
     def _deliver(self, sender, message):
         self._learn((sender,))
         self.replica_.deliver(sender, message)
--- a/sassafrashook/daemons/_router.py
+++ b/sassafrashook/daemons/_router.py
@@ -18,6 +18,7 @@
 
 CONNECT_TIMEOUT_S = 0.25  # a zone is a millisecond away; a lost opening packet takes seconds
 LOADS_S = 0.2
+TRIAL_S = 0.25  # between two trial connections to an upstream that fell out
 MAINTENANCE_S = 1.0
 SILENT_S = 3_600.0  # routers leave it to the controllers to find an upstream silent
 EVACUATED_COLD_HEARTBEATS = 2.5  # after these an upstream has told whether it is cold
@@ -86,7 +87,8 @@
         self.server_.start()
         application = make_readiness_application(self.readiness_path, self.is_ready)
         self._readiness = serve_application(self.settings.router.readiness, application)
-        self._tasks = [spawn_task(self._report_loads), spawn_task(self._maintain)]
+        tasks = (self._report_loads, self._maintain, self._try_upstreams)
+        self._tasks = [spawn_task(task) for task in tasks]
 
     def is_ready(self):
         """Return whether it can serve new connections."""
@@ -144,3 +146,24 @@
         while True:
             gevent.sleep(MAINTENANCE_S)
             self.pool_.close_expired()
+
+    def _try_upstreams(self):
+        """Open connections to upstreams that seem down, so that no request has to find out."""
+        while True:
+            gevent.sleep(TRIAL_S)
+            upstreams = self.placement_.list_trials(time.monotonic())
+            gevent.joinall([gevent.spawn(self._try_one, upstream) for upstream in upstreams])
+
+    def _try_one(self, upstream):
+        was_down = upstream.is_down_
+        try:
+            self.pool_.open(upstream.entry.address, CONNECT_TIMEOUT_S).close()
+            succeeded = True
+        except OSError:
+            succeeded = False
+        upstream.note_trial(succeeded, time.monotonic())
+        if succeeded == was_down:
+            event = "upstream_reachable" if succeeded else "upstream_unreachable"
+            log_event(
+                event, upstream=upstream.entry.upstream_id, zone=upstream.entry.availability_zone
+            )
--- a/sassafrashook/gateway/_attempt.py
+++ b/sassafrashook/gateway/_attempt.py
@@ -164,11 +164,10 @@
 
     def _fail(self, kind, detail):
         """Close the connection, which stops the upstream's work, and return the error."""
-        now = time.monotonic()
         if self.request.client.gone_:
             kind = FailureKind.CLIENT_GONE
         elif kind is FailureKind.BROKEN and not self.is_reused_:
-            self.upstream.note_unreachable(now)
+            self.upstream.note_broken()
         self.close()
         return AttemptError(kind, Verdict.MAY_HAVE_RUN, detail)
 
--- a/sassafrashook/gateway/tests/stand_ins.py
+++ b/sassafrashook/gateway/tests/stand_ins.py
@@ -215,9 +215,7 @@
 
     def register(self):
         entries = [
-            Registration(
-                u.name, 1, 1, RegistrationState.READY, "service", *u.address, "z", "v1", 8
-            )
+            Registration(u.name, 1, 1, RegistrationState.READY, "service", *u.address, "z", "v1", 8)
             for u in self.upstreams
         ]
         self.placement.set_registrations(entries, {e.upstream_id: 0.0 for e in entries}, 0.0)
--- a/sassafrashook/placement/_placement.py
+++ b/sassafrashook/placement/_placement.py
@@ -247,6 +247,11 @@
     def _refuse(self, reason, bounds_ms):
         return PlacementRefusal(reason, round(self.rng.uniform(*bounds_ms)))
 
+    def list_trials(self, now):
+        """Return the upstreams that a trial connection should be opened to."""
+        states = self.upstreams_.values()
+        return [state for state in states if state.needs_trial_ or state.is_suspended(now)]
+
     def list_loads(self):
         """Return how many of this router's requests run at each upstream, by name."""
         return {name: s.running_ for name, s in self.upstreams_.items() if s.running_}
--- a/sassafrashook/placement/_upstreams.py
+++ b/sassafrashook/placement/_upstreams.py
@@ -1,7 +1,6 @@
 """What one router knows of one boot of an upstream."""
 
-SUSPEND_MIN_S = 0.3
-SUSPEND_MAX_S = 4.0
+SUSPEND_S = 2.0  # a trial connection ends this sooner
 OUTCOME_WEIGHT = 0.2  # of the newest outcome in the moving share of failures
 FAILING_SHARE = 0.5
 SETTLED_S = 5.0  # most sessions return within this time
@@ -18,6 +17,8 @@
     :ivar running_: requests of this router that run there.
     :ivar others_: requests of other routers that run there, as last shared.
     :ivar reported_: all that run and wait there, as its last answer told, and when it did.
+    :ivar is_down_: whether the last connection could not be opened.
+    :ivar needs_trial_: whether a connection broke that says nothing of the others.
     :ivar distrusted_: whether it failed in a way that a restart would explain, and has not been
         heard of since.
     """
@@ -31,7 +32,8 @@
         "reported_",
         "reported_at_",
         "suspended_until_",
-        "failures_",
+        "is_down_",
+        "needs_trial_",
         "failing_",
         "distrusted_",
         "presumed_cold_until_",
@@ -46,7 +48,8 @@
         self.reported_ = 0
         self.reported_at_ = float("-inf")
         self.suspended_until_ = float("-inf")
-        self.failures_ = 0
+        self.is_down_ = False
+        self.needs_trial_ = False
         self.failing_ = 0.0
         self.distrusted_ = False
         self.presumed_cold_until_ = float("-inf")
@@ -84,16 +87,32 @@
         self.reported_at_ = now
 
     def note_unreachable(self, now):
-        """Note that no connection could be opened or that it broke without an answer."""
-        self.failures_ += 1
-        pause = min(SUSPEND_MAX_S, SUSPEND_MIN_S * 2 ** (self.failures_ - 1))
-        self.suspended_until_ = now + pause
+        """Note that no connection could be opened."""
+        self.suspended_until_ = now + SUSPEND_S
+        self.is_down_ = True
         self.distrusted_ = True
 
+    def note_broken(self):
+        """Note that a connection broke without an answer; a trial shows whether it is down."""
+        self.needs_trial_ = True
+
+    def note_trial(self, succeeded, now):
+        """Note whether a connection could be opened on trial.
+
+        One that was down and is back stays distrusted until it is heard of again: it may have
+        started anew, cold.
+        """
+        self.needs_trial_ = False
+        if not succeeded:
+            self.note_unreachable(now)
+            return
+        self.suspended_until_ = float("-inf")
+        self.is_down_ = False
+
     def note_outcome(self, succeeded):
         """Note an answer, and whether it was the one that the request deserved."""
         if succeeded:
-            self.failures_ = 0
+            self.is_down_ = False
             self.distrusted_ = False
         self.failing_ += OUTCOME_WEIGHT * ((0.0 if succeeded else 1.0) - self.failing_)
 
--- a/sassafrashook/storage/__init__.py
+++ b/sassafrashook/storage/__init__.py
@@ -2,6 +2,7 @@
 
 from sassafrashook.storage._errors import (
     CorruptionError,
+    DiskFullError,
     FolderLockedError,
     IdentityError,
     StorageError,
@@ -14,6 +15,7 @@
 __all__ = [
     "CorruptionError",
     "DataFolder",
+    "DiskFullError",
     "FileSystem",
     "FolderLockedError",
     "IdentityError",
--- a/sassafrashook/storage/_errors.py
+++ b/sassafrashook/storage/_errors.py
@@ -1,6 +1,8 @@
-"""Errors of the data folder; after any of them the process must stop."""
+"""Errors of the data folder; after any of them but a full disk the process must stop."""
 
-__all__ = ["CorruptionError", "FolderLockedError", "IdentityError", "StorageError"]
+import errno
+
+__all__ = ["CorruptionError", "DiskFullError", "FolderLockedError", "IdentityError", "StorageError"]
 
 
 class StorageError(Exception):
@@ -16,6 +18,16 @@
         self.reason = reason
 
 
+class DiskFullError(StorageError):
+    """There was no room for a write; nothing of it is left, and it may be tried again."""
+
+
+def describe_error(path, error):
+    """Return the :class:`StorageError` for an ``OSError`` of a write."""
+    is_full = error.errno in (errno.ENOSPC, errno.EDQUOT)
+    return (DiskFullError if is_full else StorageError)(path, error.strerror)
+
+
 class CorruptionError(StorageError):
     """A file holds bytes that were once synced and no longer verify.
 
--- a/sassafrashook/storage/_filesystem.py
+++ b/sassafrashook/storage/_filesystem.py
@@ -4,7 +4,7 @@
 import os
 from abc import ABC, abstractmethod
 
-from sassafrashook.storage._errors import FolderLockedError, StorageError
+from sassafrashook.storage._errors import FolderLockedError, StorageError, describe_error
 
 __all__ = ["FileSystem", "LocalFileSystem"]
 
@@ -109,7 +109,7 @@
                 while view:
                     view = view[file.write(view) :]
         except OSError as error:
-            raise StorageError(path, error.strerror) from error
+            raise describe_error(path, error) from error
 
     def truncate(self, path, size):
         """Cut a file."""
@@ -134,7 +134,7 @@
             finally:
                 os.close(descriptor)
         except OSError as error:
-            raise StorageError(path, error.strerror) from error
+            raise describe_error(path, error) from error
 
     def rename(self, source, target):
         """Rename a file."""
--- a/sassafrashook/storage/_wal.py
+++ b/sassafrashook/storage/_wal.py
@@ -5,7 +5,12 @@
 from itertools import pairwise
 
 from sassafrashook.base import Parametrized
-from sassafrashook.storage._errors import CorruptionError, IdentityError, StorageError
+from sassafrashook.storage._errors import (
+    CorruptionError,
+    DiskFullError,
+    IdentityError,
+    StorageError,
+)
 from sassafrashook.storage._frames import Frame, encode_frame, read_frames
 from sassafrashook.utils import Interval
 
@@ -47,6 +52,7 @@
     Attributes: ``failed_`` is whether an operation failed; nothing is written after that.
 
     :raises StorageError: from any method when the operation failed; the process must stop.
+    :raises DiskFullError: when there was no room; the write may be tried again.
     :raises CorruptionError: from :meth:`open` when synced bytes no longer verify.
     :raises IdentityError: from :meth:`open` when a segment belongs to another identity.
 
@@ -102,10 +108,25 @@
             raise StorageError(self.folder, "an earlier operation failed")
         try:
             operation(payload)
+        except DiskFullError:
+            self._guard_rollback()
+            raise
         except Exception:
             self.failed_ = True
             raise
 
+    def _guard_rollback(self):
+        """Cut what a write on a full disk left behind, so that it can be tried again."""
+        path = self._path(self.number_)
+        data = self.file_system.read(path)
+        if data is None or len(data) <= self.size_:
+            return
+        try:
+            self.file_system.truncate(path, self.size_)
+        except StorageError:
+            self.failed_ = True
+            raise
+
     def _write(self, payload):
         if self.size_ == 0 or self.size_ >= self.segment_bytes:
             self._start_segment(b"", checkpoint=False)
