--- a/sassafrashook/daemons/_router.py
+++ b/sassafrashook/daemons/_router.py
@@ -162,6 +162,10 @@
         except OSError:
             succeeded = False
         upstream.note_trial(succeeded, time.monotonic())
+        if upstream.is_dark(time.monotonic()):
+            ended = self.gateway_.interrupt(upstream)
+            if ended:
+                log_event("attempts_interrupted", upstream=upstream.entry.upstream_id, count=ended)
         if succeeded == was_down:
             event = "upstream_reachable" if succeeded else "upstream_unreachable"
             log_event(
--- a/sassafrashook/gateway/_attempt.py
+++ b/sassafrashook/gateway/_attempt.py
@@ -149,7 +149,9 @@
         :raises AttemptError: if it ended early or not in time.
         """
         try:
-            return self.connection_.read_data(self.request.deadline)
+            data = self.connection_.read_data(self.request.deadline)
+            self.upstream.heard_at_ = time.monotonic()
+            return data
         except IncompleteError as error:
             raise self._fail(FailureKind.BROKEN, str(error)) from error
         except TimeoutError as error:
--- a/sassafrashook/gateway/_gateway.py
+++ b/sassafrashook/gateway/_gateway.py
@@ -32,6 +32,8 @@
     :param pool: a :class:`~sassafrashook.http1.ConnectionPool`.
     :param limits: a :class:`GatewayLimits`.
     :param metrics: a :class:`~sassafrashook.telemetry.Metrics`.
+
+    :ivar runs_: the requests that are being run.
     """
 
     def __init__(self, dialect, view, placement, pool, limits, metrics):
@@ -41,6 +43,7 @@
         self.pool = pool
         self.limits = limits
         self.metrics = metrics
+        self.runs_ = set()
         self._budgets = {}
 
     def client_limits(self):
@@ -48,6 +51,14 @@
         table = self.view.table_
         return table.state.limits if table is not None else DEFAULT_LIMITS
 
+    def interrupt(self, upstream):
+        """End the attempts at an upstream that is dark, where the request may run elsewhere.
+
+        :param upstream: an :class:`~sassafrashook.placement.UpstreamState`.
+        :returns: how many were ended.
+        """
+        return sum(run.interrupt(upstream) for run in list(self.runs_))
+
     def note_request(self, service):
         """Count a client's request towards its service's retry budget."""
         self._budget(service).note_request(time.monotonic())
--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -77,10 +77,24 @@
         """Run to the final answer."""
         self.gateway.note_request(self.service.name)
         self.client.on_gone = self._cancel
+        self.gateway.runs_.add(self)
         try:
             self._run()
         finally:
             self.client.on_gone = None
+            self.gateway.runs_.discard(self)
+
+    def interrupt(self, upstream):
+        """End the attempt if it runs at an upstream and the request may run again.
+
+        :returns: whether an attempt was ended.
+        """
+        attempt = self._attempt
+        if attempt is None or attempt.upstream is not upstream or not self.route.is_idempotent:
+            return False
+        if attempt.connection_ is not None:
+            attempt.connection_.abort()
+        return attempt.connection_ is not None
 
     def _cancel(self):
         """The client left: stop the upstream's work."""
--- a/sassafrashook/gateway/tests/test_forwarding.py
+++ b/sassafrashook/gateway/tests/test_forwarding.py
@@ -338,3 +338,32 @@
     harness.server.is_stopping_ = True
     _, head, _, _ = harness.ask("/counts/7", sock=sock, request_id="a2")
     assert find_header(head, "Connection") == "close"
+
+
+def test_what_may_repeat_leaves_a_dark_upstream(start):
+    def silent(_upstream, sock, _head, _body):
+        return bool(sock.recv(1))
+
+    harness = start(silent, answer)
+    dark = harness.placement.upstreams_["u0"]
+    harness.placement.upstreams_["u1"].suspended_until_ = float("inf")
+    asked = gevent.spawn(harness.ask, "/counts/7", method="GET")
+    assert wait_for(lambda: harness.upstreams[0].requests)
+    harness.placement.upstreams_["u1"].suspended_until_ = 0.0
+    for now in (1.0, 2.0):
+        dark.note_trial(False, now)
+    assert dark.is_dark(2.0)
+    assert harness.gateway.interrupt(dark) == 1
+    assert asked.get(timeout=1)[0] == 200
+
+
+def test_what_runs_once_stays_at_a_dark_upstream(start):
+    def slow(upstream, sock, head, body):
+        gevent.sleep(0.3)
+        return answer(upstream, sock, head, body)
+
+    harness = start(slow)
+    asked = gevent.spawn(harness.ask, "/orders/7")
+    assert wait_for(lambda: harness.upstreams[0].requests)
+    assert harness.gateway.interrupt(harness.placement.upstreams_["u0"]) == 0
+    assert asked.get(timeout=1)[0] == 200
--- a/sassafrashook/placement/_upstreams.py
+++ b/sassafrashook/placement/_upstreams.py
@@ -1,6 +1,8 @@
 """What one router knows of one boot of an upstream."""
 
 SUSPEND_S = 2.0  # a trial connection ends this sooner
+DARK_TRIALS = 2  # in a row; a lossy link loses one opening packet in ten at most
+DARK_S = 0.6  # without a byte on any connection
 OUTCOME_WEIGHT = 0.2  # of the newest outcome in the moving share of failures
 FAILING_SHARE = 0.5
 SETTLED_S = 5.0  # most sessions return within this time
@@ -34,6 +36,8 @@
         "suspended_until_",
         "is_down_",
         "needs_trial_",
+        "failed_trials_",
+        "heard_at_",
         "failing_",
         "distrusted_",
         "presumed_cold_until_",
@@ -50,6 +54,8 @@
         self.suspended_until_ = float("-inf")
         self.is_down_ = False
         self.needs_trial_ = False
+        self.failed_trials_ = 0
+        self.heard_at_ = float("-inf")
         self.failing_ = 0.0
         self.distrusted_ = False
         self.presumed_cold_until_ = float("-inf")
@@ -104,11 +110,17 @@
         """
         self.needs_trial_ = False
         if not succeeded:
+            self.failed_trials_ += 1
             self.note_unreachable(now)
             return
+        self.failed_trials_ = 0
         self.suspended_until_ = float("-inf")
         self.is_down_ = False
 
+    def is_dark(self, now):
+        """Return whether its host answers nothing, so that what runs there is lost."""
+        return self.failed_trials_ >= DARK_TRIALS and now >= self.heard_at_ + DARK_S
+
     def note_outcome(self, succeeded):
         """Note an answer, and whether it was the one that the request deserved."""
         if succeeded:
