Log lines to standard output, bounded and written by a task; latency histograms; metrics address

Lines of the daemons went to standard error and were written by whoever logged. A reader that takes nothing loses lines, which are counted.

--- a/sassafrashook/daemons/_controller.py
+++ b/sassafrashook/daemons/_controller.py
@@ -6,11 +6,11 @@
 from gevent.event import Event
 
 from sassafrashook.consensus import CONSENSUS_MESSAGES, Replica
-from sassafrashook.daemons._process import serve_application
+from sassafrashook.daemons._process import serve_application, serve_metrics
 from sassafrashook.fleet import FLEET_MESSAGES, FleetController, FleetState
 from sassafrashook.registry import Registry
 from sassafrashook.storage import DiskFullError, StorageError
-from sassafrashook.telemetry import log_event
+from sassafrashook.telemetry import Metrics, log_event
 from sassafrashook.transport import Mesh, PeerAddress
 
 SILENT_HEARTBEATS = 3.5  # an upstream is silent after this many intervals
@@ -37,11 +37,13 @@
     def __init__(self, settings, make_application):
         self.settings = settings
         self.failed_ = Event()
+        self.metrics_ = Metrics(settings.name)
         self.mesh_ = Mesh(
             settings.name,
             (settings.name, settings.stream_port),
             (),
             (*FLEET_MESSAGES, *CONSENSUS_MESSAGES),
+            count=self.metrics_.count,
         )
         self.state_ = FleetState()
         self.replica_ = Replica(
@@ -77,6 +79,11 @@
         self.mesh_.start()
         self.fleet_.start()
         self.fleet_.set_seeds(self.settings.seeds)
+        self._page = serve_metrics(self.settings, self.metrics_)
+        self.metrics_.observe("desired_version", lambda: self.state_.version_)
+        self.metrics_.observe("leading", lambda: int(self.replica_.leader() == self.settings.name))
+        self.metrics_.observe("group_members", lambda: len(self.replica_.members()))
+        self.metrics_.observe("upstreams_known", lambda: len(self.fleet_.registry.entries_))
         self._server = serve_application(self.settings.control, self._application)
 
     def _start_replica(self):
--- a/sassafrashook/daemons/_process.py
+++ b/sassafrashook/daemons/_process.py
@@ -10,7 +10,7 @@
 from returns.result import Failure
 
 from sassafrashook.tasks import spawn_task, watch_tasks
-from sassafrashook.telemetry import configure_logs, log_event
+from sassafrashook.telemetry import SCRAPE_CONTENT_TYPE, configure_logs, log_event
 from sassafrashook.transport import configure_loop
 
 RELOAD_POLL_S = 1.0
@@ -31,6 +31,20 @@
     return server
 
 
+def serve_metrics(settings, metrics):
+    """Serve the page of metrics; :returns: the started server, or ``None`` without an address."""
+    if settings.metrics is None:
+        return None
+
+    def answer(_environ, start_response):
+        page = metrics.render_page()
+        fields = [("Content-Type", SCRAPE_CONTENT_TYPE), ("Content-Length", str(len(page)))]
+        start_response("200 OK", fields)
+        return [page]
+
+    return serve_application(settings.metrics, answer)
+
+
 def run_daemon(path, load, make_daemon):
     """Run a daemon until SIGTERM or SIGINT.
 
@@ -42,7 +56,15 @@
     :returns: exit code for the shell.
     """
     configure_loop()
-    configure_logs()
+    sink = configure_logs()
+    sink.start()
+    try:
+        return _run_daemon(path, load, make_daemon)
+    finally:
+        sink.flush()
+
+
+def _run_daemon(path, load, make_daemon):
     loaded = load(path)
     if isinstance(loaded, Failure):
         log_event("settings_refused", level="error", file=path, reason=loaded.failure())
--- a/sassafrashook/daemons/_router.py
+++ b/sassafrashook/daemons/_router.py
@@ -6,7 +6,7 @@
 import gevent
 from gevent.event import Event
 
-from sassafrashook.daemons._process import serve_application
+from sassafrashook.daemons._process import serve_application, serve_metrics
 from sassafrashook.fleet import FLEET_MESSAGES, FleetFollower, FleetView, OtherLoads
 from sassafrashook.gateway import Gateway, GatewayLimits, GatewayServer
 from sassafrashook.http1 import ConnectionPool
@@ -56,7 +56,14 @@
         self.settings = settings
         self.readiness_path = readiness_path
         self.failed_ = Event()
-        self.mesh_ = Mesh(settings.name, (settings.name, settings.stream_port), (), FLEET_MESSAGES)
+        self.metrics_ = Metrics(settings.name)
+        self.mesh_ = Mesh(
+            settings.name,
+            (settings.name, settings.stream_port),
+            (),
+            FLEET_MESSAGES,
+            count=self.metrics_.count,
+        )
         self.view_ = FleetView(Registry(SILENT_S))
         self.follower_ = FleetFollower(
             settings.name, self.mesh_, self.view_, settings.stream_port, True, self._note_view
@@ -69,7 +76,7 @@
         self.pool_ = ConnectionPool(CONNECT_TIMEOUT_S)
         limits = GatewayLimits(settings.retry_ratio, settings.retry_slack, settings.retry_window_s)
         self.gateway_ = Gateway(
-            dialect, self.view_, self.placement_, self.pool_, limits, Metrics(settings.name)
+            dialect, self.view_, self.placement_, self.pool_, limits, self.metrics_
         )
         self.server_ = GatewayServer(self.gateway_, *settings.router.clients)
         self._readiness = None
@@ -87,6 +94,11 @@
         self.server_.start()
         application = make_readiness_application(self.readiness_path, self.is_ready)
         self._readiness = serve_application(self.settings.router.readiness, application)
+        self._page = serve_metrics(self.settings, self.metrics_)
+        self.metrics_.observe("requests_running", lambda: self.server_.busy_)
+        self.metrics_.observe("desired_version", lambda: self.view_.version)
+        self.metrics_.observe("controllers_heard", self.follower_.count_heard)
+        self.metrics_.observe("upstreams_usable", lambda: len(self.placement_.upstreams_))
         tasks = (self._report_loads, self._maintain, self._try_upstreams)
         self._tasks = [spawn_task(task) for task in tasks]
 
--- a/sassafrashook/daemons/_settings.py
+++ b/sassafrashook/daemons/_settings.py
@@ -35,6 +35,7 @@
     :param retry_window_s: length of the window.
     :param warmup_factor: a cold upstream takes this times what it bears in a second ...
     :param warmup_tolerance: ... and this many requests more, over the fleet.
+    :param metrics: pair of host and port of the page of metrics, ``None`` if it is not served.
     """
 
     name: str
@@ -53,3 +54,4 @@
     retry_window_s: float
     warmup_factor: float
     warmup_tolerance: float
+    metrics: tuple | None = None
--- a/sassafrashook/fleet/_follower.py
+++ b/sassafrashook/fleet/_follower.py
@@ -160,6 +160,11 @@
     def _is_heard(self, name, now):
         return now < self._heard_at.get(name, float("-inf")) + HEARD_S
 
+    def count_heard(self):
+        """Return how many controllers are connected."""
+        now = time.monotonic()
+        return sum(self._is_heard(name, now) for name in self.controllers_)
+
     def nearest(self):
         """Return the controller that loads are told to, or ``None`` if none is connected."""
         now = time.monotonic()
--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -182,6 +182,7 @@
         """Pass whole events on as they arrive."""
         client = self.client
         if not client.has_started():
+            self._record("first_event_ms", "started", self._elapsed_ms())
             client.start_response(head.status, drop_hop_by_hop(head.headers, OWN_LENGTH))
         events = self._events
         while (data := attempt.read_data()) is not None:
@@ -201,7 +202,10 @@
         if reason is None and has_arrived and not self.gateway.spend_retry(self.service.name):
             reason = "retry_budget"
         if reason is not None:
-            self._log("not_retried", upstream.entry.upstream_id, reason)
+            log_event(
+                "request_not_retried", request=self.facts.request_id, reason=reason,
+                upstream=upstream.entry.upstream_id, runs=self.runs, verdict=self.verdict,
+            )  # fmt: skip
             return False
         self._events.take_rest()
         if self._events.last_id_ is not None:
@@ -267,10 +271,18 @@
         self._log("refused", "-", f"{status}:{reason}")
         self.client.send_response(status, [TEXT, *fields], f"{reason}\n".encode())
 
+    def _elapsed_ms(self):
+        return (time.monotonic() - self.started) * 1_000
+
+    def _record(self, metric, outcome, duration_ms):
+        self.gateway.metrics.record(metric, self.route.repeatability, outcome, duration_ms)
+
     def _log(self, outcome, upstream, detail):
+        elapsed_ms = self._elapsed_ms()
+        self._record("request_ms", outcome, elapsed_ms)
         log_event(
             "request_ended", request=self.facts.request_id, route=self.route.name,
             service=self.service.name, upstream=upstream, outcome=outcome, detail=detail,
             verdict=self.verdict, runs=self.runs, version=self.table.version,
-            ms=round((time.monotonic() - self.started) * 1_000),
+            ms=round(elapsed_ms),
         )  # fmt: skip
--- a/sassafrashook/operations/_process.py
+++ b/sassafrashook/operations/_process.py
@@ -191,7 +191,15 @@
     :returns: exit code for the shell.
     """
     configure_loop()
-    configure_logs(settings.log_level)
+    sink = configure_logs(settings.log_level)
+    sink.start()
+    try:
+        return _run_process(settings, make_role)
+    finally:
+        sink.flush()
+
+
+def _run_process(settings, make_role):
     stopping = Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, _ask_to_stop, stopping)
--- a/sassafrashook/platform/_settings.py
+++ b/sassafrashook/platform/_settings.py
@@ -6,6 +6,7 @@
 from sassafrashook.daemons import NodeSettings, RouterEndpoints
 
 DEFAULT_HEARTBEAT_MS = 1_000
+METRICS_PORT = 9464  # the one in deploy/system.toml; the settings file names none
 
 
 class _Addresses(msgspec.Struct, frozen=True):
@@ -87,6 +88,7 @@
         retry_window_s=bounds.budget_window_s,
         warmup_factor=bounds.warmup_factor,
         warmup_tolerance=bounds.warmup_tolerance,
+        metrics=(node.ip, METRICS_PORT),
     )
 
 
--- a/sassafrashook/telemetry/_logs.py
+++ b/sassafrashook/telemetry/_logs.py
@@ -5,6 +5,8 @@
 
 from absl import flags, logging
 
+from sassafrashook.telemetry._sink import LogSink
+
 PLAIN_CHARACTERS = frozenset(
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._:/@+,-[]*"
 )
@@ -42,16 +44,34 @@
     return json.dumps(text)
 
 
+class SinkHandler(standard_logging.Handler):
+    """Hands formatted records to a sink.
+
+    :param sink: a :class:`LogSink`.
+    """
+
+    def __init__(self, sink):
+        super().__init__()
+        self.sink = sink
+        self.setFormatter(KeyValueFormatter())
+
+    def emit(self, record):
+        """Write one record."""
+        is_urgent = record.levelno >= standard_logging.WARNING
+        self.sink.put(self.format(record), is_urgent)
+
+
 def configure_logs(level="info"):
-    """Send log lines to the standard error stream.
+    """Send log lines to standard output.
 
     :param level: ``debug``, ``info``, ``warning`` or ``error``.
+    :returns: the :class:`LogSink`; once it is started, lines are written by a task.
     """
     flags.FLAGS.mark_as_parsed()
-    flags.FLAGS.logtostderr = True
     logging.set_verbosity(level)
-    logging.use_absl_handler()
-    logging.get_absl_handler().setFormatter(KeyValueFormatter())
+    sink = LogSink()
+    standard_logging.getLogger().handlers = [SinkHandler(sink)]
+    return sink
 
 
 def log_event(event, *, level="info", **pairs):
