--- /dev/null
+++ b/sassafrashook/fleet/tests/test_publisher.py
@@ -0,0 +1,103 @@
+"""What followers are sent, and the state that the controllers agree on."""
+
+import itertools
+
+from sassafrashook.fleet import FleetState, FleetView, Publisher
+from sassafrashook.fleet._loads import LoadBoard
+from sassafrashook.fleet._messages import ViewChanged, ViewRequested
+from sassafrashook.fleet._publisher import KEEPALIVE_S, RESEND_S, ROUTER_MEMORY_S, Position
+from sassafrashook.fleet._state import (
+    PutDesiredState,
+    SetEvacuation,
+    decode_outcome,
+    encode_command,
+)
+from sassafrashook.registry import Registry
+
+
+def request(boot="b", revision=0, version=0, evacuation=0, is_router=True):
+    return ViewRequested(is_router, boot, revision, version, evacuation)
+
+
+def test_a_change_is_sent_once_and_again_until_it_is_acknowledged():
+    publisher = Publisher("b")
+    publisher.note_request("r1", request(revision=3), 0.0)
+    current = Position(4, 0, 0)
+    assert [name for name, _ in publisher.list_due(current, 0.1)] == ["r1"]
+    assert publisher.list_due(current, 0.2) == []
+    assert [name for name, _ in publisher.list_due(current, 0.2 + RESEND_S)] == ["r1"]
+    publisher.note_request("r1", request(revision=4), 0.7)
+    assert publisher.list_due(current, 0.8) == []
+
+
+def test_a_follower_hears_regularly():
+    publisher = Publisher("b")
+    publisher.note_request("r1", request(revision=4), 0.0)
+    current = Position(4, 0, 0)
+    assert publisher.list_due(current, 0.0)
+    assert not publisher.list_due(current, KEEPALIVE_S / 2)
+    assert publisher.list_due(current, KEEPALIVE_S)
+
+
+def test_revisions_of_an_earlier_start_do_not_count():
+    publisher = Publisher("b")
+    publisher.note_request("r1", request(boot="earlier", revision=900), 0.0)
+    ((_, held),) = publisher.list_due(Position(4, 0, 0), 0.0)
+    assert held.revision == -1
+    assert not publisher.has_reached("r1", 1)
+
+
+def test_followers_that_ask_no_more_are_sent_nothing():
+    publisher = Publisher("b")
+    publisher.note_request("r1", request(), 0.0)
+    assert publisher.list_due(Position(1, 0, 0), 10.0) == []
+    assert publisher.list_routers(ROUTER_MEMORY_S - 1) == ["r1"]
+    assert publisher.list_routers(ROUTER_MEMORY_S) == []
+
+
+def test_the_highest_version_is_in_force_in_any_order():
+    commands = [encode_command(PutDesiredState(v, b"%d" % v, b"x")) for v in (3, 7, 5)]
+    for order in itertools.permutations(commands):
+        state = FleetState()
+        for index, command in enumerate(order, 1):
+            state.apply(index, command)
+        assert (state.version_, state.document_) == (7, b"7")
+
+
+def test_other_content_under_a_held_version_changes_nothing():
+    state = FleetState()
+    state.apply(1, encode_command(PutDesiredState(7, b"first", b"x")))
+    reply = state.apply(2, encode_command(PutDesiredState(7, b"second", b"y")))
+    assert not decode_outcome(reply).changed
+    assert state.document_ == b"first"
+
+
+def test_the_state_survives_a_snapshot():
+    state, other = FleetState(), FleetState()
+    state.apply(1, encode_command(PutDesiredState(7, b"document", b"x")))
+    state.apply(2, encode_command(SetEvacuation("z1", True)))
+    state.apply(3, encode_command(SetEvacuation("z1", True)))
+    other.restore(state.save())
+    assert other.save() == state.save()
+    assert (other.version_, other.evacuated_, other.evacuation_index_) == (7, {"z1"}, 2)
+
+
+def change(index, zones):
+    return ViewChanged("b", 1, [], [], [], index, zones)
+
+
+def test_an_older_word_on_evacuations_changes_nothing():
+    view = FleetView(Registry(10.0))
+    assert view.take(change(5, ["z1"]), 0.0) == frozenset()
+    assert view.take(change(9, []), 0.0) == {"z1"}
+    assert view.take(change(5, ["z1"]), 0.0) == frozenset()
+    assert view.evacuated_ == frozenset()
+
+
+def test_loads_of_a_silent_router_are_forgotten():
+    board = LoadBoard()
+    board.note_router("r1", {"a": 2}, 0.0)
+    board.note_router("r2", {"a": 3}, 1.0)
+    board.note_controller("c2", {"a": 4}, 1.0)
+    assert board.list_others("r2", 1.2) == {"a": 6}
+    assert board.list_others("r2", 2.0) == {"a": 4}
--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -151,6 +151,8 @@
             self._attempt = None
             attempt.close()
         upstream.note_outcome(True)
+        self.runs += 1
+        self.verdict = Verdict.RAN
         self._log("answered", upstream.entry.upstream_id, head.status)
         return None
 
--- a/sassafrashook/gateway/tests/stand_ins.py
+++ b/sassafrashook/gateway/tests/stand_ins.py
@@ -259,9 +259,11 @@
 def wait_for(condition, timeout_s=TIMEOUT_S):
     """Wait until a condition holds; :returns: whether it does."""
     deadline = time.monotonic() + timeout_s
-    while not condition() and time.monotonic() < deadline:
+    while time.monotonic() < deadline:
+        if condition():
+            return True
         gevent.sleep(0.01)
-    return condition()
+    return False
 
 
 def reset(sock):
