--- a/sassafrashook/gateway/_attempt.py
+++ b/sassafrashook/gateway/_attempt.py
@@ -20,6 +20,7 @@
     REFUSED = "refused"
     BROKEN = "broken"
     TIMEOUT = "timeout"
+    SILENT = "silent"
     UNSIGNED = "unsigned"
     FAILED = "failed"
     CLIENT_GONE = "client_gone"
@@ -132,12 +133,29 @@
             raise self._fail(FailureKind.BROKEN, str(error)) from error
 
     def _read_head(self):
-        try:
-            return self.connection_.read_head(self._is_awaited, self.request.deadline)
-        except IncompleteError as error:
-            raise self._fail(FailureKind.BROKEN, str(error)) from error
-        except TimeoutError as error:
-            raise self._fail(FailureKind.TIMEOUT, str(error)) from error
+        return self._wait(
+            lambda until: self.connection_.read_head(self._is_awaited, until),
+            self.request.head_patience_s,
+        )
+
+    def _wait(self, read, patience_s):
+        """Read with the request's deadline; sooner, where the request may go on elsewhere.
+
+        :param read: called with the time until which it may wait, monotonic seconds.
+        :param patience_s: silence after which another upstream is worth a retry.
+        """
+        until = min(self.request.deadline, time.monotonic() + patience_s)
+        while True:
+            try:
+                return read(until)
+            except IncompleteError as error:
+                raise self._fail(FailureKind.BROKEN, str(error)) from error
+            except TimeoutError as error:
+                if until >= self.request.deadline:
+                    raise self._fail(FailureKind.TIMEOUT, str(error)) from error
+                if self.request.may_leave():
+                    raise self._fail(FailureKind.SILENT, f"silent for {patience_s} s") from error
+                until = self.request.deadline
 
     def _is_awaited(self, head):
         answered = self.request.gateway.dialect.read_answer(head).request_id
@@ -148,14 +166,9 @@
 
         :raises AttemptError: if it ended early or not in time.
         """
-        try:
-            data = self.connection_.read_data(self.request.deadline)
-            self.upstream.heard_at_ = time.monotonic()
-            return data
-        except IncompleteError as error:
-            raise self._fail(FailureKind.BROKEN, str(error)) from error
-        except TimeoutError as error:
-            raise self._fail(FailureKind.TIMEOUT, str(error)) from error
+        data = self._wait(self.connection_.read_data, self.request.data_patience_s)
+        self.upstream.heard_at_ = time.monotonic()
+        return data
 
     def read_whole(self):
         """Read the whole body; see :meth:`read_data`."""
@@ -168,7 +181,7 @@
         """Close the connection, which stops the upstream's work, and return the error."""
         if self.request.client.gone_:
             kind = FailureKind.CLIENT_GONE
-        elif kind is FailureKind.BROKEN and not self.is_reused_:
+        elif kind is FailureKind.SILENT or (kind is FailureKind.BROKEN and not self.is_reused_):
             self.upstream.note_broken()
         self.close()
         return AttemptError(kind, Verdict.MAY_HAVE_RUN, detail)
--- a/sassafrashook/gateway/_gateway.py
+++ b/sassafrashook/gateway/_gateway.py
@@ -63,6 +63,11 @@
         """Count a client's request towards its service's retry budget."""
         self._budget(service).note_request(time.monotonic())
 
+    def has_retry(self, service):
+        """Return whether :meth:`spend_retry` would succeed."""
+        budget, now = self._budget(service), time.monotonic()
+        return len(budget.retries_) < budget.allowed(len(self.view.routers_) or 1, now)
+
     def spend_retry(self, service):
         """Take one retry from a service's budget; :returns: whether there was one."""
         routers = len(self.view.routers_) or 1
--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -16,6 +16,9 @@
 MAX_UNREACHABLE = 4  # upstreams tried without a byte sent
 MAX_REFUSED = 2  # upstreams that refused it before it is given up
 FALLBACK_DEADLINE_MS = 30_000  # for requests that state none, under their route's timeout
+HEAD_PATIENCE = 0.8  # of the route's target; a retry after it may still be on time
+DATA_PATIENCE = 2.0  # of the route's longest pause; clients leave after eight
+MIN_PATIENCE_S = 0.15
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
 STATUS_TIMEOUT = 504
@@ -25,6 +28,7 @@
     FailureKind.UNREACHABLE: RetryReason.CONNECT_FAILED,
     FailureKind.REFUSED: RetryReason.UPSTREAM_BUSY,
     FailureKind.BROKEN: RetryReason.STREAM_CUT,
+    FailureKind.SILENT: RetryReason.STREAM_SILENT,
     FailureKind.TIMEOUT: RetryReason.STREAM_SILENT,
     FailureKind.UNSIGNED: RetryReason.STREAM_CUT,
     FailureKind.FAILED: RetryReason.UPSTREAM_FAILED,
@@ -57,6 +61,8 @@
         self.service = self.table.pick_service(route, facts.request_id)
         wait_ms = facts.deadline_ms if facts.deadline_ms is not None else FALLBACK_DEADLINE_MS
         self.deadline = started + min(wait_ms, route.timeout_ms) / 1_000
+        self.head_patience_s = _find_patience_s(HEAD_PATIENCE, route.target_ms)
+        self.data_patience_s = _find_patience_s(DATA_PATIENCE, route.pause_target_ms)
         self.priority = self._find_priority()
         self.last_event_id = facts.last_event_id
         self.tried = set()
@@ -96,6 +102,14 @@
             attempt.connection_.abort()
         return attempt.connection_ is not None
 
+    def may_leave(self):
+        """Return whether the attempt may be ended for another one while its upstream is silent."""
+        return (
+            self.route.is_idempotent
+            and self.runs + 1 < self.route.max_upstreams
+            and self.gateway.has_retry(self.service.name)
+        )
+
     def _cancel(self):
         """The client left: stop the upstream's work."""
         attempt = self._attempt
@@ -288,3 +302,10 @@
             verdict=self.verdict, runs=self.runs, version=self.table.version,
             ms=round(elapsed_ms),
         )  # fmt: skip
+
+
+def _find_patience_s(factor, target_ms):
+    """Return how long an upstream may be silent, seconds; without a target there is no bound."""
+    if target_ms <= 0:
+        return float("inf")
+    return max(MIN_PATIENCE_S, factor * target_ms / 1_000)
--- a/sassafrashook/gateway/tests/test_forwarding.py
+++ b/sassafrashook/gateway/tests/test_forwarding.py
@@ -367,3 +367,52 @@
     assert wait_for(lambda: harness.upstreams[0].requests)
     assert harness.gateway.interrupt(harness.placement.upstreams_["u0"]) == 0
     assert asked.get(timeout=1)[0] == 200
+
+
+def hang_once():
+    """Return a script that answers nothing to the first request of all that share it."""
+    seen = []
+
+    def run(upstream, sock, head, body):
+        seen.append(upstream.name)
+        if len(seen) == 1:
+            return bool(sock.recv(1))
+        return answer(upstream, sock, head, body)
+
+    return run
+
+
+def test_what_may_repeat_leaves_a_silent_upstream_in_time(start):
+    script = hang_once()
+    harness = start(script, script)
+    with gevent.Timeout(0.4):
+        assert harness.ask("/counts/7", method="GET")[0] == 200
+
+
+def test_what_runs_once_waits_for_a_silent_upstream(start):
+    script = hang_once()
+    harness = start(script, script, state=make_state(timeout_ms=500.0))
+    assert harness.ask("/orders/7")[0] == 504
+    assert harness.count_requests() == 1
+
+
+def test_without_a_retry_left_a_silent_upstream_is_waited_for(start):
+    def slow(upstream, sock, head, body):
+        gevent.sleep(0.4)
+        return answer(upstream, sock, head, body)
+
+    harness = start(slow, slow, state=make_state(max_upstreams=1))
+    assert harness.ask("/counts/7", method="GET")[0] == 200
+    assert harness.count_requests() == 1
+
+
+def test_a_stream_that_stalls_goes_on_elsewhere(start):
+    pauses = iter([5.0, 0.0])
+
+    def run(upstream, sock, head, body):
+        return stream(last=4, pause_s=next(pauses))(upstream, sock, head, body)
+
+    harness = start(run, run)
+    with gevent.Timeout(1.5):
+        _, _, body, rest = harness.ask("/summaries/7")
+    assert (body, rest) == (b"".join(map(make_event, range(1, 5))), b"")
