--- a/sassafrashook/placement/_placement.py
+++ b/sassafrashook/placement/_placement.py
@@ -220,7 +220,8 @@
             return sorted(room, key=lambda s: self._rank_plain(s, loads[s.key]))
         mean = sum(loads.values()) / len(candidates)
         bound = self.load_factor * mean + self.load_slack
-        room.sort(key=lambda s: self._rank_session(query.session, s))
+        held = set(self._holders.find(query.session, now))
+        room.sort(key=lambda s: (s.key not in held, self._rank_session(query.session, s)))
         within = [s for s in room if loads[s.key] + 1 <= bound]
         beyond = sorted((s for s in room if loads[s.key] + 1 > bound), key=lambda s: loads[s.key])
         return within + beyond
