--- a/sassafrashook/gateway/_dialect.py
+++ b/sassafrashook/gateway/_dialect.py
@@ -31,7 +31,6 @@
     deadline_ms: float | None
     key: str | None
     parts: tuple = ()
-    output_tokens: int = 0
     last_event_id: str | None = None
 
 
--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -8,7 +8,7 @@
 from sassafrashook.gateway._events import EventSplitter
 from sassafrashook.http1 import drop_hop_by_hop
 from sassafrashook.outcomes import RefusalReason, RetryReason, Verdict
-from sassafrashook.placement import PlacementQuery
+from sassafrashook.placement import BUSY_RETRY_MS, PlacementQuery
 from sassafrashook.routes import Repeatability
 from sassafrashook.telemetry import log_event
 from sassafrashook.utils import hash_key
@@ -261,16 +261,14 @@
             self._send_whole(error.answer.head, error.answer.body)
             return
         if self.verdict is Verdict.NOT_RUN:
-            self._refuse(RefusalReason.NO_CAPACITY, self._draw_retry_ms())
+            retry_ms = round(self.gateway.placement.rng.uniform(*BUSY_RETRY_MS))
+            self._refuse(RefusalReason.NO_CAPACITY, retry_ms)
             return
         late = error.kind is FailureKind.TIMEOUT
         status = STATUS_TIMEOUT if late else STATUS_BAD_GATEWAY
         reason = RefusalReason.UPSTREAM_SILENT if late else RefusalReason.UPSTREAM_BROKE
         self._send_own(status, reason, ())
 
-    def _draw_retry_ms(self):
-        return round(self.gateway.placement.rng.uniform(150, 500))
-
     def _refuse(self, reason, retry_after_ms):
         """Give the request up; 503 is a promise that it has not run, so it needs that verdict."""
         if self.client.has_started():
--- a/sassafrashook/gateway/tests/stand_ins.py
+++ b/sassafrashook/gateway/tests/stand_ins.py
@@ -190,7 +190,7 @@
         )  # fmt: skip
         for prefix, kind in KINDS.items()
     ]
-    services = [Service("service", "/healthz", 100, 0.0, 0.0)]
+    services = [Service("service", 0.0)]
     limits = ClientLimits(16_384, max_body_bytes, 1_000, 2_000)
     return DesiredState(version, routes, services, limits, [Account(ACCOUNT, [KEY])])
 
--- a/sassafrashook/http1/_server.py
+++ b/sassafrashook/http1/_server.py
@@ -15,7 +15,7 @@
 MAX_PENDING_BYTES = 262_144  # received and not parsed; the reader pauses beyond this
 LINGER_S = 1.0  # how long unread bytes are discarded so that the last answer is not reset
 LINGER_BYTES = 8 * 1024 * 1024
-POLL_S = 0.05
+IDLE_POLL_S = 0.25  # how late an idle connection notices that the server stops
 TIMEOUT_STATUS = 408
 TOO_LARGE_STATUS = 413
 HEADERS_TOO_LARGE_STATUS = 431
@@ -104,7 +104,7 @@
                 return False
             self._arrived.clear()
             if not self._pending and not self.gone_:
-                self._arrived.wait(min(left, POLL_S * 5))
+                self._arrived.wait(min(left, IDLE_POLL_S))
         return True
 
     def read_head(self, deadline):
--- a/sassafrashook/http1/_upstream.py
+++ b/sassafrashook/http1/_upstream.py
@@ -18,6 +18,8 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 UNACKNOWLEDGED_MS = 1_000  # data that the peer's host does not acknowledge ends the connection
+IDLE_SHARE = 0.75  # of the stated time, for its end is rounded and measured by another clock
+IDLE_MARGIN_S = 0.25  # for the request's way
 DEFAULT_IDLE_S = 0.8  # an upstream that states no time may close at any whole second
 
 
@@ -218,5 +220,5 @@
     for part in text.split(","):
         name, _, value = part.strip().partition("=")
         if name.lower() == "timeout" and value.strip().isdigit():
-            return max(0.0, int(value) * 0.75 - 0.25)  # leaves time for the request's way
+            return max(0.0, int(value) * IDLE_SHARE - IDLE_MARGIN_S)
     return DEFAULT_IDLE_S
--- a/sassafrashook/placement/_placement.py
+++ b/sassafrashook/placement/_placement.py
@@ -12,9 +12,12 @@
 from sassafrashook.utils import Interval, hash_key
 
 DISTRUSTED_PER_S = 1.0  # requests a second of one router that a possibly restarted upstream gets
+MASK_64 = 2**64 - 1
+FIRST_MULTIPLIER = 0x9E3779B97F4A7C15  # odd 64-bit constants of common integer mixers
+SECOND_MULTIPLIER = 0xD6E8FEB86659FD93
 LOADS_VALID_S = 1.0  # of the loads that other routers told; five rounds of reports
-BUSY_RETRY_MS = (150, 500)
-ABSENT_RETRY_MS = (300, 900)
+BUSY_RETRY_MS = (150, 500)  # a few answers of short calls; spread, so that not all return at once
+ABSENT_RETRY_MS = (300, 900)  # a heartbeat or a trial connection may bring one back
 PLAIN_QUEUE_FACTOR = 3.0  # short calls may wait at an upstream for two rounds of its slots
 
 
@@ -264,7 +267,7 @@
     :param session: 64-bit number of the session.
     :param upstream: 64-bit number of the upstream.
     """
-    mixed = (session ^ upstream) * 0x9E3779B97F4A7C15 & 0xFFFFFFFFFFFFFFFF
+    mixed = (session ^ upstream) * FIRST_MULTIPLIER & MASK_64
     mixed ^= mixed >> 32
-    mixed = mixed * 0xD6E8FEB86659FD93 & 0xFFFFFFFFFFFFFFFF
+    mixed = mixed * SECOND_MULTIPLIER & MASK_64
     return mixed ^ (mixed >> 32)
--- a/sassafrashook/placement/tests/test_placement.py
+++ b/sassafrashook/placement/tests/test_placement.py
@@ -10,7 +10,7 @@
 from sassafrashook.registry import Registration, RegistrationState
 from sassafrashook.routes import Service
 
-SERVICE = Service("advisor", "/healthz", 100, 3.0, 12.0)
+SERVICE = Service("advisor", 12.0)
 NAMES = [f"u{number}" for number in range(9)]
 ROUTERS = [f"r{number}" for number in range(7)]
 
--- a/sassafrashook/platform/_desired_state.py
+++ b/sassafrashook/platform/_desired_state.py
@@ -42,15 +42,11 @@
 class _Engine(msgspec.Struct, frozen=True):
     """``engine_id`` holds no id but the limits of a service's model engines."""
 
-    kv_capacity_tokens: int = 0
     slots: int = 0
 
 
 class _Service(msgspec.Struct, frozen=True):
     name: str
-    health_path: str = "/healthz"
-    max_connections: int = 0
-    warmup_s: float = 0.0
     warmup_per_s: float = 0.0
     engine_id: _Engine | None = None
 
@@ -135,7 +131,4 @@
 
 def _convert_service(service):
     engine = service.engine_id or _Engine()
-    return Service(
-        service.name, service.health_path, service.max_connections, service.warmup_s,
-        service.warmup_per_s, engine.kv_capacity_tokens, engine.slots,
-    )  # fmt: skip
+    return Service(service.name, service.warmup_per_s, engine.slots)
--- a/sassafrashook/platform/_dialect.py
+++ b/sassafrashook/platform/_dialect.py
@@ -14,8 +14,6 @@
 # Running requests, waiting requests and slots.
 INSTANCE_LOAD = b"x-sassafrashook-instance-load"
 REQUEST_PRIORITY = b"x-sassafrashook-request-priority"
-# Tokens of the prompt and the most tokens of the answer.
-TOKEN_COUNTS = b"x-sassafrashook-token-counts"
 # The parts of the prompt in order, ID:TOKENS each; no hash of the whole.
 PREFIX_HASH = b"x-sassafrashook-prefix-hash"
 LAST_EVENT_ID = b"last-event-id"
@@ -44,13 +42,11 @@
 
     def read_request(self, headers):
         """Return the :class:`~sassafrashook.gateway.RequestFacts` of a client's headers."""
-        counts = _read_numbers(headers.get(TOKEN_COUNTS, ""))
         return RequestFacts(
             headers.get(ATTEMPT_ID, ""),
             _read_positive(headers.get(DEADLINE)),
             headers.get(CREDENTIAL),
             _read_parts(headers.get(PREFIX_HASH, "")),
-            counts[1] if len(counts) > 1 else 0,
             headers.get(LAST_EVENT_ID),
         )
 
--- a/sassafrashook/platform/tests/documents.py
+++ b/sassafrashook/platform/tests/documents.py
@@ -34,7 +34,8 @@
 
 def make_beat(address="10.0.0.9:8080", service="s1", sequence=4, state="ready", born=1_000):
     return {"service": service, "address": address, "zone": "z", "version": "v1",
-            "slots": 8, "state": state, "warmup_remaining_ms": 0, "sequence": sequence, "born": born}  # fmt: skip
+            "slots": 8, "state": state, "warmup_remaining_ms": 0, "sequence": sequence,
+            "born": born}  # fmt: skip
 
 
 def make_node(role, ip=None, data_dir=None, bootstrap=True):
--- a/sassafrashook/platform/tests/test_decoding.py
+++ b/sassafrashook/platform/tests/test_decoding.py
@@ -133,11 +133,10 @@
     fields = [
         (b"X-Sassafrashook-Attempt-Id", b"a1"),
         (b"X-Sassafrashook-Deadline-Ms", b"1500"),
-        (b"X-Sassafrashook-Token-Counts", b"1460,80"),
         (b"X-Sassafrashook-Prefix-Hash", b"5c1e:800, 91bd:410,e440:250"),
     ]
     facts = PlatformDialect().read_request(Headers(fields))
-    assert (facts.request_id, facts.deadline_ms, facts.output_tokens) == ("a1", 1500.0, 80)
+    assert (facts.request_id, facts.deadline_ms) == ("a1", 1500.0)
     assert facts.parts[1] == PromptPart("91bd", 410)
 
 
--- a/sassafrashook/routes/_desired.py
+++ b/sassafrashook/routes/_desired.py
@@ -65,20 +65,12 @@
 class Service(msgspec.Struct, frozen=True, array_like=True):
     """Upstreams that do the same.
 
-    :param health_path: path of the health check.
-    :param max_connections: connections that one upstream accepts from all callers together.
-    :param cold_s: how long an upstream stays cold after its start, 0 if it never is.
-    :param cold_per_s: requests a second that a cold upstream bears.
-    :param cache_tokens: tokens that an upstream's memory holds, 0 if it holds no prompts.
+    :param cold_per_s: requests a second that a cold upstream bears, 0 if it bears any number.
     :param slots: requests that run at once, 0 if each upstream tells.
     """
 
     name: str
-    health_path: str
-    max_connections: int
-    cold_s: float
     cold_per_s: float
-    cache_tokens: int = 0
     slots: int = 0
 
 
--- a/sassafrashook/routes/_table.py
+++ b/sassafrashook/routes/_table.py
@@ -13,7 +13,7 @@
     >>> route = Route("plans", "a.example", "/plans/", Repeatability.STREAM,
     ...     [WeightedService("advisor", 1)], 1000, 100, 0, 1, 0, True, True)
     >>> limits = ClientLimits(16_384, 1_024, 3_000, 15_000)
-    >>> services = [Service("advisor", "/healthz", 96, 0, 0)]
+    >>> services = [Service("advisor", 0)]
     >>> table = RouteTable(DesiredState(7, [route], services, limits, None))
     >>> table.match("a.example", "/plans/3").name
     'plans'
