--- a/sassafrashook/consensus/_replica.py
+++ b/sassafrashook/consensus/_replica.py
@@ -23,6 +23,7 @@
     HEARTBEAT_MS,
     NO_LOSSES,
     SNAPSHOT_ENTRIES,
+    TRAILING_ENTRIES,
     ReplicaCore,
 )
 from sassafrashook.consensus._loop import MAX_QUEUED_INPUTS, LoopMixin
@@ -83,6 +84,7 @@
     :param election_max_ms: longest time until a silent leader is challenged.
     :param drift_fraction: bound on how much faster or slower a clock may run.
     :param snapshot_entries: a snapshot is taken after this many committed entries.
+    :param trailing_entries: entries kept behind a snapshot for members that lag.
     :param tolerated_losses: disks that may be lost at once; see :class:`ReplicaCore`.
     :param manages_members: whether the leader admits and removes members by itself.
     :param file_system: a :class:`~sassafrashook.storage.FileSystem`.
@@ -136,6 +138,7 @@
         election_max_ms=ELECTION_MAX_MS,
         drift_fraction=DRIFT_FRACTION,
         snapshot_entries=SNAPSHOT_ENTRIES,
+        trailing_entries=TRAILING_ENTRIES,
         tolerated_losses=NO_LOSSES,
         manages_members=False,
         file_system=None,
@@ -155,6 +158,7 @@
         self.election_max_ms = election_max_ms
         self.drift_fraction = drift_fraction
         self.snapshot_entries = snapshot_entries
+        self.trailing_entries = trailing_entries
         self.tolerated_losses = tolerated_losses
         self.manages_members = manages_members
         self.file_system = file_system
@@ -201,6 +205,7 @@
             election_max_ms=self.election_max_ms,
             drift_fraction=self.drift_fraction,
             snapshot_entries=self.snapshot_entries,
+            trailing_entries=self.trailing_entries,
             tolerated_losses=self.tolerated_losses,
             manages_members=self.manages_members,
         )
--- a/sassafrashook/consensus/tests/test_replica.py
+++ b/sassafrashook/consensus/tests/test_replica.py
@@ -295,6 +295,15 @@
     assert len(group.settle()) == 1
 
 
+def test_a_new_member_gets_a_snapshot_and_not_the_entries_before_it(make_group):
+    group = make_group(snapshot_entries=1, trailing_entries=2)
+    for number in range(30):
+        group.propose(b"%d" % number)
+    group.settle()
+    leader = group.find_leader()
+    wait_for(lambda: leader.core_.log_.base_index >= leader.core_.log_.last_index - 3)
+
+
 def test_frozen_leader_checks_its_lease_with_the_present_time(make_group):
     skipped = [0.0]
     group = make_group(("a",), clock=lambda: time.monotonic() + skipped[0])
--- a/sassafrashook/daemons/_controller.py
+++ b/sassafrashook/daemons/_controller.py
@@ -19,6 +19,7 @@
 ELECTION_MAX_MS = 960
 SNAPSHOT_ENTRIES = 1  # the state is one document; a restarted controller has it before an election
 FULL_RETRY_S = 0.3
+TRAILING_ENTRIES = 2  # each holds a whole document, so a snapshot is smaller than more of them
 TRANSFER_S = 1.0
 ANSWERS_S = 0.3  # time for answers that are under way
 FLUSH_MS = 200
@@ -57,6 +58,7 @@
             election_min_ms=ELECTION_MIN_MS,
             election_max_ms=ELECTION_MAX_MS,
             snapshot_entries=SNAPSHOT_ENTRIES,
+            trailing_entries=TRAILING_ENTRIES,
             tolerated_losses=settings.tolerated_losses,
             manages_members=True,
             on_failure=self._fail,
--- a/sassafrashook/fleet/_controller.py
+++ b/sassafrashook/fleet/_controller.py
@@ -194,7 +194,7 @@
         while True:
             gevent.sleep(LOADS_S)
             now = time.monotonic()
-            others = self._member_names() - {self.name}
+            others = self.publisher_.list_controllers(now, CONTACT_S)
             own = self.loads_.sum_own(now)
             beats = []
             if now >= shared_at + HEARTBEATS_S:
--- a/sassafrashook/fleet/_publisher.py
+++ b/sassafrashook/fleet/_publisher.py
@@ -86,6 +86,11 @@
         """Return the names of the followers heard within a time."""
         return {n for n, f in self.followers_.items() if now < f.heard_at + within_s}
 
+    def list_controllers(self, now, within_s):
+        """Return the names of the controllers heard within a time, members or not."""
+        heard = self.list_heard(now, within_s)
+        return sorted(name for name in heard if not self.followers_[name].is_router)
+
     def list_routers(self, now):
         """Return the names of the routers, those that are away for a moment too."""
         for name, follower in list(self.followers_.items()):
--- a/sassafrashook/fleet/tests/test_publisher.py
+++ b/sassafrashook/fleet/tests/test_publisher.py
@@ -55,6 +55,14 @@
     assert publisher.list_routers(ROUTER_MEMORY_S) == []
 
 
+def test_controllers_that_are_no_members_yet_count_as_controllers():
+    publisher = Publisher("b")
+    publisher.note_request("r1", request(), 0.0)
+    publisher.note_request("c2", request(is_router=False), 0.0)
+    assert publisher.list_controllers(0.5, 1.5) == ["c2"]
+    assert publisher.list_controllers(2.0, 1.5) == []
+
+
 def test_the_highest_version_is_in_force_in_any_order():
     commands = [encode_command(PutDesiredState(v, b"%d" % v, b"x")) for v in (3, 7, 5)]
     for order in itertools.permutations(commands):
