--- a/sassafrashook/consensus/_loop.py
+++ b/sassafrashook/consensus/_loop.py
@@ -85,6 +85,7 @@
         for action in actions:
             self._performers[type(action)](self, action)
             changed = changed or isinstance(action, (Apply, Restore, RoleChanged))
+        self._log_members()
         if changed:
             self._answer_reads()
             for callback in self._callbacks:
@@ -136,6 +137,15 @@
             if waiter.offered and waiter.index <= self.applied_index_:
                 waiter.result.set(True)
 
+    def _log_members(self):
+        """Log the list of members when the leader has changed it."""
+        members = self.core_.configuration_
+        if members == self._known_members or self.core_.role_ is not Role.LEADER:
+            return
+        self._known_members = members
+        text = ",".join(f"{m.name}:{'voter' if m.voter else 'learner'}" for m in members)
+        logging.info("event=members_changed replica=%s members=%s", self.name, text)
+
     def _log_role(self, action):
         logging.info(
             "event=role_changed group=%s replica=%s role=%s term=%d leader=%s",
--- a/sassafrashook/consensus/_replica.py
+++ b/sassafrashook/consensus/_replica.py
@@ -178,6 +178,7 @@
         self._waiters = ProposalWaiters()
         self._reads = {}
         self._next_token = 0
+        self._known_members = ()
         self._folder = DataFolder(self.file_system or LocalFileSystem(), self.folder)
         self._folder.open()
         try:
--- a/sassafrashook/gateway/_attempt.py
+++ b/sassafrashook/gateway/_attempt.py
@@ -18,6 +18,7 @@
 
     UNREACHABLE = "unreachable"
     REFUSED = "refused"
+    MISDIRECTED = "misdirected"
     BROKEN = "broken"
     TIMEOUT = "timeout"
     SILENT = "silent"
@@ -84,7 +85,10 @@
             self.upstream.note_report(*facts.load, now)
         if facts.has_not_run:
             self._finish_quietly()
-            raise AttemptError(FailureKind.REFUSED, Verdict.NOT_RUN, f"status {self.head_.status}")
+            if facts.is_misdirected:
+                self.upstream.is_replaced_ = True
+            kind = FailureKind.MISDIRECTED if facts.is_misdirected else FailureKind.REFUSED
+            raise AttemptError(kind, Verdict.NOT_RUN, f"status {self.head_.status}")
         if self.head_.status >= 300:
             answer = Answer(self.head_, self.read_whole())
             self.finish()
--- a/sassafrashook/gateway/_dialect.py
+++ b/sassafrashook/gateway/_dialect.py
@@ -41,12 +41,14 @@
     :param request_id: the request that it answers, empty if it does not say.
     :param is_signed: whether it bears the upstream's digest.
     :param has_not_run: whether it states that the request did not run there.
+    :param is_misdirected: whether another boot than the one that was meant answered.
     :param load: pair of running and waiting requests, ``None`` if it does not say.
     """
 
     request_id: str
     is_signed: bool
     has_not_run: bool
+    is_misdirected: bool = False
     load: tuple | None = None
 
 
--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -27,6 +27,7 @@
 RETRY_REASONS = {
     FailureKind.UNREACHABLE: RetryReason.CONNECT_FAILED,
     FailureKind.REFUSED: RetryReason.UPSTREAM_BUSY,
+    FailureKind.MISDIRECTED: RetryReason.UPSTREAM_LEFT,
     FailureKind.BROKEN: RetryReason.STREAM_CUT,
     FailureKind.SILENT: RetryReason.STREAM_SILENT,
     FailureKind.TIMEOUT: RetryReason.STREAM_SILENT,
@@ -177,7 +178,7 @@
             self.runs += 1
             self.verdict = error.verdict
         self.unreachable += error.kind is FailureKind.UNREACHABLE
-        self.refused += error.kind is FailureKind.REFUSED
+        self.refused += error.kind in (FailureKind.REFUSED, FailureKind.MISDIRECTED)
         if error.kind is not FailureKind.CLIENT_GONE:
             log_event(
                 "attempt_failed", request=self.facts.request_id, route=self.route.name,
--- a/sassafrashook/gateway/tests/test_forwarding.py
+++ b/sassafrashook/gateway/tests/test_forwarding.py
@@ -416,3 +416,16 @@
     with gevent.Timeout(1.5):
         _, _, body, rest = harness.ask("/summaries/7")
     assert (body, rest) == (b"".join(map(make_event, range(1, 5))), b"")
+
+
+def test_another_boot_at_the_address_is_asked_once(start):
+    def misdirect(_upstream, sock, head, _body):
+        sock.sendall(encode_answer(head, b"", "421 Misdirected Request"))
+        return True
+
+    harness = start(misdirect, answer)
+    for number in range(6):
+        assert harness.ask("/orders/7", request_id=f"a{number}")[0] == 200
+    assert len(harness.upstreams[0].requests) <= 1
+    harness.register()
+    assert harness.placement.upstreams_["u0"].is_replaced_ == bool(harness.upstreams[0].requests)
--- a/sassafrashook/operations/_cli.py
+++ b/sassafrashook/operations/_cli.py
@@ -164,6 +164,22 @@
         sys.exit(run_controller(load_settings_or_exit(settings, ControllerSettings)))
 
 
+class PlatformCommands:
+    """Processes whose settings file is written by the users' platform."""
+
+    def run(self, role, settings=None):
+        """Run a process until it is told to stop.
+
+        :param role: ``router`` or ``controller``.
+        :param settings: path of the settings file; the platform's variable or place if left out.
+        """
+        from sassafrashook.platform.__main__ import ROLES, run_role
+
+        if role not in ROLES:
+            exit_with(ExitCode.USAGE, f"{role!r} is not one of: {', '.join(ROLES)}")
+        sys.exit(run_role(role, settings))
+
+
 class StatusCommand(OperatorCommands):
     """What each controller says of itself."""
 
@@ -195,6 +211,7 @@
             "config": ConfigCommands,
             "controller": ControllerCommands,
             "member": MemberCommands,
+            "platform": PlatformCommands,
             "router": RouterCommands,
             "status": StatusCommand,
             "upstream": UpstreamCommands,
--- a/sassafrashook/placement/_placement.py
+++ b/sassafrashook/placement/_placement.py
@@ -109,6 +109,7 @@
                 state = UpstreamState(entry, cold_until[name], now)
             elif entry.sequence > state.entry.sequence:
                 state.distrusted_ = False
+                state.is_replaced_ = False
             state.entry = entry
             state.cold_until = cold_until[name]
             self.upstreams_[name] = state
@@ -151,6 +152,7 @@
             for state in self._by_service.get(query.service.name, ())
             if state.entry.availability_zone not in self.evacuated_
             and state.key not in query.excluded
+            and not state.is_replaced_
         ]
         if not candidates:
             return Failure(self._refuse(RefusalReason.NO_UPSTREAM, ABSENT_RETRY_MS))
--- a/sassafrashook/placement/_upstreams.py
+++ b/sassafrashook/placement/_upstreams.py
@@ -21,6 +21,8 @@
     :ivar reported_: all that run and wait there, as its last answer told, and when it did.
     :ivar is_down_: whether the last connection could not be opened.
     :ivar needs_trial_: whether a connection broke that says nothing of the others.
+    :ivar is_replaced_: whether another boot answered at its address; it gets nothing until it is
+        heard of again.
     :ivar distrusted_: whether it failed in a way that a restart would explain, and has not been
         heard of since.
     """
@@ -40,6 +42,7 @@
         "heard_at_",
         "failing_",
         "distrusted_",
+        "is_replaced_",
         "presumed_cold_until_",
     )
 
@@ -58,6 +61,7 @@
         self.heard_at_ = float("-inf")
         self.failing_ = 0.0
         self.distrusted_ = False
+        self.is_replaced_ = False
         self.presumed_cold_until_ = float("-inf")
 
     @property
--- a/sassafrashook/platform/__main__.py
+++ b/sassafrashook/platform/__main__.py
@@ -31,13 +31,21 @@
 ROLES = {"router": make_router, "controller": make_controller}
 
 
+def run_role(role, path=None):
+    """Run a role; :returns: the exit code.
+
+    :param path: path of the settings file, ``None`` for where the platform puts it.
+    """
+    path = path or os.environ.get(SETTINGS_VARIABLE, SETTINGS_PATH)
+    return run_daemon(path, load_node_settings, ROLES[role])
+
+
 def main(arguments):
     """Run the role that the arguments name; :returns: the exit code."""
     if len(arguments) != 1 or arguments[0] not in ROLES:
         sys.stderr.write(f"usage: python3 -m sassafrashook.platform {'|'.join(ROLES)}\n")
         return EXIT_USAGE
-    path = os.environ.get(SETTINGS_VARIABLE, SETTINGS_PATH)
-    return run_daemon(path, load_node_settings, ROLES[arguments[0]])
+    return run_role(arguments[0])
 
 
 if __name__ == "__main__":
--- a/sassafrashook/platform/_dialect.py
+++ b/sassafrashook/platform/_dialect.py
@@ -58,6 +58,7 @@
             headers.get(ATTEMPT_ID, ""),
             SIGNATURE in headers,
             NOT_EXECUTED in headers or head.status == MISDIRECTED,
+            head.status == MISDIRECTED,
             (load[0], load[1]) if len(load) == 3 else None,
         )
 
--- a/scripts/build_dist.py
+++ b/scripts/build_dist.py
@@ -13,6 +13,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 BUILD = ROOT / "build"
 TARGET = ROOT / "dist" / "sassafrashook"
+# Loaded by name, so that a process gets the libraries of its own role only.
+LAZY_MODULES = ["sassafrashook.daemons._controller", "sassafrashook.daemons._router"]
 DIGEST_CHARACTERS = 16
 
 LAUNCHER = """\
@@ -41,6 +43,7 @@
         *("--name=sassafrashook", f"--distpath={BUILD / 'folder'}", f"--workpath={BUILD / 'work'}"),
         *(f"--specpath={BUILD}", f"--paths={ROOT}"),
         f"--add-data={ROOT / 'sassafrashook' / 'charts'}/*.yaml:sassafrashook/charts",
+        *(f"--hidden-import={module}" for module in LAZY_MODULES),
         str(ROOT / "scripts" / "entry.py"),
     ]
     subprocess.run(command, check=True, cwd=ROOT)
