--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 SOAK ?= 200
 
-.PHONY: demo test lint format bench bench-routing bench-membership bench-relay bench-stalls soak chaos dist
+.PHONY: demo test lint format bench bench-routing bench-membership bench-relay bench-forwarding bench-stalls soak chaos dist
 
 $(VENV)/.installed: requirements.txt requirements-dev.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -47,5 +47,8 @@
 bench-relay: $(VENV)/.installed
 	$(BIN)/python -m benchmarks.relay
 
+bench-forwarding: $(VENV)/.installed
+	$(BIN)/python -m benchmarks.forwarding
+
 bench-stalls: $(VENV)/.installed
 	$(BIN)/python -m benchmarks.stalls
