--- a/sassafrashook/http1/_server.py
+++ b/sassafrashook/http1/_server.py
@@ -18,7 +18,6 @@
 IDLE_POLL_S = 0.25  # how late an idle connection notices that the server stops
 TIMEOUT_STATUS = 408
 TOO_LARGE_STATUS = 413
-HEADERS_TOO_LARGE_STATUS = 431
 
 
 class ClientGoneError(OSError):
