Load bound: the mean counts evacuated upstreams, too

Cause: the mean was that of upstreams that get requests, so with a third of them out the bound was 2.4 times the mean of all. The new test fails without the change. The slack is 2 requests now, not 3, since other routers' loads are up to 0.6 s old.

--- a/sassafrashook/placement/_placement.py
+++ b/sassafrashook/placement/_placement.py
@@ -75,7 +75,7 @@
         "load_slack": Interval(float, 0.0, 100.0),
     }
 
-    def __init__(self, warmup, rng, zone="", load_factor=1.6, load_slack=3.0):
+    def __init__(self, warmup, rng, zone="", load_factor=1.6, load_slack=2.0):
         self.warmup = warmup
         self.rng = rng
         self.zone = zone
@@ -147,9 +147,10 @@
         :returns: ``Success`` of an :class:`UpstreamState`, or ``Failure`` of a
             :class:`PlacementRefusal`. A share of a cold upstream is spent by this.
         """
+        states = self._by_service.get(query.service.name, ())
         candidates = [
             state
-            for state in self._by_service.get(query.service.name, ())
+            for state in states
             if state.entry.availability_zone not in self.evacuated_
             and state.key not in query.excluded
             and not state.is_replaced_
@@ -157,7 +158,7 @@
         if not candidates:
             return Failure(self._refuse(RefusalReason.NO_UPSTREAM, ABSENT_RETRY_MS))
         sound = [state for state in candidates if not state.is_suspended(now)]
-        ordered = self._order(query, self._prefer_healthy(sound), candidates, now)
+        ordered = self._order(query, self._prefer_healthy(sound), states, now)
         for state in ordered:
             if self._take_turn(state, query.service, now):
                 return Success(state)
@@ -216,14 +217,17 @@
         healthy = [state for state in states if not state.is_failing()]
         return healthy if len(healthy) * 2 >= len(states) else states
 
-    def _order(self, query, states, candidates, now):
-        """Return the upstreams to try, those within the bound first."""
+    def _order(self, query, states, everyone, now):
+        """Return the upstreams to try, those within the bound first.
+
+        The mean is that of all upstreams of the service, also those that get nothing now.
+        """
         are_shared = now < self.loads_at_ + LOADS_VALID_S
-        loads = {state.key: state.load(are_shared, now) for state in candidates}
+        loads = {state.key: state.load(are_shared, now) for state in everyone}
         room = [s for s in states if loads[s.key] < self._capacity(s, query)]
         if query.session is None:
             return sorted(room, key=lambda s: self._rank_plain(s, loads[s.key]))
-        mean = sum(loads.values()) / len(candidates)
+        mean = sum(loads.values()) / len(everyone)
         bound = self.load_factor * mean + self.load_slack
         held = set(self._holders.find(query.session, now))
         room.sort(key=lambda s: (s.key not in held, self._rank_session(query.session, s)))
--- a/sassafrashook/placement/tests/test_placement.py
+++ b/sassafrashook/placement/tests/test_placement.py
@@ -72,6 +72,16 @@
     assert max(loads) <= 2 * mean + 3
 
 
+def test_evacuated_upstreams_count_in_the_mean_of_the_load_bound():
+    entries = [make_entry(name, zone="out" if int(name[1:]) < 3 else "in") for name in NAMES]
+    placement = make_placement(entries=entries)
+    placement.set_evacuated({"out"})
+    for number in range(180):
+        choose(placement, 7 if number % 2 else number * 7_919).unwrap().running_ += 1
+    loads = [state.running_ for state in placement.upstreams_.values()]
+    assert max(loads) <= 2 * sum(loads) / len(loads) + 3
+
+
 def test_without_the_bound_a_hot_session_exceeds_it():
     placement = make_placement()
     placement.load_factor, placement.load_slack = 10.0, 100.0
