Read-through: state that nobody read or that could be derived, work done twice

http1: flags of the upstream's connection that nobody read, an unused way to frame an answer. gateway: the head of an answer was decoded twice; two ways to end an attempt, to send an own answer and to ask a budget are one each; a check that could never be true. placement: the hash of an upstream was computed anew with each view, its trials and whether it is down stood beside its state; parameters were never checked. router: a view without registrations rebuilds nothing. fleet: one list of placed parts of which the other follows. storage: a full disk's write is undone without reading the file. consensus: one way to propose a learner. Behaviour is as before; no test lost an assertion.

--- a/sassafrashook/consensus/_membership.py
+++ b/sassafrashook/consensus/_membership.py
@@ -213,9 +213,12 @@
     def _on_replace_member(self, event, now):
         if self.find_obstacle(event.name, now):
             return
-        identity = self._announced_identity(event.name, now)
-        learner = Member(event.name, identity, voter=False)
-        kept = [m for m in self.configuration_ if m.voter or m.name != event.name]
+        self._propose_learner(event.name, now)
+
+    def _propose_learner(self, name, now):
+        """Add the identity that a host announced, in place of an earlier learner of its name."""
+        learner = Member(name, self._announced_identity(name, now), voter=False)
+        kept = [m for m in self.configuration_ if m.voter or m.name != name]
         self._propose_members([*kept, learner], now)
 
     def _advance_replacement(self, now):
@@ -247,10 +250,8 @@
         if any(not member.voter for member in self.configuration_):
             return
         for name in sorted(self.announced_):
-            identity = self._announced_identity(name, now)
-            if identity is not None and name != self.name:
-                learner = Member(name, identity, voter=False)
-                self._propose_members([*self.configuration_, learner], now)
+            if name != self.name and self._announced_identity(name, now) is not None:
+                self._propose_learner(name, now)
                 return
         self._remove_silent(now)
 
--- a/sassafrashook/consensus/tests/test_managed_members.py
+++ b/sassafrashook/consensus/tests/test_managed_members.py
@@ -32,7 +32,7 @@
 
 
 def list_voters(run):
-    leading = [h for h in run.hosts.values() if h.core.leading_term(h.clock())]
+    leading = [h for h in run.hosts.values() if h.core and h.core.leading_term(h.clock())]
     return sorted(m.name for m in leading[0].core.configuration_ if m.voter)
 
 
@@ -57,15 +57,10 @@
     run._run_until(3.0)
     run.hosts["b"].stop()
     run._run_until(5.0)
-    assert list_voters_of(run) == list("abcde")
+    assert list_voters(run) == list("abcde")
     run.hosts["f"].start()
     run._run_until(8.0)
-    assert list_voters_of(run) == list("acdef")
-
-
-def list_voters_of(run):
-    leading = [h for h in run.hosts.values() if h.core and h.core.leading_term(h.clock())]
-    return sorted(m.name for m in leading[0].core.configuration_ if m.voter)
+    assert list_voters(run) == list("acdef")
 
 
 def make_group_of_six(core=ReplicaCore):
@@ -73,7 +68,7 @@
     for host in run.hosts.values():
         host.start()
     run._run_until(4.0)
-    assert list_voters_of(run) == list("abcdef")
+    assert list_voters(run) == list("abcdef")
     return run
 
 
@@ -81,10 +76,10 @@
     run = make_group_of_six()
     run.hosts["b"].stop()
     run._run_until(7.0)
-    assert list_voters_of(run) == list("acdef")
+    assert list_voters(run) == list("acdef")
     run.hosts["b"].start()
     run._run_until(9.0)
-    assert list_voters_of(run) == list("abcdef")
+    assert list_voters(run) == list("abcdef")
 
 
 def test_without_notice_of_strangers_a_removed_voter_stays_out():
@@ -93,7 +88,7 @@
     run._run_until(7.0)
     run.hosts["b"].start()
     run._run_until(9.0)
-    assert list_voters_of(run) == list("acdef")
+    assert list_voters(run) == list("acdef")
 
 
 def commit_with_two_disks_lost(core):
--- a/sassafrashook/daemons/_router.py
+++ b/sassafrashook/daemons/_router.py
@@ -122,23 +122,27 @@
         self._readiness.stop(timeout=0)
         self.mesh_.stop()
 
-    def _note_view(self, returned):
+    def _note_view(self, change, returned):
         """Hand what changed to the placement."""
-        registry, placement = self.view_.registry, self.placement_
+        placement, now = self.placement_, time.monotonic()
         self.warmup_.set_routers(self.view_.routers_)
         placement.set_evacuated(self.view_.evacuated_)
-        now = time.monotonic()
-        gone = placement.set_registrations(
-            registry.list_usable(), registry.cold_until_, now, registry.list_leaving()
-        )
-        for key in gone:
-            self.pool_.drop(key)
+        if change.registrations:
+            self._note_registrations(now)
         if returned:
             cold_s = EVACUATED_COLD_HEARTBEATS * self.settings.heartbeat_ms / 1_000
             for zone in returned:
                 placement.make_cold(zone, now + cold_s)
             log_event("zones_returned", zones=sorted(returned), presumed_cold_s=cold_s)
 
+    def _note_registrations(self, now):
+        registry = self.view_.registry
+        gone = self.placement_.set_registrations(
+            registry.list_usable(), registry.cold_until_, now, registry.list_leaving()
+        )
+        for key in gone:
+            self.pool_.drop(key)
+
     def _note_loads(self, _sender, message):
         now = time.monotonic()
         self.placement_.set_other_loads(message.loads, now)
@@ -167,7 +171,7 @@
             gevent.joinall([gevent.spawn(self._try_one, upstream) for upstream in upstreams])
 
     def _try_one(self, upstream):
-        was_down = upstream.is_down_
+        was_suspended = upstream.is_suspended(time.monotonic())
         try:
             self.pool_.open(upstream.entry.address, CONNECT_TIMEOUT_S).close()
             succeeded = True
@@ -178,7 +182,7 @@
             ended = self.gateway_.interrupt(upstream)
             if ended:
                 log_event("attempts_interrupted", upstream=upstream.entry.upstream_id, count=ended)
-        if succeeded == was_down:
+        if succeeded == was_suspended:
             event = "upstream_reachable" if succeeded else "upstream_unreachable"
             log_event(
                 event, upstream=upstream.entry.upstream_id, zone=upstream.entry.availability_zone
--- a/sassafrashook/fleet/_controller.py
+++ b/sassafrashook/fleet/_controller.py
@@ -95,7 +95,6 @@
         )
         self._heartbeats = deque(maxlen=MAX_HEARTBEATS)
         self._placed = deque(maxlen=MAX_PLACED)
-        self._placed_here = deque(maxlen=MAX_PLACED)
         self._was_connected = False
         self._handlers = {
             ViewRequested: self._on_view_requested,
@@ -137,13 +136,12 @@
     def _on_load_reported(self, sender, message):
         self.loads_.note_router(sender, message.loads, time.monotonic())
         self._placed.extend((sender, placed) for placed in message.placed)
-        self._placed_here.extend(message.placed)
 
     def _on_load_shared(self, sender, message):
         self.loads_.note_controller(sender, message.loads, time.monotonic())
         self._placed.extend(("", placed) for placed in message.placed)
 
-    def _note_followed(self, _returned):
+    def _note_followed(self, _change, _returned):
         self.replica.add_contacts(self.follower_.controllers_)
 
     def _member_names(self):
@@ -200,7 +198,8 @@
             if now >= shared_at + HEARTBEATS_S:
                 beats = _take_all(self._heartbeats)
                 shared_at = now
-            placed_here, placed = _take_all(self._placed_here), _take_all(self._placed)
+            placed = _take_all(self._placed)
+            placed_here = [part for origin, part in placed if origin]
             for name in others:
                 self.mesh.send(name, LoadShared(own, placed_here))
                 if beats:
--- a/sassafrashook/fleet/_follower.py
+++ b/sassafrashook/fleet/_follower.py
@@ -68,7 +68,8 @@
     :param mesh: a :class:`~sassafrashook.transport.Mesh`.
     :param view: a :class:`FleetView`.
     :param port: port of all nodes' streams.
-    :param on_change: called with the zones that are back after each change.
+    :param on_change: called with each :class:`~sassafrashook.fleet._messages.ViewChanged` and
+        the zones that it took back into service.
 
     :ivar controllers_: names of the controllers followed.
     """
@@ -138,7 +139,7 @@
             log_event("desired_state_adopted", version=self.view.version, controller=sender)
             for name in self.controllers_ - {sender}:
                 self._request(name)
-        self.on_change(returned)
+        self.on_change(change, returned)
         self._request(sender)
 
     def _note_heard(self, sender, now):
--- a/sassafrashook/gateway/_attempt.py
+++ b/sassafrashook/gateway/_attempt.py
@@ -11,6 +11,7 @@
 MAX_IDLE_S = 20.0  # idle connections are reused as long as the upstream keeps them
 MAX_IDLE_ONCE_S = 0.5  # for requests that run once: a close that crosses the request loses it
 MIN_DEADLINE_MS = 1
+MIN_CONNECT_S = 0.001  # a timeout of 0 would not wait at all
 
 
 class FailureKind(StrEnum):
@@ -60,7 +61,7 @@
     :ivar connection_: the connection while it is in use.
     """
 
-    __slots__ = ("request", "upstream", "source", "connection_", "head_", "is_reused_")
+    __slots__ = ("request", "upstream", "source", "connection_", "head_", "facts_", "is_reused_")
 
     def __init__(self, request, upstream, source):
         self.request = request
@@ -68,6 +69,7 @@
         self.source = source
         self.connection_ = None
         self.head_ = None
+        self.facts_ = None
         self.is_reused_ = False
 
     def begin(self):
@@ -79,10 +81,9 @@
         self._connect()
         self._send()
         self.head_ = self._read_head()
-        facts = self.request.gateway.dialect.read_answer(self.head_)
-        now = time.monotonic()
+        facts = self.facts_
         if facts.load is not None:
-            self.upstream.note_report(*facts.load, now)
+            self.upstream.note_report(*facts.load, time.monotonic())
         if facts.has_not_run:
             self._finish_quietly()
             if facts.is_misdirected:
@@ -106,7 +107,7 @@
         if connection is None:
             left = request.deadline - time.monotonic()
             try:
-                connection = pool.open(self.upstream.entry.address, max(left, 0.001))
+                connection = pool.open(self.upstream.entry.address, max(left, MIN_CONNECT_S))
             except OSError as error:
                 self.upstream.note_unreachable(time.monotonic())
                 pool.drop(self.upstream.key)
@@ -162,8 +163,9 @@
                 until = self.request.deadline
 
     def _is_awaited(self, head):
-        answered = self.request.gateway.dialect.read_answer(head).request_id
-        return not answered or answered == self.request.facts.request_id
+        """Read what the answer says, and return whether it is that to this request."""
+        self.facts_ = self.request.gateway.dialect.read_answer(head)
+        return self.facts_.request_id in ("", self.request.facts.request_id)
 
     def read_data(self):
         """Read a part of the body, ``None`` at its end.
@@ -198,6 +200,16 @@
             return  # the refusal itself has arrived; the connection is closed already
         self.finish()
 
+    def abort(self):
+        """End the exchange from another task; whoever reads sees it break.
+
+        :returns: whether one was under way.
+        """
+        if self.connection_ is None:
+            return False
+        self.connection_.abort()
+        return True
+
     def finish(self):
         """Give the connection back after a complete answer."""
         connection, self.connection_ = self.connection_, None
--- a/sassafrashook/gateway/_gateway.py
+++ b/sassafrashook/gateway/_gateway.py
@@ -65,13 +65,14 @@
 
     def has_retry(self, service):
         """Return whether :meth:`spend_retry` would succeed."""
-        budget, now = self._budget(service), time.monotonic()
-        return len(budget.retries_) < budget.allowed(len(self.view.routers_) or 1, now)
+        return self._budget(service).has_left(self._count_routers(), time.monotonic())
 
     def spend_retry(self, service):
         """Take one retry from a service's budget; :returns: whether there was one."""
-        routers = len(self.view.routers_) or 1
-        return self._budget(service).spend(routers, time.monotonic())
+        return self._budget(service).spend(self._count_routers(), time.monotonic())
+
+    def _count_routers(self):
+        return len(self.view.routers_) or 1
 
     def _budget(self, service):
         budget = self._budgets.get(service)
--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -4,12 +4,12 @@
 
 from returns.result import Failure
 
+from sassafrashook.gateway._answers import STATUS_UNAVAILABLE, send_text
 from sassafrashook.gateway._attempt import Attempt, AttemptError, FailureKind
 from sassafrashook.gateway._events import EventSplitter
 from sassafrashook.http1 import drop_hop_by_hop
 from sassafrashook.outcomes import RefusalReason, RetryReason, Verdict
 from sassafrashook.placement import BUSY_RETRY_MS, PlacementQuery
-from sassafrashook.routes import Repeatability
 from sassafrashook.telemetry import log_event
 from sassafrashook.utils import hash_key
 
@@ -20,9 +20,7 @@
 DATA_PATIENCE = 2.0  # of the route's longest pause; clients leave after eight
 MIN_PATIENCE_S = 0.15
 STATUS_BAD_GATEWAY = 502
-STATUS_UNAVAILABLE = 503
 STATUS_TIMEOUT = 504
-TEXT = (b"Content-Type", b"text/plain")
 OWN_LENGTH = frozenset((b"content-length",))
 RETRY_REASONS = {
     FailureKind.UNREACHABLE: RetryReason.CONNECT_FAILED,
@@ -99,9 +97,7 @@
         attempt = self._attempt
         if attempt is None or attempt.upstream is not upstream or not self.route.is_idempotent:
             return False
-        if attempt.connection_ is not None:
-            attempt.connection_.abort()
-        return attempt.connection_ is not None
+        return attempt.abort()
 
     def may_leave(self):
         """Return whether the attempt may be ended for another one while its upstream is silent."""
@@ -113,9 +109,8 @@
 
     def _cancel(self):
         """The client left: stop the upstream's work."""
-        attempt = self._attempt
-        if attempt is not None and attempt.connection_ is not None:
-            attempt.connection_.abort()
+        if self._attempt is not None:
+            self._attempt.abort()
 
     def _run(self):
         while not self.client.gone_:
@@ -241,13 +236,8 @@
             return None
         if not self.route.is_idempotent:
             return "runs_once"
-        if self.client.has_started() and not self._may_resume():
-            return "not_resumable"
         return "attempts" if self.runs >= self.route.max_upstreams else None
 
-    def _may_resume(self):
-        return self.route.repeatability is Repeatability.RESUMABLE_STREAM
-
     def _give_up(self, error):
         """Send the final answer after a failed attempt."""
         if self.client.gone_:
@@ -268,7 +258,7 @@
         late = error.kind is FailureKind.TIMEOUT
         status = STATUS_TIMEOUT if late else STATUS_BAD_GATEWAY
         reason = RefusalReason.UPSTREAM_SILENT if late else RefusalReason.UPSTREAM_BROKE
-        self._send_own(status, reason, ())
+        self._send_own(status, reason)
 
     def _refuse(self, reason, retry_after_ms):
         """Give the request up; 503 is a promise that it has not run, so it needs that verdict."""
@@ -276,15 +266,14 @@
             self._log("stream_broken", "-", reason)
             self.client.abort()
         elif self.verdict is Verdict.NOT_RUN:
-            retry_after = (b"Retry-After", b"%.3f" % (retry_after_ms / 1_000))
-            self._send_own(STATUS_UNAVAILABLE, reason, (retry_after,))
+            self._send_own(STATUS_UNAVAILABLE, reason, retry_after_ms)
         else:
-            self._send_own(STATUS_BAD_GATEWAY, reason, ())
+            self._send_own(STATUS_BAD_GATEWAY, reason)
 
-    def _send_own(self, status, reason, fields):
+    def _send_own(self, status, reason, retry_after_ms=None):
         self.gateway.metrics.count("refusals", reason)
         self._log("refused", "-", f"{status}:{reason}")
-        self.client.send_response(status, [TEXT, *fields], f"{reason}\n".encode())
+        send_text(self.client, status, reason, retry_after_ms)
 
     def _elapsed_ms(self):
         return (time.monotonic() - self.started) * 1_000
--- a/sassafrashook/gateway/_server.py
+++ b/sassafrashook/gateway/_server.py
@@ -6,6 +6,7 @@
 from absl import logging
 from gevent.server import StreamServer
 
+from sassafrashook.gateway._answers import STATUS_UNAVAILABLE, send_text
 from sassafrashook.gateway._request import RequestRun
 from sassafrashook.http1 import ClientGoneError, HttpError, ServerConnection
 from sassafrashook.outcomes import RefusalReason
@@ -17,11 +18,9 @@
 POLL_S = 0.05
 CLOSE_IDLE_S = 2.2  # the balancer asks each second and drops a node at its second miss
 STOP_ACCEPTING_S = 3.5
-NO_STATE_RETRY_S = 1.2  # a restart of the whole fleet takes about this long
+NO_STATE_RETRY_MS = 1_200  # a restart of the whole fleet takes about this long
 STATUS_NOT_FOUND = 404
 STATUS_UNAUTHENTICATED = 401
-STATUS_UNAVAILABLE = 503
-TEXT = (b"Content-Type", b"text/plain")
 
 
 class GatewayServer:
@@ -61,11 +60,9 @@
         """
         started = time.monotonic()
         self.is_stopping_ = True
-        while time.monotonic() < min(deadline, started + CLOSE_IDLE_S):
-            gevent.sleep(POLL_S)
+        _sleep_until(min(deadline, started + CLOSE_IDLE_S))
         self._closes_idle = True
-        while time.monotonic() < min(deadline, started + STOP_ACCEPTING_S):
-            gevent.sleep(POLL_S)
+        _sleep_until(min(deadline, started + STOP_ACCEPTING_S))
         self.server_.stop_accepting()
         while self.busy_ and time.monotonic() < deadline:
             gevent.sleep(POLL_S)
@@ -123,9 +120,9 @@
         facts = gateway.dialect.read_request(head.headers)
         table = gateway.view.table_
         if table is None:
-            retry_after = (b"Retry-After", b"%.3f" % NO_STATE_RETRY_S)
             self._log_rejection(facts, head, RefusalReason.NO_CONFIGURATION, 0)
-            self._reject(client, STATUS_UNAVAILABLE, "no desired state is known", [retry_after])
+            text = "no desired state is known"
+            self._reject(client, STATUS_UNAVAILABLE, text, NO_STATE_RETRY_MS)
             return
         route = table.match(head.host, head.path)
         if route is None:
@@ -148,8 +145,12 @@
             reason=reason, version=version,
         )  # fmt: skip
 
-    def _reject(self, client, status, text, fields=()):
+    def _reject(self, client, status, text, retry_after_ms=None):
         try:
-            client.send_response(status, [TEXT, *fields], f"{text}\n".encode())
+            send_text(client, status, text, retry_after_ms)
         except ClientGoneError as error:
             log_event("rejection_not_sent", status=status, reason=error)
+
+
+def _sleep_until(moment):
+    gevent.sleep(max(0.0, moment - time.monotonic()))
--- a/sassafrashook/gateway/tests/test_forwarding.py
+++ b/sassafrashook/gateway/tests/test_forwarding.py
@@ -1,5 +1,7 @@
 """What upstreams and clients see of a forwarded request."""
 
+import time
+
 import gevent
 import pytest
 
@@ -324,8 +326,6 @@
     harness = start(stream(last=5, pause_s=0.1))
     asked = gevent.spawn(harness.ask, "/plans/7")
     assert wait_for(lambda: harness.count_requests() == 1)
-    import time
-
     cut = harness.server.stop(time.monotonic() + 5)
     assert cut == 0
     assert asked.get(timeout=1)[3] == b""
--- a/sassafrashook/http1/_messages.py
+++ b/sassafrashook/http1/_messages.py
@@ -30,14 +30,7 @@
 
 
 class IncompleteError(OSError):
-    """An upstream's response is not HTTP, or ended before it was complete.
-
-    :param started: whether a byte of the response had arrived.
-    """
-
-    def __init__(self, reason, started=False):
-        super().__init__(reason)
-        self.started = started
+    """An upstream's response is not HTTP, or ended before it was complete."""
 
 
 class Headers:
--- a/sassafrashook/http1/_server.py
+++ b/sassafrashook/http1/_server.py
@@ -179,15 +179,9 @@
         data += self._http.send(h11.EndOfMessage())
         self._write(data)
 
-    def start_response(self, status, fields, length=None):
-        """Send the head of a response whose body follows in parts.
-
-        :param length: size of the body, or ``None`` if it is not known.
-        """
-        framing = (b"Transfer-Encoding", b"chunked")
-        if length is not None:
-            framing = (b"Content-Length", str(length).encode())
-        self._write(self._encode_head(status, [*fields, framing]))
+    def start_response(self, status, fields):
+        """Send the head of a response whose body follows in parts."""
+        self._write(self._encode_head(status, [*fields, (b"Transfer-Encoding", b"chunked")]))
 
     def _encode_head(self, status, fields):
         if self.closing_:
@@ -199,11 +193,11 @@
 
         :raises ClientGoneError: if the client takes no bytes.
         """
-        self._write(self._http.send(h11.Data(data=data)))
+        self._send(h11.Data(data=data))
 
     def finish(self):
         """End the response as complete."""
-        self._write(self._http.send(h11.EndOfMessage()))
+        self._send(h11.EndOfMessage())
 
     def _send(self, event):
         self._write(self._http.send(event))
--- a/sassafrashook/http1/_upstream.py
+++ b/sassafrashook/http1/_upstream.py
@@ -30,7 +30,6 @@
     :param connect_timeout_s: how long opening it may take.
     :raises OSError: if it can't be opened; nothing was sent then.
 
-    :ivar sent_: whether a byte of the current request may have left.
     :ivar idle_deadline_: monotonic seconds after which it is not reused.
     :ivar idle_since_: monotonic seconds since which it is unused.
     """
@@ -38,9 +37,7 @@
     def __init__(self, address, connect_timeout_s):
         self.address = address
         self.sock = gsocket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.sent_ = False
         self.broken_ = False
-        self.exchanges_ = 0
         self.idle_deadline_ = 0.0
         self.idle_since_ = 0.0
         self._writer = None
@@ -72,9 +69,7 @@
             framed = fields
         self._request = h11.Request(method=method, target=target, headers=framed)
         self._body = body
-        self.exchanges_ += 1
         data = self._restart()
-        self.sent_ = True
         self.sock.settimeout(None)
         if len(data) <= INLINE_BODY_BYTES:
             self.sock.sendall(data)
@@ -90,8 +85,6 @@
         data += self._http.send(h11.EndOfMessage())
         if leftover:
             self._http.receive_data(leftover)
-        self._has_head = False
-        self._received = bool(leftover)
         return data
 
     def _write(self, data):
@@ -114,11 +107,10 @@
             if isinstance(event, h11.InformationalResponse):
                 continue
             if not isinstance(event, h11.Response):
-                raise IncompleteError("closed before the response", self._received)
+                raise IncompleteError("closed before the response")
             fields = [(bytes(name), bytes(value)) for name, value in event.headers.raw_items()]
             head = ResponseHead(event.status_code, Headers(fields))
             if is_awaited(head):
-                self._has_head = True
                 return head
             self._skip_body(deadline)
 
@@ -140,21 +132,21 @@
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             return None
-        raise IncompleteError("closed within the response", True)
+        raise IncompleteError("closed within the response")
 
     def _next_event(self, deadline):
         while True:
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
-                raise IncompleteError(str(error), self._received) from error
+                raise IncompleteError(str(error)) from error
             if event is not h11.NEED_DATA:
                 return event
             data = self._receive(deadline)
             try:
                 self._http.receive_data(data)
             except RuntimeError as error:
-                raise IncompleteError("closed within the response", self._received) from error
+                raise IncompleteError("closed within the response") from error
 
     def _receive(self, deadline):
         left = deadline - time.monotonic()
@@ -162,15 +154,13 @@
             raise TimeoutError("the upstream did not answer in time")
         self.sock.settimeout(max(left, MIN_TIMEOUT_S))
         try:
-            data = self.sock.recv(RECEIVE_BYTES)
+            return self.sock.recv(RECEIVE_BYTES)
         except TimeoutError as error:
             if time.monotonic() >= deadline - MIN_TIMEOUT_S:
                 raise
-            raise IncompleteError("the upstream's host does not answer", self._received) from error
+            raise IncompleteError("the upstream's host does not answer") from error
         except OSError as error:
-            raise IncompleteError(f"reset: {error}", self._received) from error
-        self._received = self._received or bool(data)
-        return data
+            raise IncompleteError(f"reset: {error}") from error
 
     def is_reusable(self):
         """Return whether the exchange is complete and the connection may carry another one."""
@@ -187,7 +177,6 @@
         :param now: monotonic seconds.
         """
         idle_s = _read_idle_s(head.headers.get(b"keep-alive", ""))
-        self.sent_ = False
         self.idle_since_ = now
         self.idle_deadline_ = now + idle_s
 
--- a/sassafrashook/placement/_budget.py
+++ b/sassafrashook/placement/_budget.py
@@ -36,6 +36,7 @@
         self.window_s = window_s
         self.requests_ = deque()
         self.retries_ = deque()
+        self.validate_parameters()
 
     def note_request(self, now):
         """Count one request of a client."""
@@ -51,9 +52,13 @@
         share = self.slack * SLACK_SHARE / max(1, routers)
         return int(len(self.requests_) * self.ratio * RATIO_SHARE + share)
 
+    def has_left(self, routers, now):
+        """Return whether :meth:`spend` would succeed."""
+        return len(self.retries_) < self.allowed(routers, now)
+
     def spend(self, routers, now):
         """Take one retry; :returns: whether there was one left."""
-        if len(self.retries_) >= self.allowed(routers, now):
+        if not self.has_left(routers, now):
             return False
         self.retries_.append(now)
         return True
--- a/sassafrashook/placement/_placement.py
+++ b/sassafrashook/placement/_placement.py
@@ -9,12 +9,9 @@
 from sassafrashook.outcomes import RefusalReason
 from sassafrashook.placement._holders import PromptHolders
 from sassafrashook.placement._upstreams import UpstreamState
-from sassafrashook.utils import Interval, hash_key
+from sassafrashook.utils import Interval, mix_hashes
 
 DISTRUSTED_PER_S = 1.0  # requests a second of one router that a possibly restarted upstream gets
-MASK_64 = 2**64 - 1
-FIRST_MULTIPLIER = 0x9E3779B97F4A7C15  # odd 64-bit constants of common integer mixers
-SECOND_MULTIPLIER = 0xD6E8FEB86659FD93
 LOADS_VALID_S = 1.0  # of the loads that other routers told; five rounds of reports
 BUSY_RETRY_MS = (150, 500)  # a few answers of short calls; spread, so that not all return at once
 ABSENT_RETRY_MS = (300, 900)  # a heartbeat or a trial connection may bring one back
@@ -85,11 +82,10 @@
         self.evacuated_ = frozenset()
         self.loads_at_ = float("-inf")
         self._by_service = {}
-        self._orders = {}
-        self._trials = {}
         self._holders = PromptHolders()
         self._placed = []
         self._leaving = {}
+        self.validate_parameters()
 
     def set_registrations(self, entries, cold_until, now, leaving=()):
         """Take the list of upstreams that may get requests.
@@ -116,11 +112,9 @@
         self._by_service = {}
         for state in self.upstreams_.values():
             self._by_service.setdefault(state.entry.service, []).append(state)
-        self._orders = {name: hash_key(name) for name in self.upstreams_}
         left = [UpstreamState(entry, now, now) for entry in leaving]
         self._leaving = {state.key: state for state in left}
         kept = {state.key for state in self.upstreams_.values()}
-        self._trials = {key: at for key, at in self._trials.items() if key in kept}
         return [state.key for state in old.values() if state.key not in kept]
 
     def set_evacuated(self, zones):
@@ -211,7 +205,7 @@
                 self._holders.note(part, state.key, now)
 
     def _rank_session(self, session, state):
-        return hash_pair(session, self._orders[state.entry.upstream_id])
+        return mix_hashes(session, state.rank)
 
     def _prefer_healthy(self, states):
         healthy = [state for state in states if not state.is_failing()]
@@ -246,10 +240,9 @@
     def _take_turn(self, state, service, now):
         """Return whether an upstream may get a request now, and count it if it is cold."""
         if state.distrusted_:
-            last = self._trials.get(state.key, float("-inf"))
-            if now < last + 1 / DISTRUSTED_PER_S:
+            if now < state.tried_at_ + 1 / DISTRUSTED_PER_S:
                 return False
-            self._trials[state.key] = now
+            state.tried_at_ = now
         if state.is_cold(now) and service.cold_per_s > 0:
             return self.warmup.take(state.entry.upstream_id, service.cold_per_s, now)
         return True
@@ -265,15 +258,3 @@
     def list_loads(self):
         """Return how many of this router's requests run at each upstream, by name."""
         return {name: s.running_ for name, s in self.upstreams_.items() if s.running_}
-
-
-def hash_pair(session, upstream):
-    """Return the place of an upstream in a session's order, the same on every router.
-
-    :param session: 64-bit number of the session.
-    :param upstream: 64-bit number of the upstream.
-    """
-    mixed = (session ^ upstream) * FIRST_MULTIPLIER & MASK_64
-    mixed ^= mixed >> 32
-    mixed = mixed * SECOND_MULTIPLIER & MASK_64
-    return mixed ^ (mixed >> 32)
--- a/sassafrashook/placement/_upstreams.py
+++ b/sassafrashook/placement/_upstreams.py
@@ -1,5 +1,7 @@
 """What one router knows of one boot of an upstream."""
 
+from sassafrashook.utils import hash_key
+
 SUSPEND_S = 2.0  # a trial connection ends this sooner
 DARK_TRIALS = 2  # in a row; a lossy link loses one opening packet in ten at most
 DARK_S = 0.6  # without a byte on any connection
@@ -16,10 +18,11 @@
     :param cold_until: monotonic seconds until which it is cold.
     :param known_since: monotonic seconds since which this router knows it.
 
+    :ivar rank: 64-bit number that decides its place in the order of each session.
+    :ivar tried_at_: when it last got a request while it was distrusted.
     :ivar running_: requests of this router that run there.
     :ivar others_: requests of other routers that run there, as last shared.
     :ivar reported_: all that run and wait there, as its last answer told, and when it did.
-    :ivar is_down_: whether the last connection could not be opened.
     :ivar needs_trial_: whether a connection broke that says nothing of the others.
     :ivar is_replaced_: whether another boot answered at its address; it gets nothing until it is
         heard of again.
@@ -31,12 +34,13 @@
         "entry",
         "cold_until",
         "known_since",
+        "rank",
+        "tried_at_",
         "running_",
         "others_",
         "reported_",
         "reported_at_",
         "suspended_until_",
-        "is_down_",
         "needs_trial_",
         "failed_trials_",
         "heard_at_",
@@ -50,12 +54,13 @@
         self.entry = entry
         self.cold_until = cold_until
         self.known_since = known_since
+        self.rank = hash_key(entry.upstream_id)
+        self.tried_at_ = float("-inf")
         self.running_ = 0
         self.others_ = 0
         self.reported_ = 0
         self.reported_at_ = float("-inf")
         self.suspended_until_ = float("-inf")
-        self.is_down_ = False
         self.needs_trial_ = False
         self.failed_trials_ = 0
         self.heard_at_ = float("-inf")
@@ -99,7 +104,6 @@
     def note_unreachable(self, now):
         """Note that no connection could be opened."""
         self.suspended_until_ = now + SUSPEND_S
-        self.is_down_ = True
         self.distrusted_ = True
 
     def note_broken(self):
@@ -119,7 +123,6 @@
             return
         self.failed_trials_ = 0
         self.suspended_until_ = float("-inf")
-        self.is_down_ = False
 
     def is_dark(self, now):
         """Return whether its host answers nothing, so that what runs there is lost."""
@@ -128,7 +131,6 @@
     def note_outcome(self, succeeded):
         """Note an answer, and whether it was the one that the request deserved."""
         if succeeded:
-            self.is_down_ = False
             self.distrusted_ = False
         self.failing_ += OUTCOME_WEIGHT * ((0.0 if succeeded else 1.0) - self.failing_)
 
--- a/sassafrashook/placement/_warmup.py
+++ b/sassafrashook/placement/_warmup.py
@@ -36,6 +36,7 @@
         self.tolerance = tolerance
         self.routers_ = ()
         self._tokens = {}
+        self.validate_parameters()
 
     def set_routers(self, names):
         """Take the names of all routers, this one included."""
@@ -68,9 +69,3 @@
             return False
         self._tokens[upstream_id] = (tokens - BURST, now)
         return True
-
-    def has(self, upstream_id, per_s, now):
-        """Return whether :meth:`take` would succeed."""
-        rate = self.find_rate(upstream_id, per_s)
-        tokens, at = self._tokens.get(upstream_id, (BURST, now))
-        return rate > 0 and tokens + (now - at) * rate >= BURST
--- a/sassafrashook/registry/_registry.py
+++ b/sassafrashook/registry/_registry.py
@@ -108,11 +108,9 @@
             if entry.state == RegistrationState.LEFT:
                 if now >= heard_at + KEEP_LEFT_S:
                     self._forget(name)
-            elif entry.state != RegistrationState.SILENT and now >= heard_at + self.silent_s:
-                state = RegistrationState.SILENT
-                if entry.state == RegistrationState.READY:
-                    self.merge(msgspec.structs.replace(entry, state=state), now)
-                    silent.append(name)
+            elif entry.state == RegistrationState.READY and now >= heard_at + self.silent_s:
+                self.merge(msgspec.structs.replace(entry, state=RegistrationState.SILENT), now)
+                silent.append(name)
         return silent
 
     def _forget(self, name):
--- a/sassafrashook/storage/_wal.py
+++ b/sassafrashook/storage/_wal.py
@@ -109,20 +109,18 @@
         try:
             operation(payload)
         except DiskFullError:
-            self._guard_rollback()
+            self._undo_write()
             raise
         except Exception:
             self.failed_ = True
             raise
 
-    def _guard_rollback(self):
+    def _undo_write(self):
         """Cut what a write on a full disk left behind, so that it can be tried again."""
-        path = self._path(self.number_)
-        data = self.file_system.read(path)
-        if data is None or len(data) <= self.size_:
+        if self.size_ == 0:
             return
         try:
-            self.file_system.truncate(path, self.size_)
+            self.file_system.truncate(self._path(self.number_), self.size_)
         except StorageError:
             self.failed_ = True
             raise
--- a/sassafrashook/utils/__init__.py
+++ b/sassafrashook/utils/__init__.py
@@ -1,6 +1,14 @@
 """Small helpers that every subject shares."""
 
-from sassafrashook.utils._hashing import hash_key, rank_nodes
+from sassafrashook.utils._hashing import hash_key, mix_hashes, rank_nodes
 from sassafrashook.utils._validation import Interval, Options, ParameterError, check_parameters
 
-__all__ = ["Interval", "Options", "ParameterError", "check_parameters", "hash_key", "rank_nodes"]
+__all__ = [
+    "Interval",
+    "Options",
+    "ParameterError",
+    "check_parameters",
+    "hash_key",
+    "mix_hashes",
+    "rank_nodes",
+]
--- a/sassafrashook/utils/_hashing.py
+++ b/sassafrashook/utils/_hashing.py
@@ -3,6 +3,9 @@
 from hashlib import blake2b
 
 HASH_BYTES = 8
+MASK_64 = 2**64 - 1
+FIRST_MULTIPLIER = 0x9E3779B97F4A7C15  # odd 64-bit constants of common integer mixers
+SECOND_MULTIPLIER = 0xD6E8FEB86659FD93
 
 
 def hash_key(*parts):
@@ -28,3 +31,14 @@
     """
     data = key.to_bytes(HASH_BYTES, "big")
     return sorted(nodes, key=lambda name: (hash_key(data, name), name), reverse=True)
+
+
+def mix_hashes(first, second):
+    """Combine two 64-bit hashes, many times faster than hashing their sources together.
+
+    :returns: an integer from 0 to 2**64 - 1; with one hash fixed, it orders the others at random.
+    """
+    mixed = (first ^ second) * FIRST_MULTIPLIER & MASK_64
+    mixed ^= mixed >> 32
+    mixed = mixed * SECOND_MULTIPLIER & MASK_64
+    return mixed ^ (mixed >> 32)
