One runner of processes and one page of metrics for both kinds of fleet

Signals, logs of start and stop, exit codes and the scrape page stood twice, in daemons and in operations. Only what differs is a parameter: a second signal ends the chat interface's processes at once.

--- a/sassafrashook/daemons/__init__.py
+++ b/sassafrashook/daemons/__init__.py
@@ -6,15 +6,23 @@
 
 from importlib import import_module
 
+from sassafrashook.daemons._lifecycle import EXIT_USAGE, ProcessError, run_logged, run_role
+from sassafrashook.daemons._pages import serve_application, serve_metrics
 from sassafrashook.daemons._process import run_daemon
 from sassafrashook.daemons._settings import NodeSettings, RouterEndpoints
 
 __all__ = [
+    "EXIT_USAGE",
     "ControllerDaemon",
     "NodeSettings",
+    "ProcessError",
     "RouterDaemon",
     "RouterEndpoints",
     "run_daemon",
+    "run_logged",
+    "run_role",
+    "serve_application",
+    "serve_metrics",
 ]
 
 _MODULES = {
--- a/sassafrashook/daemons/_controller.py
+++ b/sassafrashook/daemons/_controller.py
@@ -6,7 +6,7 @@
 from gevent.event import Event
 
 from sassafrashook.consensus import CONSENSUS_MESSAGES, Replica
-from sassafrashook.daemons._process import serve_application, serve_metrics
+from sassafrashook.daemons._pages import serve_application, serve_metrics
 from sassafrashook.fleet import FLEET_MESSAGES, FleetController, FleetState
 from sassafrashook.registry import Registry
 from sassafrashook.storage import DiskFullError, StorageError
@@ -81,7 +81,7 @@
         self.mesh_.start()
         self.fleet_.start()
         self.fleet_.set_seeds(self.settings.seeds)
-        self._page = serve_metrics(self.settings, self.metrics_)
+        self._page = serve_metrics(self.settings.metrics, self.metrics_)
         self.metrics_.observe("desired_version", lambda: self.state_.version_)
         self.metrics_.observe("leading", lambda: int(self.replica_.leader() == self.settings.name))
         self.metrics_.observe("group_members", lambda: len(self.replica_.members()))
--- a/sassafrashook/daemons/_router.py
+++ b/sassafrashook/daemons/_router.py
@@ -6,7 +6,7 @@
 import gevent
 from gevent.event import Event
 
-from sassafrashook.daemons._process import serve_application, serve_metrics
+from sassafrashook.daemons._pages import make_page_application, serve_application, serve_metrics
 from sassafrashook.fleet import FLEET_MESSAGES, FleetFollower, FleetView, OtherLoads
 from sassafrashook.gateway import Gateway, GatewayLimits, GatewayServer
 from sassafrashook.http1 import ConnectionPool
@@ -24,24 +24,6 @@
 EVACUATED_COLD_HEARTBEATS = 2.5  # after these an upstream has told whether it is cold
 
 
-def make_readiness_application(path, is_ready):
-    """Return the WSGI application that answers the balancer.
-
-    :param path: path of its question.
-    :param is_ready: called without arguments.
-    """
-
-    def answer(environ, start_response):
-        known = environ.get("PATH_INFO") == path
-        status = (
-            ("200 OK" if is_ready() else "503 Service Unavailable") if known else "404 Not Found"
-        )
-        start_response(status, [("Content-Length", "0")])
-        return []
-
-    return answer
-
-
 class RouterDaemon:
     """Everything that a router runs.
 
@@ -92,9 +74,9 @@
         self.follower_.set_seeds(self.settings.seeds)
         self.follower_.start()
         self.server_.start()
-        application = make_readiness_application(self.readiness_path, self.is_ready)
+        application = make_page_application(self.readiness_path, self._answer_readiness)
         self._readiness = serve_application(self.settings.router.readiness, application)
-        self._page = serve_metrics(self.settings, self.metrics_)
+        self._page = serve_metrics(self.settings.metrics, self.metrics_)
         self.metrics_.observe("requests_running", lambda: self.server_.busy_)
         self.metrics_.observe("desired_version", lambda: self.view_.version)
         self.metrics_.observe("controllers_heard", self.follower_.count_heard)
@@ -106,6 +88,9 @@
         """Return whether it can serve new connections."""
         return self.view_.table_ is not None and not self.server_.is_stopping_
 
+    def _answer_readiness(self):
+        return ("200 OK" if self.is_ready() else "503 Service Unavailable"), "text/plain", b""
+
     def reload(self, settings):
         """Take changed settings; only the seeds can change while it runs."""
         self.follower_.set_seeds(settings.seeds)
--- a/sassafrashook/operations/_controller.py
+++ b/sassafrashook/operations/_controller.py
@@ -20,14 +20,13 @@
     PermitService,
     UpstreamDirectory,
 )
+from sassafrashook.daemons import ProcessError, serve_application
 from sassafrashook.gateways import ProposalError, ProposalFailure
 from sassafrashook.membership import UpstreamLeft, UpstreamSeen
 from sassafrashook.operations._process import (
     Process,
-    ProcessError,
     read_keys,
     run_process,
-    serve_wsgi,
 )
 from sassafrashook.routing import PermitLedger
 from sassafrashook.state import FleetStateMachine
@@ -121,7 +120,8 @@
             service.start()
         self.replica_.subscribe(self.permits_.wake)
         self.process_.start()
-        self._server = serve_wsgi(self.settings.operator_endpoint, self.admin_)
+        endpoint = self.settings.operator_endpoint
+        self._server = serve_application((endpoint.host, endpoint.port), self.admin_)
 
     def stop(self):
         """Hand leadership over and stop."""
--- a/sassafrashook/operations/_process.py
+++ b/sassafrashook/operations/_process.py
@@ -1,19 +1,13 @@
 """What every role's process has in common: streams, membership, counters and signals."""
 
-import os
 import random
-import signal
-import sys
 import time
 import uuid
 
-import falcon
-import gevent
-from gevent.event import Event
-from gevent.pywsgi import WSGIServer
 from returns.pipeline import is_successful
 
 from sassafrashook.consensus import CONSENSUS_MESSAGES
+from sassafrashook.daemons import ProcessError, run_logged, run_role, serve_metrics
 from sassafrashook.membership import (
     MEMBERSHIP_MESSAGES,
     MembershipCore,
@@ -23,29 +17,20 @@
 )
 from sassafrashook.messages import ROUTER_MESSAGES
 from sassafrashook.settings import load_keys
-from sassafrashook.tasks import watch_tasks
-from sassafrashook.telemetry import SCRAPE_CONTENT_TYPE, Metrics, configure_logs, log_event
+from sassafrashook.telemetry import Metrics
 from sassafrashook.transport import (
     Certificates,
     Mesh,
     PeerAddress,
-    configure_loop,
     make_client_context,
     make_server_context,
 )
 
 PROBE_MS = 1_000
 STOP_FLUSH_MS = 1_000
-EXIT_DONE = 0
-EXIT_FAILED = 1
-EXIT_USAGE = 2
 UPSTREAM_KEY_NAME = "upstreams"
 
 
-class ProcessError(Exception):
-    """The process can't start; the message says why."""
-
-
 class Process:
     """Streams, membership and counters of one process.
 
@@ -75,9 +60,9 @@
         names = [peer.name for peer in (*self.settings.controllers, *self.settings.routers)]
         self.membership_.set_peers([name for name in names if name != self.settings.name])
         self.membership_.start()
-        if self.settings.metrics_endpoint is not None:
-            endpoint = self.settings.metrics_endpoint
-            self._page = serve_wsgi(endpoint, make_metrics_application(self.metrics_))
+        endpoint = self.settings.metrics_endpoint
+        if endpoint is not None:
+            self._page = serve_metrics((endpoint.host, endpoint.port), self.metrics_)
 
     def stop(self):
         """Leave membership, write what is queued and close everything."""
@@ -158,31 +143,6 @@
     return result.unwrap()
 
 
-def make_metrics_application(metrics):
-    """Return the WSGI application of the scrape page."""
-    application = falcon.App()
-    application.add_route("/metrics", _MetricsResource(metrics))
-    return application
-
-
-class _MetricsResource:
-    def __init__(self, metrics):
-        self.metrics = metrics
-
-    def on_get(self, _request, response):
-        """Answer with all counters in the text format that scrapers read."""
-        response.content_type = SCRAPE_CONTENT_TYPE
-        response.data = self.metrics.render_page()
-
-
-def serve_wsgi(endpoint, application):
-    """Serve an application on an endpoint; return the started server."""
-    server = WSGIServer((endpoint.host, endpoint.port), application, log=None, error_log=None)
-    server.environ["SERVER_NAME"] = endpoint.host
-    server.start()
-    return server
-
-
 def run_process(settings, make_role):
     """Run a role until SIGTERM or SIGINT; a second signal ends it at once.
 
@@ -190,42 +150,13 @@
         ``failed_``, an event that is set when the role must end.
     :returns: exit code for the shell.
     """
-    configure_loop()
-    sink = configure_logs(settings.log_level)
-    sink.start()
-    try:
-        return _run_process(settings, make_role)
-    finally:
-        sink.flush()
+    return run_logged(settings.log_level, _run_process, settings, make_role)
 
 
 def _run_process(settings, make_role):
-    stopping = Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(number, _ask_to_stop, stopping)
-    try:
-        role = make_role(settings)
-        watch_tasks(lambda task, error: role.failed_.set())
-        role.start()
-    except ProcessError as error:
-        log_event("start_refused", level="error", process=settings.name, reason=error)
-        return EXIT_USAGE
-    except OSError as error:
-        log_event("start_failed", level="error", process=settings.name, reason=error)
-        return EXIT_FAILED
-    log_event("started", process=settings.name, pid=os.getpid())
-    gevent.wait([stopping, role.failed_], count=1)
-    if role.failed_.is_set():
-        log_event("failed", level="error", process=settings.name)
-        return EXIT_FAILED
-    log_event("stopping", process=settings.name)
-    role.stop()
-    log_event("stopped", process=settings.name)
-    return EXIT_DONE
-
-
-def _ask_to_stop(stopping):
-    if stopping.is_set():
-        sys.stderr.flush()
-        os._exit(EXIT_FAILED)
-    stopping.set()
+    return run_role(
+        lambda: make_role(settings),
+        stop=lambda role: role.stop(),
+        impatient=True,
+        process=settings.name,
+    )
--- a/sassafrashook/platform/__main__.py
+++ b/sassafrashook/platform/__main__.py
@@ -3,13 +3,12 @@
 import os
 import sys
 
-from sassafrashook.daemons import run_daemon
+from sassafrashook.daemons import EXIT_USAGE, run_daemon
 from sassafrashook.platform._settings import load_node_settings
 
 SETTINGS_VARIABLE = "SASSAFRASHOOK_NODE_FILE"
 SETTINGS_PATH = "/etc/sassafrashook/node.json"
 READINESS_PATH = "/readyz"
-EXIT_USAGE = 2
 
 
 def make_router(settings):
