The project's words outside the adapter: configuration, drained zone, signature

The fleet's parts spoke of desired states and evacuations, which are the words of the platform's pages, and the tests of forwarding named its headers outside sassafrashook/platform. Names and files only; the assertions are the same. Two classes were called FleetState; the agreed one is AgreedState now.

--- a/benchmarks/forwarding.py
+++ b/benchmarks/forwarding.py
@@ -17,16 +17,16 @@
 
 from sassafrashook.fleet import FleetView
 from sassafrashook.gateway import Gateway, GatewayLimits, GatewayServer
-from sassafrashook.gateway.tests.stand_ins import (
+from sassafrashook.http1 import ConnectionPool
+from sassafrashook.placement import Placement, WarmupShares
+from sassafrashook.platform._dialect import PlatformDialect
+from sassafrashook.platform.tests.stand_ins import (
     ScriptedUpstream,
     encode_request,
     make_state,
     read_message,
     stream,
 )
-from sassafrashook.http1 import ConnectionPool
-from sassafrashook.placement import Placement, WarmupShares
-from sassafrashook.platform._dialect import PlatformDialect
 from sassafrashook.registry import Registration, RegistrationState, Registry
 from sassafrashook.routes import RouteTable
 from sassafrashook.telemetry import Metrics, configure_logs
--- a/sassafrashook/daemons/_controller.py
+++ b/sassafrashook/daemons/_controller.py
@@ -7,7 +7,7 @@
 
 from sassafrashook.consensus import CONSENSUS_MESSAGES, Replica
 from sassafrashook.daemons._pages import serve_application, serve_metrics
-from sassafrashook.fleet import FLEET_MESSAGES, FleetController, FleetState
+from sassafrashook.fleet import FLEET_MESSAGES, AgreedState, FleetController
 from sassafrashook.registry import Registry
 from sassafrashook.storage import DiskFullError, StorageError
 from sassafrashook.telemetry import Metrics, log_event
@@ -46,7 +46,7 @@
             (*FLEET_MESSAGES, *CONSENSUS_MESSAGES),
             count=self.metrics_.count,
         )
-        self.state_ = FleetState()
+        self.state_ = AgreedState()
         self.replica_ = Replica(
             settings.name,
             settings.seeds,
@@ -82,7 +82,7 @@
         self.fleet_.start()
         self.fleet_.set_seeds(self.settings.seeds)
         self._page = serve_metrics(self.settings.metrics, self.metrics_)
-        self.metrics_.observe("desired_version", lambda: self.state_.version_)
+        self.metrics_.observe("configuration_version", lambda: self.state_.version_)
         self.metrics_.observe("leading", lambda: int(self.replica_.leader() == self.settings.name))
         self.metrics_.observe("group_members", lambda: len(self.replica_.members()))
         self.metrics_.observe("upstreams_known", lambda: len(self.fleet_.registry.entries_))
--- a/sassafrashook/daemons/_router.py
+++ b/sassafrashook/daemons/_router.py
@@ -21,7 +21,7 @@
 TRIAL_S = 0.25  # between two trial connections to an upstream that fell out
 MAINTENANCE_S = 1.0
 SILENT_S = 3_600.0  # routers leave it to the controllers to find an upstream silent
-EVACUATED_COLD_HEARTBEATS = 2.5  # after these an upstream has told whether it is cold
+RETURNED_COLD_HEARTBEATS = 2.5  # after these an upstream has told whether it is cold
 
 
 class RouterDaemon:
@@ -78,7 +78,7 @@
         self._readiness = serve_application(self.settings.router.readiness, application)
         self._page = serve_metrics(self.settings.metrics, self.metrics_)
         self.metrics_.observe("requests_running", lambda: self.server_.busy_)
-        self.metrics_.observe("desired_version", lambda: self.view_.version)
+        self.metrics_.observe("configuration_version", lambda: self.view_.version)
         self.metrics_.observe("controllers_heard", self.follower_.count_heard)
         self.metrics_.observe("upstreams_usable", lambda: len(self.placement_.upstreams_))
         tasks = (self._report_loads, self._maintain, self._try_upstreams)
@@ -111,11 +111,11 @@
         """Hand what changed to the placement."""
         placement, now = self.placement_, time.monotonic()
         self.warmup_.set_routers(self.view_.routers_)
-        placement.set_evacuated(self.view_.evacuated_)
+        placement.set_drained_zones(self.view_.drained_zones_)
         if change.registrations:
             self._note_registrations(now)
         if returned:
-            cold_s = EVACUATED_COLD_HEARTBEATS * self.settings.heartbeat_ms / 1_000
+            cold_s = RETURNED_COLD_HEARTBEATS * self.settings.heartbeat_ms / 1_000
             for zone in returned:
                 placement.make_cold(zone, now + cold_s)
             log_event("zones_returned", zones=sorted(returned), presumed_cold_s=cold_s)
--- a/sassafrashook/fleet/__init__.py
+++ b/sassafrashook/fleet/__init__.py
@@ -4,13 +4,13 @@
 from sassafrashook.fleet._follower import FleetFollower, FleetView
 from sassafrashook.fleet._messages import FLEET_MESSAGES, OtherLoads
 from sassafrashook.fleet._publisher import Publisher
-from sassafrashook.fleet._state import FleetState
+from sassafrashook.fleet._state import AgreedState
 
 __all__ = [
     "FLEET_MESSAGES",
     "FleetController",
     "FleetFollower",
-    "FleetState",
+    "AgreedState",
     "FleetView",
     "OrderOutcome",
     "OtherLoads",
--- a/sassafrashook/fleet/_controller.py
+++ b/sassafrashook/fleet/_controller.py
@@ -24,8 +24,8 @@
 )
 from sassafrashook.fleet._publisher import Position, Publisher
 from sassafrashook.fleet._state import (
-    PutDesiredState,
-    SetEvacuation,
+    PutConfiguration,
+    SetZoneDrained,
     encode_command,
 )
 from sassafrashook.gateways import ProposalFailure
@@ -66,14 +66,14 @@
 
 
 class FleetController:
-    """Keeps desired state and registrations, and tells them to everybody.
+    """Keeps configuration and registrations, and tells them to everybody.
 
-    The desired state and evacuations are in the replicated log; registrations are in memory, on
-    every controller, and are heard again within a heartbeat.
+    The configuration and the drained zones are in the replicated log; registrations are in memory,
+    on every controller, and are heard again within a heartbeat.
 
     :param name: this controller's IP number.
     :param replica: a :class:`~sassafrashook.consensus.Replica`.
-    :param state: its :class:`~sassafrashook.fleet.FleetState`.
+    :param state: its :class:`~sassafrashook.fleet.AgreedState`.
     :param registry: a :class:`~sassafrashook.registry.Registry`.
     :param mesh: a :class:`~sassafrashook.transport.Mesh`.
     :param port: port of all nodes' streams.
@@ -149,7 +149,7 @@
 
     def _position(self):
         state = self.state
-        return Position(self.registry.revision_, state.version_, state.evacuation_index_)
+        return Position(self.registry.revision_, state.version_, state.drain_index_)
 
     def _publish(self):
         while True:
@@ -172,17 +172,17 @@
 
     def _send_view(self, name, held, routers, now):
         state = self.state
-        is_newer = state.version_ > held.desired_version
+        is_newer = state.version_ > held.configuration_version
         change = ViewChanged(
             self.publisher_.boot,
             self.registry.revision_,
             self.registry.list_changes(held.revision, now),
             sorted(member.name for member in self.replica.members()),
             routers,
-            state.evacuation_index_,
-            sorted(state.evacuated_),
+            state.drain_index_,
+            sorted(state.drained_zones_),
             state.version_ if is_newer else 0,
-            state.desired_ if is_newer else b"",
+            state.configuration_ if is_newer else b"",
         )
         self.mesh.send(name, change)
 
@@ -262,30 +262,32 @@
         log_event("spread_incomplete", level="warning", revision=revision, holding=sorted(holding))
         return False
 
-    def put_desired_state(self, desired, document):
-        """Put a checked desired state in force.
+    def put_configuration(self, configuration, document):
+        """Put a checked configuration in force.
 
-        :param desired: a :class:`~sassafrashook.routes.DesiredState`.
+        :param configuration: a :class:`~sassafrashook.routes.RouteConfiguration`.
         :param document: the operator's document, ``bytes``.
         :returns: an :class:`OrderReply`.
         """
-        if desired.version <= self.state.version_:
-            log_event("desired_state_passed", version=desired.version, held=self.state.version_)
+        if configuration.version <= self.state.version_:
+            log_event(
+                "configuration_passed", version=configuration.version, held=self.state.version_
+            )
             return OrderReply(OrderOutcome.DONE)
-        encoded = zlib.compress(msgspec.msgpack.encode(desired), COMPRESSION_LEVEL)
+        encoded = zlib.compress(msgspec.msgpack.encode(configuration), COMPRESSION_LEVEL)
         packed = zlib.compress(document, COMPRESSION_LEVEL)
-        reply = self._propose(PutDesiredState(desired.version, packed, encoded))
+        reply = self._propose(PutConfiguration(configuration.version, packed, encoded))
         log_event(
-            "desired_state_ordered", version=desired.version, outcome=reply.outcome,
+            "configuration_ordered", version=configuration.version, outcome=reply.outcome,
             leader=reply.leader, document_bytes=len(document), log_bytes=len(packed) + len(encoded),
         )  # fmt: skip
         return reply
 
-    def set_evacuation(self, zone, is_out):
+    def set_zone_drained(self, zone, is_out):
         """Take an availability zone out or back; :returns: an :class:`OrderReply`."""
-        reply = self._propose(SetEvacuation(zone, is_out))
+        reply = self._propose(SetZoneDrained(zone, is_out))
         outcome, leader = reply.outcome, reply.leader
-        log_event("evacuation_ordered", zone=zone, out=is_out, outcome=outcome, leader=leader)
+        log_event("zone_drain_ordered", zone=zone, out=is_out, outcome=outcome, leader=leader)
         return reply
 
     def _propose(self, command):
--- a/sassafrashook/fleet/_follower.py
+++ b/sassafrashook/fleet/_follower.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from sassafrashook.fleet._messages import LoadReported, PartPlaced, ViewChanged, ViewRequested
-from sassafrashook.routes import DesiredState, RouteTable
+from sassafrashook.routes import RouteConfiguration, RouteTable
 from sassafrashook.tasks import spawn_task
 from sassafrashook.telemetry import log_event
 from sassafrashook.transport import PeerAddress
@@ -24,20 +24,20 @@
     :param registry: the node's :class:`~sassafrashook.registry.Registry`.
 
     :ivar table_: the :class:`~sassafrashook.routes.RouteTable` in force, or ``None``.
-    :ivar evacuated_: availability zones that are out.
+    :ivar drained_zones_: availability zones that are out.
     :ivar routers_: names of all routers.
     """
 
     def __init__(self, registry):
         self.registry = registry
         self.table_ = None
-        self.evacuated_ = frozenset()
-        self.evacuation_index_ = 0
+        self.drained_zones_ = frozenset()
+        self.drain_index_ = 0
         self.routers_ = ()
 
     @property
     def version(self):
-        """Version of the desired state, 0 if there is none."""
+        """Version of the configuration, 0 if there is none."""
         return self.table_.version if self.table_ is not None else 0
 
     def take(self, change, now):
@@ -48,16 +48,18 @@
         """
         for entry in change.registrations:
             self.registry.merge(entry, now)
-        if change.desired_version > self.version:
-            desired = msgspec.msgpack.decode(zlib.decompress(change.desired), type=DesiredState)
-            self.table_ = RouteTable(desired)
+        if change.configuration_version > self.version:
+            configuration = msgspec.msgpack.decode(
+                zlib.decompress(change.configuration), type=RouteConfiguration
+            )
+            self.table_ = RouteTable(configuration)
         if change.routers:
             self.routers_ = tuple(change.routers)
-        if change.evacuation_index <= self.evacuation_index_:
+        if change.drain_index <= self.drain_index_:
             return frozenset()
-        returned = self.evacuated_ - set(change.evacuated)
-        self.evacuation_index_ = change.evacuation_index
-        self.evacuated_ = frozenset(change.evacuated)
+        returned = self.drained_zones_ - set(change.drained_zones)
+        self.drain_index_ = change.drain_index
+        self.drained_zones_ = frozenset(change.drained_zones)
         return returned
 
 
@@ -124,7 +126,7 @@
         view = self.view
         self.mesh.send(
             name,
-            ViewRequested(self.is_router, boot, revision, view.version, view.evacuation_index_),
+            ViewRequested(self.is_router, boot, revision, view.version, view.drain_index_),
         )
 
     def deliver(self, sender, change):
@@ -136,7 +138,7 @@
         self._positions[sender] = (change.boot, change.revision)
         self._note_members(set(change.controllers) - {self.name}, now)
         if self.view.version > version:
-            log_event("desired_state_adopted", version=self.view.version, controller=sender)
+            log_event("configuration_adopted", version=self.view.version, controller=sender)
             for name in self.controllers_ - {sender}:
                 self._request(name)
         self.on_change(change, returned)
--- a/sassafrashook/fleet/_messages.py
+++ b/sassafrashook/fleet/_messages.py
@@ -24,15 +24,15 @@
     :param is_router: whether it is a router.
     :param publisher_boot: start of the controller that ``revision`` is of.
     :param revision: the controller's revision that the node holds.
-    :param desired_version: version of the desired state that it holds.
-    :param evacuation_index: log index of the evacuations that it holds.
+    :param configuration_version: version of the configuration that it holds.
+    :param drain_index: log index of the drained zones that it holds.
     """
 
     is_router: bool
     publisher_boot: str = ""
     revision: int = 0
-    desired_version: int = 0
-    evacuation_index: int = 0
+    configuration_version: int = 0
+    drain_index: int = 0
 
 
 class ViewChanged(Message):
@@ -43,10 +43,10 @@
     :param registrations: those that changed.
     :param controllers: names of all members of the group.
     :param routers: names of all routers heard of lately.
-    :param evacuation_index: log index at which ``evacuated`` was decided.
-    :param evacuated: availability zones that are out.
-    :param desired_version: version of ``desired``, 0 if it is left out.
-    :param desired: the encoded desired state, compressed.
+    :param drain_index: log index at which ``drained_zones`` was decided.
+    :param drained_zones: availability zones that are out.
+    :param configuration_version: version of ``configuration``, 0 if it is left out.
+    :param configuration: the encoded configuration, compressed.
     """
 
     boot: str
@@ -54,10 +54,10 @@
     registrations: list[Registration]
     controllers: list[str]
     routers: list[str]
-    evacuation_index: int
-    evacuated: list[str]
-    desired_version: int = 0
-    desired: bytes = b""
+    drain_index: int
+    drained_zones: list[str]
+    configuration_version: int = 0
+    configuration: bytes = b""
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
--- a/sassafrashook/fleet/_publisher.py
+++ b/sassafrashook/fleet/_publisher.py
@@ -25,18 +25,18 @@
 
 @dataclass(slots=True, frozen=True)
 class Position:
-    """How far a node is: its revision of a controller, desired state and evacuations."""
+    """How far a node is: its revision of a controller, configuration and drained zones."""
 
     revision: int
-    desired_version: int
-    evacuation_index: int
+    configuration_version: int
+    drain_index: int
 
     def reaches(self, other):
         """Return whether this is as far as another position in every respect."""
         return (
             self.revision >= other.revision
-            and self.desired_version >= other.desired_version
-            and self.evacuation_index >= other.evacuation_index
+            and self.configuration_version >= other.configuration_version
+            and self.drain_index >= other.drain_index
         )
 
 
@@ -55,7 +55,7 @@
     def note_request(self, name, request, now):
         """Take a follower's :class:`~sassafrashook.fleet._messages.ViewRequested`."""
         revision = request.revision if request.publisher_boot == self.boot else -1
-        held = Position(revision, request.desired_version, request.evacuation_index)
+        held = Position(revision, request.configuration_version, request.drain_index)
         known = self.followers_.get(name)
         if known is None:
             nothing = Position(-1, 0, 0)
--- a/sassafrashook/fleet/_state.py
+++ b/sassafrashook/fleet/_state.py
@@ -1,13 +1,13 @@
-"""What the controllers agree on: the desired state of the highest version, and evacuations."""
+"""What the controllers agree on: the configuration of the highest version and drained zones."""
 
 import msgspec
 
 from sassafrashook.base import StateMachine
 
 __all__ = [
-    "FleetState",
-    "PutDesiredState",
-    "SetEvacuation",
+    "AgreedState",
+    "PutConfiguration",
+    "SetZoneDrained",
     "decode_outcome",
     "encode_command",
 ]
@@ -17,19 +17,19 @@
     """Base of the commands."""
 
 
-class PutDesiredState(_Command):
-    """Put a desired state in force unless one of its version or a higher one is.
+class PutConfiguration(_Command):
+    """Put a configuration in force unless one of its version or a higher one is.
 
     :param document: the operator's document, compressed.
-    :param desired: the decoded desired state, encoded and compressed.
+    :param configuration: the decoded configuration, encoded and compressed.
     """
 
     version: int
     document: bytes
-    desired: bytes
+    configuration: bytes
 
 
-class SetEvacuation(_Command):
+class SetZoneDrained(_Command):
     """Take an availability zone out, or back."""
 
     zone: str
@@ -45,12 +45,12 @@
 class _Saved(msgspec.Struct, frozen=True, array_like=True):
     version: int
     document: bytes
-    desired: bytes
-    evacuated: list[str]
-    evacuation_index: int
+    configuration: bytes
+    drained_zones: list[str]
+    drain_index: int
 
 
-_COMMANDS = msgspec.msgpack.Decoder(PutDesiredState | SetEvacuation)
+_COMMANDS = msgspec.msgpack.Decoder(PutConfiguration | SetZoneDrained)
 _OUTCOMES = msgspec.msgpack.Decoder(CommandOutcome)
 
 
@@ -64,17 +64,17 @@
     return _OUTCOMES.decode(reply)
 
 
-class FleetState(StateMachine):
+class AgreedState(StateMachine):
     """The agreed state; it keeps one document, so that the log can be cut after any command.
 
-    :ivar version_: version of the desired state in force, 0 if there is none.
+    :ivar version_: version of the configuration in force, 0 if there is none.
     :ivar document_: the operator's document, compressed.
-    :ivar desired_: the encoded desired state, compressed.
-    :ivar evacuated_: availability zones that are out.
-    :ivar evacuation_index_: log index of the last change of these.
+    :ivar configuration_: the encoded configuration, compressed.
+    :ivar drained_zones_: availability zones that are out.
+    :ivar drain_index_: log index of the last change of these.
 
-    >>> state = FleetState()
-    >>> put = encode_command(PutDesiredState(7, b"document", b"desired"))
+    >>> state = AgreedState()
+    >>> put = encode_command(PutConfiguration(7, b"document", b"configuration"))
     >>> decode_outcome(state.apply(1, put)).changed, decode_outcome(state.apply(2, put)).changed
     (True, False)
     """
@@ -82,17 +82,17 @@
     def __init__(self):
         self.version_ = 0
         self.document_ = b""
-        self.desired_ = b""
-        self.evacuated_ = frozenset()
-        self.evacuation_index_ = 0
+        self.configuration_ = b""
+        self.drained_zones_ = frozenset()
+        self.drain_index_ = 0
 
     def apply(self, index, command):
         """Apply one committed command."""
         command = _COMMANDS.decode(command)
-        if isinstance(command, PutDesiredState):
+        if isinstance(command, PutConfiguration):
             changed = self._put(command)
         else:
-            changed = self._set_evacuation(index, command)
+            changed = self._set_zone_drained(index, command)
         return msgspec.msgpack.encode(CommandOutcome(changed))
 
     def _put(self, command):
@@ -100,14 +100,14 @@
             return False
         self.version_ = command.version
         self.document_ = command.document
-        self.desired_ = command.desired
+        self.configuration_ = command.configuration
         return True
 
-    def _set_evacuation(self, index, command):
-        if (command.zone in self.evacuated_) == command.is_out:
+    def _set_zone_drained(self, index, command):
+        if (command.zone in self.drained_zones_) == command.is_out:
             return False
-        self.evacuated_ = self.evacuated_ ^ {command.zone}
-        self.evacuation_index_ = index
+        self.drained_zones_ = self.drained_zones_ ^ {command.zone}
+        self.drain_index_ = index
         return True
 
     def save(self):
@@ -116,9 +116,9 @@
             _Saved(
                 self.version_,
                 self.document_,
-                self.desired_,
-                sorted(self.evacuated_),
-                self.evacuation_index_,
+                self.configuration_,
+                sorted(self.drained_zones_),
+                self.drain_index_,
             )
         )
 
@@ -127,6 +127,6 @@
         saved = msgspec.msgpack.decode(snapshot, type=_Saved)
         self.version_ = saved.version
         self.document_ = saved.document
-        self.desired_ = saved.desired
-        self.evacuated_ = frozenset(saved.evacuated)
-        self.evacuation_index_ = saved.evacuation_index
+        self.configuration_ = saved.configuration
+        self.drained_zones_ = frozenset(saved.drained_zones)
+        self.drain_index_ = saved.drain_index
--- a/sassafrashook/fleet/tests/test_publisher.py
+++ b/sassafrashook/fleet/tests/test_publisher.py
@@ -2,21 +2,21 @@
 
 import itertools
 
-from sassafrashook.fleet import FleetState, FleetView, Publisher
+from sassafrashook.fleet import AgreedState, FleetView, Publisher
 from sassafrashook.fleet._loads import LoadBoard
 from sassafrashook.fleet._messages import ViewChanged, ViewRequested
 from sassafrashook.fleet._publisher import KEEPALIVE_S, RESEND_S, ROUTER_MEMORY_S, Position
 from sassafrashook.fleet._state import (
-    PutDesiredState,
-    SetEvacuation,
+    PutConfiguration,
+    SetZoneDrained,
     decode_outcome,
     encode_command,
 )
 from sassafrashook.registry import Registry
 
 
-def request(boot="b", revision=0, version=0, evacuation=0, is_router=True):
-    return ViewRequested(is_router, boot, revision, version, evacuation)
+def request(boot="b", revision=0, version=0, drain=0, is_router=True):
+    return ViewRequested(is_router, boot, revision, version, drain)
 
 
 def test_a_change_is_sent_once_and_again_until_it_is_acknowledged():
@@ -64,42 +64,42 @@
 
 
 def test_the_highest_version_is_in_force_in_any_order():
-    commands = [encode_command(PutDesiredState(v, b"%d" % v, b"x")) for v in (3, 7, 5)]
+    commands = [encode_command(PutConfiguration(v, b"%d" % v, b"x")) for v in (3, 7, 5)]
     for order in itertools.permutations(commands):
-        state = FleetState()
+        state = AgreedState()
         for index, command in enumerate(order, 1):
             state.apply(index, command)
         assert (state.version_, state.document_) == (7, b"7")
 
 
 def test_other_content_under_a_held_version_changes_nothing():
-    state = FleetState()
-    state.apply(1, encode_command(PutDesiredState(7, b"first", b"x")))
-    reply = state.apply(2, encode_command(PutDesiredState(7, b"second", b"y")))
+    state = AgreedState()
+    state.apply(1, encode_command(PutConfiguration(7, b"first", b"x")))
+    reply = state.apply(2, encode_command(PutConfiguration(7, b"second", b"y")))
     assert not decode_outcome(reply).changed
     assert state.document_ == b"first"
 
 
 def test_the_state_survives_a_snapshot():
-    state, other = FleetState(), FleetState()
-    state.apply(1, encode_command(PutDesiredState(7, b"document", b"x")))
-    state.apply(2, encode_command(SetEvacuation("z1", True)))
-    state.apply(3, encode_command(SetEvacuation("z1", True)))
+    state, other = AgreedState(), AgreedState()
+    state.apply(1, encode_command(PutConfiguration(7, b"document", b"x")))
+    state.apply(2, encode_command(SetZoneDrained("z1", True)))
+    state.apply(3, encode_command(SetZoneDrained("z1", True)))
     other.restore(state.save())
     assert other.save() == state.save()
-    assert (other.version_, other.evacuated_, other.evacuation_index_) == (7, {"z1"}, 2)
+    assert (other.version_, other.drained_zones_, other.drain_index_) == (7, {"z1"}, 2)
 
 
 def change(index, zones):
     return ViewChanged("b", 1, [], [], [], index, zones)
 
 
-def test_an_older_word_on_evacuations_changes_nothing():
+def test_an_older_word_on_drained_zones_changes_nothing():
     view = FleetView(Registry(10.0))
     assert view.take(change(5, ["z1"]), 0.0) == frozenset()
     assert view.take(change(9, []), 0.0) == {"z1"}
     assert view.take(change(5, ["z1"]), 0.0) == frozenset()
-    assert view.evacuated_ == frozenset()
+    assert view.drained_zones_ == frozenset()
 
 
 def test_loads_of_a_silent_router_are_forgotten():
--- a/sassafrashook/gateway/_attempt.py
+++ b/sassafrashook/gateway/_attempt.py
@@ -95,7 +95,7 @@
             self.finish()
             raise AttemptError(FailureKind.FAILED, Verdict.RAN, f"{answer.head.status}", answer)
         if not facts.is_signed:
-            raise self._fail(FailureKind.UNSIGNED, "a success without a digest")
+            raise self._fail(FailureKind.UNSIGNED, "a success without a signature")
         return self.head_
 
     def _connect(self):
--- a/sassafrashook/gateway/_dialect.py
+++ b/sassafrashook/gateway/_dialect.py
@@ -39,7 +39,7 @@
     """What an upstream's answer says.
 
     :param request_id: the request that it answers, empty if it does not say.
-    :param is_signed: whether it bears the upstream's digest.
+    :param is_signed: whether it bears the upstream's signature.
     :param has_not_run: whether it states that the request did not run there.
     :param is_misdirected: whether another boot than the one that was meant answered.
     :param load: pair of running and waiting requests, ``None`` if it does not say.
--- a/sassafrashook/gateway/_gateway.py
+++ b/sassafrashook/gateway/_gateway.py
@@ -6,7 +6,7 @@
 from sassafrashook.placement import RetryBudget
 from sassafrashook.routes import ClientLimits
 
-DEFAULT_LIMITS = ClientLimits(16_384, 4_194_304, 3_000, 15_000)  # until a desired state is known
+DEFAULT_LIMITS = ClientLimits(16_384, 4_194_304, 3_000, 15_000)  # until a configuration is known
 
 
 @dataclass(slots=True, frozen=True)
--- a/sassafrashook/gateway/_server.py
+++ b/sassafrashook/gateway/_server.py
@@ -121,7 +121,7 @@
         table = gateway.view.table_
         if table is None:
             self._log_rejection(facts, head, RefusalReason.NO_CONFIGURATION, 0)
-            text = "no desired state is known"
+            text = "no configuration is known"
             self._reject(client, STATUS_UNAVAILABLE, text, NO_STATE_RETRY_MS)
             return
         route = table.match(head.host, head.path)
--- a/sassafrashook/placement/_placement.py
+++ b/sassafrashook/placement/_placement.py
@@ -79,7 +79,7 @@
         self.load_factor = load_factor
         self.load_slack = load_slack
         self.upstreams_ = {}
-        self.evacuated_ = frozenset()
+        self.drained_zones_ = frozenset()
         self.loads_at_ = float("-inf")
         self._by_service = {}
         self._holders = PromptHolders()
@@ -117,9 +117,9 @@
         kept = {state.key for state in self.upstreams_.values()}
         return [state.key for state in old.values() if state.key not in kept]
 
-    def set_evacuated(self, zones):
+    def set_drained_zones(self, zones):
         """Take the availability zones whose upstreams get nothing."""
-        self.evacuated_ = frozenset(zones)
+        self.drained_zones_ = frozenset(zones)
 
     def set_other_loads(self, loads, now):
         """Take how many requests of other routers run at each upstream, by name."""
@@ -145,7 +145,7 @@
         candidates = [
             state
             for state in states
-            if state.entry.availability_zone not in self.evacuated_
+            if state.entry.availability_zone not in self.drained_zones_
             and state.key not in query.excluded
             and not state.is_replaced_
         ]
--- a/sassafrashook/placement/tests/test_placement.py
+++ b/sassafrashook/placement/tests/test_placement.py
@@ -72,10 +72,10 @@
     assert max(loads) <= 2 * mean + 3
 
 
-def test_evacuated_upstreams_count_in_the_mean_of_the_load_bound():
+def test_upstreams_of_drained_zones_count_in_the_mean_of_the_load_bound():
     entries = [make_entry(name, zone="out" if int(name[1:]) < 3 else "in") for name in NAMES]
     placement = make_placement(entries=entries)
-    placement.set_evacuated({"out"})
+    placement.set_drained_zones({"out"})
     for number in range(180):
         choose(placement, 7 if number % 2 else number * 7_919).unwrap().running_ += 1
     loads = [state.running_ for state in placement.upstreams_.values()]
@@ -107,10 +107,10 @@
     assert refusal.retry_after_ms > 0
 
 
-def test_an_evacuated_zone_gets_nothing():
+def test_a_drained_zone_gets_nothing():
     entries = [make_entry(name, zone="out" if int(name[1:]) % 2 else "in") for name in NAMES]
     placement = make_placement(entries=entries)
-    placement.set_evacuated({"out"})
+    placement.set_drained_zones({"out"})
     for session in range(200):
         assert choose(placement, session * 7_919).unwrap().entry.availability_zone == "in"
 
--- a/sassafrashook/platform/_desired_state.py
+++ b/sassafrashook/platform/_configuration.py
@@ -6,9 +6,9 @@
 from sassafrashook.routes import (
     Account,
     ClientLimits,
-    DesiredState,
     Repeatability,
     Route,
+    RouteConfiguration,
     Service,
     WeightedService,
     find_contradiction,
@@ -72,12 +72,12 @@
     tenants: list[_Tenant] | None = None
 
 
-def decode_desired_state(body):
+def decode_configuration(body):
     """Decode and check the operators' document.
 
     :param body: ``bytes``.
-    :returns: ``Success`` of a :class:`~sassafrashook.routes.DesiredState` or ``Failure`` of a text
-        that names the place in the document.
+    :returns: ``Success`` of a :class:`~sassafrashook.routes.RouteConfiguration` or ``Failure`` of a
+        text that names the place in the document.
     """
     try:
         config = msgspec.json.decode(body, type=_Config)
@@ -93,7 +93,7 @@
     accounts = None
     if config.tenants is not None:
         accounts = [Account(t.name, t.api_keys, t.priority) for t in config.tenants]
-    return DesiredState(
+    return RouteConfiguration(
         config.version,
         [_convert_route(route) for route in config.route_table],
         [_convert_service(service) for service in config.services],
--- a/sassafrashook/platform/_control.py
+++ b/sassafrashook/platform/_control.py
@@ -4,7 +4,7 @@
 from returns.result import Failure
 
 from sassafrashook.fleet import OrderOutcome
-from sassafrashook.platform._desired_state import decode_desired_state
+from sassafrashook.platform._configuration import decode_configuration
 from sassafrashook.platform._registrations import decode_registration
 from sassafrashook.telemetry import log_event
 
@@ -27,7 +27,7 @@
 
 
 class ConfigResource:
-    """The desired state."""
+    """The configuration."""
 
     def __init__(self, fleet, port):
         self.fleet = fleet
@@ -45,13 +45,13 @@
     def on_put(self, request, response):
         """Put a document in force."""
         body = _read_body(request, MAX_BODY_BYTES)
-        decoded = decode_desired_state(body)
+        decoded = decode_configuration(body)
         if isinstance(decoded, Failure):
-            log_event("desired_state_refused", reason=decoded.failure(), bytes=len(body))
+            log_event("configuration_refused", reason=decoded.failure(), bytes=len(body))
             response.status = falcon.HTTP_400
             response.media = {"error": decoded.failure()}
             return
-        reply = self.fleet.put_desired_state(decoded.unwrap(), body)
+        reply = self.fleet.put_configuration(decoded.unwrap(), body)
         _answer(reply, request, response, self.port)
 
 
@@ -64,11 +64,11 @@
 
     def on_post(self, request, response, zone):
         """Take a zone out."""
-        _answer(self.fleet.set_evacuation(zone, True), request, response, self.port)
+        _answer(self.fleet.set_zone_drained(zone, True), request, response, self.port)
 
     def on_delete(self, request, response, zone):
         """Take a zone back."""
-        _answer(self.fleet.set_evacuation(zone, False), request, response, self.port)
+        _answer(self.fleet.set_zone_drained(zone, False), request, response, self.port)
 
 
 class InstanceResource:
--- a/sassafrashook/gateway/tests/stand_ins.py
+++ b/sassafrashook/platform/tests/stand_ins.py
@@ -17,9 +17,9 @@
 from sassafrashook.routes import (
     Account,
     ClientLimits,
-    DesiredState,
     Repeatability,
     Route,
+    RouteConfiguration,
     RouteTable,
     Service,
     WeightedService,
@@ -182,7 +182,7 @@
 
 
 def make_state(version=1, timeout_ms=3_000.0, max_upstreams=2, max_body_bytes=100_000):
-    """Return a desired state with one route of each kind."""
+    """Return a configuration with one route of each kind."""
     routes = [
         Route(
             prefix.strip("/"), HOST, prefix, kind, [WeightedService("service", 1.0)], timeout_ms,
@@ -192,7 +192,7 @@
     ]
     services = [Service("service", 0.0)]
     limits = ClientLimits(16_384, max_body_bytes, 1_000, 2_000)
-    return DesiredState(version, routes, services, limits, [Account(ACCOUNT, [KEY])])
+    return RouteConfiguration(version, routes, services, limits, [Account(ACCOUNT, [KEY])])
 
 
 class Harness:
--- a/sassafrashook/platform/tests/test_decoding.py
+++ b/sassafrashook/platform/tests/test_decoding.py
@@ -8,7 +8,7 @@
 
 from sassafrashook.gateway import Forwarding, PromptPart
 from sassafrashook.http1 import Headers, ResponseHead
-from sassafrashook.platform._desired_state import decode_desired_state
+from sassafrashook.platform._configuration import decode_configuration
 from sassafrashook.platform._dialect import PlatformDialect
 from sassafrashook.platform._registrations import decode_registration
 from sassafrashook.platform._settings import load_node_settings
@@ -18,10 +18,10 @@
 
 
 def decode(config):
-    return decode_desired_state(json.dumps(config).encode())
+    return decode_configuration(json.dumps(config).encode())
 
 
-def test_a_desired_state_in_the_products_terms():
+def test_a_configuration_in_the_products_terms():
     state = decode(make_config()).unwrap()
     routes = {route.path_prefix: route for route in state.routes}
     assert routes["/plans/"].repeatability is Repeatability.STREAM
@@ -67,7 +67,7 @@
         (lambda config: config.pop("version"), "version"),
     ],
 )
-def test_an_invalid_desired_state_is_refused_with_its_place(change, place):
+def test_an_invalid_configuration_is_refused_with_its_place(change, place):
     config = make_config()
     change(config)
     result = decode(config)
@@ -76,9 +76,9 @@
 
 
 @pytest.mark.parametrize("cut", [0, 1, 100, -1])
-def test_a_desired_state_that_was_cut_short_is_refused(cut):
+def test_a_configuration_that_was_cut_short_is_refused(cut):
     body = json.dumps(make_config()).encode()
-    assert isinstance(decode_desired_state(body[:cut]), Failure)
+    assert isinstance(decode_configuration(body[:cut]), Failure)
 
 
 def test_fields_that_are_not_known_are_ignored():
--- a/sassafrashook/gateway/tests/test_forwarding.py
+++ b/sassafrashook/platform/tests/test_forwarding.py
@@ -5,7 +5,7 @@
 import gevent
 import pytest
 
-from sassafrashook.gateway.tests.stand_ins import (
+from sassafrashook.platform.tests.stand_ins import (
     ACCOUNT,
     HOST,
     KEY,
@@ -111,7 +111,7 @@
     ("path", "key", "status"),
     [("/none/1", KEY, 404), ("/orders/1", "wrong", 401)],
 )
-def test_refusals_of_the_desired_state(start, path, key, status):
+def test_refusals_of_the_configuration(start, path, key, status):
     harness = start(answer)
     sock = harness.connect()
     sock.sendall(encode_request(path).replace(KEY.encode(), key.encode()))
@@ -208,7 +208,7 @@
     assert harness.ask("/orders/7")[0] == 502
 
 
-def test_a_success_without_a_digest_is_not_passed_on(start):
+def test_a_success_without_a_signature_is_not_passed_on(start):
     def unsigned(_upstream, sock, head, _body):
         sock.sendall(encode_answer(head).replace(b"X-Sassafrashook-Response-Signature: s\r\n", b""))
         return True
--- a/sassafrashook/platform/tests/test_processes.py
+++ b/sassafrashook/platform/tests/test_processes.py
@@ -14,13 +14,6 @@
 import pytest
 from geventhttpclient import HTTPClient
 
-from sassafrashook.gateway.tests.stand_ins import (
-    ScriptedUpstream,
-    answer,
-    encode_request,
-    read_message,
-    wait_for,
-)
 from sassafrashook.platform.tests.documents import (
     CONTROL_PORT,
     CORES,
@@ -31,6 +24,13 @@
     make_config,
     make_node,
 )
+from sassafrashook.platform.tests.stand_ins import (
+    ScriptedUpstream,
+    answer,
+    encode_request,
+    read_message,
+    wait_for,
+)
 
 ROOT = Path(__file__).resolve().parents[3]
 START_S = 20.0
@@ -157,14 +157,14 @@
     assert wait_for(lambda: any(line.endswith(" 5.0") for line in count()), START_S)
 
 
-def test_a_desired_state_is_read_back_from_any_controller(fleet):
+def test_a_configuration_is_read_back_from_any_controller(fleet):
     fleet.order("PUT", "/config", make_config(version=9))
     for ip in CORES:
         status, body, _ = fleet.call(ip, "GET", "/config")
         assert status == 503 or json.loads(body)["version"] == 9
 
 
-def test_invalid_and_older_desired_states(fleet):
+def test_invalid_and_older_configurations(fleet):
     broken = make_config(version=50)
     broken["route_table"][0]["timeout_ms"] = 0
     assert fleet.call(CORES[0], "PUT", "/config", broken)[0] == 400
--- a/sassafrashook/routes/__init__.py
+++ b/sassafrashook/routes/__init__.py
@@ -1,11 +1,11 @@
 """Routes, services and client accounts of the configuration, and how a request finds them."""
 
-from sassafrashook.routes._desired import (
+from sassafrashook.routes._configuration import (
     Account,
     ClientLimits,
-    DesiredState,
     Repeatability,
     Route,
+    RouteConfiguration,
     Service,
     WeightedService,
     find_contradiction,
@@ -15,7 +15,7 @@
 __all__ = [
     "Account",
     "ClientLimits",
-    "DesiredState",
+    "RouteConfiguration",
     "Repeatability",
     "Route",
     "RouteTable",
--- a/sassafrashook/routes/_desired.py
+++ b/sassafrashook/routes/_configuration.py
@@ -1,4 +1,4 @@
-"""The desired state of a fleet that routes by host and path."""
+"""The configuration of a fleet that routes by host and path."""
 
 from enum import StrEnum
 
@@ -94,7 +94,7 @@
     priority: int | None = None
 
 
-class DesiredState(msgspec.Struct, frozen=True, array_like=True):
+class RouteConfiguration(msgspec.Struct, frozen=True, array_like=True):
     """What the operators want, under a version; the highest version is in force.
 
     :param accounts: ``None`` if requests need no keys at all.
@@ -108,9 +108,9 @@
 
 
 def find_contradiction(state):
-    """Return why a desired state can't be in force.
+    """Return why a configuration can't be in force.
 
-    :param state: a :class:`DesiredState`.
+    :param state: a :class:`RouteConfiguration`.
     :returns: pair of the place in the document and the problem, or ``None``.
     """
     names = {service.name for service in state.services}
--- a/sassafrashook/routes/_table.py
+++ b/sassafrashook/routes/_table.py
@@ -4,17 +4,17 @@
 
 
 class RouteTable:
-    """A desired state, indexed.
+    """A configuration, indexed.
 
-    :param state: a :class:`~sassafrashook.routes.DesiredState`.
+    :param state: a :class:`~sassafrashook.routes.RouteConfiguration`.
 
-    >>> from sassafrashook.routes import ClientLimits, DesiredState, Repeatability, Route
+    >>> from sassafrashook.routes import ClientLimits, RouteConfiguration, Repeatability, Route
     >>> from sassafrashook.routes import Service, WeightedService
     >>> route = Route("plans", "a.example", "/plans/", Repeatability.STREAM,
     ...     [WeightedService("advisor", 1)], 1000, 100, 0, 1, 0, True, True)
     >>> limits = ClientLimits(16_384, 1_024, 3_000, 15_000)
     >>> services = [Service("advisor", 0)]
-    >>> table = RouteTable(DesiredState(7, [route], services, limits, None))
+    >>> table = RouteTable(RouteConfiguration(7, [route], services, limits, None))
     >>> table.match("a.example", "/plans/3").name
     'plans'
     """
