--- a/sassafrashook/base.py
+++ b/sassafrashook/base.py
@@ -6,10 +6,11 @@
 """
 
 from abc import ABC, abstractmethod
+from dataclasses import dataclass
 
 from sassafrashook.utils import check_parameters
 
-__all__ = ["Core", "Event", "Action", "Parametrized", "StateMachine"]
+__all__ = ["Action", "Core", "Count", "Event", "Parametrized", "Send", "StateMachine"]
 
 
 class Event:
@@ -24,6 +25,30 @@
     __slots__ = ()
 
 
+@dataclass(slots=True, frozen=True)
+class Send(Action):
+    """Send a message to a named process; it may be lost.
+
+    :param message: a :class:`~sassafrashook.messages.Message`.
+    """
+
+    peer: str
+    message: object
+
+
+@dataclass(slots=True, frozen=True)
+class Count(Action):
+    """Add to a counter.
+
+    :param name: metric name.
+    :param attribute: value of the metric's one attribute, such as a refusal reason.
+    """
+
+    name: str
+    attribute: str
+    amount: int = 1
+
+
 class Parametrized:
     """Base of classes whose ``__init__`` only stores parameters.
 
--- a/sassafrashook/membership/__init__.py
+++ b/sassafrashook/membership/__init__.py
@@ -1,10 +1,10 @@
 """How nodes learn of upstreams and of one another."""
 
+from sassafrashook.base import Count, Send
 from sassafrashook.membership._core import MembershipCore
 from sassafrashook.membership._entries import Admission
 from sassafrashook.membership._events import (
     AnnouncementHeard,
-    Count,
     DepartureReason,
     FromPeer,
     LeaveHeard,
@@ -13,7 +13,6 @@
     PeersChanged,
     PeerSeen,
     ProbePeer,
-    Send,
     StopRequested,
     UpstreamLeft,
     UpstreamSeen,
--- a/sassafrashook/membership/_core.py
+++ b/sassafrashook/membership/_core.py
@@ -1,17 +1,15 @@
 """The membership core: gossip rounds, urgent changes, and the list that they keep."""
 
-from sassafrashook.base import Core
+from sassafrashook.base import Core, Count, Send
 from sassafrashook.membership._budget import ByteBudget
 from sassafrashook.membership._directory import Directory
 from sassafrashook.membership._events import (
     AnnouncementHeard,
-    Count,
     FromPeer,
     LeaveHeard,
     PeerProbed,
     PeersChanged,
     ProbePeer,
-    Send,
     StopRequested,
 )
 from sassafrashook.membership._intake import Intake
--- a/sassafrashook/membership/_events.py
+++ b/sassafrashook/membership/_events.py
@@ -60,14 +60,6 @@
     """This node stops gracefully."""
 
 
-@dataclass(slots=True, frozen=True)
-class Send(Action):
-    """Send a message to a node; it may be lost."""
-
-    peer: str
-    message: Message
-
-
 @dataclass(slots=True, frozen=True)
 class ProbePeer(Action):
     """Find out on a new connection whether a silent node is alive; answer by a PeerProbed."""
@@ -111,15 +103,3 @@
     name: str
     boot_id: str
     reason: DepartureReason
-
-
-@dataclass(slots=True, frozen=True)
-class Count(Action):
-    """Add to a counter.
-
-    :param attribute: a refusal reason or a message type.
-    """
-
-    name: str
-    attribute: str
-    amount: int = 1
--- a/sassafrashook/membership/_service.py
+++ b/sassafrashook/membership/_service.py
@@ -8,15 +8,14 @@
 from absl import logging
 from gevent.queue import Empty, Full, Queue
 
+from sassafrashook.base import Count, Send
 from sassafrashook.membership._events import (
     AnnouncementHeard,
-    Count,
     FromPeer,
     LeaveHeard,
     PeerProbed,
     PeersChanged,
     ProbePeer,
-    Send,
     StopRequested,
 )
 from sassafrashook.tasks import spawn_task
--- a/sassafrashook/routing/__init__.py
+++ b/sassafrashook/routing/__init__.py
@@ -5,7 +5,8 @@
 current time and return actions; any driver, test or bench can run them.
 """
 
-from sassafrashook.routing._actions import Acquired, Count, Quarantine, RecordSuspect, Refused, Send
+from sassafrashook.base import Count, Send
+from sassafrashook.routing._actions import Acquired, Quarantine, RecordSuspect, Refused
 from sassafrashook.routing._client import PermitClient
 from sassafrashook.routing._events import (
     AcquireRequested,
--- a/sassafrashook/routing/_actions.py
+++ b/sassafrashook/routing/_actions.py
@@ -4,19 +4,10 @@
 
 from sassafrashook.base import Action
 from sassafrashook.gateways import Permit
-from sassafrashook.messages import Message
 from sassafrashook.outcomes import Refusal
 from sassafrashook.routing._events import Suspect
 
 
-@dataclass(slots=True, frozen=True)
-class Send(Action):
-    """Send a message to a named process."""
-
-    peer: str
-    message: Message
-
-
 @dataclass(slots=True, frozen=True)
 class Quarantine(Action):
     """Have a fingerprint added to the replicated quarantine list; repeated until it is there."""
@@ -36,18 +27,6 @@
     suspect: Suspect
 
 
-@dataclass(slots=True, frozen=True)
-class Count(Action):
-    """Count one event.
-
-    :param name: metric name.
-    :param attribute: value of the metric's one attribute, such as a refusal reason.
-    """
-
-    name: str
-    attribute: str
-
-
 @dataclass(slots=True, frozen=True)
 class Acquired(Action):
     """A wait ended with a permit."""
--- a/sassafrashook/routing/_assignment.py
+++ b/sassafrashook/routing/_assignment.py
@@ -1,8 +1,9 @@
 """Grants and releases of permits: the running counts of one owner."""
 
+from sassafrashook.base import Send
 from sassafrashook.messages import PermitGranted, PermitOutcome, PermitRefused
 from sassafrashook.outcomes import RefusalReason
-from sassafrashook.routing._actions import Quarantine, Send
+from sassafrashook.routing._actions import Quarantine
 from sassafrashook.routing._deadlines import DeadlineTable
 from sassafrashook.routing._invariants import InvariantError, check_grant
 from sassafrashook.routing._sessions import PermitRecord
--- a/sassafrashook/routing/_client.py
+++ b/sassafrashook/routing/_client.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from sassafrashook.base import Core
+from sassafrashook.base import Core, Count, Send
 from sassafrashook.gateways import Permit
 from sassafrashook.messages import (
     PermitGranted,
@@ -15,7 +15,7 @@
     SessionRedirected,
 )
 from sassafrashook.outcomes import Refusal, RefusalReason, Verdict
-from sassafrashook.routing._actions import Acquired, Count, Refused, Send
+from sassafrashook.routing._actions import Acquired, Refused
 from sassafrashook.routing._deadlines import DeadlineTable
 from sassafrashook.routing._events import (
     AcquireRequested,
--- a/sassafrashook/routing/_ledger.py
+++ b/sassafrashook/routing/_ledger.py
@@ -1,6 +1,6 @@
 """The owner of the running counts: one exact count of running requests for each upstream."""
 
-from sassafrashook.base import Core
+from sassafrashook.base import Core, Send
 from sassafrashook.messages import (
     CacheEvent,
     LoadReport,
@@ -14,7 +14,7 @@
     SessionOpened,
 )
 from sassafrashook.outcomes import RefusalReason
-from sassafrashook.routing._actions import Quarantine, RecordSuspect, Send
+from sassafrashook.routing._actions import Quarantine, RecordSuspect
 from sassafrashook.routing._assignment import Assigner
 from sassafrashook.routing._events import (
     FleetStateChanged,
--- a/sassafrashook/routing/_owner_session.py
+++ b/sassafrashook/routing/_owner_session.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from sassafrashook.base import Send
 from sassafrashook.messages import SessionOpened
-from sassafrashook.routing._actions import Send
 
 RENEWALS_PER_LEASE = 3
 RENEWALS_MISSED_MAX = 2
--- a/sassafrashook/routing/_state.py
+++ b/sassafrashook/routing/_state.py
@@ -1,7 +1,7 @@
 """What the parts of one owner share."""
 
+from sassafrashook.base import Count
 from sassafrashook.configuration import FleetState
-from sassafrashook.routing._actions import Count
 from sassafrashook.routing._hints import HolderHints
 from sassafrashook.routing._poison import SuspectTable
 from sassafrashook.routing._services import ServiceState
