--- a/sassafrashook/daemons/_router.py
+++ b/sassafrashook/daemons/_router.py
@@ -127,6 +127,11 @@
         )
         for key in gone:
             self.pool_.drop(key)
+        log_event(
+            "upstreams_changed", gone=[name for name, _ in gone],
+            usable=len(self.placement_.upstreams_), leaving=len(registry.list_leaving()),
+            known=len(registry.entries_), revision=registry.revision_,
+        )  # fmt: skip
 
     def _note_loads(self, _sender, message):
         now = time.monotonic()
--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -19,6 +19,7 @@
 HEAD_PATIENCE = 0.8  # of the route's target; a retry after it may still be on time
 DATA_PATIENCE = 2.0  # of the route's longest pause; clients leave after eight
 MIN_PATIENCE_S = 0.15
+MAX_LOGGED_AGE_S = 3_600.0  # stands for loads that were never told
 STATUS_BAD_GATEWAY = 502
 STATUS_TIMEOUT = 504
 OWN_LENGTH = frozenset((b"content-length",))
@@ -143,6 +144,7 @@
         """Run one attempt; :returns: ``None`` once answered, else the :class:`AttemptError`."""
         placement, now = self.gateway.placement, time.monotonic()
         source = placement.find_source(query, upstream, now)
+        self._log_placement(upstream, source, now)
         placement.note_begun(query, upstream, now)
         attempt = self._attempt = Attempt(self, upstream, source)
         self.tried.add(upstream.key)
@@ -166,6 +168,17 @@
         self._log("answered", upstream.entry.upstream_id, head.status)
         return None
 
+    def _log_placement(self, upstream, source, now):
+        loads_age_s = now - self.gateway.placement.loads_at_
+        log_event(
+            "request_placed", request=self.facts.request_id, upstream=upstream.entry.upstream_id,
+            source=source.entry.upstream_id if source is not None else "-",
+            parts=",".join(f"{part.part_id}:{part.tokens}" for part in self.facts.parts) or "-",
+            running=upstream.running_, others=upstream.others_,
+            loads_age_ms=round(min(loads_age_s, MAX_LOGGED_AGE_S) * 1_000),
+            cold=upstream.is_cold(now), version=self.table.version, runs=self.runs,
+        )  # fmt: skip
+
     def _note_failure(self, upstream, error):
         if error.kind in (FailureKind.FAILED, FailureKind.BROKEN, FailureKind.UNSIGNED):
             upstream.note_outcome(False)
--- a/sassafrashook/placement/tests/test_placement.py
+++ b/sassafrashook/placement/tests/test_placement.py
@@ -234,6 +234,18 @@
     assert first.take_placed() == []
 
 
+def test_use_by_any_router_keeps_a_holder_known_to_all():
+    first, second, third = (make_placement(router=r) for r in ROUTERS[:3])
+    note(first, "u3", 7, 10.0)
+    told = first.take_placed()
+    second.note_placed(told, 10.2)
+    third.note_placed(told, 10.2)
+    for now in (20.0, 29.0, 38.0):
+        note(second, "u3", 7, now)
+        third.note_placed(second.take_placed(), now + 0.2)
+    assert find_source(third, "u5", 7, 42.0) == "u3"
+
+
 def test_a_leaving_holder_is_a_source():
     placement = make_placement()
     note(placement, "u3", 7)
