Controllers save what they know of upstreams and routers, and recall it after a restart

Cause: after a restart of everything, registrations came back one by one within a heartbeat (1.2 s). The first requests all went to the few upstreams heard so far, with prompts that these did not hold, and the count of routers that divides what a cold upstream bears was too low until all had asked. Now a controller saves both each second that they changed; what was recalled counts as cold, for two heartbeats, and is forgotten unless it is heard again. So an upstream that left meanwhile gets nothing later than a machine counts as in touch again.

Found beside it: a distrusted upstream got one request a second from each router, which is more than a cold one bears where there are more than 23 routers. It now takes from the same shares as a cold one. The test with 76 routers fails without that.

--- a/sassafrashook/daemons/_controller.py
+++ b/sassafrashook/daemons/_controller.py
@@ -1,5 +1,6 @@
 """The controller: a replica of the agreed state, and the registrations of upstreams."""
 
+import os
 import time
 
 import gevent
@@ -7,13 +8,20 @@
 
 from sassafrashook.consensus import CONSENSUS_MESSAGES, Replica
 from sassafrashook.daemons._pages import serve_application, serve_metrics
-from sassafrashook.fleet import FLEET_MESSAGES, AgreedState, FleetController
+from sassafrashook.fleet import FLEET_MESSAGES, AgreedState, FleetController, FleetMemory
 from sassafrashook.registry import Registry
-from sassafrashook.storage import DiskFullError, StorageError
+from sassafrashook.storage import (
+    DiskFullError,
+    LocalFileSystem,
+    SnapshotStore,
+    StorageError,
+)
 from sassafrashook.telemetry import Metrics, log_event
 from sassafrashook.transport import Mesh, PeerAddress
 
 SILENT_HEARTBEATS = 3.5  # an upstream is silent after this many intervals
+RECALLED_HEARTBEATS = 2.0  # a saved registration counts this many intervals without a heartbeat
+MEMORY_FOLDER = "fleet"
 CONSENSUS_HEARTBEAT_MS = 80
 ELECTION_MIN_MS = 480  # six heartbeats
 ELECTION_MAX_MS = 960
@@ -64,8 +72,17 @@
             on_failure=self._fail,
         )
         registry = Registry(SILENT_HEARTBEATS * settings.heartbeat_ms / 1_000)
+        folder = os.path.join(settings.data_folder, MEMORY_FOLDER)
+        store = SnapshotStore(LocalFileSystem(), folder, settings.name)
         self.fleet_ = FleetController(
-            settings.name, self.replica_, self.state_, registry, self.mesh_, settings.stream_port
+            settings.name,
+            self.replica_,
+            self.state_,
+            registry,
+            self.mesh_,
+            settings.stream_port,
+            FleetMemory(store),
+            RECALLED_HEARTBEATS * settings.heartbeat_ms / 1_000,
         )
         self._application = make_application(self.fleet_, settings)
         self._server = None
--- a/sassafrashook/fleet/__init__.py
+++ b/sassafrashook/fleet/__init__.py
@@ -2,6 +2,7 @@
 
 from sassafrashook.fleet._controller import FleetController, OrderOutcome
 from sassafrashook.fleet._follower import FleetFollower, FleetView
+from sassafrashook.fleet._memory import FleetMemory
 from sassafrashook.fleet._messages import FLEET_MESSAGES, OtherLoads
 from sassafrashook.fleet._publisher import Publisher
 from sassafrashook.fleet._state import AgreedState
@@ -10,6 +11,7 @@
     "FLEET_MESSAGES",
     "FleetController",
     "FleetFollower",
+    "FleetMemory",
     "AgreedState",
     "FleetView",
     "OrderOutcome",
--- a/sassafrashook/fleet/_controller.py
+++ b/sassafrashook/fleet/_controller.py
@@ -13,6 +13,7 @@
 
 from sassafrashook.fleet._follower import FleetFollower, FleetView
 from sassafrashook.fleet._loads import LoadBoard
+from sassafrashook.fleet._memory import KnownFleet
 from sassafrashook.fleet._messages import (
     Heartbeat,
     HeartbeatsHeard,
@@ -41,6 +42,7 @@
 SPREAD_S = 0.8  # how long an upstream's leaving may take to reach the other nodes
 ROUTER_SPREAD_S = 0.5  # how long it waits for routers that lag
 POLL_S = 0.01
+REMEMBER_S = 1.0  # between two times that what is known of the fleet is saved
 MAX_HEARTBEATS = 2_000  # in one batch
 MAX_PLACED = 2_000  # in one batch
 COMPRESSION_LEVEL = 6
@@ -69,7 +71,8 @@
     """Keeps configuration and registrations, and tells them to everybody.
 
     The configuration and the drained zones are in the replicated log; registrations are in memory,
-    on every controller, and are heard again within a heartbeat.
+    on every controller, and are heard again within a heartbeat. Until then a restarted controller
+    goes by those that it saved.
 
     :param name: this controller's IP number.
     :param replica: a :class:`~sassafrashook.consensus.Replica`.
@@ -77,17 +80,21 @@
     :param registry: a :class:`~sassafrashook.registry.Registry`.
     :param mesh: a :class:`~sassafrashook.transport.Mesh`.
     :param port: port of all nodes' streams.
+    :param memory: a :class:`~sassafrashook.fleet.FleetMemory`, ``None`` to save nothing.
+    :param recalled_s: how long saved registrations count until they are heard again.
     """
 
     handled_messages = (ViewRequested, HeartbeatsHeard, LoadReported, LoadShared)
 
-    def __init__(self, name, replica, state, registry, mesh, port):
+    def __init__(self, name, replica, state, registry, mesh, port, memory=None, recalled_s=0.0):
         self.name = name
         self.replica = replica
         self.state = state
         self.registry = registry
         self.mesh = mesh
         self.port = port
+        self.memory = memory
+        self.recalled_s = recalled_s
         self.publisher_ = Publisher(uuid.uuid4().hex[:16])
         self.loads_ = LoadBoard()
         self.follower_ = FleetFollower(
@@ -105,16 +112,43 @@
 
     def start(self):
         """Start to follow the other controllers and to publish."""
+        tasks = [self._publish, self._share]
+        if self.memory is not None:
+            self._recall()
+            tasks.append(self._remember)
         self.mesh.subscribe(self.handled_messages, self.deliver)
         self.mesh.subscribe(self.follower_.handled_messages, self.follower_.deliver)
         self.follower_.start()
-        self._tasks = [spawn_task(self._publish), spawn_task(self._share)]
+        self._tasks = [spawn_task(task) for task in tasks]
 
     def stop(self):
         """Stop publishing."""
         self.follower_.stop()
         gevent.killall(self._tasks)
 
+    def _recall(self):
+        known, now = self.memory.load(), time.monotonic()
+        self.registry.recall(known.registrations, self.recalled_s, now)
+        self.publisher_.recall_routers(known.routers, now)
+        log_event(
+            "fleet_recalled", upstreams=len(known.registrations), routers=len(known.routers),
+            valid_s=self.recalled_s,
+        )  # fmt: skip
+
+    def _remember(self):
+        """Save what is known of the fleet whenever it has changed."""
+        saved = None
+        pool = gevent.get_hub().threadpool
+        while True:
+            gevent.sleep(REMEMBER_S)
+            routers = self.publisher_.list_routers(time.monotonic())
+            stamp = (self.registry.revision_, routers)
+            if stamp == saved:
+                continue
+            known = KnownFleet(list(self.registry.entries_.values()), routers)
+            if pool.apply(self.memory.save, (known,)):
+                saved = stamp
+
     def set_seeds(self, names):
         """Take the controllers that the settings name."""
         self.follower_.set_seeds(names)
@@ -155,14 +189,19 @@
         while True:
             now = time.monotonic()
             self._note_connection(now)
-            if self._was_connected:
-                for name in self.registry.expire(now):
-                    log_event("upstream_silent", upstream=name, silent_s=self.registry.silent_s)
+            self._expire(now)
             routers = self.publisher_.list_routers(now)
             for name, held in self.publisher_.list_due(self._position(), now):
                 self._send_view(name, held, routers, now)
             gevent.sleep(TICK_S)
 
+    def _expire(self, now):
+        registry = self.registry
+        for name in registry.forget_recalled(now):
+            log_event("upstream_not_heard_again", upstream=name, recalled_s=self.recalled_s)
+        for name in registry.expire(now) if self._was_connected else ():
+            log_event("upstream_silent", upstream=name, silent_s=registry.silent_s)
+
     def _note_connection(self, now):
         connected = self.is_connected(now)
         if connected != self._was_connected:
--- a/sassafrashook/fleet/_publisher.py
+++ b/sassafrashook/fleet/_publisher.py
@@ -51,6 +51,11 @@
     def __init__(self, boot):
         self.boot = boot
         self.followers_ = {}
+        self._recalled = {}
+
+    def recall_routers(self, names, now):
+        """Take the routers that were known before this start; they count until they are heard."""
+        self._recalled = dict.fromkeys(names, now + ROUTER_MEMORY_S)
 
     def note_request(self, name, request, now):
         """Take a follower's :class:`~sassafrashook.fleet._messages.ViewRequested`."""
@@ -96,7 +101,9 @@
         for name, follower in list(self.followers_.items()):
             if now >= follower.heard_at + ROUTER_MEMORY_S:
                 del self.followers_[name]
-        return sorted(n for n, f in self.followers_.items() if f.is_router)
+        self._recalled = {n: until for n, until in self._recalled.items() if now < until}
+        heard = {n for n, f in self.followers_.items() if f.is_router}
+        return sorted(heard.union(self._recalled))
 
     def has_reached(self, name, revision):
         """Return whether a follower holds a revision."""
--- a/sassafrashook/fleet/tests/test_publisher.py
+++ b/sassafrashook/fleet/tests/test_publisher.py
@@ -55,6 +55,15 @@
     assert publisher.list_routers(ROUTER_MEMORY_S) == []
 
 
+def test_recalled_routers_share_until_they_are_heard_or_gone():
+    publisher = Publisher("b")
+    publisher.recall_routers(["r1", "r2"], 0.0)
+    publisher.note_request("r1", request(), 1.0)
+    assert publisher.list_routers(2.0) == ["r1", "r2"]
+    publisher.note_request("r1", request(), ROUTER_MEMORY_S)
+    assert publisher.list_routers(ROUTER_MEMORY_S + 0.1) == ["r1"]
+
+
 def test_controllers_that_are_no_members_yet_count_as_controllers():
     publisher = Publisher("b")
     publisher.note_request("r1", request(), 0.0)
--- a/sassafrashook/placement/_placement.py
+++ b/sassafrashook/placement/_placement.py
@@ -148,6 +148,7 @@
             if state.entry.availability_zone not in self.drained_zones_
             and state.key not in query.excluded
             and not state.is_replaced_
+            and not state.is_expired(now)
         ]
         if not candidates:
             return Failure(self._refuse(RefusalReason.NO_UPSTREAM, ABSENT_RETRY_MS))
@@ -239,12 +240,13 @@
 
     def _take_turn(self, state, service, now):
         """Return whether an upstream may get a request now, and count it if it is cold."""
-        if state.distrusted_:
-            if now < state.tried_at_ + 1 / DISTRUSTED_PER_S:
-                return False
-            state.tried_at_ = now
-        if state.is_cold(now) and service.cold_per_s > 0:
-            return self.warmup.take(state.entry.upstream_id, service.cold_per_s, now)
+        if state.distrusted_ and now < state.tried_at_ + 1 / DISTRUSTED_PER_S:
+            return False
+        is_limited = service.cold_per_s > 0 and (state.distrusted_ or state.is_cold(now))
+        name, rate = state.entry.upstream_id, service.cold_per_s
+        if is_limited and not self.warmup.take(name, rate, now):
+            return False
+        state.tried_at_ = now
         return True
 
     def _refuse(self, reason, bounds_ms):
--- a/sassafrashook/placement/_upstreams.py
+++ b/sassafrashook/placement/_upstreams.py
@@ -1,5 +1,6 @@
 """What one router knows of one boot of an upstream."""
 
+from sassafrashook.registry import RegistrationState
 from sassafrashook.utils import hash_key
 
 SUSPEND_S = 2.0  # a trial connection ends this sooner
@@ -92,6 +93,10 @@
         """Return whether it is cold, or must be presumed to be."""
         return now < max(self.cold_until, self.presumed_cold_until_)
 
+    def is_expired(self, now):
+        """Return whether it was recalled and not heard of in time."""
+        return self.entry.state == RegistrationState.RECALLED and now >= self.cold_until
+
     def is_suspended(self, now):
         """Return whether it gets nothing for now."""
         return now < self.suspended_until_
--- a/sassafrashook/placement/tests/test_placement.py
+++ b/sassafrashook/placement/tests/test_placement.py
@@ -2,6 +2,7 @@
 
 import random
 
+import msgspec
 import pytest
 from returns.result import Failure, Success
 
@@ -182,6 +183,25 @@
     assert not WarmupShares("r0", 1.5, 5).take("u0", 12.0, 0.0)
 
 
+def test_routers_of_a_large_fleet_try_a_distrusted_upstream_within_its_cold_bound():
+    names = [f"r{number}" for number in range(76)]
+    sent = 0
+    for name in names:
+        placement = make_placement(["u0"], name)
+        placement.warmup.set_routers(names)
+        placement.upstreams_["u0"].distrusted_ = True
+        taken = [isinstance(choose(placement, 7, 10.0 + n / 50), Success) for n in range(50)]
+        sent += sum(taken)
+    assert 0 < sent <= SERVICE.cold_per_s * 1.5 + 5
+
+
+def test_a_recalled_upstream_gets_nothing_after_its_time():
+    entry = msgspec.structs.replace(make_entry("u0"), state=RegistrationState.RECALLED)
+    placement = make_placement(entries=[entry], cold_until=12.4)
+    assert isinstance(choose(placement, 7, 11.0), Success)
+    assert choose(placement, 7, 12.5).failure().reason is RefusalReason.NO_UPSTREAM
+
+
 def test_a_zone_that_returns_is_presumed_cold():
     placement = make_placement(["u0"])
     placement.make_cold("z0", until=13.0)
--- a/sassafrashook/registry/_entries.py
+++ b/sassafrashook/registry/_entries.py
@@ -6,8 +6,13 @@
 
 
 class RegistrationState(IntEnum):
-    """What an upstream is ready for; of two with the same sequence number the higher one holds."""
+    """What an upstream is ready for; of two with the same sequence number the higher one holds.
 
+    A recalled one was ready when this node stopped, and was not heard since. It counts as cold for
+    as long as it counts at all.
+    """
+
+    RECALLED = -1
     READY = 0
     SILENT = 1
     DRAINING = 2
--- a/sassafrashook/registry/_registry.py
+++ b/sassafrashook/registry/_registry.py
@@ -9,6 +9,7 @@
 COLD_CHANGE_S = 0.3  # smaller moves of the end of a warm-up are not worth spreading
 MS_PER_S = 1_000
 MAX_ENTRIES = 100_000
+USABLE_STATES = (RegistrationState.RECALLED, RegistrationState.READY, RegistrationState.SILENT)
 
 
 class Registry:
@@ -84,11 +85,26 @@
         )
         return self.merge(left, now)
 
+    def recall(self, entries, valid_s, now):
+        """Take registrations that this node knew before it stopped.
+
+        :param entries: iterable of :class:`Registration`.
+        :param valid_s: how long those that were ready count without a heartbeat.
+        """
+        for entry in entries:
+            if entry.is_leaving:
+                self.merge(msgspec.structs.replace(entry, cold_ms=0.0), now)
+            elif entry.state != RegistrationState.SILENT:
+                state, cold_ms = RegistrationState.RECALLED, valid_s * MS_PER_S
+                self.merge(msgspec.structs.replace(entry, state=state, cold_ms=cold_ms), now)
+
     def note_heartbeat(self, upstream_id, boot_ms, sequence, now):
         """Take another node's word that it heard an upstream."""
         known = self.entries_.get(upstream_id)
         if known is None or known.boot_ms != boot_ms or sequence <= known.sequence:
             return
+        if known.state == RegistrationState.RECALLED:
+            return  # whether it is cold is told only by the registration itself
         if known.state == RegistrationState.SILENT:
             ready = RegistrationState.READY
             heard = msgspec.structs.replace(known, sequence=sequence, state=ready, cold_ms=0.0)
@@ -113,6 +129,17 @@
                 silent.append(name)
         return silent
 
+    def forget_recalled(self, now):
+        """Forget recalled upstreams that were not heard again in time; :returns: their names."""
+        forgotten = [
+            name
+            for name, entry in self.entries_.items()
+            if entry.state == RegistrationState.RECALLED and now >= self.cold_until_[name]
+        ]
+        for name in forgotten:
+            self._forget(name)
+        return forgotten
+
     def _forget(self, name):
         for table in (self.entries_, self.heard_at_, self.cold_until_, self._changed):
             table.pop(name, None)
@@ -139,8 +166,7 @@
             held = by_address.get(entry.address)
             if held is None or entry.boot_ms > held.boot_ms:
                 by_address[entry.address] = entry
-        usable = (RegistrationState.READY, RegistrationState.SILENT)
-        return [entry for entry in by_address.values() if entry.state in usable]
+        return [entry for entry in by_address.values() if entry.state in USABLE_STATES]
 
     def list_leaving(self):
         """Return the registrations of upstreams that said they will leave and still run."""
--- a/sassafrashook/registry/tests/test_registry.py
+++ b/sassafrashook/registry/tests/test_registry.py
@@ -12,6 +12,7 @@
 DRAINING = RegistrationState.DRAINING
 LEFT = RegistrationState.LEFT
 SILENT = RegistrationState.SILENT
+RECALLED = RegistrationState.RECALLED
 
 
 def make(name="a", boot=100, sequence=1, state=READY, host="10.0.0.1", cold_ms=0.0):
@@ -105,6 +106,42 @@
     assert registry.expire(5.0) == []
 
 
+def test_recalled_upstreams_are_usable_and_cold_until_they_are_heard_again():
+    registry = Registry(10.0)
+    registry.recall([make(sequence=4)], 2.4, 100.0)
+    (entry,) = registry.list_usable()
+    assert (entry.state, entry.cold_ms) == (RECALLED, pytest.approx(2_400.0))
+    assert registry.merge(make(sequence=5), 101.0)
+    assert (read(registry), registry.forget_recalled(200.0)) == ({"a": (100, 5, READY)}, [])
+    assert registry.cold_until_["a"] <= 101.0
+
+
+def test_recalled_upstreams_that_are_not_heard_again_are_forgotten():
+    registry = Registry(10.0)
+    registry.recall([make(sequence=4)], 2.4, 100.0)
+    assert registry.forget_recalled(102.3) == []
+    assert registry.forget_recalled(102.5) == ["a"]
+    assert registry.list_usable() == []
+    assert registry.merge(make(sequence=2), 103.0)
+
+
+@pytest.mark.parametrize("known", [make(sequence=4), make(sequence=4, state=DRAINING)])
+def test_what_a_node_knows_is_newer_than_the_same_recalled(known):
+    registry = Registry(10.0)
+    registry.merge(known, 99.0)
+    registry.recall([make(sequence=4)], 2.4, 100.0)
+    assert read(registry) == {"a": (100, 4, known.state)}
+
+
+def test_leaving_upstreams_are_recalled_as_leaving_and_silent_ones_are_not():
+    registry = Registry(10.0)
+    saved = [make("a", state=DRAINING), make("b", state=LEFT), make("c", state=SILENT)]
+    registry.recall(saved, 2.4, 100.0)
+    assert registry.list_usable() == []
+    assert [e.upstream_id for e in registry.list_leaving()] == ["a"]
+    assert not registry.merge(make("b", sequence=1), 101.0)
+
+
 def test_a_warm_up_is_told_with_what_is_left_of_it():
     registry = Registry(10.0)
     registry.merge(make(cold_ms=3_000.0), 10.0)
