Requests wait a moment for a restarted router's first configuration

Each client repeats once, so a second refusal is final, and what came back was late. A request now waits up to a quarter of its time, half a second at most, and is refused then, with a time to come back of 0.4 to 0.8 s.

--- a/sassafrashook/fleet/_follower.py
+++ b/sassafrashook/fleet/_follower.py
@@ -5,6 +5,7 @@
 
 import gevent
 import msgspec
+from gevent.event import Event
 
 from sassafrashook.fleet._messages import LoadReported, PartPlaced, ViewChanged, ViewRequested
 from sassafrashook.routes import RouteConfiguration, RouteTable
@@ -24,6 +25,7 @@
     :param registry: the node's :class:`~sassafrashook.registry.Registry`.
 
     :ivar table_: the :class:`~sassafrashook.routes.RouteTable` in force, or ``None``.
+    :ivar configured_: event that is set once there is one.
     :ivar drained_zones_: availability zones that are out.
     :ivar routers_: names of all routers.
     """
@@ -31,6 +33,7 @@
     def __init__(self, registry):
         self.registry = registry
         self.table_ = None
+        self.configured_ = Event()
         self.drained_zones_ = frozenset()
         self.drain_index_ = 0
         self.routers_ = ()
@@ -53,6 +56,7 @@
                 zlib.decompress(change.configuration), type=RouteConfiguration
             )
             self.table_ = RouteTable(configuration)
+            self.configured_.set()
         if change.routers:
             self.routers_ = tuple(change.routers)
         if change.drain_index <= self.drain_index_:
--- a/sassafrashook/gateway/_server.py
+++ b/sassafrashook/gateway/_server.py
@@ -18,7 +18,9 @@
 POLL_S = 0.05
 CLOSE_IDLE_S = 2.2  # the balancer asks each second and drops a node at its second miss
 STOP_ACCEPTING_S = 3.5
-NO_STATE_RETRY_MS = 1_200  # a restart of the whole fleet takes about this long
+NO_STATE_RETRY_MS = (400, 800)  # a restart of the whole fleet takes about a second; spread
+STATE_WAIT_SHARE = 0.25  # of a request's time that it may wait for the first configuration ...
+MAX_STATE_WAIT_S = 0.5  # ... which a restarted router has within this time of a controller's
 STATUS_NOT_FOUND = 404
 STATUS_UNAUTHENTICATED = 401
 
@@ -118,11 +120,12 @@
     def _dispatch(self, client, head, body, started):
         gateway = self.gateway
         facts = gateway.dialect.read_request(head.headers)
-        table = gateway.view.table_
+        table = gateway.view.table_ or self._await_table(facts, started)
         if table is None:
             self._log_rejection(facts, head, RefusalReason.NO_CONFIGURATION, 0)
             text = "no configuration is known"
-            self._reject(client, STATUS_UNAVAILABLE, text, NO_STATE_RETRY_MS)
+            retry_ms = round(gateway.placement.rng.uniform(*NO_STATE_RETRY_MS))
+            self._reject(client, STATUS_UNAVAILABLE, text, retry_ms)
             return
         route = table.match(head.host, head.path)
         if route is None:
@@ -138,6 +141,20 @@
                 return
         RequestRun(gateway, client, head, facts, route, account, body, started).execute()
 
+    def _await_table(self, facts, started):
+        """Wait a moment for the first configuration; :returns: the table, ``None`` without it."""
+        view = self.gateway.view
+        wait_s = MAX_STATE_WAIT_S
+        if facts.deadline_ms is not None:
+            wait_s = min(wait_s, STATE_WAIT_SHARE * facts.deadline_ms / 1_000)
+        view.configured_.wait(max(0.0, started + wait_s - time.monotonic()))
+        held_ms = round((time.monotonic() - started) * 1_000)
+        log_event(
+            "request_held", request=facts.request_id, reason=RefusalReason.NO_CONFIGURATION,
+            ms=held_ms, version=view.version,
+        )  # fmt: skip
+        return view.table_
+
     def _log_rejection(self, facts, head, reason, version):
         self.gateway.metrics.count("refusals", reason)
         log_event(
--- a/sassafrashook/platform/tests/test_forwarding.py
+++ b/sassafrashook/platform/tests/test_forwarding.py
@@ -429,3 +429,27 @@
     assert len(harness.upstreams[0].requests) <= 1
     harness.register()
     assert harness.placement.upstreams_["u0"].is_replaced_ == bool(harness.upstreams[0].requests)
+
+
+def test_a_request_waits_for_the_first_configuration(start):
+    harness = start(answer)
+    view = harness.gateway.view
+    table, view.table_ = view.table_, None
+
+    def configure():
+        view.table_ = table
+        view.configured_.set()
+
+    gevent.spawn_later(0.2, configure)
+    assert harness.ask("/orders/7")[0] == 200
+
+
+def test_without_a_configuration_a_request_is_refused_in_a_quarter_of_its_time(start):
+    harness = start(answer)
+    harness.gateway.view.table_ = None
+    started = time.monotonic()
+    status, head, _, _ = harness.ask("/orders/7")
+    assert status == 503
+    assert time.monotonic() - started < 4.0 / 4
+    assert 0 < float(find_header(head, "Retry-After")) <= 4.0 / 3
+    assert harness.count_requests() == 0
