Sessions go by their own order, in which the second upstream may hold them; the next one in it is the source

And a widely shared first part that the chosen upstream held hid that another one held the session's own part. Ruled out: requests under way elsewhere; the log lines show those as connections that timed out behind the cut.

The check that the first upstream needs no source became one that names the source.

--- a/sassafrashook/placement/_placement.py
+++ b/sassafrashook/placement/_placement.py
@@ -167,26 +167,25 @@
     def find_source(self, query, chosen, now):
         """Return the upstream that a session's part of the prompt can be copied from.
 
+        Where no holder of the session's part is known, as after a restart, it is the first other
+        one in the session's order; a copy of nothing costs nothing.
+
         :param chosen: the :class:`UpstreamState` that gets the request.
-        :returns: an :class:`UpstreamState`, or ``None`` if the chosen one should hold the part.
+        :returns: an :class:`UpstreamState`, or ``None`` if the chosen one holds the part.
         """
         if query.session is None:
             return None
         states = self._by_service.get(query.service.name, ())
         sources = {s.key: s for s in states if s is not chosen and not s.is_suspended(now)}
-        for part in reversed(query.shared_parts):
-            held = self._holders.find(part, now)
-            if chosen.key in held:
-                return None
-            for key in held:
-                source = sources.get(key) or self._find_leaving(key, now)
-                if source is not None:
-                    return source
-        settled = [s for s in states if s.is_settled(now)]
-        if not settled:
+        held = self._holders.find(query.session, now)
+        if chosen.key in held:
             return None
-        first = min(settled, key=lambda s: self._rank_session(query.session, s))
-        return sources.get(first.key)
+        for key in held:
+            source = sources.get(key) or self._find_leaving(key, now)
+            if source is not None:
+                return source
+        settled = [s for s in sources.values() if s.is_settled(now)]
+        return min(settled, key=lambda s: self._rank_session(query.session, s), default=None)
 
     def _find_leaving(self, key, now):
         state, until = self._leaving.get(key, (None, now))
@@ -232,12 +231,22 @@
             return sorted(room, key=lambda s: self._rank_plain(s, loads[s.key]))
         mean = sum(loads.values()) / len(everyone)
         bound = self.load_factor * mean + self.load_slack
-        held = set(self._holders.find(query.session, now))
-        room.sort(key=lambda s: (s.key not in held, self._rank_session(query.session, s)))
+        room.sort(key=lambda s: self._rank_session(query.session, s))
+        self._prefer_holder(query.session, room, now)
         within = [s for s in room if loads[s.key] + 1 <= bound]
         beyond = sorted((s for s in room if loads[s.key] + 1 > bound), key=lambda s: loads[s.key])
         return within + beyond
 
+    def _prefer_holder(self, session, ordered, now):
+        """Put the second upstream of a session first if it alone of the two holds its part.
+
+        A session that had to move once stays where it is, and is found in the first two places by
+        routers that know nothing of it.
+        """
+        held = self._holders.find(session, now)
+        if len(ordered) > 1 and ordered[0].key not in held and ordered[1].key in held:
+            ordered[0], ordered[1] = ordered[1], ordered[0]
+
     def _rank_plain(self, state, load):
         is_far = state.entry.availability_zone != self.zone
         return (load / max(1, state.entry.slots), is_far, self.rng.random())
