Lines of a request kept together, sampled when the log runs short; request explain

A request's lines are written as they arise while the log has room. When it runs short, those of a share of requests are, picked by a hash of the id, and those of a request that fails at its end in any case, with the right to the reserved room. One kind of event can't use up the room of others. Placements and refusals say what they were decided from. sassafrashook request explain ID reads the lines of several processes back, in order, with what the router had come to believe, and names the cause.

Shown by a test with real processes: a stream cut midway, an order with an unknown outcome and a request without an upstream are each found by their id alone.

--- a/sassafrashook/daemons/_router.py
+++ b/sassafrashook/daemons/_router.py
@@ -62,6 +62,7 @@
         )
         self.server_ = GatewayServer(self.gateway_, *settings.router.clients)
         self._readiness = None
+        self._usable = []
 
     def start(self):
         """Follow the controllers and serve.
@@ -128,11 +129,13 @@
         )
         for key in gone:
             self.pool_.drop(key)
-        log_event(
-            "upstreams_changed", gone=[name for name, _ in gone],
-            usable=len(self.placement_.upstreams_), leaving=len(leaving),
-            known=len(registry.entries_), revision=registry.revision_,
-        )  # fmt: skip
+        usable = sorted(self.placement_.upstreams_)
+        if usable != self._usable or gone:
+            self._usable = usable
+            log_event(
+                "upstreams_changed", gone=[name for name, _ in gone], usable=len(usable),
+                leaving=[entry.upstream_id for entry, _ in leaving], revision=registry.revision_,
+            )  # fmt: skip
 
     def _note_loads(self, _sender, message):
         now = time.monotonic()
--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -7,10 +7,10 @@
 from sassafrashook.gateway._answers import STATUS_UNAVAILABLE, send_text
 from sassafrashook.gateway._attempt import Attempt, AttemptError, FailureKind
 from sassafrashook.gateway._events import EventSplitter
+from sassafrashook.gateway._request_log import RequestLog
 from sassafrashook.http1 import drop_hop_by_hop
 from sassafrashook.outcomes import RefusalReason, RetryReason, Verdict
 from sassafrashook.placement import BUSY_RETRY_MS, PlacementQuery
-from sassafrashook.telemetry import log_event
 from sassafrashook.utils import hash_key
 
 MAX_UNREACHABLE = 4  # upstreams tried without a byte sent
@@ -19,7 +19,6 @@
 HEAD_PATIENCE = 0.8  # of the route's target; a retry after it may still be on time
 DATA_PATIENCE = 2.0  # of the route's longest pause; clients leave after eight
 MIN_PATIENCE_S = 0.15
-MAX_LOGGED_AGE_S = 3_600.0  # stands for loads that were never told
 STATUS_BAD_GATEWAY = 502
 STATUS_TIMEOUT = 504
 OWN_LENGTH = frozenset((b"content-length",))
@@ -73,6 +72,7 @@
         self._shared_parts = self._list_shared_parts()
         self._events = EventSplitter()
         self._attempt = None
+        self._lines = RequestLog(facts.request_id, gateway.metrics)
 
     def _find_priority(self):
         if self.account is not None and self.account.priority is not None:
@@ -118,7 +118,9 @@
             query = self._make_query()
             chosen = self.gateway.placement.choose(query, time.monotonic())
             if isinstance(chosen, Failure):
-                self._refuse(chosen.failure().reason, chosen.failure().retry_after_ms)
+                refusal = chosen.failure()
+                self._lines.note_refusal(self, refusal)
+                self._refuse(refusal.reason, refusal.retry_after_ms)
                 return
             upstream = chosen.unwrap()
             error = self._try(query, upstream)
@@ -144,7 +146,7 @@
         """Run one attempt; :returns: ``None`` once answered, else the :class:`AttemptError`."""
         placement, now = self.gateway.placement, time.monotonic()
         source = placement.find_source(query, upstream, now)
-        self._log_placement(upstream, source, now)
+        self._lines.note_placement(self, upstream, source, now)
         placement.note_begun(query, upstream, now)
         attempt = self._attempt = Attempt(self, upstream, source)
         self.tried.add(upstream.key)
@@ -168,17 +170,6 @@
         self._log("answered", upstream.entry.upstream_id, head.status)
         return None
 
-    def _log_placement(self, upstream, source, now):
-        loads_age_s = now - self.gateway.placement.loads_at_
-        log_event(
-            "request_placed", request=self.facts.request_id, upstream=upstream.entry.upstream_id,
-            source=source.entry.upstream_id if source is not None else "-",
-            parts=",".join(f"{part.part_id}:{part.tokens}" for part in self.facts.parts) or "-",
-            running=upstream.running_, others=upstream.others_,
-            loads_age_ms=round(min(loads_age_s, MAX_LOGGED_AGE_S) * 1_000),
-            cold=upstream.is_cold(now), version=self.table.version, runs=self.runs,
-        )  # fmt: skip
-
     def _note_failure(self, upstream, error):
         if error.kind in (FailureKind.FAILED, FailureKind.BROKEN, FailureKind.UNSIGNED):
             upstream.note_outcome(False)
@@ -188,12 +179,7 @@
         self.unreachable += error.kind is FailureKind.UNREACHABLE
         self.refused += error.kind in (FailureKind.REFUSED, FailureKind.MISDIRECTED)
         if error.kind is not FailureKind.CLIENT_GONE:
-            log_event(
-                "attempt_failed", request=self.facts.request_id, route=self.route.name,
-                upstream=upstream.entry.upstream_id, kind=error.kind, verdict=error.verdict,
-                detail=error, running=upstream.running_, others=upstream.others_,
-                version=self.table.version, runs=self.runs,
-            )  # fmt: skip
+            self._lines.note_failure(self, upstream, error)
 
     def _answer(self, attempt, head):
         body = attempt.read_whole()
@@ -227,10 +213,7 @@
         if reason is None and has_arrived and not self.gateway.spend_retry(self.service.name):
             reason = "retry_budget"
         if reason is not None:
-            log_event(
-                "request_not_retried", request=self.facts.request_id, reason=reason,
-                upstream=upstream.entry.upstream_id, runs=self.runs, verdict=self.verdict,
-            )  # fmt: skip
+            self._lines.note_end_of_tries(self, upstream, reason)
             return False
         self._events.take_rest()
         if self._events.last_id_ is not None:
@@ -297,12 +280,7 @@
     def _log(self, outcome, upstream, detail):
         elapsed_ms = self._elapsed_ms()
         self._record("request_ms", outcome, elapsed_ms)
-        log_event(
-            "request_ended", request=self.facts.request_id, route=self.route.name,
-            service=self.service.name, upstream=upstream, outcome=outcome, detail=detail,
-            verdict=self.verdict, runs=self.runs, version=self.table.version,
-            ms=round(elapsed_ms),
-        )  # fmt: skip
+        self._lines.close(self, outcome, upstream, detail, elapsed_ms)
 
 
 def _find_patience_s(factor, target_ms):
--- a/sassafrashook/operations/_cli.py
+++ b/sassafrashook/operations/_cli.py
@@ -14,8 +14,10 @@
     exit_with,
     load_or_exit,
     load_settings_or_exit,
+    read_lines_or_exit,
 )
-from sassafrashook.operations._output import print_answer
+from sassafrashook.operations._explain import explain_request, find_cause, format_event
+from sassafrashook.operations._output import format_table, print_answer
 from sassafrashook.settings import ControllerSettings, RouterSettings
 
 
@@ -180,6 +182,39 @@
         sys.exit(run_role(role, settings))
 
 
+class RequestCommands:
+    """What became of one request.
+
+    :param json: print JSON.
+    """
+
+    def __init__(self, json=False):
+        self._json = json
+
+    def explain(self, request_id, logs="-"):
+        """Show a request's log lines in order, what its routers believed, and the cause.
+
+        :param request_id: the client's id of the request.
+        :param logs: log files of the processes, separated by commas; ``-`` for standard input.
+        """
+        files = logs.split(",") if isinstance(logs, str) else list(logs)
+        found = explain_request(str(request_id), read_lines_or_exit(files))
+        own = [line for kind, line in found if kind == "request"]
+        if not own:
+            exit_with(ExitCode.REFUSED, f"no line of request {request_id}")
+        cause = find_cause(own)
+        if self._json:
+            entries = [
+                {"kind": kind, "source": line.source, "time": line.time, **line.pairs}
+                for kind, line in found
+            ]
+            print_answer({"request": str(request_id), "cause": cause, "lines": entries}, True)
+            return
+        rows = [[line.time, line.source, kind, format_event(line)] for kind, line in found]
+        print(format_table(["time", "source", "kind", "event"], rows))
+        print(f"cause: {cause}")
+
+
 class StatusCommand(OperatorCommands):
     """What each controller says of itself."""
 
@@ -212,6 +247,7 @@
             "controller": ControllerCommands,
             "member": MemberCommands,
             "platform": PlatformCommands,
+            "request": RequestCommands,
             "router": RouterCommands,
             "status": StatusCommand,
             "upstream": UpstreamCommands,
--- a/sassafrashook/operations/_exits.py
+++ b/sassafrashook/operations/_exits.py
@@ -7,6 +7,7 @@
 
 from sassafrashook.configuration import Configuration
 from sassafrashook.operations._client import ExitCode
+from sassafrashook.operations._explain import parse_line
 from sassafrashook.operations._output import print_error
 from sassafrashook.settings import (
     ControllerSettings,
@@ -52,6 +53,19 @@
         exit_with(ExitCode.USAGE, str(error))
 
 
+def read_lines_or_exit(files):
+    """Return the log lines of files, each file's in order; ``-`` is standard input."""
+    lines = []
+    for name in files:
+        try:
+            with open(sys.stdin.fileno() if name == "-" else name, encoding="utf-8") as text:
+                parsed = [parse_line(line, "" if name == "-" else name) for line in text]
+        except (OSError, UnicodeDecodeError) as error:
+            exit_with(ExitCode.USAGE, f"{name}: {error}")
+        lines.extend(line for line in parsed if line is not None)
+    return lines
+
+
 def exit_with(code, text):
     """Print why a command failed and end the process."""
     print_error(text)
--- a/sassafrashook/placement/_placement.py
+++ b/sassafrashook/placement/_placement.py
@@ -45,10 +45,14 @@
 
     :param reason: a :class:`~sassafrashook.outcomes.RefusalReason`.
     :param retry_after_ms: when to come back.
+    :param candidates: how many upstreams its service has that it might go to.
+    :param suspended: how many of them are suspended.
     """
 
     reason: RefusalReason
     retry_after_ms: int
+    candidates: int = 0
+    suspended: int = 0
 
 
 class Placement(Parametrized):
@@ -162,7 +166,8 @@
             if self._take_turn(state, query.service, now):
                 return Success(state)
         reason = RefusalReason.NO_CAPACITY if sound else RefusalReason.NO_UPSTREAM
-        return Failure(self._refuse(reason, BUSY_RETRY_MS))
+        suspended = len(candidates) - len(sound)
+        return Failure(self._refuse(reason, BUSY_RETRY_MS, len(candidates), suspended))
 
     def find_source(self, query, chosen, now):
         """Return the upstream that a session's part of the prompt can be copied from.
@@ -266,8 +271,9 @@
         state.tried_at_ = now
         return True
 
-    def _refuse(self, reason, bounds_ms):
-        return PlacementRefusal(reason, round(self.rng.uniform(*bounds_ms)))
+    def _refuse(self, reason, bounds_ms, candidates=0, suspended=0):
+        retry_after_ms = round(self.rng.uniform(*bounds_ms))
+        return PlacementRefusal(reason, retry_after_ms, candidates, suspended)
 
     def list_trials(self, now):
         """Return the upstreams that a trial connection should be opened to."""
--- a/sassafrashook/platform/tests/test_processes.py
+++ b/sassafrashook/platform/tests/test_processes.py
@@ -27,7 +27,9 @@
 from sassafrashook.platform.tests.stand_ins import (
     ScriptedUpstream,
     answer,
+    encode_answer,
     encode_request,
+    make_event,
     read_message,
     wait_for,
 )
@@ -215,6 +217,60 @@
     assert json.loads(fleet.order("GET", "/config"))["version"] == 20
 
 
+def cut_midway(_upstream, sock, head, _body):
+    fields = [*encode_answer(head, b"").split(b"\r\n")[1:3], b"Transfer-Encoding: chunked"]
+    event = make_event(1)
+    chunk = b"%x\r\n%s\r\n" % (len(event), event)
+    sock.sendall(b"\r\n".join([b"HTTP/1.1 200 OK", *fields, b"", chunk]))
+    return False
+
+
+def leave_without_answer(_upstream, _sock, _head, _body):
+    return False
+
+
+def make_config_of_failures(version):
+    config = make_config(version)
+    for number, kind in enumerate(("streaming", "unsafe", "safe"), 7):
+        route = {**config["route_table"][1], "name": f"r{number}", "path_prefix": f"/f{number}/"}
+        route |= {"kind": kind, "service": f"s{number}", "stream_resumption": False}
+        config["route_table"].append(route)
+        config["services"].append({**config["services"][0], "name": f"s{number}"})
+    return config
+
+
+def explain(fleet, request_id):
+    logs = ",".join(str(fleet.folder / f"{edge}.log") for edge in EDGES)
+    command = [sys.executable, "-m", "sassafrashook", "request", "explain", request_id]
+    result = subprocess.run(
+        [*command, f"--logs={logs}"], cwd=ROOT, capture_output=True, text=True, check=False
+    )
+    assert result.returncode == 0, result.stderr
+    return result.stdout.splitlines()[-1]
+
+
+def test_the_causes_of_failed_requests_are_found_by_their_ids(fleet):
+    fleet.order("PUT", "/config", make_config_of_failures(30))
+    cutting = ScriptedUpstream("i-7", cut_midway)
+    leaving = ScriptedUpstream("i-8", leave_without_answer)
+    fleet.beat(cutting, service="s7")
+    fleet.beat(leaving, service="s8")
+    assert wait_for(lambda: fleet.ask(EDGES[0], "/f8/1", "e0")[0] == 502)
+    assert wait_for(lambda: fleet.ask(EDGES[0], "/f7/1", "e1")[0] == 200)
+    fleet.ask(EDGES[0], "/f7/1", "e7")
+    fleet.ask(EDGES[0], "/f8/1", "e8")
+    fleet.ask(EDGES[0], "/f9/1", "e9")
+    assert wait_for(lambda: "request=e9" in fleet.read_log(EDGES[0]))
+    assert "stream_broken" in explain(fleet, "e7")
+    assert "broken at i-7" in explain(fleet, "e7")
+    assert "502:upstream_broke" in explain(fleet, "e8")
+    assert "verdict may_have_run: broken at i-8" in explain(fleet, "e8")
+    assert "no further try: runs_once" in explain(fleet, "e8")
+    assert "no_upstream with 0 candidates" in explain(fleet, "e9")
+    cutting.stop()
+    leaving.stop()
+
+
 def test_a_router_stops_gracefully(fleet, upstream):
     assert wait_for(lambda: is_served(fleet, EDGES[1]))
     assert fleet.kill(EDGES[1], signal.SIGTERM) == 0
--- a/sassafrashook/telemetry/_logs.py
+++ b/sassafrashook/telemetry/_logs.py
@@ -6,12 +6,14 @@
 from absl import flags, logging
 
 from sassafrashook.telemetry._sink import LogSink
+from sassafrashook.utils import hash_key
 
 PLAIN_CHARACTERS = frozenset(
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._:/@+,-[]*"
 )
 
 
+HASH_RANGE = 2**64
 LEVELS = {
     "debug": logging.DEBUG,
     "info": logging.INFO,
@@ -37,7 +39,9 @@
 
 
 def quote_value(value):
-    """Return a value as it stands in a log line: quoted unless it is plain."""
+    """Return a value as it stands in a log line: lists joined, quoted unless it is plain."""
+    if isinstance(value, list | tuple):
+        value = ",".join(str(item) for item in value) or "-"
     text = str(value)
     if text and PLAIN_CHARACTERS.issuperset(text):
         return text
@@ -58,7 +62,8 @@
     def emit(self, record):
         """Write one record."""
         is_urgent = record.levelno >= standard_logging.WARNING
-        self.sink.put(self.format(record), is_urgent)
+        kind = getattr(record, "event", "message")
+        self.sink.put(self.format(record), is_urgent, kind)
 
 
 def configure_logs(level="info"):
@@ -74,6 +79,24 @@
     return sink
 
 
+def is_sampled(key, sink=None):
+    """Return whether the lines about a key should be written while the log runs short.
+
+    The same keys are picked by every process that has as much room left.
+
+    :param key: text, such as a request's id.
+    :param sink: the :class:`LogSink`, by default the one of :func:`configure_logs`.
+    """
+    sinks = [sink] if sink is not None else list_sinks()
+    return hash_key(key) < min((s.room() for s in sinks), default=1.0) * HASH_RANGE
+
+
+def list_sinks():
+    """Return the sinks that log lines go to."""
+    handlers = standard_logging.getLogger().handlers
+    return [handler.sink for handler in handlers if isinstance(handler, SinkHandler)]
+
+
 def log_event(event, *, level="info", **pairs):
     """Write one event.
 
@@ -83,4 +106,4 @@
     """
     text = " ".join(f"{key}={quote_value(value)}" for key, value in pairs.items())
     line = f"event={event} {text}".rstrip()
-    logging.log(LEVELS[level], "%s", line)
+    logging.log(LEVELS[level], "%s", line, extra={"event": event})
--- a/sassafrashook/telemetry/_sink.py
+++ b/sassafrashook/telemetry/_sink.py
@@ -11,13 +11,44 @@
 BYTES_PER_S = 65_536  # a tenth of the smallest link, so that shipping the lines stays cheap
 BURST_BYTES = 524_288
 RESERVED_SHARE = 0.25  # of the burst, for warnings and errors
+SAMPLED_SHARE = 0.75  # of the burst; with less room than this only a share of requests is logged
+KIND_SHARE = 0.5  # of rate and burst that one kind of event may use up
 QUEUE_LINES = 20_000
+MAX_KINDS = 200  # the project has fewer kinds of events
 BATCH_S = 0.05  # lines of this time share one write
 REPORT_S = 5.0  # between two lines that tell how many were left out
 FLUSH_S = 0.5
 STDOUT = 1
 
 
+class ByteBudget:
+    """Bytes that may be written, refilled at a steady rate.
+
+    :param per_s: bytes refilled in a second.
+    :param burst: most that can be left.
+    :param now: seconds of the clock of all calls.
+    """
+
+    __slots__ = ("per_s", "burst", "_left", "_refilled_at")
+
+    def __init__(self, per_s, burst, now):
+        self.per_s = per_s
+        self.burst = float(burst)
+        self._left = self.burst
+        self._refilled_at = now
+
+    def left(self, now):
+        """Return how many bytes may be written now."""
+        refill = (now - self._refilled_at) * self.per_s
+        self._left = min(self.burst, self._left + refill)
+        self._refilled_at = now
+        return self._left
+
+    def spend(self, size):
+        """Take bytes that are left."""
+        self._left -= size
+
+
 class LogSink:
     """A bounded queue of lines, and the task that writes them.
 
@@ -39,8 +70,8 @@
         self.write = write or (lambda data: tp_write(STDOUT, data))
         self.clock = clock
         self.left_out_ = 0
-        self._tokens = float(BURST_BYTES)
-        self._refilled_at = clock()
+        self._budget = ByteBudget(BYTES_PER_S, BURST_BYTES, clock())
+        self._kinds = {}
         self._reported = 0
         self._lines = deque()
         self._waiting = Event()
@@ -51,34 +82,49 @@
         if self._task is None:
             self._task = gevent.spawn(self._run)
 
-    def put(self, line, is_urgent=False):
+    def put(self, line, is_urgent=False, kind=""):
         """Queue one line.
 
         :param is_urgent: whether it may use the reserved share.
+        :param kind: name of its event, if no event of that name may use up all room.
         :returns: whether there was room.
         """
         if self._task is None:
             sys.stdout.write(f"{line}\n")
             return True
-        size = len(line) + 1
-        if len(self._lines) >= QUEUE_LINES or not self._spend(size, is_urgent):
+        if len(self._lines) >= QUEUE_LINES or not self._spend(len(line) + 1, is_urgent, kind):
             self.left_out_ += 1
             return False
         self._lines.append(line)
         self._waiting.set()
         return True
 
-    def _spend(self, size, is_urgent):
+    def _spend(self, size, is_urgent, kind):
         now = self.clock()
-        refill = (now - self._refilled_at) * BYTES_PER_S
-        self._tokens = min(float(BURST_BYTES), self._tokens + refill)
-        self._refilled_at = now
         floor = 0 if is_urgent else RESERVED_SHARE * BURST_BYTES
-        if self._tokens - size < floor:
+        budgets = [self._budget, self._find_budget(kind, now)] if kind else [self._budget]
+        if self._budget.left(now) - size < floor or budgets[-1].left(now) < size:
             return False
-        self._tokens -= size
+        for budget in budgets:
+            budget.spend(size)
         return True
 
+    def _find_budget(self, kind, now):
+        budget = self._kinds.get(kind)
+        if budget is None:
+            if len(self._kinds) >= MAX_KINDS:
+                self._kinds.clear()
+            budget = ByteBudget(KIND_SHARE * BYTES_PER_S, KIND_SHARE * BURST_BYTES, now)
+            self._kinds[kind] = budget
+        return budget
+
+    def room(self):
+        """Return how much of its lines the log can take: 1.0 for all, 0.0 for none."""
+        if self._task is None:
+            return 1.0
+        spare = self._budget.left(self.clock()) - RESERVED_SHARE * BURST_BYTES
+        return max(0.0, min(1.0, spare / ((SAMPLED_SHARE - RESERVED_SHARE) * BURST_BYTES)))
+
     def _run(self):
         report_at = self.clock() + REPORT_S
         while True:
--- a/sassafrashook/telemetry/tests/test_telemetry.py
+++ b/sassafrashook/telemetry/tests/test_telemetry.py
@@ -7,7 +7,7 @@
 import gevent
 import gevent.event
 
-from sassafrashook.telemetry import Metrics
+from sassafrashook.telemetry import Metrics, is_sampled
 from sassafrashook.telemetry._sink import (
     BURST_BYTES,
     BYTES_PER_S,
@@ -68,6 +68,23 @@
     assert sum(sink.put("x" * 1_023) for _ in range(1_000)) == BYTES_PER_S // 1_024
 
 
+def test_one_kind_of_event_leaves_room_for_others():
+    sink = start_sink(len, lambda: 0.0)
+    while sink.put("x" * 1_023, kind="flood"):
+        pass
+    assert sink.put("x" * 1_023, kind="other")
+
+
+def test_requests_are_sampled_by_their_id_while_the_log_runs_short():
+    sink = start_sink(len, lambda: 0.0)
+    assert sink.room() == 1.0
+    while sink.room() > 0.5:
+        sink.put("x" * 1_023)
+    picked = {key for key in map(str, range(1_000)) if is_sampled(key, sink)}
+    assert 400 < len(picked) < 600
+    assert all(is_sampled(key, sink) for key in picked)
+
+
 def test_a_reader_that_takes_nothing_does_not_hold_up_the_process():
     stuck = gevent.event.Event()
     sink = start_sink(lambda data: stuck.wait() and len(data))
