A configuration comes from one controller, the others stand in after 350 ms; loads and heartbeats in a module of their own

Cause: each controller pushed each new configuration to each follower, the other controllers included, so five copies of the same went to every router within 50 ms. With 76 routers and 350 routes more that is 2 s of a controller's link. The first controller in a router's own order sends it now; the others do where the router has not confirmed it after 350 ms, and at once to one that has none. Controllers have it from the log.

--- a/sassafrashook/fleet/_controller.py
+++ b/sassafrashook/fleet/_controller.py
@@ -3,26 +3,18 @@
 import time
 import uuid
 import zlib
-from collections import deque
 from dataclasses import dataclass
 from enum import StrEnum
+from functools import partial
 
 import gevent
 import msgspec
 from returns.result import Failure
 
+from sassafrashook.fleet._exchange import CONTACT_S, LoadExchange
 from sassafrashook.fleet._follower import FleetFollower, FleetView
-from sassafrashook.fleet._loads import LoadBoard
 from sassafrashook.fleet._memory import KnownFleet
-from sassafrashook.fleet._messages import (
-    Heartbeat,
-    HeartbeatsHeard,
-    LoadReported,
-    LoadShared,
-    OtherLoads,
-    ViewChanged,
-    ViewRequested,
-)
+from sassafrashook.fleet._messages import ViewChanged, ViewRequested
 from sassafrashook.fleet._publisher import Position, Publisher
 from sassafrashook.fleet._state import (
     PutConfiguration,
@@ -33,18 +25,14 @@
 from sassafrashook.tasks import spawn_task
 from sassafrashook.telemetry import log_event
 from sassafrashook.transport import PeerAddress
+from sassafrashook.utils import hash_key, rank_nodes
 
 TICK_S = 0.05
-LOADS_S = 0.2  # between two rounds of loads
-HEARTBEATS_S = 0.3  # heartbeats are told to the other controllers in batches
-CONTACT_S = 1.5  # a controller heard within this time counts as connected
 COMMIT_S = 0.85  # a caller waits a second for an answer
 SPREAD_S = 0.8  # how long an upstream's leaving may take to reach the other nodes
 ROUTER_SPREAD_S = 0.5  # how long it waits for routers that lag
 POLL_S = 0.01
 REMEMBER_S = 1.0  # between two times that what is known of the fleet is saved
-MAX_HEARTBEATS = 2_000  # in one batch
-MAX_PLACED = 2_000  # in one batch
 COMPRESSION_LEVEL = 6
 
 
@@ -84,8 +72,6 @@
     :param recalled_s: how long saved registrations count until they are heard again.
     """
 
-    handled_messages = (ViewRequested, HeartbeatsHeard, LoadReported, LoadShared)
-
     def __init__(self, name, replica, state, registry, mesh, port, memory=None, recalled_s=0.0):
         self.name = name
         self.replica = replica
@@ -96,27 +82,20 @@
         self.memory = memory
         self.recalled_s = recalled_s
         self.publisher_ = Publisher(uuid.uuid4().hex[:16])
-        self.loads_ = LoadBoard()
+        self.exchange_ = LoadExchange(mesh, registry, self.publisher_)
         self.follower_ = FleetFollower(
             name, mesh, FleetView(registry), port, False, self._note_followed
         )
-        self._heartbeats = deque(maxlen=MAX_HEARTBEATS)
-        self._placed = deque(maxlen=MAX_PLACED)
         self._was_connected = False
-        self._handlers = {
-            ViewRequested: self._on_view_requested,
-            HeartbeatsHeard: self._on_heartbeats_heard,
-            LoadReported: self._on_load_reported,
-            LoadShared: self._on_load_shared,
-        }
 
     def start(self):
         """Start to follow the other controllers and to publish."""
-        tasks = [self._publish, self._share]
+        tasks = [self._publish, self.exchange_.run]
         if self.memory is not None:
             self._recall()
             tasks.append(self._remember)
-        self.mesh.subscribe(self.handled_messages, self.deliver)
+        self.mesh.subscribe((ViewRequested,), self._on_view_requested)
+        self.mesh.subscribe(self.exchange_.handled_messages, self.exchange_.deliver)
         self.mesh.subscribe(self.follower_.handled_messages, self.follower_.deliver)
         self.follower_.start()
         self._tasks = [spawn_task(task) for task in tasks]
@@ -154,27 +133,10 @@
         self.follower_.set_seeds(names)
         self.replica.add_contacts(names)
 
-    def deliver(self, sender, message):
-        """Take a message of another node."""
-        self._handlers[type(message)](sender, message)
-
     def _on_view_requested(self, sender, request):
         self.mesh.learn(PeerAddress(sender, sender, self.port))
         self.publisher_.note_request(sender, request, time.monotonic())
 
-    def _on_heartbeats_heard(self, _sender, message):
-        now = time.monotonic()
-        for beat in message.heartbeats:
-            self.registry.note_heartbeat(beat.upstream_id, beat.boot_ms, beat.sequence, now)
-
-    def _on_load_reported(self, sender, message):
-        self.loads_.note_router(sender, message.loads, time.monotonic())
-        self._placed.extend((sender, placed) for placed in message.placed)
-
-    def _on_load_shared(self, sender, message):
-        self.loads_.note_controller(sender, message.loads, time.monotonic())
-        self._placed.extend(("", placed) for placed in message.placed)
-
     def _note_followed(self, _change, _returned):
         self.replica.add_contacts(self.follower_.controllers_)
 
@@ -191,8 +153,10 @@
             self._note_connection(now)
             self._expire(now)
             routers = self.publisher_.list_routers(now)
-            for name, held in self.publisher_.list_due(self._position(), now):
-                self._send_view(name, held, routers, now)
+            members = sorted(self._member_names())
+            position, is_first = self._position(), partial(self._is_first, members)
+            for name, held, with_news in self.publisher_.list_due(position, now, is_first):
+                self._send_view(name, held, routers, now, with_news)
             gevent.sleep(TICK_S)
 
     def _expire(self, now):
@@ -209,9 +173,13 @@
             event = "majority_connected" if connected else "majority_lost"
             log_event(event, heard=sorted(self.publisher_.list_heard(now, CONTACT_S)))
 
-    def _send_view(self, name, held, routers, now):
+    def _is_first(self, members, follower):
+        """Return whether this controller sends a follower its configurations."""
+        return not members or rank_nodes(hash_key(follower), members)[0] == self.name
+
+    def _send_view(self, name, held, routers, now, with_configuration):
         state = self.state
-        is_newer = state.version_ > held.configuration_version
+        is_newer = with_configuration and state.version_ > held.configuration_version
         change = ViewChanged(
             self.publisher_.boot,
             self.registry.revision_,
@@ -225,28 +193,6 @@
         )
         self.mesh.send(name, change)
 
-    def _share(self):
-        """Tell heartbeats and loads to the other controllers, and loads to routers."""
-        shared_at = 0.0
-        while True:
-            gevent.sleep(LOADS_S)
-            now = time.monotonic()
-            others = self.publisher_.list_controllers(now, CONTACT_S)
-            own = self.loads_.sum_own(now)
-            beats = []
-            if now >= shared_at + HEARTBEATS_S:
-                beats = _take_all(self._heartbeats)
-                shared_at = now
-            placed = _take_all(self._placed)
-            placed_here = [part for origin, part in placed if origin]
-            for name in others:
-                self.mesh.send(name, LoadShared(own, placed_here))
-                if beats:
-                    self.mesh.send(name, HeartbeatsHeard(beats))
-            for router in self.loads_.list_routers(now):
-                news = [part for origin, part in placed if origin != router]
-                self.mesh.send(router, OtherLoads(self.loads_.list_others(router, now), news))
-
     def is_connected(self, now):
         """Return whether this controller hears a majority of the group, itself included."""
         members = self._member_names()
@@ -266,7 +212,7 @@
         if not self.is_connected(now):
             return False
         changed = self.registry.merge(entry, now)
-        self._heartbeats.append(Heartbeat(entry.upstream_id, entry.boot_ms, entry.sequence))
+        self.exchange_.note_heartbeat(entry)
         if changed:
             log_event(
                 "upstream_registered", upstream=entry.upstream_id, boot_ms=entry.boot_ms,
@@ -348,8 +294,3 @@
         if isinstance(result, Failure):
             return None
         return zlib.decompress(self.state.document_) if self.state.document_ else b""
-
-
-def _take_all(queue):
-    """Empty a queue; :returns: what it held."""
-    return [queue.popleft() for _ in range(len(queue))]
--- a/sassafrashook/fleet/_publisher.py
+++ b/sassafrashook/fleet/_publisher.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 RESEND_S = 0.4  # longer than a round trip on a busy link
+STAND_IN_S = 0.35  # a follower's first controller has this long to send a configuration alone
 KEEPALIVE_S = 1.0  # a follower hears at least this often that the controller is there
 FORGET_S = 3.0  # a follower that asks for nothing this long is gone
 ROUTER_MEMORY_S = 10.0  # a router that is away for a moment keeps its shares
@@ -31,6 +32,10 @@
     configuration_version: int
     drain_index: int
 
+    def without_news_of(self, sent):
+        """Return this position with the configuration of another one."""
+        return Position(self.revision, sent.configuration_version, self.drain_index)
+
     def reaches(self, other):
         """Return whether this is as far as another position in every respect."""
         return (
@@ -52,6 +57,8 @@
         self.boot = boot
         self.followers_ = {}
         self._recalled = {}
+        self._version = 0
+        self._version_at = float("-inf")
 
     def recall_routers(self, names, now):
         """Take the routers that were known before this start; they count until they are heard."""
@@ -69,22 +76,32 @@
         known.held = held
         known.heard_at = now
 
-    def list_due(self, current, now):
+    def list_due(self, current, now, is_first=lambda _name: True):
         """Return the followers to send to now, and note that they were sent ``current``.
 
         :param current: the :class:`Position` of this controller.
-        :returns: list of (name, held position).
+        :param is_first: tells whether this controller is the first one of a router; the others
+            send it a new configuration only if it does not have it after a while. Controllers
+            have the configuration from the log.
+        :returns: list of (name, held position, whether to send the configuration).
         """
+        if current.configuration_version != self._version:
+            self._version, self._version_at = current.configuration_version, now
+        stands_in = now >= self._version_at + STAND_IN_S
         due = []
         for name, follower in self.followers_.items():
             if now >= follower.heard_at + FORGET_S:
                 continue
-            is_new = not follower.sent.reaches(current)
-            pause = KEEPALIVE_S if follower.held.reaches(current) else RESEND_S
+            with_configuration = follower.is_router and (
+                stands_in or follower.held.configuration_version == 0 or is_first(name)
+            )
+            goal = current if with_configuration else current.without_news_of(follower.sent)
+            is_new = not follower.sent.reaches(goal)
+            pause = KEEPALIVE_S if follower.held.reaches(goal) else RESEND_S
             if is_new or now >= follower.sent_at + pause:
-                follower.sent = current
+                follower.sent = goal
                 follower.sent_at = now
-                due.append((name, follower.held))
+                due.append((name, follower.held, with_configuration))
         return due
 
     def list_heard(self, now, within_s):
--- a/sassafrashook/fleet/tests/test_publisher.py
+++ b/sassafrashook/fleet/tests/test_publisher.py
@@ -5,7 +5,13 @@
 from sassafrashook.fleet import AgreedState, FleetView, Publisher
 from sassafrashook.fleet._loads import LoadBoard
 from sassafrashook.fleet._messages import ViewChanged, ViewRequested
-from sassafrashook.fleet._publisher import KEEPALIVE_S, RESEND_S, ROUTER_MEMORY_S, Position
+from sassafrashook.fleet._publisher import (
+    KEEPALIVE_S,
+    RESEND_S,
+    ROUTER_MEMORY_S,
+    STAND_IN_S,
+    Position,
+)
 from sassafrashook.fleet._state import (
     PutConfiguration,
     SetZoneDrained,
@@ -23,9 +29,9 @@
     publisher = Publisher("b")
     publisher.note_request("r1", request(revision=3), 0.0)
     current = Position(4, 0, 0)
-    assert [name for name, _ in publisher.list_due(current, 0.1)] == ["r1"]
+    assert [name for name, *_ in publisher.list_due(current, 0.1)] == ["r1"]
     assert publisher.list_due(current, 0.2) == []
-    assert [name for name, _ in publisher.list_due(current, 0.2 + RESEND_S)] == ["r1"]
+    assert [name for name, *_ in publisher.list_due(current, 0.2 + RESEND_S)] == ["r1"]
     publisher.note_request("r1", request(revision=4), 0.7)
     assert publisher.list_due(current, 0.8) == []
 
@@ -42,11 +48,40 @@
 def test_revisions_of_an_earlier_start_do_not_count():
     publisher = Publisher("b")
     publisher.note_request("r1", request(boot="earlier", revision=900), 0.0)
-    ((_, held),) = publisher.list_due(Position(4, 0, 0), 0.0)
+    ((_, held, _),) = publisher.list_due(Position(4, 0, 0), 0.0)
     assert held.revision == -1
     assert not publisher.has_reached("r1", 1)
 
 
+def send_configuration(publisher, now, **options):
+    """Return whether the only follower is sent the configuration of version 2 now."""
+    due = publisher.list_due(Position(4, 2, 0), now, **options)
+    return any(with_configuration for _, _, with_configuration in due)
+
+
+def test_a_configuration_comes_from_one_controller_unless_that_fails():
+    first, second = Publisher("b"), Publisher("c")
+    for publisher in (first, second):
+        publisher.note_request("r1", request(revision=4, version=1), 0.0)
+        publisher.list_due(Position(4, 1, 0), 0.0)
+    assert send_configuration(first, 1.0, is_first=lambda name: True)
+    assert not send_configuration(second, 1.0, is_first=lambda name: False)
+    assert not send_configuration(second, 1.3, is_first=lambda name: False)
+    assert send_configuration(second, 1.0 + STAND_IN_S, is_first=lambda name: False)
+
+
+def test_a_router_without_a_configuration_gets_it_from_any_controller():
+    publisher = Publisher("b")
+    publisher.note_request("r1", request(), 0.0)
+    assert send_configuration(publisher, 0.1, is_first=lambda name: False)
+
+
+def test_controllers_are_sent_no_configuration():
+    publisher = Publisher("b")
+    publisher.note_request("c2", request(is_router=False), 0.0)
+    assert not any(send_configuration(publisher, now / 10) for now in range(20))
+
+
 def test_followers_that_ask_no_more_are_sent_nothing():
     publisher = Publisher("b")
     publisher.note_request("r1", request(), 0.0)
