--- a/sassafrashook/consensus/_replica.py
+++ b/sassafrashook/consensus/_replica.py
@@ -89,6 +89,7 @@
     :param manages_members: whether the leader admits and removes members by itself.
     :param file_system: a :class:`~sassafrashook.storage.FileSystem`.
     :param on_failure: called with the error after which the process must stop.
+    :param on_write: called with the milliseconds that each synced write took.
 
     Attributes: ``core_`` is the core; ``applied_index_`` what the state machine holds;
     ``failure_`` the error that stopped the replica, or ``None``.
@@ -143,6 +144,7 @@
         manages_members=False,
         file_system=None,
         on_failure=None,
+        on_write=None,
     ):
         self.name = name
         self.members_at_start = tuple(members)
@@ -163,6 +165,7 @@
         self.manages_members = manages_members
         self.file_system = file_system
         self.on_failure = on_failure
+        self.on_write = on_write
 
     def start(self):
         """Open the data folder, recover the state and begin to take part.
@@ -191,7 +194,9 @@
     def _open_core(self):
         storage = ReplicaStorage(self._folder)
         recovered = storage.load()
-        self._writer = StorageWriter(storage, self._inputs.put, self._fail)
+        self._writer = StorageWriter(
+            storage, self._inputs.put, self._fail, self.on_write or (lambda _duration_ms: None)
+        )
         self.core_ = ReplicaCore(
             self.name,
             self._folder.identity_,
--- a/sassafrashook/consensus/_writer.py
+++ b/sassafrashook/consensus/_writer.py
@@ -21,12 +21,14 @@
     :param storage: a :class:`ReplicaStorage`.
     :param report: called with each :class:`Persisted` and :class:`SnapshotSaved`.
     :param fail: called with the :class:`StorageError` after which nothing is written.
+    :param on_write: called with the milliseconds that each synced write took.
     """
 
-    def __init__(self, storage, report, fail):
+    def __init__(self, storage, report, fail, on_write):
         self.storage = storage
         self.report = report
         self.fail = fail
+        self.on_write = on_write
         self._jobs = SimpleQueue()
         self._pending = set()
         self._saving = Group()
@@ -76,6 +78,7 @@
             self._saving.join()
         self._writing_since = time.monotonic()
         self._call(self.storage.persist, jobs)
+        self.on_write((time.monotonic() - self._writing_since) * 1_000)
         self._writing_since = None
         self.report(Persisted(jobs[-1].sequence))
 
--- a/sassafrashook/daemons/_controller.py
+++ b/sassafrashook/daemons/_controller.py
@@ -16,7 +16,7 @@
     SnapshotStore,
     StorageError,
 )
-from sassafrashook.telemetry import Metrics, log_event
+from sassafrashook.telemetry import Metrics, log_event, observe_logs
 from sassafrashook.transport import Mesh, PeerAddress
 
 SILENT_HEARTBEATS = 3.5  # an upstream is silent after this many intervals
@@ -70,6 +70,9 @@
             tolerated_losses=settings.tolerated_losses,
             manages_members=True,
             on_failure=self._fail,
+            on_write=lambda duration_ms: self.metrics_.record(
+                "disk_write_ms", "log", "done", duration_ms
+            ),
         )
         registry = Registry(SILENT_HEARTBEATS * settings.heartbeat_ms / 1_000)
         folder = os.path.join(settings.data_folder, MEMORY_FOLDER)
@@ -98,9 +101,11 @@
         self.mesh_.start()
         self.fleet_.start()
         self.fleet_.set_seeds(self.settings.seeds)
+        observe_logs(self.metrics_)
         self._page = serve_metrics(self.settings.metrics, self.metrics_)
         self.metrics_.observe("configuration_version", lambda: self.state_.version_)
         self.metrics_.observe("leading", lambda: int(self.replica_.leader() == self.settings.name))
+        self.metrics_.observe("group_term", lambda: self.replica_.status().term)
         self.metrics_.observe("group_members", lambda: len(self.replica_.members()))
         self.metrics_.observe("upstreams_known", lambda: len(self.fleet_.registry.entries_))
         self._server = serve_application(self.settings.control, self._application)
--- a/sassafrashook/daemons/_router.py
+++ b/sassafrashook/daemons/_router.py
@@ -13,7 +13,7 @@
 from sassafrashook.placement import Placement, WarmupShares
 from sassafrashook.registry import Registry
 from sassafrashook.tasks import spawn_task
-from sassafrashook.telemetry import Metrics, log_event
+from sassafrashook.telemetry import Metrics, log_event, observe_logs
 from sassafrashook.transport import Mesh
 
 CONNECT_TIMEOUT_S = 0.25  # a zone is a millisecond away; a lost opening packet takes seconds
@@ -77,10 +77,12 @@
         self.server_.start()
         application = make_page_application(self.readiness_path, self._answer_readiness)
         self._readiness = serve_application(self.settings.router.readiness, application)
+        observe_logs(self.metrics_)
         self._page = serve_metrics(self.settings.metrics, self.metrics_)
         self.metrics_.observe("requests_running", lambda: self.server_.busy_)
         self.metrics_.observe("configuration_version", lambda: self.view_.version)
         self.metrics_.observe("controllers_heard", self.follower_.count_heard)
+        self.metrics_.observe("view_age_ms", self.follower_.find_age_ms)
         self.metrics_.observe("upstreams_usable", lambda: len(self.placement_.upstreams_))
         tasks = (self._report_loads, self._maintain, self._try_upstreams)
         self._tasks = [spawn_task(task) for task in tasks]
--- a/sassafrashook/fleet/_follower.py
+++ b/sassafrashook/fleet/_follower.py
@@ -167,6 +167,11 @@
     def _is_heard(self, name, now):
         return now < self._heard_at.get(name, float("-inf")) + HEARD_S
 
+    def find_age_ms(self):
+        """Return how long ago the last controller was heard, milliseconds; -1 if none was."""
+        last = max(self._heard_at.values(), default=None)
+        return -1 if last is None else round((time.monotonic() - last) * 1_000)
+
     def count_heard(self):
         """Return how many controllers are connected."""
         now = time.monotonic()
--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -195,11 +195,14 @@
         if not client.has_started():
             self._record("first_event_ms", "started", self._elapsed_ms())
             client.start_response(head.status, drop_hop_by_hop(head.headers, OWN_LENGTH))
-        events = self._events
+        events, sent_at, longest_s = self._events, time.monotonic(), 0.0
         while (data := attempt.read_data()) is not None:
             whole = events.feed(data)
             if whole:
+                now = time.monotonic()
+                longest_s, sent_at = max(longest_s, now - sent_at), now
                 client.send_data(whole)
+        self._record("longest_pause_ms", "complete", longest_s * 1_000)
         rest = events.take_rest()
         attempt.finish()
         if rest:
--- a/sassafrashook/platform/tests/test_processes.py
+++ b/sassafrashook/platform/tests/test_processes.py
@@ -159,6 +159,15 @@
     assert wait_for(lambda: any(line.endswith(" 5.0") for line in count()), START_S)
 
 
+def test_metrics_show_disks_views_and_logs(fleet, upstream):
+    assert wait_for(lambda: is_served(fleet, EDGES[0]))
+    pages = [fleet.call(ip, "GET", "/metrics", port=METRICS_PORT)[1] for ip in (CORES[0], EDGES[0])]
+    for metric in (b"disk_write_ms", b"group_term", b"log_lines_left_out"):
+        assert b"sassafrashook_" + metric in pages[0]
+    for metric in (b"view_age_ms", b"request_ms", b"log_lines_left_out"):
+        assert b"sassafrashook_" + metric in pages[1]
+
+
 def test_a_configuration_is_read_back_from_any_controller(fleet):
     fleet.order("PUT", "/config", make_config(version=9))
     for ip in CORES:
--- a/sassafrashook/telemetry/__init__.py
+++ b/sassafrashook/telemetry/__init__.py
@@ -1,6 +1,13 @@
 """Logs of one key=value line an event, and counters by OpenTelemetry."""
 
-from sassafrashook.telemetry._logs import configure_logs, is_sampled, log_event
+from sassafrashook.telemetry._logs import configure_logs, is_sampled, log_event, observe_logs
 from sassafrashook.telemetry._metrics import SCRAPE_CONTENT_TYPE, Metrics
 
-__all__ = ["SCRAPE_CONTENT_TYPE", "Metrics", "configure_logs", "is_sampled", "log_event"]
+__all__ = [
+    "SCRAPE_CONTENT_TYPE",
+    "Metrics",
+    "configure_logs",
+    "is_sampled",
+    "log_event",
+    "observe_logs",
+]
--- a/sassafrashook/telemetry/_logs.py
+++ b/sassafrashook/telemetry/_logs.py
@@ -91,6 +91,14 @@
     return hash_key(key) < min((s.room() for s in sinks), default=1.0) * HASH_RANGE
 
 
+def observe_logs(metrics):
+    """Show how many lines were left out on a page of metrics.
+
+    :param metrics: a :class:`Metrics`.
+    """
+    metrics.observe("log_lines_left_out", lambda: sum(s.left_out_ for s in list_sinks()))
+
+
 def list_sinks():
     """Return the sinks that log lines go to."""
     handlers = standard_logging.getLogger().handlers
