Another controller stands in also while configurations come in quick succession

Found in the read-through: the time after which others stand in began anew with each version, so in a storm of configurations a router whose first controller is out of reach would have got none until it ended. It now counts from the last progress of the router itself. The test fails without that.

--- a/sassafrashook/fleet/_publisher.py
+++ b/sassafrashook/fleet/_publisher.py
@@ -15,6 +15,8 @@
 
     :param held: what it holds, a :class:`Position`.
     :param sent: what it was sent last.
+    :param lags_since: since when it has made no progress to the present configuration, ``None`` if
+        it has that.
     """
 
     is_router: bool
@@ -22,6 +24,15 @@
     sent: object
     sent_at: float
     heard_at: float
+    lags_since: float | None = None
+
+    def lags_for(self, version, now):
+        """Return how long it has made no progress to a version of the configuration, seconds."""
+        if self.held.configuration_version >= version:
+            self.lags_since = None
+        elif self.lags_since is None:
+            self.lags_since = now
+        return 0.0 if self.lags_since is None else now - self.lags_since
 
 
 @dataclass(slots=True, frozen=True)
@@ -57,8 +68,6 @@
         self.boot = boot
         self.followers_ = {}
         self._recalled = {}
-        self._version = 0
-        self._version_at = float("-inf")
 
     def recall_routers(self, names, now):
         """Take the routers that were known before this start; they count until they are heard."""
@@ -73,6 +82,8 @@
             nothing = Position(-1, 0, 0)
             self.followers_[name] = Follower(request.is_router, held, nothing, float("-inf"), now)
             return
+        if held.configuration_version > known.held.configuration_version:
+            known.lags_since = None
         known.held = held
         known.heard_at = now
 
@@ -85,16 +96,13 @@
             have the configuration from the log.
         :returns: list of (name, held position, whether to send the configuration).
         """
-        if current.configuration_version != self._version:
-            self._version, self._version_at = current.configuration_version, now
-        stands_in = now >= self._version_at + STAND_IN_S
         due = []
         for name, follower in self.followers_.items():
             if now >= follower.heard_at + FORGET_S:
                 continue
-            with_configuration = follower.is_router and (
-                stands_in or follower.held.configuration_version == 0 or is_first(name)
-            )
+            lag_s = follower.lags_for(current.configuration_version, now)
+            stands_in = follower.held.configuration_version == 0 or lag_s >= STAND_IN_S
+            with_configuration = follower.is_router and (stands_in or is_first(name))
             goal = current if with_configuration else current.without_news_of(follower.sent)
             is_new = not follower.sent.reaches(goal)
             pause = KEEPALIVE_S if follower.held.reaches(goal) else RESEND_S
--- a/sassafrashook/fleet/tests/test_publisher.py
+++ b/sassafrashook/fleet/tests/test_publisher.py
@@ -70,6 +70,17 @@
     assert send_configuration(second, 1.0 + STAND_IN_S, is_first=lambda name: False)
 
 
+def test_another_controller_stands_in_while_configurations_come_in_quick_succession():
+    publisher = Publisher("b")
+    publisher.note_request("r1", request(revision=4, version=1), 0.0)
+    sent = []
+    for tick in range(20):
+        now = 1.0 + tick * 0.05
+        due = publisher.list_due(Position(4, 2 + tick, 0), now, is_first=lambda name: False)
+        sent += [now for _, _, with_configuration in due if with_configuration]
+    assert sent[0] <= 1.0 + STAND_IN_S + 0.05
+
+
 def test_a_router_without_a_configuration_gets_it_from_any_controller():
     publisher = Publisher("b")
     publisher.note_request("r1", request(), 0.0)
