--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 SOAK ?= 200
 
-.PHONY: demo test lint format bench bench-routing bench-membership bench-relay bench-forwarding bench-logging bench-stalls soak chaos dist
+.PHONY: demo test lint format bench bench-routing bench-membership bench-relay bench-forwarding bench-delay bench-logging bench-stalls soak chaos dist
 
 $(VENV)/.installed: requirements.txt requirements-dev.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -50,6 +50,9 @@
 bench-forwarding: $(VENV)/.installed
 	$(BIN)/python -m benchmarks.forwarding
 
+bench-delay: $(VENV)/.installed
+	$(BIN)/python -m benchmarks.event_delay
+
 bench-logging: $(VENV)/.installed
 	$(BIN)/python -m benchmarks.logging_cost
 
