--- a/sassafrashook/platform/tests/documents.py
+++ b/sassafrashook/platform/tests/documents.py
@@ -32,9 +32,11 @@
             "tenants": tenants}  # fmt: skip
 
 
-def make_beat(address="10.0.0.9:8080", service="s1", sequence=4, state="ready", born=1_000):
+def make_beat(
+    address="10.0.0.9:8080", service="s1", sequence=4, state="ready", born=1_000, slots=8
+):
     return {"service": service, "address": address, "zone": "z", "version": "v1",
-            "slots": 8, "state": state, "warmup_remaining_ms": 0, "sequence": sequence,
+            "slots": slots, "state": state, "warmup_remaining_ms": 0, "sequence": sequence,
             "born": born}  # fmt: skip
 
 
--- a/sassafrashook/platform/tests/test_processes.py
+++ b/sassafrashook/platform/tests/test_processes.py
@@ -238,9 +238,14 @@
     return False
 
 
+def answer_slowly(upstream, sock, head, body):
+    gevent.sleep(0.4)
+    return answer(upstream, sock, head, body)
+
+
 def make_config_of_failures(version):
     config = make_config(version)
-    for number, kind in enumerate(("streaming", "unsafe", "safe"), 7):
+    for number, kind in enumerate(("streaming", "unsafe", "safe", "safe"), 7):
         route = {**config["route_table"][1], "name": f"r{number}", "path_prefix": f"/f{number}/"}
         route |= {"kind": kind, "service": f"s{number}", "stream_resumption": False}
         config["route_table"].append(route)
@@ -263,12 +268,19 @@
     cutting = ScriptedUpstream("i-7", cut_midway)
     leaving = ScriptedUpstream("i-8", leave_without_answer)
     fleet.beat(cutting, service="s7")
+    slow = ScriptedUpstream("i-10", answer_slowly)
     fleet.beat(leaving, service="s8")
+    fleet.beat(slow, service="s10", slots=1)
     assert wait_for(lambda: fleet.ask(EDGES[0], "/f8/1", "e0")[0] == 502)
     assert wait_for(lambda: fleet.ask(EDGES[0], "/f7/1", "e1")[0] == 200)
     fleet.ask(EDGES[0], "/f7/1", "e7")
     fleet.ask(EDGES[0], "/f8/1", "e8")
     fleet.ask(EDGES[0], "/f9/1", "e9")
+    assert wait_for(lambda: fleet.ask(EDGES[0], "/f10/1", "e2")[0] == 200)
+    held = [gevent.spawn(fleet.ask, EDGES[0], "/f10/1", f"e3{number}") for number in range(3)]
+    assert wait_for(lambda: len(slow.requests) >= 4)
+    assert fleet.ask(EDGES[0], "/f10/1", "e10")[0] == 503
+    gevent.joinall(held)
     assert wait_for(lambda: "request=e9" in fleet.read_log(EDGES[0]))
     assert "stream_broken" in explain(fleet, "e7")
     assert "broken at i-7" in explain(fleet, "e7")
@@ -276,8 +288,9 @@
     assert "verdict may_have_run: broken at i-8" in explain(fleet, "e8")
     assert "no further try: runs_once" in explain(fleet, "e8")
     assert "no_upstream with 0 candidates" in explain(fleet, "e9")
-    cutting.stop()
-    leaving.stop()
+    assert "no_capacity with 1 candidates, 0 suspended" in explain(fleet, "e10")
+    for upstream in (cutting, leaving, slow):
+        upstream.stop()
 
 
 def test_a_router_stops_gracefully(fleet, upstream):
