Large configurations go to few routers at once, and are sent again only after a second

Each controller sent it to its 14 routers at once, again after 0.4 s though the first copy was still on its way, and after 0.35 s all others stood in. Links of 6 Mbit/s were full for seconds, pings went unanswered and streams were closed. At most 64 KB of unconfirmed configurations are on their way from one controller now, a router that has not confirmed is sent it again after 1 s, and others stand in after 0.8 s. The tests fail without that.

--- a/sassafrashook/fleet/_controller.py
+++ b/sassafrashook/fleet/_controller.py
@@ -155,7 +155,8 @@
             routers = self.publisher_.list_routers(now)
             members = sorted(self._member_names())
             position, is_first = self._position(), partial(self._is_first, members)
-            for name, held, with_news in self.publisher_.list_due(position, now, is_first):
+            size = len(self.state.configuration_)
+            for name, held, with_news in self.publisher_.list_due(position, now, is_first, size):
                 self._send_view(name, held, routers, now, with_news)
             gevent.sleep(TICK_S)
 
--- a/sassafrashook/fleet/_publisher.py
+++ b/sassafrashook/fleet/_publisher.py
@@ -3,7 +3,10 @@
 from dataclasses import dataclass
 
 RESEND_S = 0.4  # longer than a round trip on a busy link
-STAND_IN_S = 0.35  # a follower's first controller has this long to send a configuration alone
+STAND_IN_S = 0.8  # a router's first controller has this long to send a configuration alone
+WINDOW_BYTES = 65_536  # of configurations that are not confirmed yet; 0.1 s of a small link
+PRESENT_S = 0.8  # a router asks each half second; one that did not is sent no configuration
+CONFIRM_S = 1.0  # a configuration that is not confirmed after this time is sent again
 KEEPALIVE_S = 1.0  # a follower hears at least this often that the controller is there
 FORGET_S = 3.0  # a follower that asks for nothing this long is gone
 ROUTER_MEMORY_S = 10.0  # a router that is away for a moment keeps its shares
@@ -15,6 +18,7 @@
 
     :param held: what it holds, a :class:`Position`.
     :param sent: what it was sent last.
+    :param configured_at: when it was sent a configuration that it has not confirmed, else -inf.
     :param lags_since: since when it has made no progress to the present configuration, ``None`` if
         it has that.
     """
@@ -24,15 +28,21 @@
     sent: object
     sent_at: float
     heard_at: float
+    configured_at: float = float("-inf")
     lags_since: float | None = None
 
+    def may_be_configured(self, now):
+        """Return whether it is there, and was not sent a configuration just now."""
+        return now >= self.configured_at + CONFIRM_S and now < self.heard_at + PRESENT_S
+
     def lags_for(self, version, now):
-        """Return how long it has made no progress to a version of the configuration, seconds."""
+        """Return since how many seconds it lags without progress, ``None`` if it does not."""
         if self.held.configuration_version >= version:
             self.lags_since = None
-        elif self.lags_since is None:
+            return None
+        if self.lags_since is None:
             self.lags_since = now
-        return 0.0 if self.lags_since is None else now - self.lags_since
+        return now - self.lags_since
 
 
 @dataclass(slots=True, frozen=True)
@@ -84,27 +94,40 @@
             return
         if held.configuration_version > known.held.configuration_version:
             known.lags_since = None
+            known.configured_at = float("-inf")
         known.held = held
         known.heard_at = now
 
-    def list_due(self, current, now, is_first=lambda _name: True):
+    def list_due(self, current, now, is_first=lambda _name: True, configuration_bytes=1):
         """Return the followers to send to now, and note that they were sent ``current``.
 
         :param current: the :class:`Position` of this controller.
         :param is_first: tells whether this controller is the first one of a router; the others
             send it a new configuration only if it does not have it after a while. Controllers
             have the configuration from the log.
+        :param configuration_bytes: size of the present configuration; only so many routers are
+            sent it at once that a small link is not held up.
         :returns: list of (name, held position, whether to send the configuration).
         """
         due = []
+        window = max(1, WINDOW_BYTES // max(1, configuration_bytes))
+        room = window - self._count_unconfirmed(now)
         for name, follower in self.followers_.items():
             if now >= follower.heard_at + FORGET_S:
                 continue
             lag_s = follower.lags_for(current.configuration_version, now)
-            stands_in = follower.held.configuration_version == 0 or lag_s >= STAND_IN_S
-            with_configuration = follower.is_router and (stands_in or is_first(name))
+            with_configuration = (
+                lag_s is not None
+                and room > 0
+                and follower.is_router
+                and follower.may_be_configured(now)
+                and self._is_in_charge(name, follower, lag_s, is_first)
+            )
+            if with_configuration:
+                room -= 1
+                follower.configured_at = now
             goal = current if with_configuration else current.without_news_of(follower.sent)
-            is_new = not follower.sent.reaches(goal)
+            is_new = with_configuration or not follower.sent.reaches(goal)
             pause = KEEPALIVE_S if follower.held.reaches(goal) else RESEND_S
             if is_new or now >= follower.sent_at + pause:
                 follower.sent = goal
@@ -112,6 +135,17 @@
                 due.append((name, follower.held, with_configuration))
         return due
 
+    def _count_unconfirmed(self, now):
+        return sum(
+            now < f.configured_at + CONFIRM_S and now < f.heard_at + PRESENT_S
+            for f in self.followers_.values()
+        )
+
+    def _is_in_charge(self, name, follower, lag_s, is_first):
+        """Return whether a router is sent a configuration from here."""
+        is_bare = follower.held.configuration_version == 0
+        return is_bare or lag_s >= STAND_IN_S or is_first(name)
+
     def list_heard(self, now, within_s):
         """Return the names of the followers heard within a time."""
         return {n for n, f in self.followers_.items() if now < f.heard_at + within_s}
--- a/sassafrashook/fleet/tests/test_publisher.py
+++ b/sassafrashook/fleet/tests/test_publisher.py
@@ -6,10 +6,12 @@
 from sassafrashook.fleet._loads import LoadBoard
 from sassafrashook.fleet._messages import ViewChanged, ViewRequested
 from sassafrashook.fleet._publisher import (
+    CONFIRM_S,
     KEEPALIVE_S,
     RESEND_S,
     ROUTER_MEMORY_S,
     STAND_IN_S,
+    WINDOW_BYTES,
     Position,
 )
 from sassafrashook.fleet._state import (
@@ -53,38 +55,84 @@
     assert not publisher.has_reached("r1", 1)
 
 
-def send_configuration(publisher, now, **options):
-    """Return whether the only follower is sent the configuration of version 2 now."""
-    due = publisher.list_due(Position(4, 2, 0), now, **options)
-    return any(with_configuration for _, _, with_configuration in due)
+def send_configuration(publisher, now, version=2, **options):
+    """Return the names of the routers that are sent the configuration now."""
+    due = publisher.list_due(Position(4, version, 0), now, **options)
+    return [name for name, _, with_configuration in due if with_configuration]
+
+
+def confirm(publisher, name, now, version):
+    publisher.note_request(name, request(revision=4, version=version), now)
 
 
 def test_a_configuration_comes_from_one_controller_unless_that_fails():
     first, second = Publisher("b"), Publisher("c")
     for publisher in (first, second):
-        publisher.note_request("r1", request(revision=4, version=1), 0.0)
-        publisher.list_due(Position(4, 1, 0), 0.0)
-    assert send_configuration(first, 1.0, is_first=lambda name: True)
-    assert not send_configuration(second, 1.0, is_first=lambda name: False)
-    assert not send_configuration(second, 1.3, is_first=lambda name: False)
-    assert send_configuration(second, 1.0 + STAND_IN_S, is_first=lambda name: False)
+        confirm(publisher, "r1", 0.9, 1)
+        publisher.list_due(Position(4, 1, 0), 0.9)
+    assert send_configuration(first, 1.0, is_first=lambda name: True) == ["r1"]
+    assert send_configuration(second, 1.0, is_first=lambda name: False) == []
+    confirm(second, "r1", 1.5, 1)
+    assert send_configuration(second, 1.7, is_first=lambda name: False) == []
+    assert send_configuration(second, 1.0 + STAND_IN_S, is_first=lambda name: False) == ["r1"]
 
 
 def test_another_controller_stands_in_while_configurations_come_in_quick_succession():
     publisher = Publisher("b")
-    publisher.note_request("r1", request(revision=4, version=1), 0.0)
     sent = []
-    for tick in range(20):
+    for tick in range(40):
         now = 1.0 + tick * 0.05
-        due = publisher.list_due(Position(4, 2 + tick, 0), now, is_first=lambda name: False)
-        sent += [now for _, _, with_configuration in due if with_configuration]
+        confirm(publisher, "r1", now, 1)
+        if send_configuration(publisher, now, 2 + tick, is_first=lambda name: False):
+            sent.append(now)
     assert sent[0] <= 1.0 + STAND_IN_S + 0.05
 
 
+def test_an_unconfirmed_configuration_is_sent_again_after_a_while():
+    publisher = Publisher("b")
+    sent = []
+    for tick in range(60):
+        now = tick * 0.05
+        confirm(publisher, "r1", now, 1)
+        if send_configuration(publisher, now):
+            sent.append(now)
+    assert [round(later - earlier, 2) for earlier, later in itertools.pairwise(sent)] == [
+        CONFIRM_S
+    ] * (len(sent) - 1)
+    assert len(sent) == 3
+
+
+def test_a_large_configuration_is_sent_to_few_routers_at_once():
+    publisher = Publisher("b")
+    names = [f"r{number}" for number in range(16)]
+    for name in names:
+        confirm(publisher, name, 0.0, 1)
+    size = WINDOW_BYTES // 2
+    waiting = set(names)
+    for tick in range(8):
+        now = 0.05 * tick
+        sent = send_configuration(publisher, now, configuration_bytes=size)
+        assert len(sent) == 2
+        waiting -= set(sent)
+        for name in sent:
+            confirm(publisher, name, now + 0.04, 2)
+    assert not waiting
+
+
+def test_routers_that_are_gone_hold_no_place():
+    publisher = Publisher("b")
+    confirm(publisher, "r1", 0.0, 1)
+    confirm(publisher, "r2", 0.0, 1)
+    assert send_configuration(publisher, 0.1, configuration_bytes=WINDOW_BYTES) == ["r1"]
+    confirm(publisher, "r2", 0.5, 1)
+    assert send_configuration(publisher, 0.7, configuration_bytes=WINDOW_BYTES) == []
+    assert send_configuration(publisher, 0.9, configuration_bytes=WINDOW_BYTES) == ["r2"]
+
+
 def test_a_router_without_a_configuration_gets_it_from_any_controller():
     publisher = Publisher("b")
     publisher.note_request("r1", request(), 0.0)
-    assert send_configuration(publisher, 0.1, is_first=lambda name: False)
+    assert send_configuration(publisher, 0.1, is_first=lambda name: False) == ["r1"]
 
 
 def test_controllers_are_sent_no_configuration():
