Read-through: only a session's part is noted and told; a log bound to its request; work done once a tick

Since a source is looked up by the session's part alone, the other shared parts of a prompt were noted, told to all routers and never read; a query now carries the session. The lines of a request take the request once instead of in each call.

One assertion moved from the placement, where the case can no longer be written, to the socket: which part of a prompt decides.

--- a/benchmarks/event_delay.py
+++ b/benchmarks/event_delay.py
@@ -8,14 +8,13 @@
 
 import argparse
 import re
-import subprocess
 import sys
 import time
 
 import gevent
 from gevent import socket
 
-from benchmarks.forwarding import make_gateway
+from benchmarks.forwarding import run_with_child
 from sassafrashook.platform.tests.stand_ins import ScriptedUpstream, encode_request, find_header
 from sassafrashook.telemetry import configure_logs
 
@@ -86,15 +85,8 @@
         run_child(arguments.streams, arguments.seconds)
         return
     configure_logs("error")
-    command = [sys.executable, "-m", "benchmarks.event_delay", "--child"]
-    options = [f"--streams={arguments.streams}", f"--seconds={arguments.seconds}"]
-    child = subprocess.Popen([*command, *options], stdin=subprocess.PIPE, stdout=subprocess.PIPE)
-    server = make_gateway(int(child.stdout.readline()))
-    child.stdin.write(b"%d\n" % server.port)
-    child.stdin.flush()
-    print(gevent.get_hub().threadpool.spawn(child.stdout.readline).get().decode().strip())
-    server.server_.stop(timeout=0)
-    child.wait()
+    options = (f"--streams={arguments.streams}", f"--seconds={arguments.seconds}")
+    print(run_with_child("benchmarks.event_delay", "--child", *options)[0])
 
 
 if __name__ == "__main__":
--- a/benchmarks/forwarding.py
+++ b/benchmarks/forwarding.py
@@ -72,21 +72,33 @@
     return answered
 
 
-def measure(events, seconds):
-    """Return requests answered, and the gateway's processor seconds for them."""
-    command = [sys.executable, "-m", "benchmarks.forwarding", "--child", str(events)]
+def run_with_child(module, *options):
+    """Run a gateway before a child process that is its upstream and its clients.
+
+    :param module: name of the benchmark; its child prints the upstream's port, reads the
+        gateway's, and prints one line of results.
+    :param options: further words of the child's command line.
+    :returns: the line, and the gateway's processor seconds.
+    """
     child = subprocess.Popen(
-        [*command, "--seconds", str(seconds)], stdin=subprocess.PIPE, stdout=subprocess.PIPE
+        [sys.executable, "-m", module, *options], stdin=subprocess.PIPE, stdout=subprocess.PIPE
     )
     server = make_gateway(int(child.stdout.readline()))
     before = time.process_time()
     child.stdin.write(b"%d\n" % server.port)
     child.stdin.flush()
-    answered = int(gevent.get_hub().threadpool.spawn(child.stdout.readline).get())
+    line = gevent.get_hub().threadpool.spawn(child.stdout.readline).get().decode().strip()
     used = time.process_time() - before
     server.server_.stop(timeout=0)
     child.wait()
-    return answered, used
+    return line, used
+
+
+def measure(events, seconds):
+    """Return requests answered, and the gateway's processor seconds for them."""
+    options = (f"--child={events}", f"--seconds={seconds}")
+    answered, used = run_with_child("benchmarks.forwarding", *options)
+    return int(answered), used
 
 
 def main():
--- a/sassafrashook/fleet/_controller.py
+++ b/sassafrashook/fleet/_controller.py
@@ -5,7 +5,6 @@
 import zlib
 from dataclasses import dataclass
 from enum import StrEnum
-from functools import partial
 
 import gevent
 import msgspec
@@ -152,12 +151,9 @@
             now = time.monotonic()
             self._note_connection(now)
             self._expire(now)
-            routers = self.publisher_.list_routers(now)
-            members = sorted(self._member_names())
-            position, is_first = self._position(), partial(self._is_first, members)
             size = len(self.state.configuration_)
-            for name, held, with_news in self.publisher_.list_due(position, now, is_first, size):
-                self._send_view(name, held, routers, now, with_news)
+            due = self.publisher_.list_due(self._position(), now, self._is_first, size)
+            self._send_views(due, now)
             gevent.sleep(TICK_S)
 
     def _expire(self, now):
@@ -174,25 +170,30 @@
             event = "majority_connected" if connected else "majority_lost"
             log_event(event, heard=sorted(self.publisher_.list_heard(now, CONTACT_S)))
 
-    def _is_first(self, members, follower):
+    def _is_first(self, follower):
         """Return whether this controller sends a follower its configurations."""
+        members = self._member_names()
         return not members or rank_nodes(hash_key(follower), members)[0] == self.name
 
-    def _send_view(self, name, held, routers, now, with_configuration):
-        state = self.state
-        is_newer = with_configuration and state.version_ > held.configuration_version
-        change = ViewChanged(
-            self.publisher_.boot,
-            self.registry.revision_,
-            self.registry.list_changes(held.revision, now),
-            sorted(member.name for member in self.replica.members()),
-            routers,
-            state.drain_index_,
-            sorted(state.drained_zones_),
-            state.version_ if is_newer else 0,
-            state.configuration_ if is_newer else b"",
-        )
-        self.mesh.send(name, change)
+    def _send_views(self, due, now):
+        state, registry = self.state, self.registry
+        routers = self.publisher_.list_routers(now)
+        members = sorted(member.name for member in self.replica.members())
+        drained = sorted(state.drained_zones_)
+        for name, held, with_configuration in due:
+            is_newer = with_configuration and state.version_ > held.configuration_version
+            change = ViewChanged(
+                self.publisher_.boot,
+                registry.revision_,
+                registry.list_changes(held.revision, now),
+                members,
+                routers,
+                state.drain_index_,
+                drained,
+                state.version_ if is_newer else 0,
+                state.configuration_ if is_newer else b"",
+            )
+            self.mesh.send(name, change)
 
     def is_connected(self, now):
         """Return whether this controller hears a majority of the group, itself included."""
--- a/sassafrashook/fleet/_memory.py
+++ b/sassafrashook/fleet/_memory.py
@@ -40,6 +40,7 @@
 
     def __init__(self, store):
         self.store = store
+        self._has_folder = False
 
     def load(self):
         """Return the :class:`KnownFleet` of the last :meth:`save`; an empty one without it."""
@@ -56,7 +57,9 @@
         :returns: whether it was written.
         """
         try:
-            self.store.file_system.make_folder(self.store.folder)
+            if not self._has_folder:
+                self.store.file_system.make_folder(self.store.folder)
+                self._has_folder = True
             self.store.save(msgspec.msgpack.encode(known))
         except StorageError as error:
             log_event("memory_not_saved", level="warning", reason=error)
--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -69,10 +69,10 @@
         self.unreachable = 0
         self.refused = 0
         self.verdict = Verdict.NOT_RUN
-        self._shared_parts = self._list_shared_parts()
+        self._session = self._find_session()
         self._events = EventSplitter()
         self._attempt = None
-        self._lines = RequestLog(facts.request_id, gateway.metrics)
+        self._lines = RequestLog(self)
 
     def _find_priority(self):
         if self.account is not None and self.account.priority is not None:
@@ -119,7 +119,7 @@
             chosen = self.gateway.placement.choose(query, time.monotonic())
             if isinstance(chosen, Failure):
                 refusal = chosen.failure()
-                self._lines.note_refusal(self, refusal)
+                self._lines.note_refusal(refusal)
                 self._refuse(refusal.reason, refusal.retry_after_ms)
                 return
             upstream = chosen.unwrap()
@@ -132,21 +132,20 @@
         self._log("client_left", "-", "-")
 
     def _make_query(self):
-        return PlacementQuery(self.service, self._shared_parts, frozenset(self.tried))
+        return PlacementQuery(self.service, self._session, frozenset(self.tried))
 
-    def _list_shared_parts(self):
-        """Return the parts that other requests share: all but the last, which is its own."""
+    def _find_session(self):
+        """Return the number of its session's part: the last but one, for the last is its own."""
         parts = self.facts.parts
         if not self.route.has_prompts or not parts:
-            return ()
-        shared = parts[:-1] or parts
-        return tuple(hash_key(part.part_id) for part in shared)
+            return None
+        return hash_key(parts[-2 if len(parts) > 1 else -1].part_id)
 
     def _try(self, query, upstream):
         """Run one attempt; :returns: ``None`` once answered, else the :class:`AttemptError`."""
         placement, now = self.gateway.placement, time.monotonic()
         source = placement.find_source(query, upstream, now)
-        self._lines.note_placement(self, upstream, source, now)
+        self._lines.note_placement(upstream, source, now)
         placement.note_begun(query, upstream, now)
         attempt = self._attempt = Attempt(self, upstream, source)
         self.tried.add(upstream.key)
@@ -179,7 +178,7 @@
         self.unreachable += error.kind is FailureKind.UNREACHABLE
         self.refused += error.kind in (FailureKind.REFUSED, FailureKind.MISDIRECTED)
         if error.kind is not FailureKind.CLIENT_GONE:
-            self._lines.note_failure(self, upstream, error)
+            self._lines.note_failure(upstream, error)
 
     def _answer(self, attempt, head):
         body = attempt.read_whole()
@@ -216,7 +215,7 @@
         if reason is None and has_arrived and not self.gateway.spend_retry(self.service.name):
             reason = "retry_budget"
         if reason is not None:
-            self._lines.note_end_of_tries(self, upstream, reason)
+            self._lines.note_end_of_tries(upstream, reason)
             return False
         self._events.take_rest()
         if self._events.last_id_ is not None:
@@ -283,7 +282,7 @@
     def _log(self, outcome, upstream, detail):
         elapsed_ms = self._elapsed_ms()
         self._record("request_ms", outcome, elapsed_ms)
-        self._lines.close(self, outcome, upstream, detail, elapsed_ms)
+        self._lines.close(outcome, upstream, detail, elapsed_ms)
 
 
 def _find_patience_s(factor, target_ms):
--- a/sassafrashook/operations/_cli.py
+++ b/sassafrashook/operations/_cli.py
@@ -17,7 +17,7 @@
     read_lines_or_exit,
 )
 from sassafrashook.operations._explain import explain_request, find_cause, format_event
-from sassafrashook.operations._output import format_table, print_answer
+from sassafrashook.operations._output import print_answer
 from sassafrashook.settings import ControllerSettings, RouterSettings
 
 
@@ -203,16 +203,15 @@
         if not own:
             exit_with(ExitCode.REFUSED, f"no line of request {request_id}")
         cause = find_cause(own)
-        if self._json:
-            entries = [
-                {"kind": kind, "source": line.source, "time": line.time, **line.pairs}
-                for kind, line in found
-            ]
-            print_answer({"request": str(request_id), "cause": cause, "lines": entries}, True)
-            return
+        entries = [
+            {"kind": kind, "source": line.source, "time": line.time, **line.pairs}
+            for kind, line in found
+        ]
+        body = {"request": str(request_id), "cause": cause, "lines": entries}
         rows = [[line.time, line.source, kind, format_event(line)] for kind, line in found]
-        print(format_table(["time", "source", "kind", "event"], rows))
-        print(f"cause: {cause}")
+        print_answer(body, self._json, ["time", "source", "kind", "event"], rows)
+        if not self._json:
+            print(f"cause: {cause}")
 
 
 class StatusCommand(OperatorCommands):
--- a/sassafrashook/operations/_explain.py
+++ b/sassafrashook/operations/_explain.py
@@ -91,16 +91,14 @@
     by_event = {}
     for line in lines:
         by_event.setdefault(line.event, []).append(line.pairs)
-    for event, tell in CAUSES.items():
-        if event in by_event:
-            return tell(by_event[event][-1], by_event)
+    if "request_ended" in by_event:
+        return _tell_end(by_event["request_ended"][-1], by_event)
+    if "request_rejected" in by_event:
+        pairs = by_event["request_rejected"][-1]
+        return f"rejected before it was placed: {pairs['reason']} at version {pairs['version']}"
     return "no line says how it ended: the process stopped before, or the line was left out"
 
 
-def _tell_rejection(pairs, _by_event):
-    return f"rejected before it was placed: {pairs['reason']} at version {pairs['version']}"
-
-
 def _tell_end(pairs, by_event):
     if pairs["outcome"] == "answered":
         return f"answered by {pairs['upstream']} with {pairs['detail']} after {pairs['ms']} ms"
@@ -119,6 +117,3 @@
     if "request_not_retried" in by_event:
         text += f"; no further try: {by_event['request_not_retried'][-1]['reason']}"
     return text
-
-
-CAUSES = {"request_ended": _tell_end, "request_rejected": _tell_rejection}
--- a/sassafrashook/placement/_placement.py
+++ b/sassafrashook/placement/_placement.py
@@ -24,20 +24,15 @@
     """One request that looks for an upstream.
 
     :param service: a :class:`~sassafrashook.routes.Service`.
-    :param shared_parts: 64-bit numbers of the parts of its prompt that other requests share, in
-        order; the last one is that of its session. Empty if it has no prompt.
+    :param session: 64-bit number of the part of its prompt that its session shares; it decides
+        where the request goes. ``None`` if it has no prompt.
     :param excluded: keys of the upstreams that it must not go to.
     """
 
     service: object
-    shared_parts: tuple = ()
+    session: int | None = None
     excluded: frozenset = frozenset()
 
-    @property
-    def session(self):
-        """The number that decides where it goes, ``None`` without a prompt."""
-        return self.shared_parts[-1] if self.shared_parts else None
-
 
 @dataclass(slots=True, frozen=True)
 class PlacementRefusal:
@@ -172,19 +167,19 @@
     def find_source(self, query, chosen, now):
         """Return the upstream that a session's part of the prompt can be copied from.
 
-        Where no holder of the session's part is known, as after a restart, it is the first other
-        one in the session's order; a copy of nothing costs nothing.
+        Where no holder is known, as after a restart, it is the first other one in the session's
+        order; a copy of nothing costs nothing.
 
         :param chosen: the :class:`UpstreamState` that gets the request.
         :returns: an :class:`UpstreamState`, or ``None`` if the chosen one holds the part.
         """
         if query.session is None:
             return None
-        states = self._by_service.get(query.service.name, ())
-        sources = {s.key: s for s in states if s is not chosen and not s.is_suspended(now)}
         held = self._holders.find(query.session, now)
         if chosen.key in held:
             return None
+        states = self._by_service.get(query.service.name, ())
+        sources = {s.key: s for s in states if s is not chosen and not s.is_suspended(now)}
         for key in held:
             source = sources.get(key) or self._find_leaving(key, now)
             if source is not None:
@@ -198,9 +193,8 @@
 
     def note_begun(self, query, upstream, now):
         """Note that an upstream has begun to run a request."""
-        for part in query.shared_parts:
-            if self._holders.note(part, upstream.key, now):
-                self._placed.append((part, upstream.entry.upstream_id))
+        if query.session is not None and self._holders.note(query.session, upstream.key, now):
+            self._placed.append((query.session, upstream.entry.upstream_id))
 
     def take_placed(self):
         """Return the parts that upstreams have begun to hold since the last call.
--- a/sassafrashook/placement/tests/test_placement.py
+++ b/sassafrashook/placement/tests/test_placement.py
@@ -33,8 +33,7 @@
 
 
 def choose(placement, session=None, now=10.0, excluded=()):
-    parts = () if session is None else (session,)
-    return placement.choose(PlacementQuery(SERVICE, parts, frozenset(excluded)), now)
+    return placement.choose(PlacementQuery(SERVICE, session, frozenset(excluded)), now)
 
 
 def name_of(result):
@@ -227,14 +226,12 @@
 
 
 def note(placement, name, part, now=10.0):
-    query = PlacementQuery(SERVICE, (part,))
+    query = PlacementQuery(SERVICE, part)
     placement.note_begun(query, placement.upstreams_[name], now)
 
 
 def find_source(placement, name, part, now=20.0):
-    source = placement.find_source(
-        PlacementQuery(SERVICE, (part,)), placement.upstreams_[name], now
-    )
+    source = placement.find_source(PlacementQuery(SERVICE, part), placement.upstreams_[name], now)
     return source.entry.upstream_id if source is not None else None
 
 
@@ -308,9 +305,9 @@
     assert find_source(placement, first, 7, 11.0) == third
 
 
-def test_a_part_that_others_share_says_nothing_of_a_sessions_source():
+def test_another_part_of_an_upstream_says_nothing_of_a_sessions_source():
     placement = make_placement()
     first, second, *_ = list_order(placement, 7)
     note(placement, first, 99)
-    query = PlacementQuery(SERVICE, (99, 7))
+    query = PlacementQuery(SERVICE, 7)
     assert placement.find_source(query, placement.upstreams_[first], 20.0).key == (second, 1)
--- a/sassafrashook/platform/tests/test_forwarding.py
+++ b/sassafrashook/platform/tests/test_forwarding.py
@@ -21,6 +21,7 @@
     stream,
     wait_for,
 )
+from sassafrashook.utils import hash_key
 
 
 @pytest.fixture
@@ -453,3 +454,12 @@
     assert time.monotonic() - started < 4.0 / 4
     assert 0 < float(find_header(head, "Retry-After")) <= 4.0 / 3
     assert harness.count_requests() == 0
+
+
+@pytest.mark.parametrize(
+    ("parts", "session"), [("a:10,b:20,c:5", "b"), ("a:10,b:20", "a"), ("a:10", "a")]
+)
+def test_a_session_is_the_last_part_that_other_requests_share(start, parts, session):
+    harness = start(stream())
+    harness.ask("/plans/7", fields=(f"X-Sassafrashook-Prefix-Hash: {parts}",))
+    assert harness.placement.take_placed() == [(hash_key(session), "u0")]
