gateway: log which requests break off when an upstream crashes

The logs could not tell whether crashes of upstreams have a request in common: a broken attempt and an unreachable upstream were separate lines. A router now joins them: a boot has crashed if it broke the connection of a running request and its host refuses connections within 2 s. Each broken connection is followed by a probe, also if the connection had been reused.

--- a/sassafrashook/daemons/_router.py
+++ b/sassafrashook/daemons/_router.py
@@ -183,8 +183,10 @@
         try:
             self.pool_.open(upstream.registration.address, CONNECT_TIMEOUT_S).close()
             succeeded = True
-        except OSError:
+        except OSError as error:
             succeeded = False
+            if isinstance(error, ConnectionRefusedError):
+                self.gateway_.record_refused_connection(upstream)
         upstream.record_probe(succeeded, time.monotonic())
         if upstream.is_unresponsive(time.monotonic()):
             aborted = self.gateway_.abort_attempts(upstream)
--- a/sassafrashook/gateway/_attempt.py
+++ b/sassafrashook/gateway/_attempt.py
@@ -86,6 +86,7 @@
     :ivar head_: the :class:`~sassafrashook.http1.ResponseHead` once it has been read.
     :ivar metadata_: the :class:`~sassafrashook.gateway.ResponseMetadata` of the last response head.
     :ivar is_reused_: whether the connection was taken from the pool.
+    :ivar is_aborted_: whether another task has shut the connection down.
     """
 
     __slots__ = (
@@ -96,6 +97,7 @@
         "head_",
         "metadata_",
         "is_reused_",
+        "is_aborted_",
     )
 
     def __init__(self, handler, upstream, prompt_source):
@@ -106,6 +108,7 @@
         self.head_ = None
         self.metadata_ = None
         self.is_reused_ = False
+        self.is_aborted_ = False
 
     def start(self):
         """Connect, send the request and read the head of the response.
@@ -151,6 +154,8 @@
                 )
             except OSError as error:
                 self.upstream.record_connect_failure(time.monotonic())
+                if isinstance(error, ConnectionRefusedError):
+                    handler.gateway.record_refused_connection(self.upstream)
                 pool.close_idle(self.upstream.key)
                 raise AttemptError(FailureKind.UNREACHABLE, Verdict.NOT_RUN, str(error)) from error
         self.connection_ = connection
@@ -180,7 +185,7 @@
         try:
             self.connection_.send_request(head.method, head.target, fields, handler.body)
         except OSError as error:
-            raise self._close_with_error(FailureKind.BROKEN, str(error)) from error
+            raise self._close_after_interruption(error) from error
 
     def _read_head(self):
         return self._read_with_timeouts(
@@ -202,7 +207,7 @@
             try:
                 return read(read_deadline)
             except UpstreamResponseError as error:
-                raise self._close_with_error(FailureKind.BROKEN, str(error)) from error
+                raise self._close_after_interruption(error) from error
             except TimeoutError as error:
                 if read_deadline >= self.handler.deadline:
                     raise self._close_with_error(FailureKind.TIMEOUT, str(error)) from error
@@ -243,6 +248,21 @@
             chunks.append(data)
         return b"".join(chunks)
 
+    def _close_after_interruption(self, error):
+        """Close the broken connection of a running request, as :meth:`_close_with_error`.
+
+        The host probably runs if it closed the connection rather than no longer responding, so
+        that the upstream itself may have crashed.
+        """
+        handler = self.handler
+        is_host_silent = isinstance(error.__cause__, TimeoutError)
+        if not (is_host_silent or self.is_aborted_ or handler.client.is_disconnected_):
+            self.upstream.request_probe()
+            handler.gateway.record_interruption(
+                self.upstream, handler.metadata.request_id, handler.traits
+            )
+        return self._close_with_error(FailureKind.BROKEN, str(error))
+
     def _close_with_error(self, kind, detail):
         """Close the connection, which makes the upstream cancel the request.
 
@@ -270,6 +290,7 @@
         """
         if self.connection_ is None:
             return False
+        self.is_aborted_ = True
         self.connection_.abort()
         return True
 
--- a/sassafrashook/gateway/_gateway.py
+++ b/sassafrashook/gateway/_gateway.py
@@ -4,9 +4,12 @@
 from dataclasses import dataclass
 
 from sassafrashook.placement import RetryBudget
+from sassafrashook.quarantine import CrashDetector
 from sassafrashook.routes import ClientLimits
+from sassafrashook.telemetry import log_event
 
 DEFAULT_LIMITS = ClientLimits(16_384, 4_194_304, 3_000, 15_000)  # before the first configuration
+MAX_LOGGED_REQUESTS = 16  # ids of interrupted requests in one log line
 
 
 @dataclass(slots=True, frozen=True)
@@ -48,6 +51,7 @@
         self.metrics = metrics
         self.active_handlers_ = set()
         self._retry_budgets = {}
+        self._crash_detector = CrashDetector()
 
     def get_client_limits(self):
         """Return the :class:`~sassafrashook.routes.ClientLimits` in force."""
@@ -64,6 +68,39 @@
         """
         return sum(handler.abort_attempt_at(upstream) for handler in list(self.active_handlers_))
 
+    def record_interruption(self, upstream, request_id, traits):
+        """Record that an upstream broke the connection of a running request.
+
+        :param upstream: an :class:`~sassafrashook.placement.UpstreamState`.
+        :param request_id: identifier of the request.
+        :param traits: traits of the request.
+        """
+        interrupted = self._crash_detector.record_interruption(
+            upstream.key, request_id, traits, time.monotonic()
+        )
+        self._record_crash(upstream, interrupted)
+
+    def record_refused_connection(self, upstream):
+        """Record that an upstream's host refused a connection.
+
+        :param upstream: an :class:`~sassafrashook.placement.UpstreamState`.
+        """
+        interrupted = self._crash_detector.record_refused_connection(upstream.key, time.monotonic())
+        self._record_crash(upstream, interrupted)
+
+    def _record_crash(self, upstream, interrupted):
+        """Log the requests that a crash interrupted, if there are any."""
+        if not interrupted:
+            return
+        registration = upstream.registration
+        self.metrics.count("upstream_crash_interruptions", amount=len(interrupted))
+        log_event(
+            "upstream_crashed", level="warning", upstream=registration.upstream_id,
+            boot_ms=registration.boot_ms, zone=registration.availability_zone,
+            interrupted=len(interrupted),
+            requests=[request.request_id for request in interrupted[:MAX_LOGGED_REQUESTS]],
+        )  # fmt: skip
+
     def record_request(self, service):
         """Add a client's request to the retry budget of its service.
 
--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -11,6 +11,7 @@
 from sassafrashook.http1 import remove_hop_by_hop_headers
 from sassafrashook.outcomes import RefusalReason, RetryReason, Verdict
 from sassafrashook.placement import BUSY_RETRY_MS, PlacementQuery
+from sassafrashook.quarantine import compute_traits
 from sassafrashook.utils import hash_key
 
 MAX_UNREACHABLE = 4  # failed connection attempts after which the request is not retried
@@ -92,11 +93,23 @@
         self.unreachable_count_ = 0
         self.refused_count_ = 0
         self.verdict_ = Verdict.NOT_RUN
+        self._traits = None
         self._session_part_hash = self._compute_session_part_hash()
         self._splitter = EventSplitter()
         self._attempt = None
         self._request_log = RequestLog(self)
 
+    @property
+    def traits(self):
+        """Hashes by which requests that crash upstreams are recognised; computed when needed."""
+        if self._traits is None:
+            account = self.account.name if self.account is not None else ""
+            part_ids = [part.part_id for part in self.metadata.parts]
+            self._traits = compute_traits(
+                part_ids, account, self.head.host, self.head.target, self.body
+            )
+        return self._traits
+
     def _find_priority(self):
         if self.account is not None and self.account.priority is not None:
             return self.account.priority
--- a/sassafrashook/operations/_explain.py
+++ b/sassafrashook/operations/_explain.py
@@ -10,6 +10,7 @@
     "controller_heard",
     "controller_left",
     "started",
+    "upstream_crashed",
     "upstream_reachable",
     "upstream_unreachable",
     "upstreams_changed",
--- /dev/null
+++ b/sassafrashook/quarantine/__init__.py
@@ -0,0 +1,10 @@
+"""Detection of crashed upstreams and quarantine of the requests that crash them.
+
+A request is described by its traits: hashes of the prompt parts that it may share with other
+requests, from the most widely shared to the most specific, and last the hash of its whole content.
+"""
+
+from sassafrashook.quarantine._crashes import CrashDetector, InterruptedRequest
+from sassafrashook.quarantine._traits import compute_traits
+
+__all__ = ["CrashDetector", "InterruptedRequest", "compute_traits"]
