--- a/sassafrashook/platform/tests/test_forwarding.py
+++ b/sassafrashook/platform/tests/test_forwarding.py
@@ -5,6 +5,11 @@
 import gevent
 import pytest
 
+from sassafrashook.platform.tests.crashing_upstreams import (
+    POISON_PART,
+    crash_on_poison_part,
+    make_prompt_field,
+)
 from sassafrashook.platform.tests.scripted_upstreams import (
     ACCOUNT,
     HOST,
@@ -487,3 +492,34 @@
     harness = start_harness(make_stream_script())
     harness.send_request("/plans/7", fields=(f"X-Sassafrashook-Prefix-Hash: {parts}",))
     assert harness.placement.take_new_cached_parts() == [(hash_key(session), "u0")]
+
+
+@pytest.mark.parametrize("path", ["/plans/7", "/summaries/7"])
+def test_requests_with_prompt_part_that_crashes_upstreams_do_not_crash_more_than_five(
+    start_harness, path
+):
+    harness = start_harness(*[crash_on_poison_part] * 9)
+    statuses = []
+    for _ in range(12):
+        harness.send_request(path, fields=(make_prompt_field(POISON_PART),))
+        statuses.append(harness.send_request(path, fields=(make_prompt_field(),))[0])
+    poisoned = [
+        head for u in harness.upstreams for head, _ in u.requests if POISON_PART.encode() in head
+    ]
+    assert len(poisoned) <= 5
+    assert statuses == [200] * 12
+
+
+def test_request_of_quarantined_prompt_part_is_rejected_at_once_as_not_run(start_harness):
+    harness = start_harness(*[crash_on_poison_part] * 9)
+    for _ in range(6):
+        harness.send_request("/plans/7", fields=(make_prompt_field(POISON_PART),))
+    request_count = harness.count_requests()
+    started = time.monotonic()
+    status, head, body, _ = harness.send_request(
+        "/plans/7", fields=(make_prompt_field(POISON_PART),)
+    )
+    assert (status, body) == (503, b"quarantined\n")
+    assert float(find_header(head, "Retry-After")) > 1.0
+    assert time.monotonic() - started < 0.5
+    assert harness.count_requests() == request_count
--- a/sassafrashook/platform/tests/test_processes.py
+++ b/sassafrashook/platform/tests/test_processes.py
@@ -14,6 +14,11 @@
 import pytest
 from geventhttpclient import HTTPClient
 
+from sassafrashook.platform.tests.crashing_upstreams import (
+    POISON_PART,
+    crash_on_poison_part,
+    make_prompt_field,
+)
 from sassafrashook.platform.tests.documents import (
     CONTROL_PORT,
     CONTROLLER_IPS,
@@ -111,9 +116,9 @@
         body = make_liveness_report(address, service, self.sequence, **fields)
         self.request_until_accepted("PUT", f"/instances/{upstream.name}", body)
 
-    def send_request(self, router_ip, path="/orders/1", request_id="a1"):
+    def send_request(self, router_ip, path="/orders/1", request_id="a1", fields=()):
         sock = gevent.socket.create_connection((router_ip, FRONTEND_PORT), timeout=5)
-        sock.sendall(encode_request(path, request_id=request_id))
+        sock.sendall(encode_request(path, request_id=request_id, fields=fields))
         head, body, _ = read_http_message(sock)
         sock.close()
         return int(head.split()[1]), body
@@ -156,10 +161,14 @@
     return fleet.send_request(router_ip)[0] == 200
 
 
+def is_ready(fleet, router_ip):
+    return fleet.call(router_ip, "GET", "/readyz", port=READINESS_PORT)[0] == 200
+
+
 def test_all_routers_serve_requests(fleet, upstream):
     for router_ip in ROUTER_IPS:
         assert wait_for(lambda router_ip=router_ip: is_request_served(fleet, router_ip))
-        assert fleet.call(router_ip, "GET", "/readyz", port=READINESS_PORT)[0] == 200
+        assert is_ready(fleet, router_ip)
     assert wait_for(lambda: fleet.send_request(ROUTER_IPS[0]) == (200, b"i-1"))
 
 
@@ -318,6 +327,42 @@
         upstream.stop()
 
 
+def test_prompt_part_that_crashes_upstreams_is_quarantined_on_other_and_restarted_routers(fleet):
+    first, second = ROUTER_IPS
+    config = make_failure_config(40)
+    fleet.request_until_accepted("PUT", "/config", config)
+    upstreams = [ScriptedUpstream(f"i-2{n}", crash_on_poison_part) for n in range(7)]
+    for upstream in upstreams:
+        fleet.send_report(upstream, service="s7")
+
+    def send(router_ip, *middle_parts):
+        fields = (make_prompt_field(*middle_parts),)
+        return fleet.send_request(router_ip, "/f7/1", fields=fields)
+
+    def count_poisoned():
+        heads = [head for upstream in upstreams for head, _ in upstream.requests]
+        return sum(POISON_PART.encode() in head for head in heads)
+
+    assert wait_for(lambda: send(second)[0] == 200)
+    for _ in range(3):
+        assert wait_for(lambda: send(first)[0] == 200)
+        send(first, POISON_PART)
+        gevent.sleep(0.5)
+    crash_count = count_poisoned()
+    assert crash_count <= 3
+    gevent.sleep(1.0)
+    assert send(second, POISON_PART) == (503, b"quarantined\n")
+    fleet.kill(first)
+    fleet.start(first)
+    assert wait_for(lambda: is_ready(fleet, first), START_TIMEOUT_S)
+    assert send(first, POISON_PART) == (503, b"quarantined\n")
+    assert count_poisoned() == crash_count
+    assert wait_for(lambda: send(first)[0] == 200)
+    for upstream in upstreams:
+        fleet.request_until_accepted("DELETE", f"/instances/{upstream.name}")
+        upstream.stop()
+
+
 def test_router_stops_gracefully(fleet, upstream):
     assert wait_for(lambda: is_request_served(fleet, ROUTER_IPS[1]))
     assert fleet.kill(ROUTER_IPS[1], signal.SIGTERM) == 0
