Quarantine requests by the traits that crash upstreams, on all routers

Cause: a router had no memory of what was running when an upstream crashed. It suspended the upstream and sent the next request with the part, and the retries of the same one, to a sound upstream. The chat interface has a quarantine, kept by the owner of a service; routers that place alone had none. The class of fault: damage done by a request is attributed to the upstream only.

Now: requests have traits, their shared prompt parts and their whole content. Routers record which traits broke off at a crash; records merge on controllers, which save them, and reach all routers and restarted ones with the view. Crashes are attributed to as few traits as possible: a completed request clears its traits, and a trait that ran several times at one upstream is an unlikely cause. A prompt part is quarantined at its second crash with different requests, unchanged content at its third. Such a request gets 503 at once, with the end of the quarantine as Retry-After; two crashes quarantine for 30 s only.

--- a/sassafrashook/daemons/_router.py
+++ b/sassafrashook/daemons/_router.py
@@ -26,6 +26,9 @@
 LOAD_REPORT_INTERVAL_S = 0.2
 PROBE_INTERVAL_S = 0.25  # between two connection probes of an upstream
 MAINTENANCE_INTERVAL_S = 1.0
+# A crash is reported again for this time, in case a report or the controller that received it is
+# lost.
+CRASH_REPORT_S = 3.0
 SILENT_TIMEOUT_S = 3_600.0  # unused: only the controllers detect silent upstreams
 # Heartbeat intervals for which the upstreams of a zone that is no longer drained are presumed cold;
 # by then each has reported whether it is.
@@ -155,14 +158,15 @@
         self.placement_.record_remote_cached_parts(cached_parts, now)
 
     def _report_loads(self):
-        """Report running requests and cached prompt parts to a controller, forever."""
+        """Report running requests, cached prompt parts and crashes to a controller, forever."""
         while True:
             gevent.sleep(LOAD_REPORT_INTERVAL_S)
             controller = self.subscriber_.select_load_controller()
             cached_parts = self.placement_.take_new_cached_parts()
             if controller is not None:
-                loads = self.placement_.list_local_loads()
-                self.subscriber_.report_loads(controller, loads, cached_parts)
+                loads, now = self.placement_.list_local_loads(), time.monotonic()
+                crashes = self.view_.crashes.list_observed(now - CRASH_REPORT_S, now)
+                self.subscriber_.report_loads(controller, loads, cached_parts, crashes)
 
     def _close_expired_connections(self):
         """Close idle connections that have expired, forever."""
--- a/sassafrashook/fleet/_cache.py
+++ b/sassafrashook/fleet/_cache.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from sassafrashook.quarantine import CrashRecord
 from sassafrashook.registry import Registration
 from sassafrashook.storage import StorageError
 from sassafrashook.telemetry import log_event
@@ -10,14 +11,16 @@
 
 
 class CachedFleet(msgspec.Struct, frozen=True, array_like=True):
-    """Upstreams and routers known to a controller.
+    """Upstreams, routers and upstream crashes known to a controller.
 
     :param registrations: registrations of all upstreams.
     :param routers: names of all routers.
+    :param crashes: records of upstream crashes.
     """
 
     registrations: list[Registration] = []
     routers: list[str] = []
+    crashes: list[CrashRecord] = []
 
 
 class FleetCache:
--- a/sassafrashook/fleet/_controller.py
+++ b/sassafrashook/fleet/_controller.py
@@ -21,6 +21,7 @@
 )
 from sassafrashook.fleet._subscriber import FleetSubscriber, FleetView
 from sassafrashook.interfaces import ProposalErrorReason
+from sassafrashook.quarantine import CrashLedger
 from sassafrashook.tasks import spawn_task
 from sassafrashook.telemetry import log_event
 from sassafrashook.transport import PeerAddress
@@ -76,6 +77,7 @@
     :param cache: a :class:`~sassafrashook.fleet.FleetCache`, ``None`` to save nothing.
     :param recalled_valid_s: how long recalled registrations are valid without a heartbeat, seconds.
 
+    :ivar crashes_: the :class:`~sassafrashook.quarantine.CrashLedger` of the whole fleet.
     :ivar publisher_: the :class:`~sassafrashook.fleet.Publisher`.
     :ivar exchange_: the :class:`~sassafrashook.fleet._exchange.LoadExchange`.
     :ivar subscriber_: the :class:`~sassafrashook.fleet.FleetSubscriber` to the other controllers.
@@ -93,9 +95,11 @@
         self.cache = cache
         self.recalled_valid_s = recalled_valid_s
         self.publisher_ = Publisher(uuid.uuid4().hex[:16])
-        self.exchange_ = LoadExchange(mesh, registry, self.publisher_)
+        self.crashes_ = CrashLedger()
+        self.exchange_ = LoadExchange(mesh, registry, self.crashes_, self.publisher_)
+        view = FleetView(registry, self.crashes_)
         self.subscriber_ = FleetSubscriber(
-            name, mesh, FleetView(registry), port, False, self._add_announcement_targets
+            name, mesh, view, port, False, self._add_announcement_targets
         )
         self._had_majority = False
 
@@ -120,22 +124,26 @@
         cached, now = self.cache.load(), time.monotonic()
         self.registry.recall(cached.registrations, self.recalled_valid_s, now)
         self.publisher_.restore_routers(cached.routers, now)
+        for record in cached.crashes:
+            self.crashes_.merge(record, now)
         log_event(
             "fleet_cache_loaded", upstreams=len(cached.registrations), routers=len(cached.routers),
-            valid_s=self.recalled_valid_s,
+            crashes=len(cached.crashes), valid_s=self.recalled_valid_s,
         )  # fmt: skip
 
     def _save_cache(self):
-        """Save the known upstreams and routers whenever they have changed, forever."""
+        """Save the known upstreams, routers and crashes whenever they have changed, forever."""
         saved = None
         pool = gevent.get_hub().threadpool
         while True:
             gevent.sleep(CACHE_INTERVAL_S)
-            routers = self.publisher_.list_routers(time.monotonic())
-            current = (self.registry.revision_, routers)
+            now = time.monotonic()
+            routers = self.publisher_.list_routers(now)
+            current = (self.registry.revision_, routers, self.crashes_.revision_)
             if current == saved:
                 continue
-            fleet = CachedFleet(list(self.registry.registrations_.values()), routers)
+            crashes = self.crashes_.list_changes(0, now)
+            fleet = CachedFleet(list(self.registry.registrations_.values()), routers, crashes)
             if pool.apply(self.cache.save, (fleet,)):
                 saved = current
 
@@ -156,7 +164,12 @@
 
     def _get_versions(self):
         state = self.state
-        return StateVersions(self.registry.revision_, state.version_, state.drain_index_)
+        return StateVersions(
+            self.registry.revision_,
+            state.version_,
+            state.drain_index_,
+            self.crashes_.revision_,
+        )
 
     def _publish(self):
         """Check the majority, expire registrations and send due updates, forever."""
@@ -197,12 +210,14 @@
 
     def _send_updates(self, due, now):
         """Send an update to each subscriber of :meth:`Publisher.schedule_updates`."""
-        state, registry = self.state, self.registry
+        state, registry, crashes = self.state, self.registry, self.crashes_
         routers = self.publisher_.list_routers(now)
         members = sorted(member.name for member in self.replica.get_members())
         drained_zones = sorted(state.drained_zones_)
         for name, held, with_configuration in due:
             is_newer = with_configuration and state.version_ > held.configuration_version
+            is_router = self.publisher_.subscribers_[name].is_router
+            list_crashes = crashes.list_repeated_changes if is_router else crashes.list_changes
             update = ViewChanged(
                 self.publisher_.boot_id,
                 registry.revision_,
@@ -213,6 +228,8 @@
                 drained_zones,
                 state.version_ if is_newer else 0,
                 state.configuration_ if is_newer else b"",
+                crashes.revision_,
+                list_crashes(held.crash_revision, now),
             )
             self.mesh.send(name, update)
 
--- a/sassafrashook/fleet/_exchange.py
+++ b/sassafrashook/fleet/_exchange.py
@@ -13,6 +13,7 @@
     LoadShared,
     OtherLoads,
 )
+from sassafrashook.telemetry import log_event
 
 LOAD_INTERVAL_S = 0.2
 HEARTBEAT_INTERVAL_S = 0.3  # between batches of heartbeats to the other controllers
@@ -26,6 +27,7 @@
 
     :param mesh: a :class:`~sassafrashook.transport.Mesh`.
     :param registry: a :class:`~sassafrashook.registry.Registry`.
+    :param crashes: a :class:`~sassafrashook.quarantine.CrashLedger`.
     :param publisher: a :class:`~sassafrashook.fleet.Publisher`, which lists the connected
         controllers.
 
@@ -34,9 +36,10 @@
 
     handled_messages = (HeartbeatsHeard, LoadReported, LoadShared)
 
-    def __init__(self, mesh, registry, publisher):
+    def __init__(self, mesh, registry, crashes, publisher):
         self.mesh = mesh
         self.registry = registry
+        self.crashes = crashes
         self.publisher = publisher
         self.loads_ = LoadAggregator()
         self._heartbeats = deque(maxlen=MAX_HEARTBEATS)
@@ -70,6 +73,13 @@
     def _on_load_reported(self, sender, message):
         self.loads_.update_router(sender, message.loads, time.monotonic())
         self._cached_parts.extend((sender, cached) for cached in message.cached_parts)
+        for record in message.crashes:
+            if self.crashes.merge(record, time.monotonic()):
+                log_event(
+                    "upstream_crash_recorded", upstream=record.upstream_id, router=sender,
+                    boot_ms=record.boot_ms, interrupted=len(record.requests),
+                    cleared=len(record.cleared), revision=self.crashes.revision_,
+                )  # fmt: skip
 
     def _on_load_shared(self, sender, message):
         self.loads_.update_controller(sender, message.loads, time.monotonic())
--- a/sassafrashook/fleet/_messages.py
+++ b/sassafrashook/fleet/_messages.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from sassafrashook.messages import Message
+from sassafrashook.quarantine import CrashRecord
 from sassafrashook.registry import Registration
 
 __all__ = [
@@ -28,6 +29,7 @@
     :param revision: latest revision of the controller that the node holds.
     :param configuration_version: version of the configuration that the node holds.
     :param drain_index: log index of the drained zones that the node holds.
+    :param crash_revision: latest revision of the controller's crash ledger that the node holds.
     """
 
     is_router: bool
@@ -35,6 +37,7 @@
     revision: int = 0
     configuration_version: int = 0
     drain_index: int = 0
+    crash_revision: int = 0
 
 
 class ViewChanged(Message):
@@ -51,6 +54,8 @@
     :param drained_zones: availability zones that are drained.
     :param configuration_version: version of ``configuration``, 0 if it is omitted.
     :param configuration: the encoded configuration, compressed with zlib.
+    :param crash_revision: revision of the controller's crash ledger that includes ``crashes``.
+    :param crashes: records of upstream crashes that changed.
     """
 
     boot_id: str
@@ -62,6 +67,8 @@
     drained_zones: list[str]
     configuration_version: int = 0
     configuration: bytes = b""
+    crash_revision: int = 0
+    crashes: list[CrashRecord] = []
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
@@ -93,10 +100,12 @@
 
     :param loads: number of the router's running requests, by upstream.
     :param cached_parts: prompt parts that upstreams cache, due to be announced.
+    :param crashes: records of upstream crashes that the router observed recently.
     """
 
     loads: dict[str, int]
     cached_parts: list[PartCached] = []
+    crashes: list[CrashRecord] = []
 
 
 class LoadShared(Message):
--- a/sassafrashook/fleet/_publisher.py
+++ b/sassafrashook/fleet/_publisher.py
@@ -1,6 +1,6 @@
 """Tracks the subscribers of a controller and schedules the updates sent to them."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 RESEND_DELAY_S = 0.4  # longer than a round trip on a busy link
 # A router is sent a configuration by its primary controller, and by the others too once it has made
@@ -70,15 +70,17 @@
     :param revision: revision of the registrations, counted by one controller.
     :param configuration_version: version of the configuration.
     :param drain_index: log index of the drained zones.
+    :param crash_revision: revision of the crash ledger, counted by one controller.
     """
 
     revision: int
     configuration_version: int
     drain_index: int
+    crash_revision: int = 0
 
     def with_configuration_of(self, other):
         """Return these versions with the configuration version of others."""
-        return StateVersions(self.revision, other.configuration_version, self.drain_index)
+        return replace(self, configuration_version=other.configuration_version)
 
     def covers(self, other):
         """Return whether no version is older than the corresponding one of others."""
@@ -86,6 +88,7 @@
             self.revision >= other.revision
             and self.configuration_version >= other.configuration_version
             and self.drain_index >= other.drain_index
+            and self.crash_revision >= other.crash_revision
         )
 
 
@@ -112,11 +115,16 @@
         :param request: a :class:`~sassafrashook.fleet._messages.ViewRequested`.
         :param now: monotonic seconds.
         """
-        revision = request.revision if request.publisher_boot_id == self.boot_id else -1
-        held = StateVersions(revision, request.configuration_version, request.drain_index)
+        is_same_boot = request.publisher_boot_id == self.boot_id
+        held = StateVersions(
+            request.revision if is_same_boot else -1,
+            request.configuration_version,
+            request.drain_index,
+            request.crash_revision if is_same_boot else -1,
+        )
         subscriber = self.subscribers_.get(name)
         if subscriber is None:
-            nothing = StateVersions(-1, 0, 0)
+            nothing = StateVersions(-1, 0, 0, -1)
             self.subscribers_[name] = Subscriber(
                 request.is_router, held, nothing, float("-inf"), now
             )
--- a/sassafrashook/fleet/_subscriber.py
+++ b/sassafrashook/fleet/_subscriber.py
@@ -8,6 +8,7 @@
 from gevent.event import Event
 
 from sassafrashook.fleet._messages import LoadReported, PartCached, ViewChanged, ViewRequested
+from sassafrashook.quarantine import CrashLedger
 from sassafrashook.routes import RouteConfiguration, RouteTable
 from sassafrashook.tasks import spawn_task
 from sassafrashook.telemetry import log_event
@@ -26,6 +27,7 @@
     Older updates never replace newer ones.
 
     :param registry: the node's :class:`~sassafrashook.registry.Registry`.
+    :param crashes: the node's :class:`~sassafrashook.quarantine.CrashLedger`; a new one if omitted.
 
     :ivar table_: the current :class:`~sassafrashook.routes.RouteTable`, or ``None``.
     :ivar configured_: event that is set once there is a route table.
@@ -34,8 +36,9 @@
     :ivar routers_: names of all routers.
     """
 
-    def __init__(self, registry):
+    def __init__(self, registry, crashes=None):
         self.registry = registry
+        self.crashes = crashes if crashes is not None else CrashLedger()
         self.table_ = None
         self.configured_ = Event()
         self.drained_zones_ = frozenset()
@@ -56,6 +59,8 @@
         """
         for registration in update.registrations:
             self.registry.merge(registration, now)
+        for record in update.crashes:
+            self.crashes.merge(record, now)
         if update.configuration_version > self.version:
             configuration = msgspec.msgpack.decode(
                 zlib.decompress(update.configuration), type=RouteConfiguration
@@ -135,11 +140,11 @@
 
     def _request(self, name):
         """Request updates from a controller and acknowledge what this node holds."""
-        boot_id, revision = self._revisions.get(name, ("", 0))
-        view = self.view
+        boot_id, revision, crash_revision = self._revisions.get(name, ("", 0, 0))
+        version, drain_index = self.view.version, self.view.drain_index_
         self.mesh.send(
             name,
-            ViewRequested(self.is_router, boot_id, revision, view.version, view.drain_index_),
+            ViewRequested(self.is_router, boot_id, revision, version, drain_index, crash_revision),
         )
 
     def deliver(self, sender, update):
@@ -151,7 +156,7 @@
         self._record_update(sender, now)
         version = self.view.version
         undrained_zones = self.view.apply(update, now)
-        self._revisions[sender] = (update.boot_id, update.revision)
+        self._revisions[sender] = (update.boot_id, update.revision, update.crash_revision)
         self._update_controllers(set(update.controllers) - {self.name}, now)
         if self.view.version > version:
             log_event("configuration_adopted", version=self.view.version, controller=sender)
@@ -198,11 +203,12 @@
         connected = [name for name in self.controllers_ if self._is_connected(name, now)]
         return rank_nodes(hash_key(self.name), connected)[0] if connected else None
 
-    def report_loads(self, controller, loads, cached_parts):
+    def report_loads(self, controller, loads, cached_parts, crashes=()):
         """Send this router's load to a controller.
 
         :param loads: number of running requests, by upstream.
         :param cached_parts: pairs of prompt part and the upstream that caches it.
+        :param crashes: iterable of :class:`~sassafrashook.quarantine.CrashRecord`.
         """
         parts = [PartCached(part, name) for part, name in cached_parts]
-        self.mesh.send(controller, LoadReported(loads, parts))
+        self.mesh.send(controller, LoadReported(loads, parts, list(crashes)))
--- a/sassafrashook/gateway/_gateway.py
+++ b/sassafrashook/gateway/_gateway.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from sassafrashook.placement import RetryBudget
-from sassafrashook.quarantine import CrashDetector
+from sassafrashook.quarantine import CrashDetector, format_trait
 from sassafrashook.routes import ClientLimits
 from sassafrashook.telemetry import log_event
 
@@ -89,9 +89,11 @@
         self._record_crash(upstream, interrupted)
 
     def _record_crash(self, upstream, interrupted):
-        """Log the requests that a crash interrupted, if there are any."""
+        """Record and log the requests that a crash interrupted, if there are any."""
         if not interrupted:
             return
+        traits = [request.traits for request in interrupted]
+        self.view.crashes.record_crash(upstream.key, traits, time.monotonic())
         registration = upstream.registration
         self.metrics.count("upstream_crash_interruptions", amount=len(interrupted))
         log_event(
@@ -101,6 +103,25 @@
             requests=[request.request_id for request in interrupted[:MAX_LOGGED_REQUESTS]],
         )  # fmt: skip
 
+    def record_completion(self, request_id, traits):
+        """Record that a request completed, so that its traits crash no upstream.
+
+        :param request_id: identifier of the request.
+        :param traits: traits of the request.
+        """
+        cleared = self.view.crashes.record_completion(traits, time.monotonic())
+        if cleared:
+            names = [format_trait(trait) for trait in cleared]
+            log_event("traits_cleared", request=request_id, traits=names)
+
+    def find_quarantine(self, traits):
+        """Return why a request must not be sent to an upstream, ``None`` if it may be.
+
+        :param traits: traits of the request.
+        :returns: a :class:`~sassafrashook.quarantine.Quarantine` or ``None``.
+        """
+        return self.view.crashes.find_quarantine(traits, time.monotonic())
+
     def record_request(self, service):
         """Add a client's request to the retry budget of its service.
 
--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -152,6 +152,12 @@
 
     def _run_attempts(self):
         while not self.client.is_disconnected_:
+            quarantine = self.gateway.find_quarantine(self.traits)
+            if quarantine is not None:
+                self._request_log.log_quarantine(quarantine)
+                retry_after_ms = round((quarantine.until - time.monotonic()) * 1_000)
+                self._reject(RefusalReason.QUARANTINED, retry_after_ms)
+                return
             query = self._make_query()
             result = self.gateway.placement.choose(query, time.monotonic())
             if isinstance(result, Failure):
@@ -210,6 +216,7 @@
             self._attempt = None
             attempt.close()
         upstream.record_response(True)
+        self.gateway.record_completion(self.metadata.request_id, self.traits)
         self.execution_count_ += 1
         self.verdict_ = Verdict.RAN
         self._log("answered", upstream.registration.upstream_id, head.status)
--- a/sassafrashook/gateway/_request_log.py
+++ b/sassafrashook/gateway/_request_log.py
@@ -2,6 +2,7 @@
 
 import time
 
+from sassafrashook.quarantine import format_trait
 from sassafrashook.telemetry import is_sampled, log_event
 
 FAILED_OUTCOMES = frozenset(("failure_passed_on", "refused", "stream_broken"))
@@ -58,6 +59,19 @@
             drained_zones=drained_zones, version=handler.table.version,
         )  # fmt: skip
 
+    def log_quarantine(self, quarantine):
+        """Log why the request is not sent to any upstream.
+
+        :param quarantine: a :class:`~sassafrashook.quarantine.Quarantine`.
+        """
+        handler = self.handler
+        self._log_or_buffer(
+            "request_quarantined", trait=format_trait(quarantine.trait),
+            parts=[f"{part.part_id}:{part.tokens}" for part in handler.metadata.parts],
+            crashed=[name for name, _ in quarantine.crashes], runs=handler.execution_count_,
+            until_ms=round((quarantine.until - time.monotonic()) * 1_000),
+        )  # fmt: skip
+
     def log_attempt_failure(self, upstream, error):
         """Log a failed attempt.
 
--- a/sassafrashook/operations/_explain.py
+++ b/sassafrashook/operations/_explain.py
@@ -120,6 +120,9 @@
     if "attempt_failed" in by_event:
         failure = by_event["attempt_failed"][-1]
         text += f": {failure['kind']} at {failure['upstream']}, {failure['detail']}"
+    if "request_quarantined" in by_event:
+        quarantine = by_event["request_quarantined"][-1]
+        text += f": trait {quarantine['trait']} crashed {quarantine['crashed']}"
     if "request_unplaced" in by_event:
         refusal = by_event["request_unplaced"][-1]
         text += (
--- a/sassafrashook/quarantine/__init__.py
+++ b/sassafrashook/quarantine/__init__.py
@@ -5,6 +5,15 @@
 """
 
 from sassafrashook.quarantine._crashes import CrashDetector, InterruptedRequest
-from sassafrashook.quarantine._traits import compute_traits
+from sassafrashook.quarantine._ledger import CrashLedger, CrashRecord, Quarantine
+from sassafrashook.quarantine._traits import compute_traits, format_trait
 
-__all__ = ["CrashDetector", "InterruptedRequest", "compute_traits"]
+__all__ = [
+    "CrashDetector",
+    "CrashLedger",
+    "CrashRecord",
+    "InterruptedRequest",
+    "Quarantine",
+    "compute_traits",
+    "format_trait",
+]
--- /dev/null
+++ b/sassafrashook/quarantine/_ledger.py
@@ -0,0 +1,363 @@
+"""Evidence of which requests crash upstreams, merged to the same result on every node."""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+import msgspec
+
+# Number of crashes, each with another request, at which a prompt part is quarantined.
+PART_CRASH_LIMIT = 2
+# Number of crashes at which the content of a request is quarantined. It is higher, because a
+# resumed request breaks off twice if the other upstream crashes as well.
+CONTENT_CRASH_LIMIT = 3
+# A trait with a recently completed request is probably sound: in a series of crashes, requests of a
+# popular prompt part break off at several upstreams before the next one completes.
+SOUND_CRASH_LIMIT = 4
+RECENT_COMPLETION_S = 10.0
+SURPLUS_WEIGHT = 0.5  # of a request with a trait beyond one for each crash
+# A quarantine after few crashes may be a mistake, so it soon admits requests again. One more crash
+# then confirms it.
+PROVISIONAL_QUARANTINE_S = 30.0
+CONFIRMED_CRASHES = 3
+CONFIRMED_QUARANTINE_S = 3_600.0
+# Shortest time between two selections of the traits to quarantine, unless this node observes a
+# crash itself: records of other nodes arrive in quick succession.
+SELECTION_INTERVAL_S = 0.05
+MAX_CRASHES = 256  # the oldest are dropped
+MAX_REQUESTS_PER_CRASH = 256
+MAX_COMPLETED_TRAITS = 20_000
+MS_PER_S = 1_000
+
+
+class CrashRecord(msgspec.Struct, frozen=True, array_like=True):
+    """What nodes tell each other of the crash of one boot of an upstream.
+
+    :param upstream_id: name of the upstream.
+    :param boot_ms: start time of the boot, in Unix milliseconds.
+    :param age_ms: time since the crash was detected, in milliseconds.
+    :param requests: traits of each request that broke off; the last one is that of its content.
+    :param cleared: traits of these requests that have completed since.
+    """
+
+    upstream_id: str
+    boot_ms: int
+    age_ms: float
+    requests: list[tuple[int, ...]]
+    cleared: list[int] = []
+
+
+@dataclass(slots=True, frozen=True)
+class Quarantine:
+    """Why a request must not be sent to any upstream.
+
+    :param trait: the trait that crashes upstreams.
+    :param crashes: keys of the upstream boots that crashed.
+    :param until: monotonic seconds.
+    """
+
+    trait: int
+    crashes: tuple
+    until: float
+
+
+class _Crash:
+    """State of one crash.
+
+    :ivar crashed_at: when it was detected, in monotonic seconds.
+    :ivar requests: traits of the requests that broke off, a set of tuples.
+    :ivar cleared: set of the traits that have completed since.
+    :ivar revision: revision of the ledger of the last change.
+    :ivar observed_at: time of the last change that this node observed itself, in monotonic seconds;
+        minus infinity if there is none.
+    """
+
+    __slots__ = ("crashed_at", "requests", "cleared", "revision", "observed_at")
+
+    def __init__(self, crashed_at):
+        self.crashed_at = crashed_at
+        self.requests = set()
+        self.cleared = set()
+        self.revision = 0
+        self.observed_at = float("-inf")
+
+
+class _Suspect:
+    """A trait and the crashes that it has not been cleared of.
+
+    :ivar contents_by_key: for each crash, the contents of the requests with the trait that broke
+        off.
+    :ivar distance: largest number of more specific traits that a request has beside it.
+    """
+
+    __slots__ = ("trait", "contents_by_key", "distance")
+
+    def __init__(self, trait, contents_by_key, distance):
+        self.trait = trait
+        self.contents_by_key = contents_by_key
+        self.distance = distance
+
+    def is_content(self):
+        """Return whether the trait is the content of a whole request."""
+        return any(self.trait in contents for contents in self.contents_by_key.values())
+
+    def count_contents(self, keys):
+        """Return the number of different requests with the trait that broke off in some crashes."""
+        return len(set().union(*(self.contents_by_key[key] for key in keys)))
+
+
+class CrashLedger:
+    """Records which traits were running at crashes, and which of these have completed since.
+
+    A request that crashes upstreams never completes, and is running at each crash that it causes.
+    So of the traits that have not completed since, the likeliest one is taken for the cause of all
+    crashes at which it was running, and the others are suspected only of the remaining crashes.
+    Records of several nodes are merged in any order to the same result, because nothing is ever
+    removed from a record.
+
+    :ivar revision_: number that increases with each change that is propagated to other nodes.
+
+    >>> ledger = CrashLedger()
+    >>> for boot in (1, 2):
+    ...     _ = ledger.merge(CrashRecord("u", boot, 0.0, [(5, 7, boot)]), now=0.0)
+    >>> ledger.find_quarantine((5, 7, 3), now=0.1).trait
+    7
+    >>> ledger.find_quarantine((5, 8, 4), now=0.1) is None
+    True
+    """
+
+    def __init__(self):
+        self.revision_ = 0
+        self._crashes = OrderedDict()
+        self._contents_by_trait = {}
+        self._distance_by_trait = {}
+        self._completed_at = OrderedDict()
+        self._quarantines = {}
+        self._selected_revision = 0
+        self._selected_at = float("-inf")
+
+    def record_crash(self, key, requests, now):
+        """Record a crash that this node observed.
+
+        :param key: key of the upstream's boot.
+        :param requests: traits of each request that broke off.
+        :param now: monotonic seconds.
+        """
+        self.merge(CrashRecord(*key, 0.0, requests), now)
+        self._crashes[key].observed_at = now
+        self._selected_at = float("-inf")
+
+    def merge(self, record, now):
+        """Merge a record of another node.
+
+        :param record: a :class:`CrashRecord`.
+        :param now: monotonic seconds.
+        :returns: whether the change has to be propagated to other nodes.
+        """
+        self._expire(now)
+        key = (record.upstream_id, record.boot_ms)
+        crash = self._crashes.get(key)
+        is_new = crash is None
+        if is_new:
+            crash = self._crashes[key] = _Crash(now - record.age_ms / MS_PER_S)
+            while len(self._crashes) > MAX_CRASHES:
+                self._remove(next(iter(self._crashes)))
+        free = max(0, MAX_REQUESTS_PER_CRASH - len(crash.requests))
+        requests = [tuple(traits) for traits in record.requests if traits]
+        added = [traits for traits in requests if traits not in crash.requests][:free]
+        cleared = set(record.cleared) - crash.cleared
+        for traits in added:
+            crash.requests.add(traits)
+            self._add_request(traits, key)
+            cleared.update(
+                trait
+                for trait in traits
+                if self._completed_at.get(trait, float("-inf")) > crash.crashed_at
+                and trait not in crash.cleared
+            )
+        crash.cleared |= cleared
+        if is_new or added or cleared:
+            self._mark_changed(key)
+        return bool(is_new or added or cleared)
+
+    def _add_request(self, traits, key):
+        for distance, trait in enumerate(reversed(traits)):
+            contents_by_key = self._contents_by_trait.setdefault(trait, {})
+            if len(contents_by_key) == 1 and key not in contents_by_key:
+                # The trait is now repeated, so routers need to know of its first crash.
+                self._mark_changed(next(iter(contents_by_key)))
+            contents_by_key.setdefault(key, set()).add(traits[-1])
+            known_distance = self._distance_by_trait.get(trait, 0)
+            self._distance_by_trait[trait] = max(known_distance, distance)
+
+    def _mark_changed(self, key):
+        self.revision_ += 1
+        self._crashes[key].revision = self.revision_
+
+    def record_completion(self, traits, now):
+        """Record that a request completed, which clears its traits of all known crashes.
+
+        :param traits: traits of the request.
+        :param now: monotonic seconds.
+        :returns: the traits that were cleared.
+        """
+        cleared = []
+        for trait in traits:
+            self._completed_at[trait] = now
+            self._completed_at.move_to_end(trait)
+            for key in self._contents_by_trait.get(trait, ()):
+                crash = self._crashes[key]
+                if trait not in crash.cleared:
+                    crash.cleared.add(trait)
+                    crash.observed_at = now
+                    self._mark_changed(key)
+                    cleared.append(trait)
+        while len(self._completed_at) > MAX_COMPLETED_TRAITS:
+            self._completed_at.popitem(last=False)
+        return cleared
+
+    def find_quarantine(self, traits, now):
+        """Return why a request must not be sent to an upstream.
+
+        :param traits: traits of the request.
+        :param now: monotonic seconds.
+        :returns: a :class:`Quarantine`, or ``None`` if the request may be sent.
+        """
+        if (
+            self._selected_revision != self.revision_
+            and now >= self._selected_at + SELECTION_INTERVAL_S
+        ):
+            self._selected_revision, self._selected_at = self.revision_, now
+            self._quarantines = self._select_quarantines(now)
+        for trait in traits:
+            quarantine = self._quarantines.get(trait)
+            if quarantine is not None and now < quarantine.until:
+                return quarantine
+        return None
+
+    def _select_quarantines(self, now):
+        """Attribute the crashes to as few traits as possible.
+
+        :returns: the :class:`Quarantine` of each trait to which enough crashes are attributed.
+        """
+        suspects = self._list_suspects()
+        unexplained = set(self._crashes)
+        quarantines = {}
+        while True:
+            ranked = [(self._rank(suspect, unexplained, now), suspect) for suspect in suspects]
+            rank, suspect = max(
+                (pair for pair in ranked if pair[0] is not None),
+                key=lambda pair: pair[0],
+                default=(None, None),
+            )
+            if rank is None:
+                return quarantines
+            keys = tuple(suspect.contents_by_key)
+            unexplained.difference_update(keys)
+            is_confirmed = len(keys) >= CONFIRMED_CRASHES
+            duration_s = CONFIRMED_QUARANTINE_S if is_confirmed else PROVISIONAL_QUARANTINE_S
+            until = max(self._crashes[key].crashed_at for key in keys) + duration_s
+            quarantines[suspect.trait] = Quarantine(suspect.trait, keys, until)
+
+    def _list_suspects(self):
+        """Return a :class:`_Suspect` for each trait with at least two crashes not cleared."""
+        suspects = []
+        for trait, contents_by_key in self._contents_by_trait.items():
+            if len(contents_by_key) < PART_CRASH_LIMIT:
+                continue
+            suspected = {
+                key: contents
+                for key, contents in contents_by_key.items()
+                if trait not in self._crashes[key].cleared
+            }
+            if len(suspected) >= PART_CRASH_LIMIT:
+                suspects.append(_Suspect(trait, suspected, self._distance_by_trait[trait]))
+        return suspects
+
+    def _rank(self, suspect, unexplained, now):
+        """Return a sort key of a suspect, the greatest is the most likely cause.
+
+        A trait that crashes upstreams seldom runs more than once at an upstream, while a popular
+        one runs several times at any upstream that crashes. So each request beyond one for each
+        crash counts against a trait. Of traits alike in this, the rarest and most specific one
+        comes first.
+
+        :returns: tuple, or ``None`` if there is too little evidence.
+        """
+        keys = [key for key in suspect.contents_by_key if key in unexplained]
+        if len(keys) < PART_CRASH_LIMIT:
+            return None
+        is_content, contents = suspect.is_content(), suspect.count_contents(keys)
+        limit = CONTENT_CRASH_LIMIT if is_content else PART_CRASH_LIMIT
+        if now < self._completed_at.get(suspect.trait, float("-inf")) + RECENT_COMPLETION_S:
+            limit = SOUND_CRASH_LIMIT
+        independent = len(keys) if is_content else min(len(keys), contents)
+        if independent < limit:
+            return None
+        surplus = max(0, contents - len(keys))
+        likelihood = len(keys) - surplus * SURPLUS_WEIGHT
+        return (likelihood, not is_content, -contents, -suspect.distance, suspect.trait)
+
+    def list_changes(self, revision, now):
+        """Return the records that changed after a revision.
+
+        :param revision: the last revision that the receiver has.
+        :param now: monotonic seconds.
+        """
+        keys = [key for key, crash in self._crashes.items() if crash.revision > revision]
+        return [self._make_record(key, now) for key in keys]
+
+    def list_repeated_changes(self, revision, now):
+        """Return the records that changed after a revision, limited to repeated traits.
+
+        Only traits of at least two crashes can be quarantined. A request without any is left out,
+        of the others the content remains as well.
+
+        :param revision: the last revision that the receiver has.
+        :param now: monotonic seconds.
+        """
+        records = []
+        for record in self.list_changes(revision, now):
+            requests = {self._select_repeated(traits) for traits in record.requests} - {()}
+            if requests:
+                cleared = [trait for trait in record.cleared if self._is_repeated(trait)]
+                records.append(
+                    msgspec.structs.replace(record, requests=sorted(requests), cleared=cleared)
+                )
+        return records
+
+    def list_observed(self, since, now):
+        """Return the records with changes that this node observed itself at or after a time.
+
+        :param since: monotonic seconds.
+        :param now: monotonic seconds.
+        """
+        keys = [key for key, crash in self._crashes.items() if crash.observed_at >= since]
+        return [self._make_record(key, now) for key in keys]
+
+    def _is_repeated(self, trait):
+        return len(self._contents_by_trait.get(trait, ())) > 1
+
+    def _select_repeated(self, traits):
+        parts = tuple(trait for trait in traits[:-1] if self._is_repeated(trait))
+        return (*parts, traits[-1]) if parts or self._is_repeated(traits[-1]) else ()
+
+    def _make_record(self, key, now):
+        crash = self._crashes[key]
+        age_ms = (now - crash.crashed_at) * MS_PER_S
+        return CrashRecord(*key, age_ms, sorted(crash.requests), sorted(crash.cleared))
+
+    def _expire(self, now):
+        """Remove the crashes that no quarantine can be based on any more."""
+        for key, crash in list(self._crashes.items()):
+            if now >= crash.crashed_at + CONFIRMED_QUARANTINE_S:
+                self._remove(key)
+
+    def _remove(self, key):
+        crash = self._crashes.pop(key)
+        self.revision_ += 1
+        for trait in {trait for traits in crash.requests for trait in traits}:
+            contents_by_key = self._contents_by_trait.get(trait, {})
+            contents_by_key.pop(key, None)
+            if not contents_by_key:
+                self._contents_by_trait.pop(trait, None)
+                self._distance_by_trait.pop(trait, None)
--- /dev/null
+++ b/sassafrashook/quarantine/tests/simulated_fleet.py
@@ -0,0 +1,257 @@
+"""A simulated fleet in which requests with one prompt part crash each upstream that runs them.
+
+Time is simulated. Routers detect crashes and exchange records through controllers as the daemons
+do, over links that delay messages and lose reports. Routers and controllers restart with empty
+ledgers.
+"""
+
+import heapq
+import itertools
+import random
+
+from sassafrashook.quarantine import CrashDetector, CrashLedger, compute_traits
+
+DURATION_S = 40.0
+POISON_STARTS_AT = 4.0
+CONTACT_TIMEOUT_S = 3.0
+REPORT_INTERVAL_S = 0.2
+CRASH_REPORT_S = 3.0
+PUBLISH_INTERVAL_S = 0.05
+MAX_ATTEMPTS = 2
+POISON_PART = "poison"
+
+
+class Request:
+    """One request of a client, with its further attempts.
+
+    :ivar parts: identifiers of its prompt parts.
+    :ivar attempts: number of attempts so far.
+    :ivar client_retries: number of times that the client may still repeat it.
+    """
+
+    def __init__(self, parts, client_retries):
+        self.parts = parts
+        self.traits = compute_traits(parts, "account")
+        self.attempts = 0
+        self.client_retries = client_retries
+
+    @property
+    def is_poison(self):
+        return POISON_PART in self.parts
+
+
+class Upstream:
+    """An upstream that crashes 0.1 s after it begins to run a poison request.
+
+    :ivar running: (request, router) of each running attempt by its number.
+    """
+
+    def __init__(self, name):
+        self.name = name
+        self.boot = 1
+        self.is_up = True
+        self.running = {}
+
+    @property
+    def key(self):
+        return (self.name, self.boot)
+
+
+class Router:
+    """A router with its own ledger.
+
+    :ivar started_at: time of its last start, in simulated seconds.
+    """
+
+    def __init__(self, name):
+        self.name = name
+        self.restart(float("-inf"))
+
+    def restart(self, now):
+        self.started_at = now
+        self.detector = CrashDetector()
+        self.ledger = CrashLedger()
+
+    def is_in_touch(self, now):
+        return now >= self.started_at + CONTACT_TIMEOUT_S
+
+
+class Controller:
+    """A controller that passes records on to all nodes.
+
+    :ivar held: (ledger of a node, revision that it holds) by node name.
+    """
+
+    def __init__(self, name):
+        self.name = name
+        self.restart()
+
+    def restart(self):
+        self.ledger = CrashLedger()
+        self.held = {}
+
+
+class SimulatedFleet:
+    """Runs one seed.
+
+    :ivar crashed_at: times of all crashes, in simulated seconds.
+    :ivar poison_sent_at: times at which routers in touch sent poison requests.
+    :ivar sound_arrivals: (time, whether it was rejected) of the first attempts of sound requests
+        that share a part with poison requests, at routers in touch.
+    """
+
+    def __init__(self, seed):
+        self.rng = rng = random.Random(seed)
+        self.routers = [Router(f"r{n}") for n in range(rng.choice((3, 6, 7, 12, 40)))]
+        self.controllers = [Controller(f"c{n}") for n in range(rng.choice((3, 5)))]
+        self.upstreams = [Upstream(f"u{n}") for n in range(rng.choice((4, 5, 9, 20)))]
+        self.poison_rate = rng.choice((0.3, 1.0, 3.0, 6.0))
+        self.sound_rate = rng.choice((10.0, 30.0, 60.0))
+        self.poison_index = rng.randrange(3)
+        self.first_parts = [f"f{n}" for n in range(rng.choice((2, 4, 8)))]
+        self.crashed_at = []
+        self.poison_sent_at = []
+        self.sound_arrivals = []
+        self.now = 0.0
+        self._numbers = itertools.count()
+        self._events = []
+
+    def schedule(self, delay_s, action, *arguments):
+        event = (self.now + delay_s, next(self._numbers), action, arguments)
+        heapq.heappush(self._events, event)
+
+    def run(self):
+        """Play all events; :returns: this fleet."""
+        rng = self.rng
+        self.schedule(0.0, self.create_sound_request)
+        self.schedule(POISON_STARTS_AT, self.create_poison_request)
+        for router in self.routers:
+            self.schedule(rng.uniform(0, REPORT_INTERVAL_S), self.report, router)
+        for controller in self.controllers:
+            self.schedule(rng.uniform(0, PUBLISH_INTERVAL_S), self.publish, controller)
+        for _ in range(rng.randrange(len(self.routers) + 1)):
+            self.schedule(rng.uniform(0, DURATION_S), self.restart_router, rng.choice(self.routers))
+        for _ in range(rng.randrange(3)):
+            controller = rng.choice(self.controllers)
+            self.schedule(rng.uniform(0, DURATION_S), controller.restart)
+        while self._events and self._events[0][0] < DURATION_S:
+            self.now, _, action, arguments = heapq.heappop(self._events)
+            action(*arguments)
+        return self
+
+    def create_sound_request(self):
+        rng = self.rng
+        first = rng.choice(self.first_parts)
+        session = f"{first}-{rng.randrange(40)}"
+        request = Request((first, session, f"own{next(self._numbers)}"), rng.randrange(2))
+        self.arrive(request)
+        self.schedule(rng.expovariate(self.sound_rate), self.create_sound_request)
+
+    def create_poison_request(self):
+        rng = self.rng
+        parts = [self.first_parts[0], f"{self.first_parts[0]}-0", f"own{next(self._numbers)}"]
+        parts.insert(self.poison_index, POISON_PART)
+        self.arrive(Request(tuple(parts), rng.randrange(3)))
+        self.schedule(rng.expovariate(self.poison_rate), self.create_poison_request)
+
+    def arrive(self, request):
+        """Handle a request of a client at any router."""
+        request.attempts = 0
+        router = self.rng.choice(self.routers)
+        is_rejected = self.send(request, router)
+        shares_part = self.first_parts[0] in request.parts
+        if not request.is_poison and shares_part and router.is_in_touch(self.now):
+            self.sound_arrivals.append((self.now, is_rejected))
+
+    def send(self, request, router):
+        """Send a request to an upstream.
+
+        :returns: whether the router rejected it because of a quarantine.
+        """
+        if router.ledger.find_quarantine(request.traits, self.now) is not None:
+            return True
+        available = [upstream for upstream in self.upstreams if upstream.is_up]
+        if not available or request.attempts >= MAX_ATTEMPTS:
+            return False
+        request.attempts += 1
+        upstream, attempt = self.rng.choice(available), next(self._numbers)
+        upstream.running[attempt] = (request, router)
+        if request.is_poison:
+            if router.is_in_touch(self.now):
+                self.poison_sent_at.append(self.now)
+            self.schedule(0.1, self.crash, upstream, upstream.boot)
+        else:
+            self.schedule(self.rng.uniform(0.1, 1.5), self.complete, upstream, attempt)
+        return False
+
+    def complete(self, upstream, attempt):
+        request, router = upstream.running.pop(attempt, (None, None))
+        if request is not None:
+            router.ledger.record_completion(request.traits, self.now)
+
+    def crash(self, upstream, boot):
+        if not upstream.is_up or upstream.boot != boot:
+            return
+        self.crashed_at.append(self.now)
+        upstream.is_up = False
+        running, upstream.running = upstream.running, {}
+        for request, router in running.values():
+            router.detector.record_interruption(upstream.key, "", request.traits, self.now)
+            self.retry(request, router)
+        for router in dict.fromkeys(router for _, router in running.values()):
+            delay_s = self.rng.uniform(0.01, 0.3)
+            self.schedule(delay_s, self.detect_crash, router, upstream.key)
+        self.schedule(self.rng.uniform(2.5, 3.5), self.start_upstream, upstream)
+
+    def retry(self, request, router):
+        """Resume a broken-off request at another upstream, or let its client repeat it."""
+        if request.attempts < MAX_ATTEMPTS and self.rng.random() < 0.7:
+            self.schedule(0.001, self.send, request, router)
+        elif request.client_retries > 0:
+            request.client_retries -= 1
+            self.schedule(self.rng.uniform(0.05, 0.5), self.arrive, request)
+
+    def start_upstream(self, upstream):
+        upstream.boot += 1
+        upstream.is_up = True
+
+    def detect_crash(self, router, key):
+        interrupted = router.detector.record_refused_connection(key, self.now)
+        if interrupted:
+            traits = [request.traits for request in interrupted]
+            router.ledger.record_crash(key, traits, self.now)
+
+    def report(self, router):
+        """Send recent observations of a router to one controller; some reports are lost."""
+        records = router.ledger.list_observed(self.now - CRASH_REPORT_S, self.now)
+        controller = self.rng.choice(self.controllers)
+        if records and self.rng.random() > 0.2:
+            self.schedule(self.rng.uniform(0.002, 0.1), self.deliver, controller.ledger, records)
+        self.schedule(REPORT_INTERVAL_S, self.report, router)
+
+    def publish(self, controller):
+        """Send changed records to all nodes."""
+        ledger = controller.ledger
+        for node in (*self.routers, *self.controllers):
+            held_ledger, revision = controller.held.get(node.name, (None, 0))
+            if held_ledger is not node.ledger:
+                revision = 0  # the node has restarted
+            if node is controller or revision == ledger.revision_:
+                continue
+            is_router = node in self.routers
+            list_changes = ledger.list_repeated_changes if is_router else ledger.list_changes
+            records = list_changes(revision, self.now)
+            controller.held[node.name] = (node.ledger, ledger.revision_)
+            self.schedule(self.rng.uniform(0.002, 0.1), self.deliver, node.ledger, records)
+        self.schedule(PUBLISH_INTERVAL_S, self.publish, controller)
+
+    def deliver(self, ledger, records):
+        for record in records:
+            ledger.merge(record, self.now)
+
+    def restart_router(self, router):
+        """Restart a router, which breaks off its requests without a crash of an upstream."""
+        for upstream in self.upstreams:
+            remaining = {n: pair for n, pair in upstream.running.items() if pair[1] is not router}
+            upstream.running = remaining
+        router.restart(self.now)
