gateway: a stream that ends within an event has broken off

Callers got such a stream as complete: the bytes after the last event were sent, then the end of the response. Cause: only the framing of the response told whether it was whole, and a response without length or chunks ends with its connection wherever that breaks. The same holds for a framed stream whose last event is cut. Now such an attempt fails as broken; a stream that may be resumed goes on at another upstream. A stream without framing and without any event counts as broken off as well.

--- a/sassafrashook/gateway/_attempt.py
+++ b/sassafrashook/gateway/_attempt.py
@@ -248,6 +248,15 @@
             chunks.append(data)
         return b"".join(chunks)
 
+    def close_incomplete_stream(self):
+        """Close the connection after a stream that ended within an event.
+
+        :returns: the :class:`AttemptError` to raise.
+        """
+        return self._close_after_interruption(
+            UpstreamResponseError("the stream ended within an event")
+        )
+
     def _close_after_interruption(self, error):
         """Close the broken connection of a running request, as :meth:`_close_with_error`.
 
--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -257,17 +257,19 @@
                 head.status, remove_hop_by_hop_headers(head.headers, REFRAMED_HEADERS)
             )
         splitter, sent_at, longest_pause_s = self._splitter, time.monotonic(), 0.0
+        has_events = False
         while (data := attempt.read_data()) is not None:
             events = splitter.feed(data)
             if events:
+                has_events = True
                 now = time.monotonic()
                 longest_pause_s, sent_at = max(longest_pause_s, now - sent_at), now
                 client.send_data(events)
+        # A stream without framing may have broken off wherever it ends.
+        if splitter.take_incomplete() or (head.is_close_delimited and not has_events):
+            raise attempt.close_incomplete_stream()
         self._record("longest_pause_ms", "complete", longest_pause_s * 1_000)
-        incomplete = splitter.take_incomplete()
         attempt.release_connection()
-        if incomplete:
-            client.send_data(incomplete)
         client.finish_response()
 
     def _prepare_retry(self, upstream, error):
--- a/sassafrashook/http1/_messages.py
+++ b/sassafrashook/http1/_messages.py
@@ -89,6 +89,11 @@
     status: int
     headers: Headers
 
+    @property
+    def is_close_delimited(self):
+        """Whether only the end of the connection ends the body."""
+        return not (b"content-length" in self.headers or b"transfer-encoding" in self.headers)
+
 
 def remove_hop_by_hop_headers(headers, extra_names=frozenset()):
     """Return the header fields that may be forwarded.
--- a/sassafrashook/platform/tests/scripted_upstreams.py
+++ b/sassafrashook/platform/tests/scripted_upstreams.py
@@ -203,6 +203,21 @@
     return send_events
 
 
+def make_unframed_stream_script(events):
+    """Return a script that sends a stream without length or chunks and closes the connection.
+
+    :param events: the body, or the part of it that is sent.
+    """
+
+    def send_unframed(_upstream, sock, head, _body):
+        fields = encode_response(head, b"").split(b"\r\n")
+        unframed = [field for field in fields if not field.startswith(b"Content-Length")]
+        sock.sendall(b"\r\n".join(unframed) + events)
+        return False
+
+    return send_unframed
+
+
 def make_route_configuration(
     version=1, timeout_ms=3_000.0, max_upstreams=2, max_body_bytes=100_000
 ):
--- a/sassafrashook/platform/tests/test_forwarding.py
+++ b/sassafrashook/platform/tests/test_forwarding.py
@@ -22,6 +22,7 @@
     make_event,
     make_route_configuration,
     make_stream_script,
+    make_unframed_stream_script,
     read_http_message,
     respond_with_name,
     wait_for,
@@ -221,6 +222,31 @@
     assert harness.send_request("/orders/7")[0] == 502
 
 
+@pytest.mark.parametrize("events", [make_event(1) + b"id: 2\nda", b""])
+def test_unframed_stream_that_ends_within_event_is_not_relayed_as_complete(start_harness, events):
+    harness = start_harness(make_unframed_stream_script(events))
+    status, head, body, rest = harness.send_request("/plans/7")
+    assert (status, rest) in ((200, None), (502, b""))
+    assert b"id: 2" not in (body or b"")
+
+
+def test_resumable_stream_that_ends_within_event_resumes_at_another_upstream(start_harness):
+    broken = make_unframed_stream_script(make_event(1) + b"id: 2\nda")
+    scripts = iter((broken, make_stream_script(last=4)))
+
+    def run(upstream, sock, head, body):
+        return next(scripts)(upstream, sock, head, body)
+
+    harness = start_harness(run, run)
+    _, _, body, rest = harness.send_request("/summaries/7")
+    assert (body, rest) == (b"".join(map(make_event, range(1, 5))), b"")
+
+
+def test_unframed_stream_that_ends_after_event_is_relayed_whole(start_harness):
+    harness = start_harness(make_unframed_stream_script(make_event(1)))
+    assert harness.send_request("/plans/7")[2:] == (make_event(1), b"")
+
+
 def test_successful_response_without_signature_is_not_relayed(start_harness):
     def respond_unsigned(_upstream, sock, head, _body):
         sock.sendall(
