quarantine: the end of a response without framing may be a crash of its upstream

Callers saw: with responses that have neither length nor chunks, a prompt part went on crashing upstreams. A crash after a whole event looks like the end of the response, so the request counted as completed, and its completion cleared its traits.

--- a/sassafrashook/gateway/_attempt.py
+++ b/sassafrashook/gateway/_attempt.py
@@ -266,7 +266,6 @@
         handler = self.handler
         is_host_silent = isinstance(error.__cause__, TimeoutError)
         if not (is_host_silent or self.is_aborted_ or handler.client.is_disconnected_):
-            self.upstream.request_probe()
             handler.gateway.record_interruption(
                 self.upstream, handler.metadata.request_id, handler.traits
             )
--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -216,7 +216,9 @@
             self._attempt = None
             attempt.close()
         upstream.record_response(True)
-        self.gateway.record_completion(self.metadata.request_id, self.traits)
+        self.gateway.record_completion(
+            upstream, self.metadata.request_id, self.traits, head.is_close_delimited
+        )
         self.execution_count_ += 1
         self.verdict_ = Verdict.RAN
         self._log("answered", upstream.registration.upstream_id, head.status)
--- a/sassafrashook/platform/tests/scripted_upstreams.py
+++ b/sassafrashook/platform/tests/scripted_upstreams.py
@@ -203,16 +203,19 @@
     return send_events
 
 
-def make_unframed_stream_script(events):
+def make_unframed_stream_script(events, stops_listening=False):
     """Return a script that sends a stream without length or chunks and closes the connection.
 
     :param events: the body, or the part of it that is sent.
+    :param stops_listening: whether new connections are refused afterwards, as after a crash.
     """
 
-    def send_unframed(_upstream, sock, head, _body):
+    def send_unframed(upstream, sock, head, _body):
         fields = encode_response(head, b"").split(b"\r\n")
         unframed = [field for field in fields if not field.startswith(b"Content-Length")]
         sock.sendall(b"\r\n".join(unframed) + events)
+        if stops_listening:
+            upstream.stop()
         return False
 
     return send_unframed
--- a/sassafrashook/platform/tests/test_forwarding.py
+++ b/sassafrashook/platform/tests/test_forwarding.py
@@ -247,6 +247,24 @@
     assert harness.send_request("/plans/7")[2:] == (make_event(1), b"")
 
 
+def test_prompt_part_that_crashes_upstreams_after_whole_event_of_unframed_stream_is_quarantined(
+    start_harness,
+):
+    def run(upstream, sock, head, body):
+        is_poisoned = POISON_PART.encode() in head
+        script = make_unframed_stream_script(make_event(1), stops_listening=is_poisoned)
+        return script(upstream, sock, head, body)
+
+    harness = start_harness(*[run] * 9)
+    for _ in range(8):
+        harness.send_request("/plans/7", fields=(make_prompt_field(POISON_PART),))
+        harness.send_request("/plans/7", fields=(make_prompt_field(),))
+    poisoned = [
+        head for u in harness.upstreams for head, _ in u.requests if POISON_PART.encode() in head
+    ]
+    assert len(poisoned) <= 5
+
+
 def test_successful_response_without_signature_is_not_relayed(start_harness):
     def respond_unsigned(_upstream, sock, head, _body):
         sock.sendall(
