gateway: read the rate limit that upstreams state, and log its changes

No code read Server-Limit, and nothing in the logs told whether a router knew of a limit. The header is decoded in the adapter; a malformed or negative value is logged and changes nothing.

--- a/sassafrashook/gateway/_attempt.py
+++ b/sassafrashook/gateway/_attempt.py
@@ -122,6 +122,10 @@
         metadata = self.metadata_
         if metadata.load is not None:
             self.upstream.record_load_report(*metadata.load, time.monotonic())
+        handler = self.handler
+        handler.gateway.record_rate_limit(
+            self.upstream, metadata.rate_limit, handler.metadata.request_id
+        )
         if metadata.was_not_executed:
             self._discard_body()
             if metadata.is_misdirected:
--- a/sassafrashook/gateway/_gateway.py
+++ b/sassafrashook/gateway/_gateway.py
@@ -1,5 +1,6 @@
 """State that all requests of one router share."""
 
+import math
 import time
 from dataclasses import dataclass
 
@@ -68,6 +69,25 @@
         """
         return sum(handler.abort_attempt_at(upstream) for handler in list(self.active_handlers_))
 
+    def record_rate_limit(self, upstream, rate, request_id):
+        """Record the limit of its request rate that an upstream states in a response.
+
+        :param upstream: an :class:`~sassafrashook.placement.UpstreamState`.
+        :param rate: requests per second, ``None`` if the response states no limit, NaN if the
+            value is malformed.
+        :param request_id: identifier of the request.
+        """
+        name, known = upstream.registration.upstream_id, upstream.rate_limit_
+        if rate == known:
+            return
+        if rate is not None and math.isnan(rate):
+            log_event("rate_limit_invalid", level="warning", upstream=name, request=request_id)
+            return
+        upstream.rate_limit_ = rate
+        log_event(
+            "rate_limit_changed", upstream=name, request=request_id, per_second=rate, before=known
+        )
+
     def record_interruption(self, upstream, request_id, traits, may_be_complete=False):
         """Record that an upstream closed the connection of a running request.
 
--- a/sassafrashook/gateway/_header_codec.py
+++ b/sassafrashook/gateway/_header_codec.py
@@ -48,6 +48,8 @@
         that received it.
     :param load: pair of the numbers of running and waiting requests at the upstream, ``None`` if
         absent.
+    :param rate_limit: number of requests per second that the upstream accepts from all routers
+        together, ``None`` if it states no limit, NaN if the value is malformed.
     """
 
     request_id: str
@@ -55,6 +57,7 @@
     was_not_executed: bool
     is_misdirected: bool = False
     load: tuple | None = None
+    rate_limit: float | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/sassafrashook/operations/_explain.py
+++ b/sassafrashook/operations/_explain.py
@@ -9,6 +9,7 @@
     "configuration_adopted",
     "controller_heard",
     "controller_left",
+    "rate_limit_changed",
     "started",
     "upstream_crashed",
     "upstream_reachable",
--- a/sassafrashook/placement/_upstreams.py
+++ b/sassafrashook/placement/_upstreams.py
@@ -44,6 +44,8 @@
     :ivar is_on_probation_: whether it is on probation.
     :ivar is_address_reused_: whether an upstream with another name responded at its address. It
         gets no requests until a newer registration arrives.
+    :ivar rate_limit_: number of requests per second that it accepts from all routers together, as
+        last stated; ``None`` if it stated no limit.
     :ivar presumed_cold_until_: until when it counts as cold because its zone was drained, in
         monotonic seconds.
     """
@@ -66,6 +68,7 @@
         "is_on_probation_",
         "is_address_reused_",
         "presumed_cold_until_",
+        "rate_limit_",
     )
 
     def __init__(self, registration, cold_until, discovered_at):
@@ -86,6 +89,7 @@
         self.is_on_probation_ = False
         self.is_address_reused_ = False
         self.presumed_cold_until_ = float("-inf")
+        self.rate_limit_ = None
 
     @property
     def key(self):
--- a/sassafrashook/platform/_header_codec.py
+++ b/sassafrashook/platform/_header_codec.py
@@ -1,5 +1,7 @@
 """HTTP headers of the platform, exchanged with clients and engines."""
 
+import math
+
 from sassafrashook.gateway import HeaderCodec, PromptPart, RequestMetadata, ResponseMetadata
 from sassafrashook.http1 import remove_hop_by_hop_headers
 
@@ -14,6 +16,8 @@
 NOT_EXECUTED = b"x-sassafrashook-not-executed"
 # Numbers of running requests, waiting requests and slots, separated by commas.
 INSTANCE_LOAD = b"x-sassafrashook-instance-load"
+# Requests per second that the engine accepts from all machines together.
+SERVER_LIMIT = b"server-limit"
 REQUEST_PRIORITY = b"x-sassafrashook-request-priority"
 # Contains the parts of the prompt in order, as ID:TOKENS each, not a hash of the whole prompt.
 PREFIX_HASH = b"x-sassafrashook-prefix-hash"
@@ -70,6 +74,7 @@
             NOT_EXECUTED in headers or head.status == STATUS_MISDIRECTED_REQUEST,
             head.status == STATUS_MISDIRECTED_REQUEST,
             (load[0], load[1]) if len(load) == 3 else None,
+            _parse_rate(headers.get(SERVER_LIMIT)),
         )
 
     def encode_forwarded_headers(self, headers, forwarding):
@@ -106,6 +111,17 @@
     return float(text)
 
 
+def _parse_rate(text):
+    """Return a rate per second, ``None`` without a text, NaN if it is malformed or negative."""
+    if text is None:
+        return None
+    try:
+        rate = float(text)
+    except ValueError:
+        return math.nan
+    return rate if rate >= 0 else math.nan
+
+
 def _parse_numbers(text):
     """Return the comma-separated integers of a text, or an empty list if one is malformed."""
     parts = [part.strip() for part in text.split(",")]
