Tests that fail: upstreams get more requests than the rate limit that they state

On this code half of 200 requests go to an upstream that states a limit of 2 per second, where 17 are allowed in 4 s.

--- a/sassafrashook/platform/tests/test_forwarding.py
+++ b/sassafrashook/platform/tests/test_forwarding.py
@@ -538,6 +538,58 @@
     assert harness.placement.take_new_cached_parts() == [(hash_key(session), "u0")]
 
 
+def make_limited_script(rate):
+    """Return a script that states a limit of requests per second."""
+
+    def respond_with_limit(_upstream, sock, head, _body):
+        sock.sendall(encode_response(head, extra=(f"Server-Limit: {rate}",)))
+        return True
+
+    return respond_with_limit
+
+
+def test_upstream_does_not_get_more_requests_than_the_rate_limit_that_it_states(start_harness):
+    harness = start_harness(make_limited_script(2.0), respond_with_name)
+    started = time.monotonic()
+    for _ in range(200):
+        assert harness.send_request("/orders/7")[0] == 200
+    elapsed_s = time.monotonic() - started
+    assert len(harness.upstreams[0].requests) <= 2.0 * 1.5 * max(4.0, elapsed_s) + 5
+
+
+def test_request_beyond_rate_limits_of_all_upstreams_is_rejected_at_once_with_spread_retry_delays(
+    start_harness,
+):
+    harness = start_harness(make_limited_script(2.0))
+    responses = [harness.send_request("/orders/7") for _ in range(10)]
+    rejected = [response for response in responses if response[0] == 503]
+    assert {response[2] for response in rejected} == {b"upstream_limit\n"}
+    assert len(rejected) >= 8
+    delays_s = [float(find_header(response[1], "Retry-After")) for response in rejected]
+    gaps_s = [later - earlier for earlier, later in zip(delays_s, delays_s[1:], strict=False)]
+    assert all(0.3 < gap_s < 0.7 for gap_s in gaps_s)
+
+
+def test_rate_limit_ends_with_response_that_does_not_state_it(start_harness):
+    limits = iter([("Server-Limit: 0.5",)])
+
+    def run(_upstream, sock, head, _body):
+        sock.sendall(encode_response(head, extra=next(limits, ())))
+        return True
+
+    harness = start_harness(run)
+    harness.send_request("/orders/7")
+    assert harness.placement.upstreams_["u0"].rate_limit_ == 0.5
+    assert wait_for(lambda: harness.send_request("/orders/7")[0] == 200)
+    assert {harness.send_request("/orders/7")[0] for _ in range(20)} == {200}
+
+
+@pytest.mark.parametrize("value", ["-1", "nan", "soon", "", "1e400"])
+def test_invalid_rate_limit_is_ignored(start_harness, value):
+    harness = start_harness(make_limited_script(value))
+    assert {harness.send_request("/orders/7")[0] for _ in range(20)} == {200}
+
+
 @pytest.mark.parametrize("path", ["/plans/7", "/summaries/7"])
 def test_requests_with_prompt_part_that_crashes_upstreams_do_not_crash_more_than_five(
     start_harness, path
