placement: the limiter of cold upstreams takes any window, as SharedRateLimiter

Preparation for limits that upstreams state over other windows than one second. No change of behaviour for cold upstreams. An infinite stated rate counts as malformed.

--- a/benchmarks/forwarding.py
+++ b/benchmarks/forwarding.py
@@ -19,7 +19,7 @@
 from sassafrashook.fleet import FleetView
 from sassafrashook.gateway import Gateway, GatewayServer, RetryLimits
 from sassafrashook.http1 import ConnectionPool
-from sassafrashook.placement import Placement, WarmupRateLimiter
+from sassafrashook.placement import Placement, SharedRateLimiter
 from sassafrashook.platform._header_codec import PlatformHeaderCodec
 from sassafrashook.platform.tests.scripted_upstreams import (
     ScriptedUpstream,
@@ -44,7 +44,7 @@
     view = FleetView(Registry(60.0))
     view.table_ = RouteTable(make_route_configuration(timeout_ms=30_000.0))
     view.routers_ = ("r1",)
-    placement = Placement(WarmupRateLimiter("r1", 1.5, 5), random.Random(1))
+    placement = Placement(SharedRateLimiter("r1", 1.5, 5), random.Random(1))
     ready = RegistrationState.READY
     registration = Registration("u0", 1, 1, ready, "service", "127.0.0.1", port, "z", "v1", 1_000)
     placement.set_registrations([registration], {"u0": 0.0}, 0.0)
--- a/sassafrashook/daemons/_router.py
+++ b/sassafrashook/daemons/_router.py
@@ -14,7 +14,7 @@
 from sassafrashook.fleet import FLEET_MESSAGES, FleetSubscriber, FleetView, OtherLoads
 from sassafrashook.gateway import Gateway, GatewayServer, RetryLimits
 from sassafrashook.http1 import ConnectionPool
-from sassafrashook.placement import Placement, WarmupRateLimiter
+from sassafrashook.placement import Placement, SharedRateLimiter
 from sassafrashook.registry import Registry
 from sassafrashook.tasks import spawn_task
 from sassafrashook.telemetry import Metrics, log_event, register_log_gauge
@@ -61,7 +61,7 @@
         self.subscriber_ = FleetSubscriber(
             settings.name, self.mesh_, self.view_, settings.stream_port, True, self._apply_update
         )
-        self.warmup_ = WarmupRateLimiter(
+        self.warmup_ = SharedRateLimiter(
             settings.name, settings.warmup_factor, settings.warmup_tolerance
         )
         zone = settings.availability_zone
--- a/sassafrashook/placement/__init__.py
+++ b/sassafrashook/placement/__init__.py
@@ -10,8 +10,8 @@
     PlacementQuery,
     PlacementRefusal,
 )
+from sassafrashook.placement._rate_limits import SharedRateLimiter
 from sassafrashook.placement._upstreams import UpstreamState
-from sassafrashook.placement._warmup import WarmupRateLimiter
 
 __all__ = [
     "BUSY_RETRY_MS",
@@ -20,5 +20,5 @@
     "PlacementRefusal",
     "RetryBudget",
     "UpstreamState",
-    "WarmupRateLimiter",
+    "SharedRateLimiter",
 ]
--- a/sassafrashook/placement/_placement.py
+++ b/sassafrashook/placement/_placement.py
@@ -65,7 +65,7 @@
     load is within a bound relative to the mean load of the service. Requests without a prompt go
     to the least loaded upstream.
 
-    :param warmup: a :class:`~sassafrashook.placement.WarmupRateLimiter`.
+    :param warmup: a :class:`~sassafrashook.placement.SharedRateLimiter`.
     :param rng: a ``random.Random``.
     :param zone: availability zone of the router, preferred among equally loaded upstreams.
     :param load_factor: bound of an upstream's load, as a multiple of the service's mean load.
--- a/sassafrashook/placement/_warmup.py
+++ b/sassafrashook/placement/_rate_limits.py
@@ -1,4 +1,4 @@
-"""Rate limits for cold upstreams, divided between routers."""
+"""Request rate limits of upstreams, divided between routers."""
 
 from sassafrashook.base import Parametrized
 from sassafrashook.utils import Interval, hash_key, rank_nodes
@@ -6,23 +6,23 @@
 BUCKET_CAPACITY = 1.0  # tokens; bounds the burst of one router to one request
 
 
-class WarmupRateLimiter(Parametrized):
-    """Divides the request rate of a cold upstream between routers without coordination.
+class SharedRateLimiter(Parametrized):
+    """Divides the request rate that an upstream can take between routers without coordination.
 
-    Each router has a token bucket per upstream with a capacity of one token. In any second, all
+    Each router has a token bucket per upstream with a capacity of one token. In any window, all
     routers together therefore send at most their own number plus the number of requests that the
-    upstream can take in that second. If there are so many routers that this could exceed the limit,
+    upstream can take in that window. If there are so many routers that this could exceed the limit,
     rendezvous hashing of upstream and router selects the routers that may send at all.
 
     :param name: name of this router.
-    :param factor: largest allowed rate as a multiple of the upstream's cold rate. In one second, a
-        cold upstream gets at most ``factor`` times the requests that it can take while cold, plus
-        ``tolerance``.
-    :param tolerance: number of requests per second that are allowed in addition to that multiple.
+    :param factor: largest allowed number of requests in a window, as a multiple of what the
+        upstream can take.
+    :param tolerance: number of requests per window that are allowed in addition to that multiple.
+    :param window_s: length of the window, in seconds.
 
     :ivar routers_: sorted names of all known routers.
 
-    >>> limiter = WarmupRateLimiter("r1", factor=1.5, tolerance=5)
+    >>> limiter = SharedRateLimiter("r1", factor=1.5, tolerance=5)
     >>> limiter.set_routers(["r1", "r2"])
     >>> limiter.try_acquire("engine", 20.0, now=0.0), limiter.try_acquire("engine", 20.0, now=0.01)
     (True, False)
@@ -31,12 +31,14 @@
     _parameter_constraints = {
         "factor": Interval(float, 1.0),
         "tolerance": Interval(float, 0.0),
+        "window_s": Interval(float, 0.001),
     }
 
-    def __init__(self, name, factor, tolerance):
+    def __init__(self, name, factor, tolerance, window_s=1.0):
         self.name = name
         self.factor = factor
         self.tolerance = tolerance
+        self.window_s = window_s
         self.routers_ = ()
         self._buckets = {}
         self.validate_parameters()
@@ -48,37 +50,37 @@
         """
         self.routers_ = tuple(sorted({*names, self.name}))
 
-    def compute_rate(self, upstream_id, cold_rate):
-        """Return the requests per second that this router may send to a cold upstream.
+    def compute_rate(self, upstream_id, total_rate):
+        """Return the requests per second that this router may send to an upstream.
 
         The rate is 0 until :meth:`set_routers` is called, because the number of routers that share
         the upstream is unknown before.
 
         :param upstream_id: name of the upstream.
-        :param cold_rate: requests per second that the upstream can take while cold; must be
-            positive, since 0 stands for an unlimited upstream.
+        :param total_rate: requests per second that the upstream can take from all routers.
         """
         if not self.routers_:
             return 0.0
-        # In any second, n senders together send up to cold_rate + n requests. One sender less than
-        # the limit allows keeps the sum below cold_rate * factor + tolerance.
-        max_senders = int(cold_rate * (self.factor - 1) + self.tolerance) - 1
+        # In any window, n senders together send up to total_rate * window_s + n requests. One
+        # sender less than the limit allows keeps the sum below the limit.
+        surplus = total_rate * self.window_s * (self.factor - 1) + self.tolerance
+        max_senders = int(min(surplus, len(self.routers_) + 1)) - 1
         if max_senders <= 0:
             return 0.0
         senders = self.routers_
         if len(senders) > max_senders:
             senders = rank_nodes(hash_key(upstream_id), senders)[:max_senders]
-        return cold_rate / len(senders) if self.name in senders else 0.0
+        return total_rate / len(senders) if self.name in senders else 0.0
 
-    def try_acquire(self, upstream_id, cold_rate, now):
+    def try_acquire(self, upstream_id, total_rate, now):
         """Take one token of an upstream's bucket if there is one.
 
         :param upstream_id: name of the upstream.
-        :param cold_rate: requests per second that the upstream can take while cold.
+        :param total_rate: requests per second that the upstream can take from all routers.
         :param now: monotonic seconds.
         :returns: whether one request may be sent.
         """
-        rate = self.compute_rate(upstream_id, cold_rate)
+        rate = self.compute_rate(upstream_id, total_rate)
         if rate <= 0:
             return False
         tokens, updated_at = self._buckets.get(upstream_id, (BUCKET_CAPACITY, now))
--- a/sassafrashook/placement/tests/test_placement.py
+++ b/sassafrashook/placement/tests/test_placement.py
@@ -7,7 +7,7 @@
 from returns.result import Failure, Success
 
 from sassafrashook.outcomes import RefusalReason
-from sassafrashook.placement import Placement, PlacementQuery, RetryBudget, WarmupRateLimiter
+from sassafrashook.placement import Placement, PlacementQuery, RetryBudget, SharedRateLimiter
 from sassafrashook.registry import Registration, RegistrationState
 from sassafrashook.routes import Service
 
@@ -24,7 +24,7 @@
 
 
 def make_placement(names=NAMES, router="r0", cold_until=0.0, registrations=None):
-    warmup = WarmupRateLimiter(router, 1.5, 5)
+    warmup = SharedRateLimiter(router, 1.5, 5)
     warmup.set_routers(ROUTERS)
     placement = Placement(warmup, random.Random(router))
     registrations = registrations or [make_registration(name) for name in names]
@@ -179,7 +179,7 @@
     names = [f"r{number}" for number in range(routers)]
     sent = []
     for name in names:
-        limiter = WarmupRateLimiter(name, 1.5, 5)
+        limiter = SharedRateLimiter(name, 1.5, 5)
         limiter.set_routers(names)
         sent += [step / 50 for step in range(150) if limiter.try_acquire("u0", 12.0, step / 50)]
     assert max(sum(now <= at < now + 1 for at in sent) for now in sent) <= 12 * 1.5 + 5
@@ -187,7 +187,7 @@
 
 
 def test_no_cold_requests_before_routers_are_known():
-    assert not WarmupRateLimiter("r0", 1.5, 5).try_acquire("u0", 12.0, 0.0)
+    assert not SharedRateLimiter("r0", 1.5, 5).try_acquire("u0", 12.0, 0.0)
 
 
 def test_large_fleet_respects_warmup_bound_for_upstream_on_probation():
--- a/sassafrashook/platform/_header_codec.py
+++ b/sassafrashook/platform/_header_codec.py
@@ -112,14 +112,14 @@
 
 
 def _parse_rate(text):
-    """Return a rate per second, ``None`` without a text, NaN if it is malformed or negative."""
+    """Return a rate per second, ``None`` without a text, NaN unless it is finite and positive or 0."""
     if text is None:
         return None
     try:
         rate = float(text)
     except ValueError:
         return math.nan
-    return rate if rate >= 0 else math.nan
+    return rate if 0 <= rate < math.inf else math.nan
 
 
 def _parse_numbers(text):
--- a/sassafrashook/platform/tests/scripted_upstreams.py
+++ b/sassafrashook/platform/tests/scripted_upstreams.py
@@ -11,7 +11,7 @@
 from sassafrashook.fleet import FleetView
 from sassafrashook.gateway import Gateway, GatewayServer, RetryLimits
 from sassafrashook.http1 import ConnectionPool
-from sassafrashook.placement import Placement, WarmupRateLimiter
+from sassafrashook.placement import Placement, SharedRateLimiter
 from sassafrashook.platform._header_codec import PlatformHeaderCodec
 from sassafrashook.registry import Registration, RegistrationState, Registry
 from sassafrashook.routes import (
@@ -250,7 +250,7 @@
         view = FleetView(Registry(60.0))
         view.table_ = RouteTable(configuration or make_route_configuration())
         view.routers_ = ("r1",)
-        self.warmup = WarmupRateLimiter("r1", 1.5, 5)
+        self.warmup = SharedRateLimiter("r1", 1.5, 5)
         self.placement = Placement(self.warmup, random.Random(1))
         self.register()
         limits = RetryLimits(0.2, 50, 10.0)
