gateway: cut off responses without end by bytes and by time

Upstreams in trouble may send bytes without end, in a head or a body. Now a body is bounded by 16 MiB, an event by 1 MiB, discarded bodies by 1 MiB, informational heads by 16; a refusal's body is waited for 0.1 s, since the head alone states the refusal. Heads were bounded before.

--- a/sassafrashook/gateway/_attempt.py
+++ b/sassafrashook/gateway/_attempt.py
@@ -15,6 +15,10 @@
 # connection while the request is on its way, the request is lost and can't be sent again.
 MAX_IDLE_AT_MOST_ONCE_S = 0.5
 MIN_REMAINING_MS = 1
+MAX_BODY_BYTES = 16_777_216  # of a response that is read before it is sent to the client
+# Bounds of the body of a refusal. A longer one is not worth waiting for to reuse the connection.
+MAX_REFUSAL_BYTES = 65_536
+REFUSAL_TIMEOUT_S = 0.1
 MIN_CONNECT_TIMEOUT_S = 0.001  # with a timeout of 0 the socket would not wait at all
 
 
@@ -247,11 +251,22 @@
         :returns: ``bytes``.
         :raises AttemptError: if the response ends early or a timeout passes.
         """
-        chunks = []
+        chunks, size = [], 0
         while (data := self.read_data()) is not None:
             chunks.append(data)
+            size += len(data)
+            if size > MAX_BODY_BYTES:
+                raise self.close_endless_response(f"body of more than {MAX_BODY_BYTES} bytes")
         return b"".join(chunks)
 
+    def close_endless_response(self, detail):
+        """Close the connection in the middle of a response that is too long.
+
+        :param detail: description for the log.
+        :returns: the :class:`AttemptError` to raise.
+        """
+        return self._close_with_error(FailureKind.BROKEN, detail)
+
     def close_incomplete_stream(self):
         """Close the connection after a stream that ended within an event.
 
@@ -289,10 +304,15 @@
 
     def _discard_body(self):
         """Read the body of a response that refuses the request, to reuse the connection."""
+        deadline, size = time.monotonic() + REFUSAL_TIMEOUT_S, 0
         try:
-            self.read_body()
-        except AttemptError:
-            return  # the head states the refusal, and the connection is closed already
+            while (data := self.connection_.read_data(deadline)) is not None:
+                size += len(data)
+                if size > MAX_REFUSAL_BYTES:
+                    raise UpstreamResponseError("body of the refusal is too long")
+        except OSError:
+            self.close()  # the head alone states the refusal
+            return
         self.release_connection()
 
     def abort(self):
--- a/sassafrashook/gateway/_events.py
+++ b/sassafrashook/gateway/_events.py
@@ -46,6 +46,10 @@
         line = complete[start + len(ID_FIELD) : complete.index(b"\n", start)]
         self.last_event_id_ = line.strip().decode("latin-1")
 
+    def measure_incomplete(self):
+        """Return the number of bytes after the last complete event."""
+        return len(self._incomplete)
+
     def take_incomplete(self):
         """Return the bytes after the last complete event and clear the buffer."""
         incomplete, self._incomplete = self._incomplete, b""
--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -16,6 +16,7 @@
 
 MAX_UNREACHABLE = 4  # failed connection attempts after which the request is not retried
 MAX_REFUSED = 2  # attempts refused by upstreams after which the request is not retried
+MAX_EVENT_BYTES = 1_048_576
 DEFAULT_DEADLINE_MS = 30_000  # for requests without a deadline; the route's timeout applies too
 # Silence timeout for the response head, as a multiple of the route's target for the response or a
 # stream's first event. It is below 1 so that a retry may still respond within the target.
@@ -262,6 +263,8 @@
         has_events = False
         while (data := attempt.read_data()) is not None:
             events = splitter.feed(data)
+            if splitter.measure_incomplete() > MAX_EVENT_BYTES:
+                raise attempt.close_endless_response(f"event of more than {MAX_EVENT_BYTES} bytes")
             if events:
                 has_events = True
                 now = time.monotonic()
--- a/sassafrashook/http1/_upstream.py
+++ b/sassafrashook/http1/_upstream.py
@@ -13,6 +13,8 @@
 RECEIVE_BYTES = 65_536
 MAX_INLINE_SEND_BYTES = 16_384  # a task sends longer requests while the response is being read
 MAX_HEAD_BYTES = 65_536
+MAX_INFORMATIONAL_RESPONSES = 16  # before the response to one request
+MAX_DISCARDED_BYTES = 1_048_576  # of the body of a response to an earlier request
 MIN_TIMEOUT_S = 0.001
 TCP_KEEPALIVE_IDLE_S = 1
 TCP_KEEPALIVE_INTERVAL_S = 1
@@ -118,9 +120,13 @@
         :raises UpstreamResponseError: if the response breaks off, is not valid HTTP, or the
             upstream's host no longer acknowledges packets.
         """
+        informational_count = 0
         while True:
             event = self._next_event(deadline)
             if isinstance(event, h11.InformationalResponse):
+                informational_count += 1
+                if informational_count > MAX_INFORMATIONAL_RESPONSES:
+                    raise UpstreamResponseError("too many informational responses")
                 continue
             if not isinstance(event, h11.Response):
                 raise UpstreamResponseError("connection closed before the response")
@@ -132,8 +138,11 @@
 
     def _discard_response(self, deadline):
         """Read the current response to its end and prepare to parse the next one."""
-        while self.read_data(deadline) is not None:
-            pass
+        size = 0
+        while (data := self.read_data(deadline)) is not None:
+            size += len(data)
+            if size > MAX_DISCARDED_BYTES:
+                raise UpstreamResponseError("response to an earlier request is too long")
         unparsed = bytes(self._http.trailing_data[0])
         self._start_exchange(unparsed)
 
--- a/sassafrashook/platform/tests/test_forwarding.py
+++ b/sassafrashook/platform/tests/test_forwarding.py
@@ -538,6 +538,67 @@
     assert harness.placement.take_new_cached_parts() == [(hash_key(session), "u0")]
 
 
+MIB = 2**20
+MAX_ENDLESS_BYTES = 100 * MIB  # the scripts stop by themselves after this many bytes
+
+
+def make_endless_script(start, data, sent):
+    """Return a script that sends the start of a response, then the same data without end.
+
+    :param start: called with the head of the request; returns ``bytes``.
+    :param sent: list to which the number of bytes of each response is appended.
+    """
+
+    def send_endlessly(_upstream, sock, head, _body):
+        sock.sendall(start(head))
+        sent.append(0)
+        while sent[-1] < MAX_ENDLESS_BYTES:
+            sock.sendall(data)
+            sent[-1] += len(data)
+            gevent.sleep(0)
+        return False
+
+    return send_endlessly
+
+
+def start_endless_body(head):
+    return encode_response(head, b"").replace(b"Content-Length: 0\r\n", b"")
+
+
+def start_endless_late_body(head):
+    return encode_response(head, b"", attempt="earlier").replace(b"Content-Length: 0\r\n", b"")
+
+
+def start_endless_refusal(head):
+    fields = ("X-Sassafrashook-Not-Executed: 1",)
+    refusal = encode_response(head, b"", "503 Service Unavailable", fields)
+    return refusal.replace(b"Content-Length: 0\r\n", b"")
+
+
+@pytest.mark.parametrize(
+    ("path", "start", "data"),
+    [
+        ("/orders/7", lambda _head: b"HTTP/1.1 200 OK\r\nX-Pad: ", b"x" * 65_536),
+        ("/orders/7", lambda _head: b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 1_000),
+        ("/orders/7", start_endless_body, b"x" * 65_536),
+        ("/plans/7", start_endless_body, b"x" * 65_536),
+        ("/orders/7", start_endless_late_body, b"x" * 65_536),
+        ("/orders/7", start_endless_refusal, b"x" * 65_536),
+    ],
+    ids=["head", "informational heads", "body", "event", "late response", "refusal"],
+)
+def test_endless_response_is_cut_off_before_it_fills_memory(start_harness, path, start, data):
+    sent = []
+    harness = start_harness(make_endless_script(start, data, sent))
+    sock = harness.connect()
+    pending = gevent.spawn(harness.send_request, path, sock=sock)
+    with gevent.Timeout(10):
+        status, _, body, rest = pending.get()
+    assert status in (502, 503) or rest is None
+    assert wait_for(lambda: harness.upstreams[0].closed == harness.upstreams[0].connections)
+    assert max(sent) <= 24 * MIB
+
+
 def make_limited_script(rate):
     """Return a script that states a limit of requests per second."""
 
