fleet: a restarted router does not acknowledge updates meant for its previous process

Callers saw: a router that had restarted rejected requests with no_upstream although upstreams were registered.

Cause: a controller sends what changed since the revision that a subscriber last acknowledged. An update on its way while a router restarts reaches the new process, which acknowledged its revision without holding what came before; the controller then never sent it. With all controllers alike, the router had no upstreams until a registration changed; it would also not learn of quarantines. Updates now name the revision that they build on, and a node that does not hold it goes on acknowledging what it holds.

The new test fails on the code before: revision 40 is acknowledged by a process that holds nothing.

--- a/sassafrashook/fleet/_controller.py
+++ b/sassafrashook/fleet/_controller.py
@@ -230,6 +230,8 @@
                 state.configuration_ if is_newer else b"",
                 crashes.revision_,
                 list_crashes(held.crash_revision, now),
+                held.revision,
+                held.crash_revision,
             )
             self.mesh.send(name, update)
 
--- a/sassafrashook/fleet/_messages.py
+++ b/sassafrashook/fleet/_messages.py
@@ -57,6 +57,9 @@
     :param configuration: the encoded configuration, compressed with zlib.
     :param crash_revision: revision of the controller's crash ledger that includes ``crashes``.
     :param crashes: records of upstream crashes that changed.
+    :param base_revision: revision since which ``registrations`` holds the changes. A node that does
+        not hold it must not acknowledge ``revision``.
+    :param base_crash_revision: the same for ``crashes``.
     """
 
     boot_id: str
@@ -70,6 +73,8 @@
     configuration: bytes = b""
     crash_revision: int = 0
     crashes: list[CrashRecord] = []
+    base_revision: int = 0
+    base_crash_revision: int = 0
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
--- a/sassafrashook/fleet/_subscriber.py
+++ b/sassafrashook/fleet/_subscriber.py
@@ -156,7 +156,7 @@
         self._record_update(sender, now)
         version = self.view.version
         undrained_zones = self.view.apply(update, now)
-        self._revisions[sender] = (update.boot_id, update.revision, update.crash_revision)
+        self._record_revisions(sender, update)
         self._update_controllers(set(update.controllers) - {self.name}, now)
         if self.view.version > version:
             log_event("configuration_adopted", version=self.view.version, controller=sender)
@@ -165,6 +165,21 @@
         self.on_update(update, undrained_zones)
         self._request(sender)
 
+    def _record_revisions(self, sender, update):
+        """Record which revisions of a controller this node now holds.
+
+        An update may have been meant for an earlier process of this node, and then leaves out what
+        that process held.
+        """
+        boot_id, revision, crash_revision = self._revisions.get(sender, ("", 0, 0))
+        if update.boot_id != boot_id:
+            revision = crash_revision = 0
+        if update.base_revision <= revision:
+            revision = update.revision
+        if update.base_crash_revision <= crash_revision:
+            crash_revision = update.crash_revision
+        self._revisions[sender] = (update.boot_id, revision, crash_revision)
+
     def _record_update(self, sender, now):
         if not self._is_connected(sender, now):
             log_event("controller_heard", controller=sender)
--- a/sassafrashook/fleet/tests/test_publisher.py
+++ b/sassafrashook/fleet/tests/test_publisher.py
@@ -2,7 +2,7 @@
 
 import itertools
 
-from sassafrashook.fleet import FleetState, FleetView, Publisher
+from sassafrashook.fleet import FleetState, FleetSubscriber, FleetView, Publisher
 from sassafrashook.fleet._loads import LoadAggregator
 from sassafrashook.fleet._messages import ViewChanged, ViewRequested
 from sassafrashook.fleet._publisher import (
@@ -220,3 +220,41 @@
     loads.update_controller("c2", {"a": 4}, 1.0)
     assert loads.sum_others("r2", 1.2) == {"a": 6}
     assert loads.sum_others("r2", 2.0) == {"a": 4}
+
+
+class RecordingMesh:
+    """Mesh that records the messages sent.
+
+    :ivar sent: list of (receiver, message).
+    """
+
+    def __init__(self):
+        self.sent = []
+
+    def update_peer_address(self, _address):
+        pass
+
+    def send(self, name, message):
+        self.sent.append((name, message))
+
+
+def make_empty_update(revision, base_revision, crash_revision=0, base_crash_revision=0):
+    """Return an update without changes from boot "b" of a controller."""
+    return ViewChanged(
+        "b", revision, [], ["c1"], [], 0, [], 0, b"", crash_revision, [], base_revision,
+        base_crash_revision,
+    )  # fmt: skip
+
+
+def test_restarted_router_does_not_acknowledge_update_meant_for_its_previous_process():
+    """Such an update leaves out what the previous process had acknowledged."""
+    mesh = RecordingMesh()
+    view = FleetView(Registry(10.0))
+    subscriber = FleetSubscriber("r1", mesh, view, 7_340, True, lambda *_: None)
+    subscriber.deliver("c1", make_empty_update(40, 40, 8, 8))
+    name, request = mesh.sent[-1]
+    assert (name, request.revision, request.crash_revision) == ("c1", 0, 0)
+    subscriber.deliver("c1", make_empty_update(40, -1, 8, -1))
+    assert (mesh.sent[-1][1].revision, mesh.sent[-1][1].crash_revision) == (40, 8)
+    subscriber.deliver("c1", make_empty_update(41, 40, 9, 8))
+    assert (mesh.sent[-1][1].revision, mesh.sent[-1][1].crash_revision) == (41, 9)
