--- a/sassafrashook/daemons/_router.py
+++ b/sassafrashook/daemons/_router.py
@@ -187,7 +187,8 @@
     def _report_loads(self):
         """Report loads, cached prompt parts, crashes and rate limits to a controller, forever."""
         while True:
-            gevent.sleep(LOAD_REPORT_INTERVAL_S)
+            self.gateway_.crash_observed_.wait(LOAD_REPORT_INTERVAL_S)
+            self.gateway_.crash_observed_.clear()
             controller = self.subscriber_.select_load_controller()
             cached_parts = self.placement_.take_new_cached_parts()
             if controller is not None:
@@ -208,7 +209,8 @@
     def _probe_upstreams(self):
         """Probe upstreams that seem unreachable, so that no request has to fail first, forever."""
         while True:
-            gevent.sleep(PROBE_INTERVAL_S)
+            self.gateway_.probe_requested_.wait(PROBE_INTERVAL_S)
+            self.gateway_.probe_requested_.clear()
             upstreams = self.placement_.list_probe_targets(time.monotonic())
             gevent.joinall([gevent.spawn(self._probe_upstream, upstream) for upstream in upstreams])
 
--- a/sassafrashook/gateway/_gateway.py
+++ b/sassafrashook/gateway/_gateway.py
@@ -4,6 +4,8 @@
 import time
 from dataclasses import dataclass
 
+from gevent.event import Event
+
 from sassafrashook.placement import RetryBudget
 from sassafrashook.quarantine import CrashDetector, format_trait
 from sassafrashook.routes import ClientLimits
@@ -41,6 +43,8 @@
 
     :ivar active_handlers_: set of the :class:`~sassafrashook.gateway._request.RequestHandler` in
         progress.
+    :ivar probe_requested_: event that is set when an upstream needs a probe.
+    :ivar crash_observed_: event that is set when this router observes a crash of an upstream.
     """
 
     def __init__(self, header_codec, view, placement, pool, limits, metrics):
@@ -51,6 +55,8 @@
         self.limits = limits
         self.metrics = metrics
         self.active_handlers_ = set()
+        self.probe_requested_ = Event()
+        self.crash_observed_ = Event()
         self._retry_budgets = {}
         self._crash_detector = CrashDetector()
 
@@ -96,6 +102,7 @@
         :param may_be_complete: whether the end of the connection may be the end of the response.
         """
         upstream.request_probe()
+        self.probe_requested_.set()
         now = time.monotonic()
         for request in self._crash_detector.take_completed(now):
             self._record_completion(request.request_id, request.traits, now)
@@ -118,6 +125,7 @@
             return
         traits = [request.traits for request in interrupted]
         self.view.crashes.record_crash(upstream.key, traits, time.monotonic())
+        self.crash_observed_.set()
         registration = upstream.registration
         self.metrics.count("upstream_crash_interruptions", amount=len(interrupted))
         log_event(
--- a/sassafrashook/platform/tests/test_forwarding.py
+++ b/sassafrashook/platform/tests/test_forwarding.py
@@ -680,3 +680,17 @@
     assert float(find_header(head, "Retry-After")) > 1.0
     assert time.monotonic() - started < 0.5
     assert harness.count_requests() == request_count
+
+
+def test_broken_connection_requests_probe_at_once(start_harness):
+    harness = start_harness(close_connection)
+    assert not harness.gateway.probe_requested_.is_set()
+    harness.send_request("/orders/7")
+    assert harness.gateway.probe_requested_.is_set()
+
+
+def test_crash_is_reported_at_once(start_harness):
+    harness = start_harness(*[crash_on_poison_part] * 3)
+    for _ in range(3):
+        harness.send_request("/plans/7", fields=(make_prompt_field(POISON_PART),))
+    assert harness.gateway.crash_observed_.is_set()
