--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -102,7 +102,7 @@
 
     @property
     def traits(self):
-        """Hashes by which requests that crash upstreams are recognised; computed when needed."""
+        """Hashes by which requests that crash upstreams are recognised."""
         if self._traits is None:
             account = self.account.name if self.account is not None else ""
             part_ids = [part.part_id for part in self.metadata.parts]
--- a/sassafrashook/quarantine/_ledger.py
+++ b/sassafrashook/quarantine/_ledger.py
@@ -200,7 +200,7 @@
         :param now: monotonic seconds.
         :returns: the traits that were cleared.
         """
-        cleared = []
+        cleared = {}
         for trait in traits:
             self._completed_at[trait] = now
             self._completed_at.move_to_end(trait)
@@ -210,10 +210,10 @@
                     crash.cleared.add(trait)
                     crash.observed_at = now
                     self._mark_changed(key)
-                    cleared.append(trait)
+                    cleared[trait] = None
         while len(self._completed_at) > MAX_COMPLETED_TRAITS:
             self._completed_at.popitem(last=False)
-        return cleared
+        return list(cleared)
 
     def find_quarantine(self, traits, now):
         """Return why a request must not be sent to an upstream.
