--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -222,7 +222,8 @@
         )
         self.execution_count_ += 1
         self.verdict_ = Verdict.RAN
-        self._log("answered", upstream.registration.upstream_id, head.status)
+        detail = f"{head.status}:unframed" if head.is_close_delimited else head.status
+        self._log("answered", upstream.registration.upstream_id, detail)
         return None
 
     def _record_failure(self, upstream, error):
