Tests that fail: an unframed response of a crashed upstream is relayed as complete

A crash closes an upstream's connections. Where a response has neither a length nor chunks, the caller got what had arrived until then as a complete response: a stream after a whole event, any other response wherever it ended.

--- a/sassafrashook/platform/tests/test_forwarding.py
+++ b/sassafrashook/platform/tests/test_forwarding.py
@@ -247,6 +247,33 @@
     assert harness.send_request("/plans/7")[2:] == (make_event(1), b"")
 
 
+def test_unframed_stream_is_not_relayed_as_complete_if_its_upstream_crashed_after_event(
+    start_harness,
+):
+    harness = start_harness(make_unframed_stream_script(make_event(1), stops_listening=True))
+    assert harness.send_request("/plans/7")[2:] == (make_event(1), None)
+
+
+def test_unframed_resumable_stream_goes_on_elsewhere_if_its_upstream_crashed_after_event(
+    start_harness,
+):
+    broken = make_unframed_stream_script(make_event(1), stops_listening=True)
+    scripts = iter((broken, make_stream_script(last=4)))
+
+    def run(upstream, sock, head, body):
+        return next(scripts)(upstream, sock, head, body)
+
+    harness = start_harness(run, run)
+    _, _, body, rest = harness.send_request("/summaries/7")
+    assert (body, rest) == (b"".join(map(make_event, range(1, 5))), b"")
+
+
+@pytest.mark.parametrize("path", ["/orders/7", "/counts/7"])
+def test_unframed_response_is_not_relayed_as_complete_if_its_upstream_crashed(start_harness, path):
+    harness = start_harness(make_unframed_stream_script(b"who", stops_listening=True))
+    assert harness.send_request(path)[0] == 502
+
+
 def test_prompt_part_that_crashes_upstreams_after_whole_event_of_unframed_stream_is_quarantined(
     start_harness,
 ):
