gateway: an unframed response is complete only if its upstream accepts another connection

What callers saw: when an upstream crashed, a response with neither a length nor chunks was relayed as complete with what had arrived until then. A stream that the crash ended after a whole event lost the rest of its events; a plain response was cut anywhere.

Cause: the end of a connection was taken for the end of the response. A crash ends it in the same way.

Fix: after such an end the router opens the connection that the next request needs anyway. If the upstream does not accept it, the attempt has broken off: a resumable stream goes on elsewhere, others fail. The same evidence clears the traits of the request at once, so the detector needs no interruptions that may be completions; the test of these moved to the gateway under its name, with real connections.

--- a/sassafrashook/gateway/_attempt.py
+++ b/sassafrashook/gateway/_attempt.py
@@ -138,7 +138,7 @@
             raise AttemptError(kind, Verdict.NOT_RUN, f"status {self.head_.status}")
         if self.head_.status >= 300:
             response = UpstreamResponse(self.head_, self.read_body())
-            self.release_connection()
+            self.finish()
             raise AttemptError(
                 FailureKind.UNSUCCESSFUL_STATUS, Verdict.RAN, f"{response.head.status}", response
             )
@@ -155,21 +155,28 @@
         connection = pool.acquire(self.upstream.key, max_idle_s)
         self.is_reused_ = connection is not None
         if connection is None:
-            remaining_s = handler.deadline - time.monotonic()
             try:
-                connection = pool.open(
-                    self.upstream.registration.address, max(remaining_s, MIN_CONNECT_TIMEOUT_S)
-                )
+                connection = self._open_connection()
             except OSError as error:
-                self.upstream.record_connect_failure(time.monotonic())
-                if isinstance(error, ConnectionRefusedError):
-                    handler.gateway.record_refused_connection(self.upstream)
-                pool.close_idle(self.upstream.key)
+                self._record_connect_failure(error)
                 raise AttemptError(FailureKind.UNREACHABLE, Verdict.NOT_RUN, str(error)) from error
         self.connection_ = connection
         if handler.client.is_disconnected_:
             raise AttemptError(FailureKind.CLIENT_DISCONNECTED, Verdict.NOT_RUN)
 
+    def _open_connection(self):
+        remaining_s = self.handler.deadline - time.monotonic()
+        return self.handler.gateway.pool.open(
+            self.upstream.registration.address, max(remaining_s, MIN_CONNECT_TIMEOUT_S)
+        )
+
+    def _record_connect_failure(self, error):
+        gateway = self.handler.gateway
+        self.upstream.record_connect_failure(time.monotonic())
+        if isinstance(error, ConnectionRefusedError):
+            gateway.record_refused_connection(self.upstream)
+        gateway.pool.close_idle(self.upstream.key)
+
     def _send(self):
         handler = self.handler
         remaining_ms = (handler.deadline - time.monotonic()) * 1_000
@@ -313,7 +320,7 @@
         except OSError:
             self.close()  # the head alone states the refusal
             return
-        self.release_connection()
+        self._release_connection()
 
     def abort(self):
         """Shut the connection down from another task, which fails the task that reads from it.
@@ -326,8 +333,31 @@
         self.connection_.abort()
         return True
 
-    def release_connection(self):
-        """Return the connection to the pool after a complete response."""
+    def finish(self):
+        """End the attempt after the response, and return its connection to the pool.
+
+        :raises AttemptError: if the end of the connection ended the response and the upstream may
+            have crashed.
+        """
+        if self.connection_.is_ended_:
+            self._replace_ended_connection()
+        self._release_connection()
+
+    def _replace_ended_connection(self):
+        """Open a connection for the next request, which also shows that the upstream still runs.
+
+        A crash ends a response in the same way as its completion.
+        """
+        try:
+            connection = self._open_connection()
+        except OSError as error:
+            ended = UpstreamResponseError(f"the response may have ended by a crash: {error}")
+            attempt_error = self._close_after_interruption(ended)
+            self._record_connect_failure(error)
+            raise attempt_error from error
+        self.handler.gateway.pool.add_unused(self.upstream.key, connection)
+
+    def _release_connection(self):
         connection, self.connection_ = self.connection_, None
         if connection is not None:
             self.handler.gateway.pool.release(self.upstream.key, connection, self.head_)
--- a/sassafrashook/gateway/_gateway.py
+++ b/sassafrashook/gateway/_gateway.py
@@ -93,21 +93,17 @@
                 before=known,
             )  # fmt: skip
 
-    def record_interruption(self, upstream, request_id, traits, may_be_complete=False):
+    def record_interruption(self, upstream, request_id, traits):
         """Record that an upstream closed the connection of a running request.
 
         :param upstream: an :class:`~sassafrashook.placement.UpstreamState`.
         :param request_id: identifier of the request.
         :param traits: traits of the request.
-        :param may_be_complete: whether the end of the connection may be the end of the response.
         """
         upstream.request_probe()
         self.probe_requested_.set()
-        now = time.monotonic()
-        for request in self._crash_detector.take_completed(now):
-            self._record_completion(request.request_id, request.traits, now)
         interrupted = self._crash_detector.record_interruption(
-            upstream.key, request_id, traits, now, may_be_complete
+            upstream.key, request_id, traits, time.monotonic()
         )
         self._record_crash(upstream, interrupted)
 
@@ -135,23 +131,13 @@
             requests=[request.request_id for request in interrupted[:MAX_LOGGED_REQUESTS]],
         )  # fmt: skip
 
-    def record_completion(self, upstream, request_id, traits, is_close_delimited):
+    def record_completion(self, request_id, traits):
         """Record that a request completed, so that its traits crash no upstream.
 
-        If the end of the connection ended the response, the upstream may have crashed instead.
-
-        :param upstream: an :class:`~sassafrashook.placement.UpstreamState`.
         :param request_id: identifier of the request.
         :param traits: traits of the request.
-        :param is_close_delimited: whether only the end of the connection ended the response.
         """
-        if is_close_delimited:
-            self.record_interruption(upstream, request_id, traits, may_be_complete=True)
-        else:
-            self._record_completion(request_id, traits, time.monotonic())
-
-    def _record_completion(self, request_id, traits, now):
-        cleared = self.view.crashes.record_completion(traits, now)
+        cleared = self.view.crashes.record_completion(traits, time.monotonic())
         if cleared:
             names = [format_trait(trait) for trait in cleared]
             log_event("traits_cleared", request=request_id, traits=names)
--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -217,9 +217,7 @@
             self._attempt = None
             attempt.close()
         upstream.record_response(True)
-        self.gateway.record_completion(
-            upstream, self.metadata.request_id, self.traits, head.is_close_delimited
-        )
+        self.gateway.record_completion(self.metadata.request_id, self.traits)
         self.execution_count_ += 1
         self.verdict_ = Verdict.RAN
         detail = f"{head.status}:unframed" if head.is_close_delimited else head.status
@@ -244,7 +242,7 @@
     def _relay_response(self, attempt, head):
         """Read the whole response before sending it, so that no part of a broken one is sent."""
         body = attempt.read_body()
-        attempt.release_connection()
+        attempt.finish()
         self._send_response(head, body)
 
     def _send_response(self, head, body):
@@ -274,8 +272,8 @@
         # A stream without framing may have broken off wherever it ends.
         if splitter.take_incomplete() or (head.is_close_delimited and not has_events):
             raise attempt.close_incomplete_stream()
+        attempt.finish()
         self._record("longest_pause_ms", "complete", longest_pause_s * 1_000)
-        attempt.release_connection()
         client.finish_response()
 
     def _prepare_retry(self, upstream, error):
--- a/sassafrashook/http1/_pool.py
+++ b/sassafrashook/http1/_pool.py
@@ -56,11 +56,25 @@
         :param connection: the :class:`UpstreamConnection`.
         :param head: :class:`~sassafrashook.http1.ResponseHead` of the last response on it.
         """
+        if connection.is_reusable():
+            self._add_idle(key, connection, head.headers.get(b"keep-alive", ""))
+        else:
+            connection.close()
+
+    def add_unused(self, key, connection):
+        """Add a new connection that has carried no request, or close it if the pool is full.
+
+        :param key: key of the upstream.
+        :param connection: the :class:`UpstreamConnection`.
+        """
+        self._add_idle(key, connection)
+
+    def _add_idle(self, key, connection, keep_alive=""):
         idle = self.idle_by_key_.setdefault(key, [])
-        if not connection.is_reusable() or len(idle) >= MAX_IDLE_PER_UPSTREAM:
+        if len(idle) >= MAX_IDLE_PER_UPSTREAM:
             connection.close()
             return
-        connection.mark_idle(head, time.monotonic())
+        connection.mark_idle(time.monotonic(), keep_alive)
         idle.append(connection)
 
     def close_idle(self, key):
--- a/sassafrashook/http1/_upstream.py
+++ b/sassafrashook/http1/_upstream.py
@@ -37,6 +37,8 @@
     :raises OSError: if it can't be opened; nothing has been sent in that case.
 
     :ivar is_broken_: whether sending failed or the upstream had closed the connection.
+    :ivar is_ended_: whether the upstream closed the connection during the last response. If that is
+        complete, only the end of the connection ended it.
     :ivar idle_deadline_: time after which the connection is not reused, in monotonic seconds.
     :ivar idle_since_: time at which the last exchange ended, in monotonic seconds.
     """
@@ -45,6 +47,7 @@
         self.address = address
         self.sock = gsocket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.is_broken_ = False
+        self.is_ended_ = False
         self.idle_deadline_ = 0.0
         self.idle_since_ = 0.0
         self._writer = None
@@ -170,6 +173,7 @@
             if event is not h11.NEED_DATA:
                 return event
             data = self._receive(deadline)
+            self.is_ended_ = not data
             try:
                 self._http.receive_data(data)
             except RuntimeError as error:
@@ -198,13 +202,13 @@
         is_complete = http.our_state is h11.DONE and http.their_state is h11.DONE
         return is_complete and not http.trailing_data[0]
 
-    def mark_idle(self, head, now):
-        """Record that the exchange has ended and until when the connection may be reused.
+    def mark_idle(self, now, keep_alive=""):
+        """Record that no exchange is in progress and until when the connection may be used.
 
-        :param head: :class:`ResponseHead` of the last response.
         :param now: monotonic seconds.
+        :param keep_alive: Keep-Alive header of the last response, empty if there is none.
         """
-        idle_timeout_s = _parse_idle_timeout_s(head.headers.get(b"keep-alive", ""))
+        idle_timeout_s = _parse_idle_timeout_s(keep_alive)
         self.idle_since_ = now
         self.idle_deadline_ = now + idle_timeout_s
 
--- a/sassafrashook/platform/tests/test_forwarding.py
+++ b/sassafrashook/platform/tests/test_forwarding.py
@@ -274,6 +274,28 @@
     assert harness.send_request(path)[0] == 502
 
 
+@pytest.mark.parametrize("is_crash", [False, True])
+def test_request_ended_by_close_is_complete_unless_connection_is_refused(
+    start_harness, monkeypatch, is_crash
+):
+    harness = start_harness(make_unframed_stream_script(make_event(1), stops_listening=is_crash))
+    completed = []
+    monkeypatch.setattr(
+        harness.gateway.view.crashes, "record_completion", lambda *args: completed.append(args)
+    )
+    harness.send_request("/plans/7")
+    assert len(completed) == (0 if is_crash else 1)
+    assert harness.gateway.crash_observed_.is_set() == is_crash
+
+
+def test_connection_that_confirms_unframed_response_carries_next_request(start_harness):
+    harness = start_harness(make_unframed_stream_script(make_event(1)))
+    for _ in range(5):
+        harness.send_request("/plans/7")
+    assert wait_for(lambda: harness.upstreams[0].connections >= 6)
+    assert harness.upstreams[0].connections == 6
+
+
 def test_prompt_part_that_crashes_upstreams_after_whole_event_of_unframed_stream_is_quarantined(
     start_harness,
 ):
--- a/sassafrashook/quarantine/_crashes.py
+++ b/sassafrashook/quarantine/_crashes.py
@@ -16,13 +16,11 @@
     :param request_id: identifier of the request.
     :param traits: its traits, see :func:`~sassafrashook.quarantine.compute_traits`.
     :param interrupted_at: monotonic seconds.
-    :param may_be_complete: whether the end of the connection may be the end of the response.
     """
 
     request_id: str
     traits: tuple
     interrupted_at: float
-    may_be_complete: bool = False
 
 
 class CrashDetector:
@@ -41,22 +39,20 @@
     def __init__(self):
         self._interrupted = {}
         self._crashed_at = {}
-        self._completed = []
 
-    def record_interruption(self, key, request_id, traits, now, may_be_complete=False):
+    def record_interruption(self, key, request_id, traits, now):
         """Record that an upstream closed the connection of a running request.
 
         :param key: key of the upstream's boot.
         :param request_id: identifier of the request.
         :param traits: traits of the request.
         :param now: monotonic seconds.
-        :param may_be_complete: whether the end of the connection may be the end of the response.
         :returns: list of the :class:`InterruptedRequest` that a crash interrupted; empty unless the
             crash is already confirmed.
         """
         self._expire(now)
         requests = self._interrupted.setdefault(key, [])
-        requests.append(InterruptedRequest(request_id, traits, now, may_be_complete))
+        requests.append(InterruptedRequest(request_id, traits, now))
         del requests[:-MAX_INTERRUPTED]
         return self._take_interrupted(key) if key in self._crashed_at else []
 
@@ -74,24 +70,12 @@
             self._crashed_at.setdefault(key, now)
         return requests
 
-    def take_completed(self, now):
-        """Return the requests that may have been complete and whose upstream did not crash.
-
-        :param now: monotonic seconds.
-        :returns: list of :class:`InterruptedRequest`, each returned once.
-        """
-        self._expire(now)
-        completed, self._completed = self._completed, []
-        return completed
-
     def _take_interrupted(self, key):
         return self._interrupted.pop(key, [])
 
     def _expire(self, now):
         for key, requests in list(self._interrupted.items()):
             recent = [r for r in requests if now < r.interrupted_at + CONFIRMATION_S]
-            expired = requests[: len(requests) - len(recent)]
-            self._completed.extend(request for request in expired if request.may_be_complete)
             if recent:
                 self._interrupted[key] = recent
             else:
