--- a/sassafrashook/fleet/_controller.py
+++ b/sassafrashook/fleet/_controller.py
@@ -266,7 +266,8 @@
                 boot_ms=registration.boot_ms, sequence=registration.sequence,
                 state=registration.state.name.lower(), service=registration.service,
                 address=f"{registration.host}:{registration.port}",
-                zone=registration.availability_zone, cold_ms=round(registration.cold_ms),
+                zone=registration.availability_zone, software=registration.version,
+                cold_ms=round(registration.cold_ms),
                 revision=self.registry.revision_,
             )  # fmt: skip
         return not registration.is_closed_to_requests or self._wait_for_propagation(
--- a/sassafrashook/gateway/_header_codec.py
+++ b/sassafrashook/gateway/_header_codec.py
@@ -28,6 +28,8 @@
     :param parts: tuple of :class:`PromptPart` in the order of the prompt.
     :param last_event_id: id of the last event that the client has received, ``None`` unless it
         resumes a stream.
+    :param stream_request_id: ``request_id`` of the client's attempt that began the stream that it
+        resumes, ``None`` if absent.
     """
 
     request_id: str
@@ -35,6 +37,7 @@
     api_key: str | None
     parts: tuple = ()
     last_event_id: str | None = None
+    stream_request_id: str | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/sassafrashook/gateway/_request_log.py
+++ b/sassafrashook/gateway/_request_log.py
@@ -43,6 +43,8 @@
             parts=[f"{part.part_id}:{part.tokens}" for part in handler.metadata.parts],
             running=upstream.running_, others=upstream.remote_running_,
             loads_age_ms=round(loads_age_s * 1_000), cold=upstream.is_cold(now),
+            software=upstream.registration.version, after=handler.last_event_id_ or "-",
+            resumes=handler.metadata.stream_request_id or "-",
             version=handler.table.version, runs=handler.execution_count_,
         )  # fmt: skip
 
--- a/sassafrashook/platform/_header_codec.py
+++ b/sassafrashook/platform/_header_codec.py
@@ -22,6 +22,8 @@
 # Contains the parts of the prompt in order, as ID:TOKENS each, not a hash of the whole prompt.
 PREFIX_HASH = b"x-sassafrashook-prefix-hash"
 LAST_EVENT_ID = b"last-event-id"
+# Attempt id of the client attempt that brought the first event of the stream that a client resumes.
+RESUMES = b"resumes"
 STATUS_MISDIRECTED_REQUEST = 421
 LOWEST_PRIORITY = 9
 # Removed from client requests: only this system may set them.
@@ -58,6 +60,7 @@
             headers.get(CREDENTIAL),
             _parse_prompt_parts(headers.get(PREFIX_HASH, "")),
             headers.get(LAST_EVENT_ID),
+            headers.get(RESUMES),
         )
 
     def decode_response_head(self, head):
