Tests that fail: streams go on at upstreams of another software version

Within one response, and over two attempts of a client: at the same router, at another one, after the router that began them was killed, and at one that has just restarted. A stream of unknown origin is placed at any version too.

--- a/sassafrashook/platform/tests/documents.py
+++ b/sassafrashook/platform/tests/documents.py
@@ -34,10 +34,16 @@
 
 
 def make_liveness_report(
-    address="10.0.0.9:8080", service="s1", sequence=4, state="ready", born=1_000, slots=8
+    address="10.0.0.9:8080",
+    service="s1",
+    sequence=4,
+    state="ready",
+    born=1_000,
+    slots=8,
+    version="v1",
 ):
     """Return a liveness report of an engine."""
-    return {"service": service, "address": address, "zone": "z", "version": "v1",
+    return {"service": service, "address": address, "zone": "z", "version": version,
             "slots": slots, "state": state, "warmup_remaining_ms": 0, "sequence": sequence,
             "born": born}  # fmt: skip
 
--- a/sassafrashook/platform/tests/scripted_upstreams.py
+++ b/sassafrashook/platform/tests/scripted_upstreams.py
@@ -203,6 +203,43 @@
     return send_events
 
 
+def make_versioned_stream_script(version, last=9, cut=2, is_cut=lambda head: False):
+    """Return a script that streams events whose data is a software version.
+
+    A stream breaks off after some events if its request does not resume one.
+
+    :param version: the software version.
+    :param last: number of the last event.
+    :param cut: number of events after which a stream breaks off.
+    :param is_cut: called with the head of a request that resumes a stream; returns whether that
+        breaks off as well.
+    """
+
+    def send_events(_upstream, sock, head, _body):
+        last_event_id = find_header(head, "Last-Event-Id")
+        start = int(last_event_id) + 1 if last_event_id else 1
+        breaks_off = last_event_id is None or is_cut(head)
+        events = b"".join(
+            b"id: %d\ndata: %s\n\n" % (number, version.encode())
+            for number in range(start, min(last, start + cut - 1 if breaks_off else last) + 1)
+        )
+        fields = encode_response(head, b"").split(b"\r\n")
+        framing = b"Transfer-Encoding: chunked"
+        fields = [framing if f.startswith(b"Content-Length") else f for f in fields]
+        sock.sendall(b"\r\n".join(fields) + b"%x\r\n%s\r\n" % (len(events), events))
+        if breaks_off:
+            return False
+        sock.sendall(b"0\r\n\r\n")
+        return True
+
+    return send_events
+
+
+def list_event_versions(body):
+    """Return the software versions in the events of a response, see above, in their order."""
+    return [line[6:].decode() for line in body.split(b"\n") if line.startswith(b"data: ")]
+
+
 def make_unframed_stream_script(events, stops_listening=False):
     """Return a script that sends a stream without length or chunks and closes the connection.
 
@@ -243,10 +280,12 @@
     :param scripts: one script for each upstream.
     :param configuration: a :class:`~sassafrashook.routes.RouteConfiguration`; by default that of
         :func:`make_route_configuration`.
+    :param software_versions: software version of each upstream; ``v1`` if omitted.
     """
 
-    def __init__(self, *scripts, configuration=None):
+    def __init__(self, *scripts, configuration=None, software_versions=None):
         self.upstreams = [ScriptedUpstream(f"u{n}", script) for n, script in enumerate(scripts)]
+        self.software_versions = software_versions or ["v1"] * len(scripts)
         view = FleetView(Registry(60.0))
         view.table_ = RouteTable(configuration or make_route_configuration())
         view.routers_ = ("r1",)
@@ -265,8 +304,10 @@
     def register(self):
         """Register all upstreams at the placement."""
         registrations = [
-            Registration(u.name, 1, 1, RegistrationState.READY, "service", *u.address, "z", "v1", 8)
-            for u in self.upstreams
+            Registration(
+                u.name, 1, 1, RegistrationState.READY, "service", *u.address, "z", version, 8
+            )
+            for u, version in zip(self.upstreams, self.software_versions, strict=True)
         ]
         self.placement.set_registrations(
             registrations, {r.upstream_id: 0.0 for r in registrations}, 0.0
--- a/sassafrashook/platform/tests/test_forwarding.py
+++ b/sassafrashook/platform/tests/test_forwarding.py
@@ -19,10 +19,12 @@
     encode_request,
     encode_response,
     find_header,
+    list_event_versions,
     make_event,
     make_route_configuration,
     make_stream_script,
     make_unframed_stream_script,
+    make_versioned_stream_script,
     read_http_message,
     respond_with_name,
     wait_for,
@@ -428,6 +430,51 @@
     assert (body, rest) == (b"".join(map(make_event, range(1, 7))), b"")
 
 
+def start_versioned_harness(start_harness, *versions):
+    """Start a harness whose upstreams have these software versions and break off new streams."""
+    scripts = [make_versioned_stream_script(version) for version in versions]
+    return start_harness(*scripts, software_versions=versions)
+
+
+def test_broken_stream_does_not_go_on_at_another_software_version(start_harness):
+    harness = start_versioned_harness(start_harness, "v1", "v1.1")
+    _, _, body, rest = harness.send_request("/summaries/7")
+    assert len(set(list_event_versions(body))) == 1
+    assert rest is None
+
+
+def test_broken_stream_goes_on_at_another_upstream_of_its_software_version(start_harness):
+    harness = start_versioned_harness(start_harness, "v1", "v1.1", "v1", "v1.1")
+    for number in range(12):
+        fields = (make_prompt_field(f"session{number}:3"),)
+        _, _, body, rest = harness.send_request("/summaries/7", fields=fields)
+        versions = list_event_versions(body)
+        assert (len(versions), len(set(versions)), rest) == (9, 1, b"")
+
+
+def test_stream_that_client_takes_up_goes_on_at_its_software_version(start_harness):
+    harness = start_versioned_harness(start_harness, "v1", "v1.1")
+    for number in range(12):
+        fields = (make_prompt_field(f"session{number}:3"),)
+        begun = harness.send_request("/summaries/7", fields=fields, request_id=f"b{number}")[2]
+        fields = (f"Last-Event-Id: {len(list_event_versions(begun))}", f"Resumes: b{number}")
+        fields += (make_prompt_field(f"session{number}:4"),)
+        status, _, resumed, _ = harness.send_request(
+            "/summaries/7", fields=fields, request_id=f"c{number}"
+        )
+        versions = list_event_versions(begun + resumed)
+        assert (status, len(versions), len(set(versions))) == (200, 9, 1)
+
+
+def test_stream_of_unknown_software_version_is_rejected_as_not_run(start_harness):
+    harness = start_versioned_harness(start_harness, "v1", "v1.1")
+    for fields in [("Last-Event-Id: 2", "Resumes: unknown"), ("Last-Event-Id: 2",)]:
+        status, head, _, _ = harness.send_request("/summaries/7", fields=fields)
+        assert status == 503
+        assert find_header(head, "Retry-After") is not None
+    assert harness.count_requests() == 0
+
+
 def test_events_are_relayed_without_delay(start_harness):
     harness = start_harness(make_stream_script(last=3, pause_s=0.3))
     sock = harness.connect()
--- a/sassafrashook/platform/tests/test_processes.py
+++ b/sassafrashook/platform/tests/test_processes.py
@@ -33,7 +33,10 @@
     ScriptedUpstream,
     encode_request,
     encode_response,
+    find_header,
+    list_event_versions,
     make_event,
+    make_versioned_stream_script,
     read_http_message,
     respond_with_name,
     wait_for,
@@ -363,6 +366,85 @@
         upstream.stop()
 
 
+def make_resumable_config(version):
+    """Return a configuration with one more route, of streams that may be resumed, to service s8."""
+    config = make_config(version)
+    route = next(r for r in config["route_table"] if r["stream_resumption"])
+    config["route_table"].append(
+        {**route, "name": "r-chats", "path_prefix": "/chats/", "service": "s8"}
+    )
+    config["services"].append({**config["services"][0], "name": "s8"})
+    return config
+
+
+class ResumedStreams:
+    """Begins streams at one router and resumes them at another.
+
+    Streams of requests whose id begins with ``b`` break off at each upstream.
+
+    :param fleet: the :class:`Fleet`.
+    :param versions: software version of each upstream.
+    """
+
+    def __init__(self, fleet, versions):
+        self.fleet = fleet
+        self.upstreams = []
+        self.begun = {}
+        for number, version in enumerate(versions):
+            script = make_versioned_stream_script(version, is_cut=is_begun_request)
+            self.upstreams.append(ScriptedUpstream(f"i-3{number}", script))
+            fleet.send_report(self.upstreams[-1], service="s8", version=version)
+
+    def begin(self, router_ip, count):
+        """Begin streams and receive their events until they break off."""
+        for number in range(len(self.begun), len(self.begun) + count):
+            fields = (make_prompt_field(f"session{number}:3"),)
+            _, body = self.fleet.send_request(router_ip, "/chats/1", f"b{number}", fields)
+            self.begun[number] = list_event_versions(body)
+
+    def resume(self, router_ip, numbers):
+        """Resume streams; :returns: the software versions in the events of each whole stream."""
+        streams = []
+        for number in numbers:
+            fields = (
+                f"Last-Event-Id: {len(self.begun[number])}",
+                f"Resumes: b{number}",
+                make_prompt_field(f"session{number}:4"),
+            )
+            status, body = self.fleet.send_request(router_ip, "/chats/1", f"c{number}", fields)
+            streams.append(self.begun[number] + list_event_versions(body if status == 200 else b""))
+        return streams
+
+    def stop(self):
+        for upstream in self.upstreams:
+            self.fleet.request_until_accepted("DELETE", f"/instances/{upstream.name}")
+            upstream.stop()
+
+
+def is_begun_request(head):
+    return find_header(head, "X-Sassafrashook-Attempt-Id").startswith("b")
+
+
+def test_stream_taken_up_at_other_or_restarted_router_goes_on_at_its_software_version(fleet):
+    first, second = ROUTER_IPS
+    fleet.request_until_accepted("PUT", "/config", make_resumable_config(50))
+    streams = ResumedStreams(fleet, ("v1", "v1.1", "v1", "v1.1"))
+    for router_ip in ROUTER_IPS:
+        assert wait_for(
+            lambda router_ip=router_ip: fleet.send_request(router_ip, "/chats/1", "b")[0] == 200
+        )
+    streams.begin(first, 16)
+    whole = streams.resume(second, range(8))
+    fleet.kill(first)
+    whole += streams.resume(second, range(8, 12))
+    fleet.start(first)
+    assert wait_for(lambda: is_ready(fleet, first), START_TIMEOUT_S)
+    whole += streams.resume(first, range(12, 16))
+    assert all(len(set(versions)) == 1 for versions in whole)
+    assert [len(versions) for versions in whole] == [9] * 16
+    streams.stop()
+
+
 def test_router_stops_gracefully(fleet, upstream):
     assert wait_for(lambda: is_request_served(fleet, ROUTER_IPS[1]))
     assert fleet.kill(ROUTER_IPS[1], signal.SIGTERM) == 0
