--- a/sassafrashook/placement/tests/test_placement.py
+++ b/sassafrashook/placement/tests/test_placement.py
@@ -134,6 +134,23 @@
     assert refused.failure().reason is RefusalReason.NO_UPSTREAM
 
 
+def test_only_upstreams_of_stated_software_version_are_chosen():
+    registrations = [
+        msgspec.structs.replace(make_registration(name), version=f"v{int(name[1:]) % 3}")
+        for name in NAMES
+    ]
+    placement = make_placement(registrations=registrations)
+    query = PlacementQuery(SERVICE, None, frozenset(), "v1")
+    names = {get_name(placement.choose(query, 10.0)) for _ in range(50)}
+    assert names <= {"u1", "u4", "u7"}
+    assert placement.has_active_candidate(query, 10.0)
+    for name in ("u1", "u4", "u7"):
+        placement.upstreams_[name].record_connect_failure(10.0)
+    assert not placement.has_active_candidate(query, 10.0)
+    gone = PlacementQuery(SERVICE, None, frozenset(), "v9")
+    assert placement.choose(gone, 10.0).failure().reason is RefusalReason.NO_UPSTREAM
+
+
 def test_suspended_upstream_gets_no_requests_until_probe_succeeds():
     placement = make_placement(NAMES[:1])
     state = placement.upstreams_["u0"]
--- a/sassafrashook/platform/tests/test_forwarding.py
+++ b/sassafrashook/platform/tests/test_forwarding.py
@@ -29,6 +29,7 @@
     respond_with_name,
     wait_for,
 )
+from sassafrashook.routes import Service, WeightedService
 from sassafrashook.utils import hash_key
 
 
@@ -475,6 +476,31 @@
     assert harness.count_requests() == 0
 
 
+def test_silent_stream_is_not_abandoned_without_another_upstream_of_its_version(start_harness):
+    scripts = [make_stream_script(last=2, pause_s=0.6)] * 2
+    harness = start_harness(*scripts, software_versions=("v1", "v1.1"))
+    _, _, body, rest = harness.send_request("/summaries/7")
+    assert (body, rest) == (make_event(1) + make_event(2), b"")
+    assert harness.count_requests() == 1
+
+
+def test_resumed_stream_goes_on_at_service_of_its_first_request(start_harness):
+    configuration = make_route_configuration()
+    route = next(r for r in configuration.routes if r.path_prefix == "/summaries/")
+    route.services.append(WeightedService("other", 1.0))
+    configuration.services.append(Service("other", 0.0))
+    harness = start_harness(make_stream_script(), configuration=configuration)
+    table = harness.gateway.view.table_
+    ids = [f"a{n}" for n in range(64)]
+    begun_at = {request_id: table.pick_service(route, request_id).name for request_id in ids}
+    began = next(request_id for request_id in ids if begun_at[request_id] == "service")
+    resumed = next(request_id for request_id in ids if begun_at[request_id] == "other")
+    harness.send_request("/summaries/7", request_id=began)
+    fields = ("Last-Event-Id: 2", f"Resumes: {began}")
+    status, _, body, _ = harness.send_request("/summaries/7", fields=fields, request_id=resumed)
+    assert (status, body) == (200, b"".join(map(make_event, range(3, 6))))
+
+
 def test_events_are_relayed_without_delay(start_harness):
     harness = start_harness(make_stream_script(last=3, pause_s=0.3))
     sock = harness.connect()
--- a/sassafrashook/registry/tests/test_registry.py
+++ b/sassafrashook/registry/tests/test_registry.py
@@ -200,3 +200,15 @@
                 )
     results = [{n: (r.boot_ms, r.state) for n, r in node.registrations_.items()} for node in nodes]
     assert all(result == results[0] for result in results)
+
+
+def test_software_versions_of_service_include_those_of_upstreams_that_left():
+    registry = Registry(10.0)
+    assert registry.list_software_versions("advisor") == []
+    registry.merge(make_registration("a"), 0.0)
+    assert registry.list_software_versions("advisor") == ["v1"]
+    newer = msgspec.structs.replace(make_registration("b", host="10.0.0.2"), version="v1.1")
+    registry.merge(newer, 1.0)
+    registry.mark_left("a", 2.0, unix_ms=1_000)
+    assert registry.list_software_versions("advisor") == ["v1", "v1.1"]
+    assert registry.list_software_versions("ledger") == []
