Wording of resumed streams; one event queue for the simulations, one script for sequences of responses

"take up" is "resume" in docstrings, and the log says close_delimited as the code does (detail=200:close_delimited). The two simulated fleets and the tests of broken streams shared lines. No behaviour, bound or check changes.

--- a/sassafrashook/fleet/_messages.py
+++ b/sassafrashook/fleet/_messages.py
@@ -164,7 +164,7 @@
     """Software version that began a stream.
 
     :param key: 64-bit hash of the id of the request that began it.
-    :param remaining_ms: time for which the client may still take it up, in milliseconds.
+    :param remaining_ms: time for which the client may still resume it, in milliseconds.
     """
 
     key: int
--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -259,7 +259,7 @@
         self.gateway.record_completion(self.metadata.request_id, self.traits)
         self.execution_count_ += 1
         self.verdict_ = Verdict.RAN
-        detail = f"{head.status}:unframed" if head.is_close_delimited else head.status
+        detail = f"{head.status}:close_delimited" if head.is_close_delimited else head.status
         self._log("answered", upstream.registration.upstream_id, detail)
         return None
 
@@ -326,7 +326,7 @@
             self.gateway.streams.record(self.metadata.request_id, self.stream_version_, until)
 
     def _abort_stream(self, reason):
-        """Close the client's connection within a stream that the client may take up elsewhere."""
+        """Close the client's connection within a stream, which it may resume at another router."""
         self.gateway.streams.flush()
         self._log("stream_broken", "-", reason)
         self.client.abort()
--- a/sassafrashook/platform/tests/test_forwarding.py
+++ b/sassafrashook/platform/tests/test_forwarding.py
@@ -65,6 +65,16 @@
     return True
 
 
+def make_script_sequence(*scripts):
+    """Return a script for several upstreams that responds to each request by the next script."""
+    remaining = iter(scripts)
+
+    def run(upstream, sock, head, body):
+        return next(remaining)(upstream, sock, head, body)
+
+    return run
+
+
 def test_response_is_relayed_unchanged(start_harness):
     harness = start_harness(respond_with_name)
     status, head, body, _ = harness.send_request("/orders/7?x=1", b"flour")
@@ -235,11 +245,7 @@
 
 def test_resumable_stream_that_ends_within_event_resumes_at_another_upstream(start_harness):
     broken = make_unframed_stream_script(make_event(1) + b"id: 2\nda")
-    scripts = iter((broken, make_stream_script(last=4)))
-
-    def run(upstream, sock, head, body):
-        return next(scripts)(upstream, sock, head, body)
-
+    run = make_script_sequence(broken, make_stream_script(last=4))
     harness = start_harness(run, run)
     _, _, body, rest = harness.send_request("/summaries/7")
     assert (body, rest) == (b"".join(map(make_event, range(1, 5))), b"")
@@ -261,11 +267,7 @@
     start_harness,
 ):
     broken = make_unframed_stream_script(make_event(1), stops_listening=True)
-    scripts = iter((broken, make_stream_script(last=4)))
-
-    def run(upstream, sock, head, body):
-        return next(scripts)(upstream, sock, head, body)
-
+    run = make_script_sequence(broken, make_stream_script(last=4))
     harness = start_harness(run, run)
     _, _, body, rest = harness.send_request("/summaries/7")
     assert (body, rest) == (b"".join(map(make_event, range(1, 5))), b"")
--- a/sassafrashook/quarantine/tests/simulated_fleet.py
+++ b/sassafrashook/quarantine/tests/simulated_fleet.py
@@ -5,11 +5,11 @@
 ledgers.
 """
 
-import heapq
 import itertools
 import random
 
 from sassafrashook.quarantine import CrashDetector, CrashLedger, compute_traits
+from sassafrashook.utils.tests.event_queue import EventQueue
 
 DURATION_S = 40.0
 POISON_STARTS_AT = 4.0
@@ -91,7 +91,7 @@
         self.held = {}
 
 
-class SimulatedFleet:
+class SimulatedFleet(EventQueue):
     """Runs one seed.
 
     :ivar crashed_at: times of all crashes, in simulated seconds.
@@ -101,6 +101,7 @@
     """
 
     def __init__(self, seed):
+        super().__init__()
         self.rng = rng = random.Random(seed)
         self.routers = [Router(f"r{n}") for n in range(rng.choice((3, 6, 7, 12, 40)))]
         self.controllers = [Controller(f"c{n}") for n in range(rng.choice((3, 5)))]
@@ -112,13 +113,7 @@
         self.crashed_at = []
         self.poison_sent_at = []
         self.sound_arrivals = []
-        self.now = 0.0
         self._numbers = itertools.count()
-        self._events = []
-
-    def schedule(self, delay_s, action, *arguments):
-        event = (self.now + delay_s, next(self._numbers), action, arguments)
-        heapq.heappush(self._events, event)
 
     def run(self):
         """Play all events; :returns: this fleet."""
@@ -134,9 +129,7 @@
         for _ in range(rng.randrange(3)):
             controller = rng.choice(self.controllers)
             self.schedule(rng.uniform(0, DURATION_S), controller.restart)
-        while self._events and self._events[0][0] < DURATION_S:
-            self.now, _, action, arguments = heapq.heappop(self._events)
-            action(*arguments)
+        self.run_until(DURATION_S)
         return self
 
     def create_sound_request(self):
--- a/sassafrashook/streams/__init__.py
+++ b/sassafrashook/streams/__init__.py
@@ -1,7 +1,7 @@
 """Which software version began each stream, so that the stream goes on only at that version.
 
-Routers record the version of each stream that a client may take up again. The client may do so at
-any router, so the records are kept by several controllers, selected by a hash of the request.
+Routers record the version of each stream that a client may resume. The client may do so at any
+router, so the records are kept by several controllers, selected by a hash of the request.
 """
 
 from sassafrashook.streams._announcer import StreamAnnouncer, select_asked_controllers
--- a/sassafrashook/streams/_interface.py
+++ b/sassafrashook/streams/_interface.py
@@ -17,7 +17,7 @@
 
         :param request_id: id of the client's request; nothing is recorded if it is empty.
         :param version: version of the software of the upstream.
-        :param until: time until which the client may take the stream up, in monotonic seconds.
+        :param until: time until which the client may resume the stream, in monotonic seconds.
         """
 
     @abstractmethod
--- a/sassafrashook/streams/_ledger.py
+++ b/sassafrashook/streams/_ledger.py
@@ -25,7 +25,7 @@
 
         :param key: 64-bit hash of the id of the request that began the stream.
         :param version: version of the software of the upstream.
-        :param until: time until which the client may take the stream up, in monotonic seconds.
+        :param until: time until which the client may resume the stream, in monotonic seconds.
         """
         self._streams.pop(key, None)
         self._streams[key] = (sys.intern(version), until)
@@ -42,7 +42,7 @@
         return version if now < until else None
 
     def remove_expired(self, now):
-        """Remove the streams that can't be taken up any more.
+        """Remove the streams that can't be resumed any more.
 
         :param now: monotonic seconds.
         """
--- a/sassafrashook/streams/tests/simulated_fleet.py
+++ b/sassafrashook/streams/tests/simulated_fleet.py
@@ -5,8 +5,6 @@
 and learn late of new upstreams.
 """
 
-import heapq
-import itertools
 import random
 from dataclasses import dataclass, field
 
@@ -16,6 +14,7 @@
     VersionLookup,
     select_asked_controllers,
 )
+from sassafrashook.utils.tests.event_queue import EventQueue
 
 DURATION_S = 30.0
 CONTACT_TIMEOUT_S = 3.0
@@ -52,7 +51,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Resumption:
-    """A stream that a client took up.
+    """A stream that a client resumed.
 
     :param found: version at which it goes on, ``None`` if the router rejected it.
     :param is_in_touch: whether the router and the controllers had been undisturbed.
@@ -64,13 +63,14 @@
     is_in_touch: bool
 
 
-class SimulatedFleet:
+class SimulatedFleet(EventQueue):
     """Runs one seed.
 
     :ivar resumptions: list of :class:`Resumption`.
     """
 
     def __init__(self, seed):
+        super().__init__()
         self.rng = rng = random.Random(seed)
         self.routers = [Node(f"r{n}") for n in range(rng.choice((3, 7, 12, 40, 80)))]
         self.controllers = [Node(f"c{n}") for n in range(rng.choice((1, 3, 5, 9)))]
@@ -80,14 +80,7 @@
         self.disturbance_rate = rng.choice((0.0, 0.3, 1.0, 2.0))
         self.stream_rate = rng.choice((10.0, 40.0))
         self.resumptions = []
-        self.now = 0.0
         self._names = [controller.name for controller in self.controllers]
-        self._numbers = itertools.count()
-        self._events = []
-
-    def schedule(self, delay_s, action, *arguments):
-        event = (self.now + delay_s, next(self._numbers), action, arguments)
-        heapq.heappush(self._events, event)
 
     def run(self):
         """Run to the end; :returns: this fleet."""
@@ -101,9 +94,7 @@
             self.schedule(release_at, self._release, f"v1.{number}")
         if self.disturbance_rate:
             self.schedule(1.0, self._disturb)
-        while self._events and self._events[0][0] < DURATION_S:
-            self.now, _, action, arguments = heapq.heappop(self._events)
-            action(*arguments)
+        self.run_until(DURATION_S)
         return self
 
     def _forget(self, node):
@@ -187,7 +178,7 @@
         )
 
     def _begin_stream(self):
-        """Begin a stream at a router, which then breaks off; its client takes it up."""
+        """Begin a stream at a router, which then breaks off; its client resumes it."""
         self.schedule(self.rng.expovariate(self.stream_rate), self._begin_stream)
         key = self.rng.getrandbits(64)
         router = self.rng.choice(self.routers)
@@ -202,7 +193,7 @@
     def _break_off(self, router, boot, key, version):
         if router.is_up and router.boot == boot:
             self._announce(router)
-        self.schedule(self.rng.uniform(0.006, 0.3), self._take_up, key, version)
+        self.schedule(self.rng.uniform(0.006, 0.3), self._resume, key, version)
 
     def _announce_regularly(self, router):
         self.schedule(ANNOUNCE_INTERVAL_S, self._announce_regularly, router)
@@ -223,7 +214,7 @@
         for key, version, until in streams:
             controller.ledger.record(key, version, until)
 
-    def _take_up(self, key, begun):
+    def _resume(self, key, begun):
         router = self.rng.choice([r for r in self.routers if r.is_up] or self.routers)
         own = router.announcer.ledger_.find(key, self.now)
         if own is not None:
