gateway: log the contents that broke off at a crash, and which traits are quarantined from when on

A crash line named requests only, so the logs did not show at which crashes one content had been running, nor when and by which crashes a router began or ceased to reject it.

--- a/sassafrashook/gateway/_gateway.py
+++ b/sassafrashook/gateway/_gateway.py
@@ -61,6 +61,7 @@
         self.crash_observed_ = Event()
         self._retry_budgets = {}
         self._crash_detector = CrashDetector()
+        self._logged_quarantines = {}
 
     def get_client_limits(self):
         """Return the :class:`~sassafrashook.routes.ClientLimits` in force."""
@@ -131,6 +132,7 @@
             boot_ms=registration.boot_ms, zone=registration.availability_zone,
             interrupted=len(interrupted),
             requests=[request.request_id for request in interrupted[:MAX_LOGGED_REQUESTS]],
+            contents=[format_trait(r.traits[-1]) for r in interrupted[:MAX_LOGGED_REQUESTS]],
         )  # fmt: skip
 
     def record_completion(self, request_id, traits):
@@ -150,7 +152,24 @@
         :param traits: traits of the request.
         :returns: a :class:`~sassafrashook.quarantine.Quarantine` or ``None``.
         """
-        return self.view.crashes.find_quarantine(traits, time.monotonic())
+        crashes = self.view.crashes
+        quarantine = crashes.find_quarantine(traits, time.monotonic())
+        if crashes.quarantines_ is not self._logged_quarantines:
+            self._log_quarantines(crashes.quarantines_)
+        return quarantine
+
+    def _log_quarantines(self, quarantines):
+        """Log which traits are now quarantined, on what evidence, and which are no longer."""
+        logged, self._logged_quarantines = self._logged_quarantines, quarantines
+        for trait, quarantine in quarantines.items():
+            if trait not in logged or logged[trait].crashes != quarantine.crashes:
+                log_event(
+                    "trait_quarantined", level="warning", trait=format_trait(trait),
+                    crashed=[name for name, _ in quarantine.crashes],
+                    until_ms=round((quarantine.until - time.monotonic()) * 1_000),
+                )  # fmt: skip
+        for trait in logged.keys() - quarantines.keys():
+            log_event("trait_released", trait=format_trait(trait))
 
     def record_request(self, service):
         """Add a client's request to the retry budget of its service.
--- a/sassafrashook/quarantine/_ledger.py
+++ b/sassafrashook/quarantine/_ledger.py
@@ -115,6 +115,7 @@
     removed from a record.
 
     :ivar revision_: number that increases with each change that is propagated to other nodes.
+    :ivar quarantines_: the :class:`Quarantine` of each quarantined trait, as last selected.
 
     >>> ledger = CrashLedger()
     >>> for boot in (1, 2):
@@ -131,7 +132,7 @@
         self._contents_by_trait = {}
         self._distance_by_trait = {}
         self._completed_at = OrderedDict()
-        self._quarantines = {}
+        self.quarantines_ = {}
         self._selected_revision = 0
         self._selected_at = float("-inf")
 
@@ -227,9 +228,9 @@
             and now >= self._selected_at + SELECTION_INTERVAL_S
         ):
             self._selected_revision, self._selected_at = self.revision_, now
-            self._quarantines = self._select_quarantines(now)
+            self.quarantines_ = self._select_quarantines(now)
         for trait in traits:
-            quarantine = self._quarantines.get(trait)
+            quarantine = self.quarantines_.get(trait)
             if quarantine is not None and now < quarantine.until:
                 return quarantine
         return None
