--- a/sassafrashook/quarantine/tests/simulated_fleet.py
+++ b/sassafrashook/quarantine/tests/simulated_fleet.py
@@ -25,19 +25,21 @@
     """One request of a client, with its further attempts.
 
     :ivar parts: identifiers of its prompt parts.
+    :ivar content: what distinguishes it from other requests with these parts.
     :ivar attempts: number of attempts so far.
     :ivar client_retries: number of times that the client may still repeat it.
     """
 
-    def __init__(self, parts, client_retries):
+    def __init__(self, parts, client_retries, content=""):
         self.parts = parts
-        self.traits = compute_traits(parts, "account")
+        self.content = content
+        self.traits = compute_traits(parts, "account", content)
         self.attempts = 0
         self.client_retries = client_retries
 
     @property
     def is_poison(self):
-        return POISON_PART in self.parts
+        return POISON_PART in self.parts or POISON_PART in self.content
 
 
 class Upstream:
@@ -95,7 +97,7 @@
     """Runs one seed.
 
     :ivar crashed_at: times of all crashes, in simulated seconds.
-    :ivar poison_sent_at: times at which routers in touch sent poison requests.
+    :ivar poison_sent_at: times at which routers in touch sent poison requests, by their content.
     :ivar sound_arrivals: (time, whether it was rejected) of the first attempts of sound requests
         that share a part with poison requests, at routers in touch.
     """
@@ -111,7 +113,7 @@
         self.poison_index = rng.randrange(3)
         self.first_parts = [f"f{n}" for n in range(rng.choice((2, 4, 8)))]
         self.crashed_at = []
-        self.poison_sent_at = []
+        self.poison_sent_at = {}
         self.sound_arrivals = []
         self._numbers = itertools.count()
 
@@ -152,10 +154,13 @@
         request.attempts = 0
         router = self.rng.choice(self.routers)
         is_rejected = self.send(request, router)
-        shares_part = self.first_parts[0] in request.parts
-        if not request.is_poison and shares_part and router.is_in_touch(self.now):
+        if self.is_counted_as_sound(request) and router.is_in_touch(self.now):
             self.sound_arrivals.append((self.now, is_rejected))
 
+    def is_counted_as_sound(self, request):
+        """Return whether a sound request could be mistaken for a poison request."""
+        return not request.is_poison and self.first_parts[0] in request.parts
+
     def send(self, request, router):
         """Send a request to an upstream.
 
@@ -165,13 +170,14 @@
             return True
         available = [upstream for upstream in self.upstreams if upstream.is_up]
         if not available or request.attempts >= MAX_ATTEMPTS:
+            self.retry_unplaced(request)
             return False
         request.attempts += 1
         upstream, attempt = self.rng.choice(available), next(self._numbers)
         upstream.running[attempt] = (request, router)
         if request.is_poison:
             if router.is_in_touch(self.now):
-                self.poison_sent_at.append(self.now)
+                self.poison_sent_at.setdefault(request.content, []).append(self.now)
             self.schedule(0.1, self.crash, upstream, upstream.boot)
         else:
             self.schedule(self.rng.uniform(0.1, 1.5), self.complete, upstream, attempt)
@@ -204,6 +210,9 @@
             request.client_retries -= 1
             self.schedule(self.rng.uniform(0.05, 0.5), self.arrive, request)
 
+    def retry_unplaced(self, request):
+        """Let the client of a request that no upstream can take come back; not by default."""
+
     def start_upstream(self, upstream):
         upstream.boot += 1
         upstream.is_up = True
@@ -248,3 +257,36 @@
             remaining = {n: pair for n, pair in upstream.running.items() if pair[1] is not router}
             upstream.running = remaining
         router.restart(self.now)
+
+
+class RepeatedContentFleet(SimulatedFleet):
+    """A fleet with a small service that two contents crash, which clients send again and again.
+
+    The requests have no prompt. Clients that find no upstream come back, so that repeats pile up
+    until the upstreams have started again. Some sound contents are repeated as well.
+    """
+
+    def __init__(self, seed):
+        super().__init__(seed)
+        self.upstreams = self.upstreams[:3]
+        self.poison_rate = self.rng.choice((1.0, 2.0, 4.0))
+
+    def create_sound_request(self):
+        rng = self.rng
+        is_repeated = rng.random() < 0.3
+        content = f"popular{rng.randrange(5)}" if is_repeated else f"own{next(self._numbers)}"
+        self.arrive(Request((), 1, content))
+        self.schedule(rng.expovariate(self.sound_rate), self.create_sound_request)
+
+    def create_poison_request(self):
+        rng = self.rng
+        self.arrive(Request((), 1, f"{POISON_PART}{rng.randrange(2)}"))
+        self.schedule(rng.expovariate(self.poison_rate), self.create_poison_request)
+
+    def is_counted_as_sound(self, request):
+        return not request.is_poison
+
+    def retry_unplaced(self, request):
+        if request.client_retries > 0 and request.attempts == 0:
+            request.client_retries -= 1
+            self.schedule(self.rng.uniform(0.3, 0.9), self.arrive, request)
--- a/sassafrashook/quarantine/tests/test_ledger.py
+++ b/sassafrashook/quarantine/tests/test_ledger.py
@@ -62,6 +62,13 @@
     assert not is_quarantined(ledger, FIRST, SESSION)
 
 
+def test_crash_counts_for_each_of_two_repeated_requests_that_were_running():
+    first, second = make_request(), make_request()
+    ledger = make_ledger([first], [first], [first, second], [second], [second])
+    assert ledger.find_quarantine(second, 1.0) is not None
+    assert ledger.find_quarantine(first, 1.0) is not None
+
+
 def test_popular_part_is_not_quarantined_beside_part_of_all_crashes():
     popular, sessions = 50, itertools.count(60)
     crashes = [
