quarantine: a crash counts for each content that was running, not for one trait only

Callers saw upstreams of a service crash again after the request that crashes them was known. Each crash was attributed to the likeliest trait and then counted for no other one. Where two contents that crash upstreams had been running at one boot, the second needed three further crashes. A content is now judged by all crashes at which it was running and that no completion cleared it of, as long as one of them is not explained otherwise. Prompt parts keep the stricter rule: sound requests share them, so popular parts are running at most crashes.

--- a/sassafrashook/quarantine/_ledger.py
+++ b/sassafrashook/quarantine/_ledger.py
@@ -110,7 +110,9 @@
 
     A request that crashes upstreams never completes, and is running at each crash that it causes.
     So of the traits that have not completed since, the likeliest one is taken for the cause of all
-    crashes at which it was running, and the others are suspected only of the remaining crashes.
+    crashes at which it was running, and the others are suspected only if crashes remain at which
+    they were running. For a content, all of its crashes then count, for a prompt part the remaining
+    ones.
     Records of several nodes are merged in any order to the same result, because nothing is ever
     removed from a record.
 
@@ -285,14 +287,14 @@
         :returns: tuple, or ``None`` if there is too little evidence.
         """
         keys = [key for key in suspect.contents_by_key if key in unexplained]
-        if len(keys) < PART_CRASH_LIMIT:
-            return None
         is_content, contents = suspect.is_content(), suspect.count_contents(keys)
         limit = CONTENT_CRASH_LIMIT if is_content else PART_CRASH_LIMIT
         if now < self._completed_at.get(suspect.trait, float("-inf")) + RECENT_COMPLETION_S:
             limit = SOUND_CRASH_LIMIT
-        independent = len(keys) if is_content else min(len(keys), contents)
-        if independent < limit:
+        # Few requests have the same content, so a content that was running at several crashes is
+        # suspicious even if another trait explains some of them. A part of a prompt is not.
+        evidence = len(suspect.contents_by_key) if is_content else min(len(keys), contents)
+        if not keys or evidence < limit:
             return None
         surplus = max(0, contents - len(keys))
         likelihood = len(keys) - surplus * SURPLUS_WEIGHT
