quarantine: a content is quarantined at the second crash if another request brought it there

Callers saw a small service crash as a whole twice or three times: a content was quarantined at its third crash only, since one resumed request breaks off at two upstreams. Crash records now carry the hash of each request's id. Two crashes with different requests of one content quarantine it for 30 s as for prompt parts; a single resumed request still needs three, and a content that completed in the last 10 s four.

What is left: repeats side by side before the second crash is known, and all that return when the 30 s are over.

--- a/sassafrashook/gateway/_gateway.py
+++ b/sassafrashook/gateway/_gateway.py
@@ -10,6 +10,7 @@
 from sassafrashook.quarantine import CrashDetector, format_trait
 from sassafrashook.routes import ClientLimits
 from sassafrashook.telemetry import log_event
+from sassafrashook.utils import hash_key
 
 DEFAULT_LIMITS = ClientLimits(16_384, 4_194_304, 3_000, 15_000)  # before the first configuration
 MAX_LOGGED_REQUESTS = 16  # ids of interrupted requests in one log line
@@ -123,7 +124,8 @@
         if not interrupted:
             return
         traits = [request.traits for request in interrupted]
-        self.view.crashes.record_crash(upstream.key, traits, time.monotonic())
+        origins = [hash_key(request.request_id) for request in interrupted]
+        self.view.crashes.record_crash(upstream.key, traits, origins, time.monotonic())
         self.crash_observed_.set()
         registration = upstream.registration
         self.metrics.count("upstream_crash_interruptions", amount=len(interrupted))
--- a/sassafrashook/quarantine/_ledger.py
+++ b/sassafrashook/quarantine/_ledger.py
@@ -1,15 +1,16 @@
 """Evidence of which requests crash upstreams, merged to the same result on every node."""
 
+import itertools
 from collections import OrderedDict
 from dataclasses import dataclass
 
 import msgspec
 
-# Number of crashes, each with another request, at which a prompt part is quarantined.
-PART_CRASH_LIMIT = 2
-# Number of crashes at which the content of a request is quarantined. It is higher, because a
-# resumed request breaks off twice if the other upstream crashes as well.
-CONTENT_CRASH_LIMIT = 3
+# Number of crashes, each with another request, at which a prompt part or a content is quarantined.
+CRASH_LIMIT = 2
+# Number of crashes at which a content is quarantined even if it is that of a single request. It is
+# higher, because a resumed request breaks off twice if the other upstream crashes as well.
+RESUMED_CRASH_LIMIT = 3
 # A trait with a recently completed request is probably sound: in a series of crashes, requests of a
 # popular prompt part break off at several upstreams before the next one completes.
 SOUND_CRASH_LIMIT = 4
@@ -37,6 +38,8 @@
     :param age_ms: time since the crash was detected, in milliseconds.
     :param requests: traits of each request that broke off; the last one is that of its content.
     :param cleared: traits of these requests that have completed since.
+    :param origins: for each of ``requests``, the hash of its request id, which tells a resumed
+        request from another one with the same content; 0 where it is not known.
     """
 
     upstream_id: str
@@ -44,6 +47,12 @@
     age_ms: float
     requests: list[tuple[int, ...]]
     cleared: list[int] = []
+    origins: list[int] = []
+
+    def list_requests(self):
+        """Return pairs of traits and origin of the requests that broke off."""
+        pairs = itertools.zip_longest(self.requests, self.origins, fillvalue=0)
+        return [(tuple(traits), origin) for traits, origin in pairs if traits]
 
 
 @dataclass(slots=True, frozen=True)
@@ -64,7 +73,7 @@
     """State of one crash.
 
     :ivar crashed_at: when it was detected, in monotonic seconds.
-    :ivar requests: traits of the requests that broke off, a set of tuples.
+    :ivar requests: set of pairs of traits and origin of the requests that broke off.
     :ivar cleared: set of the traits that have completed since.
     :ivar revision: revision of the ledger of the last change.
     :ivar observed_at: time of the last change that this node observed itself, in monotonic seconds;
@@ -84,25 +93,29 @@
 class _Suspect:
     """A trait and the crashes that it has not been cleared of.
 
-    :ivar contents_by_key: for each crash, the contents of the requests with the trait that broke
-        off.
+    :ivar requests_by_key: for each crash, set of pairs of content and origin of the requests with
+        the trait that broke off.
     :ivar distance: largest number of more specific traits that a request has beside it.
     """
 
-    __slots__ = ("trait", "contents_by_key", "distance")
+    __slots__ = ("trait", "requests_by_key", "distance")
 
-    def __init__(self, trait, contents_by_key, distance):
+    def __init__(self, trait, requests_by_key, distance):
         self.trait = trait
-        self.contents_by_key = contents_by_key
+        self.requests_by_key = requests_by_key
         self.distance = distance
 
     def is_content(self):
         """Return whether the trait is the content of a whole request."""
-        return any(self.trait in contents for contents in self.contents_by_key.values())
+        return self.distance == 0
 
     def count_contents(self, keys):
+        """Return the number of different contents with the trait that broke off in some crashes."""
+        return len({content for key in keys for content, _ in self.requests_by_key[key]})
+
+    def count_origins(self, keys):
         """Return the number of different requests with the trait that broke off in some crashes."""
-        return len(set().union(*(self.contents_by_key[key] for key in keys)))
+        return len({origin for key in keys for _, origin in self.requests_by_key[key]})
 
 
 class CrashLedger:
@@ -131,21 +144,22 @@
     def __init__(self):
         self.revision_ = 0
         self._crashes = OrderedDict()
-        self._contents_by_trait = {}
+        self._requests_by_trait = {}
         self._distance_by_trait = {}
         self._completed_at = OrderedDict()
         self.quarantines_ = {}
         self._selected_revision = 0
         self._selected_at = float("-inf")
 
-    def record_crash(self, key, requests, now):
+    def record_crash(self, key, requests, origins, now):
         """Record a crash that this node observed.
 
         :param key: key of the upstream's boot.
         :param requests: traits of each request that broke off.
+        :param origins: hash of the request id of each of them.
         :param now: monotonic seconds.
         """
-        self.merge(CrashRecord(*key, 0.0, requests), now)
+        self.merge(CrashRecord(*key, 0.0, requests, origins=origins), now)
         self._crashes[key].observed_at = now
         self._selected_at = float("-inf")
 
@@ -165,12 +179,11 @@
             while len(self._crashes) > MAX_CRASHES:
                 self._remove(next(iter(self._crashes)))
         free = max(0, MAX_REQUESTS_PER_CRASH - len(crash.requests))
-        requests = [tuple(traits) for traits in record.requests if traits]
-        added = [traits for traits in requests if traits not in crash.requests][:free]
+        added = [pair for pair in record.list_requests() if pair not in crash.requests][:free]
         cleared = set(record.cleared) - crash.cleared
-        for traits in added:
-            crash.requests.add(traits)
-            self._add_request(traits, key)
+        for traits, origin in added:
+            crash.requests.add((traits, origin))
+            self._add_request(traits, origin, key)
             cleared.update(
                 trait
                 for trait in traits
@@ -182,13 +195,13 @@
             self._mark_changed(key)
         return bool(is_new or added or cleared)
 
-    def _add_request(self, traits, key):
+    def _add_request(self, traits, origin, key):
         for distance, trait in enumerate(reversed(traits)):
-            contents_by_key = self._contents_by_trait.setdefault(trait, {})
-            if len(contents_by_key) == 1 and key not in contents_by_key:
+            requests_by_key = self._requests_by_trait.setdefault(trait, {})
+            if len(requests_by_key) == 1 and key not in requests_by_key:
                 # The trait is now repeated, so routers need to know of its first crash.
-                self._mark_changed(next(iter(contents_by_key)))
-            contents_by_key.setdefault(key, set()).add(traits[-1])
+                self._mark_changed(next(iter(requests_by_key)))
+            requests_by_key.setdefault(key, set()).add((traits[-1], origin))
             known_distance = self._distance_by_trait.get(trait, 0)
             self._distance_by_trait[trait] = max(known_distance, distance)
 
@@ -207,7 +220,7 @@
         for trait in traits:
             self._completed_at[trait] = now
             self._completed_at.move_to_end(trait)
-            for key in self._contents_by_trait.get(trait, ()):
+            for key in self._requests_by_trait.get(trait, ()):
                 crash = self._crashes[key]
                 if trait not in crash.cleared:
                     crash.cleared.add(trait)
@@ -254,7 +267,7 @@
             )
             if rank is None:
                 return quarantines
-            keys = tuple(suspect.contents_by_key)
+            keys = tuple(suspect.requests_by_key)
             unexplained.difference_update(keys)
             is_confirmed = len(keys) >= CONFIRMED_CRASHES
             duration_s = CONFIRMED_QUARANTINE_S if is_confirmed else PROVISIONAL_QUARANTINE_S
@@ -264,15 +277,15 @@
     def _list_suspects(self):
         """Return a :class:`_Suspect` for each trait with at least two crashes not cleared."""
         suspects = []
-        for trait, contents_by_key in self._contents_by_trait.items():
-            if len(contents_by_key) < PART_CRASH_LIMIT:
+        for trait, requests_by_key in self._requests_by_trait.items():
+            if len(requests_by_key) < CRASH_LIMIT:
                 continue
             suspected = {
-                key: contents
-                for key, contents in contents_by_key.items()
+                key: requests
+                for key, requests in requests_by_key.items()
                 if trait not in self._crashes[key].cleared
             }
-            if len(suspected) >= PART_CRASH_LIMIT:
+            if len(suspected) >= CRASH_LIMIT:
                 suspects.append(_Suspect(trait, suspected, self._distance_by_trait[trait]))
         return suspects
 
@@ -286,19 +299,31 @@
 
         :returns: tuple, or ``None`` if there is too little evidence.
         """
-        keys = [key for key in suspect.contents_by_key if key in unexplained]
-        is_content, contents = suspect.is_content(), suspect.count_contents(keys)
-        limit = CONTENT_CRASH_LIMIT if is_content else PART_CRASH_LIMIT
-        if now < self._completed_at.get(suspect.trait, float("-inf")) + RECENT_COMPLETION_S:
-            limit = SOUND_CRASH_LIMIT
+        unexplained_keys = [key for key in suspect.requests_by_key if key in unexplained]
         # Few requests have the same content, so a content that was running at several crashes is
         # suspicious even if another trait explains some of them. A part of a prompt is not.
-        evidence = len(suspect.contents_by_key) if is_content else min(len(keys), contents)
-        if not keys or evidence < limit:
+        keys = suspect.requests_by_key if suspect.is_content() else unexplained_keys
+        if not unexplained_keys or not self._has_evidence(suspect, keys, now):
             return None
-        surplus = max(0, contents - len(keys))
-        likelihood = len(keys) - surplus * SURPLUS_WEIGHT
-        return (likelihood, not is_content, -contents, -suspect.distance, suspect.trait)
+        contents = suspect.count_contents(unexplained_keys)
+        surplus = max(0, contents - len(unexplained_keys))
+        likelihood = len(unexplained_keys) - surplus * SURPLUS_WEIGHT
+        origins = suspect.count_origins(keys)
+        is_part = not suspect.is_content()
+        return (likelihood, is_part, -contents, origins, -suspect.distance, suspect.trait)
+
+    def _has_evidence(self, suspect, keys, now):
+        """Return whether a suspect was running at enough crashes, each with another request."""
+        has_completed = now < self._completed_at.get(suspect.trait, float("-inf")) + (
+            RECENT_COMPLETION_S
+        )
+        if not suspect.is_content():
+            limit = SOUND_CRASH_LIMIT if has_completed else CRASH_LIMIT
+            return min(len(keys), suspect.count_contents(keys)) >= limit
+        if has_completed:
+            return len(keys) >= SOUND_CRASH_LIMIT
+        independent = min(len(keys), suspect.count_origins(keys))
+        return independent >= CRASH_LIMIT or len(keys) >= RESUMED_CRASH_LIMIT
 
     def list_changes(self, revision, now):
         """Return the records that changed after a revision.
@@ -320,11 +345,12 @@
         """
         records = []
         for record in self.list_changes(revision, now):
-            requests = {self._select_repeated(traits) for traits in record.requests} - {()}
+            requests = {(self._select_repeated(t), origin) for t, origin in record.list_requests()}
+            requests = {(traits, origin) for traits, origin in requests if traits}
             if requests:
                 cleared = [trait for trait in record.cleared if self._is_repeated(trait)]
                 records.append(
-                    msgspec.structs.replace(record, requests=sorted(requests), cleared=cleared)
+                    msgspec.structs.replace(record, **_encode_requests(requests), cleared=cleared)
                 )
         return records
 
@@ -338,7 +364,7 @@
         return [self._make_record(key, now) for key in keys]
 
     def _is_repeated(self, trait):
-        return len(self._contents_by_trait.get(trait, ())) > 1
+        return len(self._requests_by_trait.get(trait, ())) > 1
 
     def _select_repeated(self, traits):
         parts = tuple(trait for trait in traits[:-1] if self._is_repeated(trait))
@@ -347,7 +373,8 @@
     def _make_record(self, key, now):
         crash = self._crashes[key]
         age_ms = (now - crash.crashed_at) * MS_PER_S
-        return CrashRecord(*key, age_ms, sorted(crash.requests), sorted(crash.cleared))
+        requests = _encode_requests(crash.requests)
+        return CrashRecord(*key, age_ms, **requests, cleared=sorted(crash.cleared))
 
     def _expire(self, now):
         """Remove the crashes that no quarantine can be based on any more."""
@@ -358,9 +385,18 @@
     def _remove(self, key):
         crash = self._crashes.pop(key)
         self.revision_ += 1
-        for trait in {trait for traits in crash.requests for trait in traits}:
-            contents_by_key = self._contents_by_trait.get(trait, {})
-            contents_by_key.pop(key, None)
-            if not contents_by_key:
-                self._contents_by_trait.pop(trait, None)
+        for trait in {trait for traits, _ in crash.requests for trait in traits}:
+            requests_by_key = self._requests_by_trait.get(trait, {})
+            requests_by_key.pop(key, None)
+            if not requests_by_key:
+                self._requests_by_trait.pop(trait, None)
                 self._distance_by_trait.pop(trait, None)
+
+
+def _encode_requests(pairs):
+    """Return the fields of a :class:`CrashRecord` for pairs of traits and origin."""
+    ordered = sorted(pairs)
+    return {
+        "requests": [traits for traits, _ in ordered],
+        "origins": [origin for _, origin in ordered],
+    }
--- a/sassafrashook/quarantine/tests/simulated_fleet.py
+++ b/sassafrashook/quarantine/tests/simulated_fleet.py
@@ -26,6 +26,7 @@
 
     :ivar parts: identifiers of its prompt parts.
     :ivar content: what distinguishes it from other requests with these parts.
+    :ivar request_id: identifier that each repetition by the client changes.
     :ivar attempts: number of attempts so far.
     :ivar client_retries: number of times that the client may still repeat it.
     """
@@ -34,6 +35,7 @@
         self.parts = parts
         self.content = content
         self.traits = compute_traits(parts, "account", content)
+        self.request_id = 0
         self.attempts = 0
         self.client_retries = client_retries
 
@@ -96,6 +98,7 @@
 class SimulatedFleet(EventQueue):
     """Runs one seed.
 
+    :ivar sound_duration_s: bounds of the duration of a sound request, in seconds.
     :ivar crashed_at: times of all crashes, in simulated seconds.
     :ivar poison_sent_at: times at which routers in touch sent poison requests, by their content.
     :ivar sound_arrivals: (time, whether it was rejected) of the first attempts of sound requests
@@ -112,6 +115,7 @@
         self.sound_rate = rng.choice((10.0, 30.0, 60.0))
         self.poison_index = rng.randrange(3)
         self.first_parts = [f"f{n}" for n in range(rng.choice((2, 4, 8)))]
+        self.sound_duration_s = (0.1, 1.5)
         self.crashed_at = []
         self.poison_sent_at = {}
         self.sound_arrivals = []
@@ -152,6 +156,7 @@
     def arrive(self, request):
         """Handle a request of a client at any router."""
         request.attempts = 0
+        request.request_id = next(self._numbers)
         router = self.rng.choice(self.routers)
         is_rejected = self.send(request, router)
         if self.is_counted_as_sound(request) and router.is_in_touch(self.now):
@@ -180,7 +185,8 @@
                 self.poison_sent_at.setdefault(request.content, []).append(self.now)
             self.schedule(0.1, self.crash, upstream, upstream.boot)
         else:
-            self.schedule(self.rng.uniform(0.1, 1.5), self.complete, upstream, attempt)
+            duration_s = self.rng.uniform(*self.sound_duration_s)
+            self.schedule(duration_s, self.complete, upstream, attempt)
         return False
 
     def complete(self, upstream, attempt):
@@ -195,7 +201,9 @@
         upstream.is_up = False
         running, upstream.running = upstream.running, {}
         for request, router in running.values():
-            router.detector.record_interruption(upstream.key, "", request.traits, self.now)
+            router.detector.record_interruption(
+                upstream.key, request.request_id, request.traits, self.now
+            )
             self.retry(request, router)
         for router in dict.fromkeys(router for _, router in running.values()):
             delay_s = self.rng.uniform(0.01, 0.3)
@@ -221,7 +229,8 @@
         interrupted = router.detector.record_refused_connection(key, self.now)
         if interrupted:
             traits = [request.traits for request in interrupted]
-            router.ledger.record_crash(key, traits, self.now)
+            origins = [request.request_id for request in interrupted]
+            router.ledger.record_crash(key, traits, origins, self.now)
 
     def report(self, router):
         """Send recent observations of a router to one controller; some reports are lost."""
@@ -270,6 +279,7 @@
         super().__init__(seed)
         self.upstreams = self.upstreams[:3]
         self.poison_rate = self.rng.choice((1.0, 2.0, 4.0))
+        self.sound_duration_s = (0.02, 0.3)
 
     def create_sound_request(self):
         rng = self.rng
--- a/sassafrashook/quarantine/tests/test_ledger.py
+++ b/sassafrashook/quarantine/tests/test_ledger.py
@@ -55,13 +55,33 @@
     assert ledger.find_quarantine(resumed, 1.0) is None
 
 
-def test_repeated_request_is_quarantined_after_three_crashes():
+def test_resumed_request_is_quarantined_after_three_crashes():
+    resumed = make_request(FIRST, SESSION)
+    ledger = make_ledger([resumed], [resumed], [resumed])
+    assert ledger.find_quarantine(resumed, 1.0).trait == resumed[-1]
+    assert not is_quarantined(ledger, FIRST, SESSION)
+
+
+def test_content_of_two_requests_is_quarantined_after_two_crashes():
     repeated = make_request(FIRST, SESSION)
-    ledger = make_ledger([repeated], [repeated], [repeated])
-    assert ledger.find_quarantine(repeated, 1.0).trait == repeated[-1]
+    ledger = CrashLedger()
+    for boot in range(2):
+        assert ledger.find_quarantine(repeated, 1.0) is None
+        ledger.merge(CrashRecord("u", boot, 0.0, [repeated], origins=[boot]), 0.0)
+    assert ledger.find_quarantine(repeated, 1.1).trait == repeated[-1]
     assert not is_quarantined(ledger, FIRST, SESSION)
 
 
+def test_content_that_completed_is_quarantined_at_fourth_crash_only():
+    repeated = make_request()
+    ledger = CrashLedger()
+    ledger.record_completion(repeated, 0.0)
+    for boot in range(4):
+        assert ledger.find_quarantine(repeated, boot + 0.4) is None
+        ledger.merge(CrashRecord("u", boot, 0.0, [repeated], origins=[boot]), boot + 0.5)
+    assert ledger.find_quarantine(repeated, 4.0) is not None
+
+
 def test_crash_counts_for_each_of_two_repeated_requests_that_were_running():
     first, second = make_request(), make_request()
     ledger = make_ledger([first], [first], [first, second], [second], [second])
