quarantine: routers admit a suspected content one after another

Callers saw a small service crash again as soon as its upstreams had started: repeats of a request that had crashed one of them were rejected meanwhile, came back at once, and ran side by side before the second crash was known. A content that was running at a crash, and has not completed since, is now admitted by one router at first, selected by a hash, and by twice as many every 2 s; the others reject it with 503 and the time to come back. One completed request clears it everywhere. Such a request is not retried when its upstream breaks off. A content at several crashes that another content explains is held for 5 s first, and routers come back one after another when a quarantine is over as well. Requests with a prompt are left alone at a single crash: their content comes again only when a client resumes a stream.

--- a/sassafrashook/daemons/_router.py
+++ b/sassafrashook/daemons/_router.py
@@ -86,6 +86,7 @@
         limits = RetryLimits(settings.retry_ratio, settings.retry_slack, settings.retry_window_s)
         self.streams_ = FleetStreamVersions(self.mesh_, self.subscriber_)
         self.gateway_ = Gateway(
+            settings.name,
             header_codec,
             self.view_,
             self.placement_,
--- a/sassafrashook/gateway/_gateway.py
+++ b/sassafrashook/gateway/_gateway.py
@@ -7,7 +7,7 @@
 from gevent.event import Event
 
 from sassafrashook.placement import RetryBudget
-from sassafrashook.quarantine import CrashDetector, format_trait
+from sassafrashook.quarantine import CrashDetector, compute_trial_delay_s, format_trait
 from sassafrashook.routes import ClientLimits
 from sassafrashook.telemetry import log_event
 from sassafrashook.utils import hash_key
@@ -35,6 +35,7 @@
 class Gateway:
     """Holds what one router needs to forward requests: fleet view, placement, pool and budgets.
 
+    :param name: name of the router.
     :param header_codec: a :class:`~sassafrashook.gateway.HeaderCodec`.
     :param view: a :class:`~sassafrashook.fleet.FleetView`.
     :param placement: a :class:`~sassafrashook.placement.Placement`.
@@ -49,7 +50,8 @@
     :ivar crash_observed_: event that is set when this router observes a crash of an upstream.
     """
 
-    def __init__(self, header_codec, view, placement, pool, limits, metrics, streams):
+    def __init__(self, name, header_codec, view, placement, pool, limits, metrics, streams):
+        self.name = name
         self.header_codec = header_codec
         self.view = view
         self.placement = placement
@@ -148,18 +150,30 @@
             names = [format_trait(trait) for trait in cleared]
             log_event("traits_cleared", request=request_id, traits=names)
 
-    def find_quarantine(self, traits):
+    def find_quarantine(self, traits, is_resumed):
         """Return why a request must not be sent to an upstream, ``None`` if it may be.
 
         :param traits: traits of the request.
+        :param is_resumed: whether the request, which was not suspected then, has run already.
         :returns: a :class:`~sassafrashook.quarantine.Quarantine` or ``None``.
         """
         crashes = self.view.crashes
-        quarantine = crashes.find_quarantine(traits, time.monotonic())
+        get_trial_delay_s = None if is_resumed else self._get_trial_delay_s
+        quarantine = crashes.find_quarantine(traits, time.monotonic(), get_trial_delay_s)
         if crashes.quarantines_ is not self._logged_quarantines:
             self._log_quarantines(crashes.quarantines_)
         return quarantine
 
+    def is_suspected(self, traits):
+        """Return whether a request might crash the upstream that runs it.
+
+        :param traits: traits of the request.
+        """
+        return self.view.crashes.is_suspected(traits, time.monotonic())
+
+    def _get_trial_delay_s(self, trait):
+        return compute_trial_delay_s(trait, self.name, self.view.routers_)
+
     def _log_quarantines(self, quarantines):
         """Log which traits are now quarantined, on what evidence, and which are no longer."""
         logged, self._logged_quarantines = self._logged_quarantines, quarantines
--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -188,8 +188,9 @@
         return origin.version is not None
 
     def _run_attempts(self):
+        is_suspected = self.gateway.is_suspected(self.traits)
         while not self.client.is_disconnected_:
-            quarantine = self.gateway.find_quarantine(self.traits)
+            quarantine = self.gateway.find_quarantine(self.traits, self.execution_count_ > 0)
             if quarantine is not None:
                 self._request_log.log_quarantine(quarantine)
                 retry_after_ms = round((quarantine.until - time.monotonic()) * 1_000)
@@ -206,6 +207,10 @@
             error = self._run_attempt(query, upstream)
             if error is None:
                 return
+            if is_suspected and error.kind is FailureKind.BROKEN:
+                self._request_log.log_no_retry(upstream, "suspected")
+                self._send_failure(error)
+                return
             if not self._prepare_retry(upstream, error):
                 self._send_failure(error)
                 return
--- a/sassafrashook/platform/tests/scripted_upstreams.py
+++ b/sassafrashook/platform/tests/scripted_upstreams.py
@@ -299,6 +299,7 @@
         pool = ConnectionPool(0.25)
         header_codec = PlatformHeaderCodec()
         self.gateway = Gateway(
+            "r1",
             header_codec,
             view,
             self.placement,
--- a/sassafrashook/quarantine/__init__.py
+++ b/sassafrashook/quarantine/__init__.py
@@ -7,6 +7,7 @@
 from sassafrashook.quarantine._crashes import CrashDetector, InterruptedRequest
 from sassafrashook.quarantine._ledger import CrashLedger, CrashRecord, Quarantine
 from sassafrashook.quarantine._traits import compute_traits, format_trait
+from sassafrashook.quarantine._trials import compute_trial_delay_s
 
 __all__ = [
     "CrashDetector",
@@ -15,5 +16,6 @@
     "InterruptedRequest",
     "Quarantine",
     "compute_traits",
+    "compute_trial_delay_s",
     "format_trait",
 ]
--- a/sassafrashook/quarantine/_ledger.py
+++ b/sassafrashook/quarantine/_ledger.py
@@ -2,7 +2,7 @@
 
 import itertools
 from collections import OrderedDict
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import msgspec
 
@@ -20,6 +20,9 @@
 # then confirms it.
 PROVISIONAL_QUARANTINE_S = 30.0
 CONFIRMED_CRASHES = 3
+# Quarantine of a content that was running at several crashes which another trait explains. It ends
+# after an upstream has restarted, so that a sound request can complete and clear the content.
+SUSPECTED_QUARANTINE_S = 5.0
 CONFIRMED_QUARANTINE_S = 3_600.0
 # Shortest time between two selections of the traits to quarantine, unless this node observes a
 # crash itself: records of other nodes arrive in quick succession.
@@ -231,24 +234,66 @@
             self._completed_at.popitem(last=False)
         return list(cleared)
 
-    def find_quarantine(self, traits, now):
+    def find_quarantine(self, traits, now, get_trial_delay_s=None):
         """Return why a request must not be sent to an upstream.
 
+        Once a quarantine is over, the routers admit the trait again one after another.
+
         :param traits: traits of the request.
         :param now: monotonic seconds.
+        :param get_trial_delay_s: called with a suspected trait; returns how much later than other
+            routers this one admits it again, in seconds. ``None`` for no delay.
         :returns: a :class:`Quarantine`, or ``None`` if the request may be sent.
         """
+        for quarantine in self._list_relevant(traits, now):
+            delay_s = get_trial_delay_s(quarantine.trait) if get_trial_delay_s is not None else 0.0
+            if now < quarantine.until + delay_s:
+                return replace(quarantine, until=quarantine.until + delay_s)
+        return None
+
+    def is_suspected(self, traits, now):
+        """Return whether a request might crash the upstream that runs it, quarantined or not.
+
+        :param traits: traits of the request.
+        :param now: monotonic seconds.
+        """
+        return bool(self._list_relevant(traits, now))
+
+    def _list_relevant(self, traits, now):
+        """Return each :class:`Quarantine` of a trait of a request, including those that are over.
+
+        The content of a request with a prompt comes again only if its client resumes a stream, so
+        that it is not suspected after a single crash.
+        """
         if (
             self._selected_revision != self.revision_
             and now >= self._selected_at + SELECTION_INTERVAL_S
         ):
             self._selected_revision, self._selected_at = self.revision_, now
             self.quarantines_ = self._select_quarantines(now)
-        for trait in traits:
-            quarantine = self.quarantines_.get(trait)
-            if quarantine is not None and now < quarantine.until:
-                return quarantine
-        return None
+        relevant = [self.quarantines_[trait] for trait in traits if trait in self.quarantines_]
+        if not relevant and len(traits) == 1:
+            relevant = self._list_suspicions(traits[0], now)
+        return relevant
+
+    def _list_suspicions(self, content, now):
+        """Return the :class:`Quarantine` of a content that has not caused any crash for certain.
+
+        :returns: list of one item if the content was running at a crash, else an empty list.
+        """
+        keys = [
+            key
+            for key in self._requests_by_trait.get(content, ())
+            if content not in self._crashes[key].cleared
+        ]
+        if not keys or self._has_completed_recently(content, now):
+            return []
+        duration_s = SUSPECTED_QUARANTINE_S if len(keys) >= CRASH_LIMIT else 0.0
+        crashed_at = max(self._crashes[key].crashed_at for key in keys)
+        return [Quarantine(content, tuple(keys), crashed_at + duration_s)]
+
+    def _has_completed_recently(self, trait, now):
+        return now < self._completed_at.get(trait, float("-inf")) + RECENT_COMPLETION_S
 
     def _select_quarantines(self, now):
         """Attribute the crashes to as few traits as possible.
@@ -314,9 +359,7 @@
 
     def _has_evidence(self, suspect, keys, now):
         """Return whether a suspect was running at enough crashes, each with another request."""
-        has_completed = now < self._completed_at.get(suspect.trait, float("-inf")) + (
-            RECENT_COMPLETION_S
-        )
+        has_completed = self._has_completed_recently(suspect.trait, now)
         if not suspect.is_content():
             limit = SOUND_CRASH_LIMIT if has_completed else CRASH_LIMIT
             return min(len(keys), suspect.count_contents(keys)) >= limit
--- a/sassafrashook/quarantine/tests/simulated_fleet.py
+++ b/sassafrashook/quarantine/tests/simulated_fleet.py
@@ -8,7 +8,12 @@
 import itertools
 import random
 
-from sassafrashook.quarantine import CrashDetector, CrashLedger, compute_traits
+from sassafrashook.quarantine import (
+    CrashDetector,
+    CrashLedger,
+    compute_traits,
+    compute_trial_delay_s,
+)
 from sassafrashook.utils.tests.event_queue import EventQueue
 
 DURATION_S = 40.0
@@ -27,6 +32,7 @@
     :ivar parts: identifiers of its prompt parts.
     :ivar content: what distinguishes it from other requests with these parts.
     :ivar request_id: identifier that each repetition by the client changes.
+    :ivar is_suspected: whether it was suspected when it was first sent.
     :ivar attempts: number of attempts so far.
     :ivar client_retries: number of times that the client may still repeat it.
     """
@@ -36,6 +42,7 @@
         self.content = content
         self.traits = compute_traits(parts, "account", content)
         self.request_id = 0
+        self.is_suspected = False
         self.attempts = 0
         self.client_retries = client_retries
 
@@ -64,11 +71,13 @@
 class Router:
     """A router with its own ledger.
 
+    :ivar names: names of all routers.
     :ivar started_at: time of its last start, in simulated seconds.
     """
 
-    def __init__(self, name):
+    def __init__(self, name, names):
         self.name = name
+        self.names = names
         self.restart(float("-inf"))
 
     def restart(self, now):
@@ -76,6 +85,14 @@
         self.detector = CrashDetector()
         self.ledger = CrashLedger()
 
+    def find_quarantine(self, request, now):
+        """Return why a request is rejected, as the gateway does."""
+        if request.attempts > 0:
+            return self.ledger.find_quarantine(request.traits, now)
+        return self.ledger.find_quarantine(
+            request.traits, now, lambda trait: compute_trial_delay_s(trait, self.name, self.names)
+        )
+
     def is_in_touch(self, now):
         return now >= self.started_at + CONTACT_TIMEOUT_S
 
@@ -108,7 +125,8 @@
     def __init__(self, seed):
         super().__init__()
         self.rng = rng = random.Random(seed)
-        self.routers = [Router(f"r{n}") for n in range(rng.choice((3, 6, 7, 12, 40)))]
+        names = [f"r{n}" for n in range(rng.choice((3, 6, 7, 12, 40)))]
+        self.routers = [Router(name, names) for name in names]
         self.controllers = [Controller(f"c{n}") for n in range(rng.choice((3, 5)))]
         self.upstreams = [Upstream(f"u{n}") for n in range(rng.choice((4, 5, 9, 20)))]
         self.poison_rate = rng.choice((0.3, 1.0, 3.0, 6.0))
@@ -171,12 +189,14 @@
 
         :returns: whether the router rejected it because of a quarantine.
         """
-        if router.ledger.find_quarantine(request.traits, self.now) is not None:
+        if router.find_quarantine(request, self.now) is not None:
             return True
         available = [upstream for upstream in self.upstreams if upstream.is_up]
         if not available or request.attempts >= MAX_ATTEMPTS:
             self.retry_unplaced(request)
             return False
+        if request.attempts == 0:
+            request.is_suspected = router.ledger.is_suspected(request.traits, self.now)
         request.attempts += 1
         upstream, attempt = self.rng.choice(available), next(self._numbers)
         upstream.running[attempt] = (request, router)
@@ -212,7 +232,8 @@
 
     def retry(self, request, router):
         """Resume a broken-off request at another upstream, or let its client repeat it."""
-        if request.attempts < MAX_ATTEMPTS and self.rng.random() < 0.7:
+        may_resume = request.attempts < MAX_ATTEMPTS and not request.is_suspected
+        if may_resume and self.rng.random() < 0.7:
             self.schedule(0.001, self.send, request, router)
         elif request.client_retries > 0:
             request.client_retries -= 1
--- a/sassafrashook/quarantine/tests/test_ledger.py
+++ b/sassafrashook/quarantine/tests/test_ledger.py
@@ -8,6 +8,7 @@
     CONFIRMED_QUARANTINE_S,
     PROVISIONAL_QUARANTINE_S,
     SELECTION_INTERVAL_S,
+    SUSPECTED_QUARANTINE_S,
 )
 
 FIRST, SESSION, POISON = 1, 2, 3
@@ -89,6 +90,25 @@
     assert ledger.find_quarantine(first, 1.0) is not None
 
 
+def test_router_admits_content_that_was_running_at_a_crash_after_its_trial_delay():
+    content, with_prompt = make_request(), make_request(FIRST)
+    ledger = make_ledger([content, with_prompt])
+    assert ledger.find_quarantine(content, 0.1) is None
+    assert ledger.find_quarantine(content, 1.9, lambda _: 2.0).until == 2.0
+    assert ledger.find_quarantine(content, 2.0, lambda _: 2.0) is None
+    assert ledger.find_quarantine(with_prompt, 0.1, lambda _: 2.0) is None
+    ledger.record_completion(content, 0.2)
+    assert ledger.find_quarantine(content, 0.3, lambda _: 2.0) is None
+
+
+def test_content_at_crashes_that_another_one_explains_is_quarantined_briefly():
+    cause, other = make_request(), make_request()
+    ledger = make_ledger([cause], [cause, other], [cause, other])
+    assert ledger.find_quarantine(cause, 3_000.0) is not None
+    assert ledger.find_quarantine(other, SUSPECTED_QUARANTINE_S - 0.1) is not None
+    assert ledger.find_quarantine(other, SUSPECTED_QUARANTINE_S) is None
+
+
 def test_popular_part_is_not_quarantined_beside_part_of_all_crashes():
     popular, sessions = 50, itertools.count(60)
     crashes = [
