--- a/sassafrashook/platform/tests/test_forwarding.py
+++ b/sassafrashook/platform/tests/test_forwarding.py
@@ -319,6 +319,25 @@
     assert len(poisoned) <= 5
 
 
+@pytest.mark.parametrize(("path", "most"), [("/orders/666", 2), ("/counts/666", 3)])
+def test_repeated_request_that_crashes_upstreams_is_quarantined(start_harness, path, most):
+    def run(upstream, sock, head, body):
+        if b"/666 " not in head:
+            return respond_with_name(upstream, sock, head, body)
+        upstream.stop()
+        return False
+
+    harness = start_harness(*[run] * 6)
+    for number in range(8):
+        harness.send_request(path, request_id=f"poison-{number}")
+        for _ in range(6):
+            harness.send_request("/orders/1")
+    poisoned = [head for u in harness.upstreams for head, _ in u.requests if b"/666 " in head]
+    assert len(poisoned) <= most
+    assert harness.send_request(path, request_id="last")[0] == 503
+    assert harness.send_request("/orders/1")[0] == 200
+
+
 def test_successful_response_without_signature_is_not_relayed(start_harness):
     def respond_unsigned(_upstream, sock, head, _body):
         sock.sendall(
