quarantine: routers learn of a content without a prompt at a single crash

Only traits of two crashes were passed on to routers, so that a content was held back after one crash by the routers that had seen it only. The new test of the ledger fails before.

--- a/sassafrashook/quarantine/_ledger.py
+++ b/sassafrashook/quarantine/_ledger.py
@@ -378,10 +378,11 @@
         return [self._make_record(key, now) for key in keys]
 
     def list_repeated_changes(self, revision, now):
-        """Return the records that changed after a revision, limited to repeated traits.
+        """Return the records that changed after a revision, limited to what routers decide by.
 
-        Only traits of at least two crashes can be quarantined. A request without any is left out,
-        of the others the content remains as well.
+        Only traits of at least two crashes can be quarantined, and contents of requests without a
+        prompt are suspected after one. A request without any is left out, of the others the content
+        remains as well.
 
         :param revision: the last revision that the receiver has.
         :param now: monotonic seconds.
@@ -391,7 +392,8 @@
             requests = {(self._select_repeated(t), origin) for t, origin in record.list_requests()}
             requests = {(traits, origin) for traits, origin in requests if traits}
             if requests:
-                cleared = [trait for trait in record.cleared if self._is_repeated(trait)]
+                known = {trait for traits, _ in requests for trait in traits}
+                cleared = [t for t in record.cleared if t in known or self._is_repeated(t)]
                 records.append(
                     msgspec.structs.replace(record, **_encode_requests(requests), cleared=cleared)
                 )
@@ -410,6 +412,8 @@
         return len(self._requests_by_trait.get(trait, ())) > 1
 
     def _select_repeated(self, traits):
+        if len(traits) == 1:
+            return traits
         parts = tuple(trait for trait in traits[:-1] if self._is_repeated(trait))
         return (*parts, traits[-1]) if parts or self._is_repeated(traits[-1]) else ()
 
--- a/sassafrashook/quarantine/tests/test_ledger.py
+++ b/sassafrashook/quarantine/tests/test_ledger.py
@@ -170,6 +170,15 @@
     assert len(results) == 1
 
 
+def test_routers_learn_of_content_without_prompt_at_a_single_crash():
+    content = make_request()
+    router = CrashLedger()
+    for record in make_ledger([content, make_request(FIRST)]).list_repeated_changes(0, 0.0):
+        assert record.requests == [content]
+        router.merge(record, 0.0)
+    assert router.find_quarantine(content, 0.1, lambda _: 2.0) is not None
+
+
 def test_routers_learn_of_repeated_traits_only():
     ledger = make_ledger([make_poison_request(), make_request(7)])
     assert ledger.list_repeated_changes(0, 0.0) == []
