--- a/sassafrashook/fleet/_controller.py
+++ b/sassafrashook/fleet/_controller.py
@@ -181,13 +181,18 @@
             now = time.monotonic()
             self._update_majority(now)
             self._expire_registrations(now)
-            size = len(self.state.configuration_)
-            due = self.publisher_.schedule_updates(
-                self._get_versions(), now, self._is_primary, size
-            )
-            self._send_updates(due, now)
+            self.send_due_updates(now)
             gevent.sleep(PUBLISH_INTERVAL_S)
 
+    def send_due_updates(self, now):
+        """Send the updates that are due to the subscribers.
+
+        :param now: monotonic seconds.
+        """
+        size = len(self.state.configuration_)
+        due = self.publisher_.schedule_updates(self._get_versions(), now, self._is_primary, size)
+        self._send_updates(due, now)
+
     def _expire_registrations(self, now):
         """Remove recalled registrations that were not renewed, and mark silent upstreams.
 
--- a/sassafrashook/platform/tests/test_forwarding.py
+++ b/sassafrashook/platform/tests/test_forwarding.py
@@ -145,6 +145,24 @@
     assert harness.count_requests() == 0
 
 
+@pytest.mark.parametrize(("path", "key"), [("/none/1", KEY), ("/orders/1", "wrong")])
+@pytest.mark.parametrize(
+    "view_state", [{"newest_version_": 2}, {"confirmed_at_": float("-inf")}], ids=["newer", "old"]
+)
+def test_unknown_route_or_key_is_not_final_while_the_configuration_may_be_outdated(
+    start_harness, path, key, view_state
+):
+    harness = start_harness(respond_with_name)
+    for name, value in view_state.items():
+        setattr(harness.gateway.view, name, value)
+    sock = harness.connect()
+    sock.sendall(encode_request(path).replace(KEY.encode(), key.encode()))
+    head, _, _ = read_http_message(sock)
+    assert int(head.split()[1]) == 503
+    assert float(find_header(head, "Retry-After")) > 0
+    assert harness.send_request("/orders/1")[0] == 200
+
+
 def test_too_large_body_is_rejected(start_harness):
     harness = start_harness(
         respond_with_name, configuration=make_route_configuration(max_body_bytes=10)
