fleet: crash records are sent as changes, by one controller to each router, in bounded bytes

Each record that arrived changed the revision, and each of five controllers then sent every one of 75 routers an update within 50 ms, with the whole records and the list of all routers. Heartbeats and log entries waited behind these on links of 6 Mbit/s.

A record now holds what has changed since the receiver's revision, a router reports what it observed itself only, takes records from the controller that it reports to (from all while it has none), at intervals of 0.2 s, and a controller sends routers 125 KB/s of records at most.

--- a/sassafrashook/fleet/_controller.py
+++ b/sassafrashook/fleet/_controller.py
@@ -35,6 +35,7 @@
 PROPAGATION_POLL_S = 0.01
 CACHE_INTERVAL_S = 1.0  # between checks whether the fleet cache must be saved
 COMPRESSION_LEVEL = 6
+UPDATE_BYTES = 1_500  # of an update without changes to one of 76 routers, which it names
 
 
 class OperatorCommandOutcome(StrEnum):
@@ -190,9 +191,17 @@
         :param now: monotonic seconds.
         """
         size = len(self.state.configuration_)
-        due = self.publisher_.schedule_updates(self._get_versions(), now, self._is_primary, size)
+        due = self.publisher_.schedule_updates(
+            self._get_versions(), now, self._is_primary, size, self._measure_crashes
+        )
         self._send_updates(due, now)
 
+    def _measure_crashes(self, revision):
+        """Return the approximate size of the records of crashes that a router lacks, in bytes."""
+        now = time.monotonic()
+        records = self.crashes_.list_repeated_changes(revision, now)
+        return UPDATE_BYTES + sum(len(msgspec.msgpack.encode(record)) for record in records)
+
     def _expire_registrations(self, now):
         """Remove recalled registrations that were not renewed, and mark silent upstreams.
 
@@ -223,11 +232,16 @@
         routers = self.publisher_.list_routers(now)
         members = sorted(member.name for member in self.replica.get_members())
         drained_zones = sorted(state.drained_zones_)
-        for name, held, with_configuration in due:
-            is_newer = with_configuration and state.version_ > held.configuration_version
-            is_router = self.publisher_.subscribers_[name].is_router
-            list_crashes = crashes.list_repeated_changes if is_router else crashes.list_changes
-            update = ViewChanged(
+        for update in due:
+            name, held = update.name, update.held
+            is_newer = update.with_configuration and state.version_ > held.configuration_version
+            crash_revision, crash_records = max(0, held.crash_revision), []
+            if update.with_crashes:
+                crash_revision = crashes.revision_
+                is_router = self.publisher_.subscribers_[name].is_router
+                list_crashes = crashes.list_repeated_changes if is_router else crashes.list_changes
+                crash_records = list_crashes(held.crash_revision, now)
+            message = ViewChanged(
                 self.publisher_.boot_id,
                 registry.revision_,
                 registry.list_changes(held.revision, now),
@@ -237,12 +251,12 @@
                 drained_zones,
                 state.version_ if is_newer else 0,
                 state.configuration_ if is_newer else b"",
-                crashes.revision_,
-                list_crashes(held.crash_revision, now),
+                crash_revision,
+                crash_records,
                 held.revision,
                 held.crash_revision,
             )
-            self.mesh.send(name, update)
+            self.mesh.send(name, message)
 
     def has_majority(self, now):
         """Return whether a majority of the group's voters is connected, this one included.
--- a/sassafrashook/fleet/_messages.py
+++ b/sassafrashook/fleet/_messages.py
@@ -35,6 +35,7 @@
     :param configuration_version: version of the configuration that the node holds.
     :param drain_index: log index of the drained zones that the node holds.
     :param crash_revision: latest revision of the controller's crash ledger that the node holds.
+    :param wants_crashes: whether the controller should send the node records of crashes.
     """
 
     is_router: bool
@@ -43,6 +44,7 @@
     configuration_version: int = 0
     drain_index: int = 0
     crash_revision: int = 0
+    wants_crashes: bool = True
 
 
 class ViewChanged(Message):
--- a/sassafrashook/fleet/_publisher.py
+++ b/sassafrashook/fleet/_publisher.py
@@ -11,6 +11,11 @@
 # A router without a request for this time is sent no configuration; routers send one every 0.5 s.
 ROUTER_CONNECTED_S = 0.8
 ACKNOWLEDGE_TIMEOUT_S = 1.0  # an unacknowledged configuration is sent again after this time
+# Crashes of many upstreams at once change the records of crashes continually, while the log and the
+# configurations need the link.
+CRASH_INTERVAL_S = 0.2  # between two updates with records of crashes to one subscriber
+MAX_CRASH_BYTES_PER_S = 125_000  # to all routers; a sixth of a link of 6 Mbit/s
+MAX_CRASH_BURST_BYTES = 62_500
 KEEPALIVE_INTERVAL_S = 1.0  # longest time without a message to a subscriber
 SUBSCRIBER_TIMEOUT_S = 3.0  # a subscriber without a request for this time is sent nothing
 # Disconnected routers are listed for this time, so that their shares of the warm-up rate are not
@@ -30,6 +35,8 @@
         monotonic seconds; -inf if there is none.
     :ivar lagging_since: since when it has made no progress towards the current configuration,
         monotonic seconds; ``None`` if it holds that.
+    :ivar wants_crashes: whether this controller sends it records of crashes.
+    :ivar crashes_sent_at: when it was last sent records of crashes, monotonic seconds.
     """
 
     is_router: bool
@@ -39,6 +46,8 @@
     last_request_at: float
     configuration_sent_at: float = float("-inf")
     lagging_since: float | None = None
+    wants_crashes: bool = True
+    crashes_sent_at: float = float("-inf")
 
     def can_receive_configuration(self, now):
         """Return whether it is connected and has no unacknowledged configuration.
@@ -82,6 +91,10 @@
         """Return these versions with the configuration version of others."""
         return replace(self, configuration_version=other.configuration_version)
 
+    def with_crashes_of(self, other):
+        """Return these versions with the crash revision of others."""
+        return replace(self, crash_revision=other.crash_revision)
+
     def covers(self, other):
         """Return whether no version is older than the corresponding one of others."""
         return (
@@ -92,6 +105,22 @@
         )
 
 
+@dataclass(slots=True, frozen=True)
+class DueUpdate:
+    """An update that is due to a subscriber.
+
+    :param name: name of the subscriber.
+    :param held: the :class:`StateVersions` that it holds.
+    :param with_configuration: whether to include the configuration.
+    :param with_crashes: whether to include records of crashes.
+    """
+
+    name: str
+    held: StateVersions
+    with_configuration: bool
+    with_crashes: bool
+
+
 class Publisher:
     """Decides which subscribers are sent an update, and when it is sent again.
 
@@ -104,6 +133,8 @@
         self.boot_id = boot_id
         self.subscribers_ = {}
         self._restored_routers = {}
+        self._crash_bytes = 0.0
+        self._crash_bytes_at = 0.0
 
     def restore_routers(self, names, now):
         """Add routers known before a restart; each counts for ``ROUTER_RETENTION_S`` at least."""
@@ -126,16 +157,29 @@
         if subscriber is None:
             nothing = StateVersions(-1, 0, 0, -1)
             self.subscribers_[name] = Subscriber(
-                request.is_router, held, nothing, float("-inf"), now
+                request.is_router,
+                held,
+                nothing,
+                float("-inf"),
+                now,
+                wants_crashes=request.wants_crashes,
             )
             return
         if held.configuration_version > subscriber.held.configuration_version:
             subscriber.lagging_since = None
             subscriber.configuration_sent_at = float("-inf")
+        subscriber.wants_crashes = request.wants_crashes
         subscriber.held = held
         subscriber.last_request_at = now
 
-    def schedule_updates(self, current, now, is_primary=lambda _name: True, configuration_bytes=1):
+    def schedule_updates(
+        self,
+        current,
+        now,
+        is_primary=lambda _name: True,
+        configuration_bytes=1,
+        measure_crashes=lambda _revision: 0,
+    ):
         """Return the subscribers to send an update to now, and mark them as sent ``current``.
 
         Controllers are never sent a configuration, because they have it from the log.
@@ -147,7 +191,9 @@
             made no progress for ``FAILOVER_DELAY_S``.
         :param configuration_bytes: size of the current configuration. It limits how many routers
             are sent the configuration at once, so that a small link is not congested.
-        :returns: list of (name, versions held, whether to include the configuration).
+        :param measure_crashes: called with the crash revision that a router holds; returns the size
+            of the records that it lacks, in bytes. It limits how many routers are sent these.
+        :returns: list of :class:`DueUpdate`.
         """
         due = []
         max_unacknowledged = max(1, MAX_UNACKNOWLEDGED_BYTES // max(1, configuration_bytes))
@@ -166,17 +212,40 @@
             if with_configuration:
                 available -= 1
                 subscriber.configuration_sent_at = now
-            target = (
-                current if with_configuration else current.with_configuration_of(subscriber.sent)
-            )
-            is_new = with_configuration or not subscriber.sent.covers(target)
+            with_crashes = self._takes_crashes(subscriber, current, now, measure_crashes)
+            target = current
+            if not with_configuration:
+                target = target.with_configuration_of(subscriber.sent)
+            if not with_crashes:
+                target = target.with_crashes_of(subscriber.held)
+            is_new = with_configuration or with_crashes or not subscriber.sent.covers(target)
             interval_s = KEEPALIVE_INTERVAL_S if subscriber.held.covers(target) else RESEND_DELAY_S
             if is_new or now >= subscriber.sent_at + interval_s:
                 subscriber.sent = target
                 subscriber.sent_at = now
-                due.append((name, subscriber.held, with_configuration))
+                due.append(DueUpdate(name, subscriber.held, with_configuration, with_crashes))
         return due
 
+    def _takes_crashes(self, subscriber, current, now, measure_crashes):
+        """Return whether a subscriber is sent records of crashes now.
+
+        There are few controllers, so what is sent to them is not limited.
+        """
+        if (
+            subscriber.held.crash_revision >= current.crash_revision
+            or not subscriber.wants_crashes
+            or now < subscriber.crashes_sent_at + CRASH_INTERVAL_S
+        ):
+            return False
+        elapsed_s, self._crash_bytes_at = now - self._crash_bytes_at, now
+        self._crash_bytes = max(0.0, self._crash_bytes - elapsed_s * MAX_CRASH_BYTES_PER_S)
+        if subscriber.is_router and self._crash_bytes >= MAX_CRASH_BURST_BYTES:
+            return False
+        if subscriber.is_router:
+            self._crash_bytes += measure_crashes(subscriber.held.crash_revision)
+        subscriber.crashes_sent_at = now
+        return True
+
     def _count_unacknowledged(self, now):
         """Return the number of connected subscribers with an unacknowledged configuration."""
         return sum(
--- a/sassafrashook/fleet/_subscriber.py
+++ b/sassafrashook/fleet/_subscriber.py
@@ -144,9 +144,26 @@
         version, drain_index = self.view.version, self.view.drain_index_
         self.mesh.send(
             name,
-            ViewRequested(self.is_router, boot_id, revision, version, drain_index, crash_revision),
+            ViewRequested(
+                self.is_router,
+                boot_id,
+                revision,
+                version,
+                drain_index,
+                crash_revision,
+                self._wants_crashes(name),
+            ),
         )
 
+    def _wants_crashes(self, name):
+        """Return whether a controller should send this node records of crashes.
+
+        A router takes them from one controller, or from all while it has none.
+        """
+        if not self.is_router or name == self.select_load_controller():
+            return True
+        return not any(crash_revision for _, _, crash_revision in self._revisions.values())
+
     def deliver(self, sender, update):
         """Apply an update from a controller and acknowledge it.
 
--- a/sassafrashook/fleet/tests/test_publisher.py
+++ b/sassafrashook/fleet/tests/test_publisher.py
@@ -31,11 +31,9 @@
     publisher = Publisher("b")
     publisher.handle_request("r1", make_request(revision=3), 0.0)
     current = StateVersions(4, 0, 0)
-    assert [name for name, *_ in publisher.schedule_updates(current, 0.1)] == ["r1"]
+    assert [due.name for due in publisher.schedule_updates(current, 0.1)] == ["r1"]
     assert publisher.schedule_updates(current, 0.2) == []
-    assert [name for name, *_ in publisher.schedule_updates(current, 0.2 + RESEND_DELAY_S)] == [
-        "r1"
-    ]
+    assert [due.name for due in publisher.schedule_updates(current, 0.2 + RESEND_DELAY_S)] == ["r1"]
     publisher.handle_request("r1", make_request(revision=4), 0.7)
     assert publisher.schedule_updates(current, 0.8) == []
 
@@ -52,15 +50,15 @@
 def test_revision_of_earlier_boot_is_ignored():
     publisher = Publisher("b")
     publisher.handle_request("r1", make_request(boot_id="earlier", revision=900), 0.0)
-    ((_, held, _),) = publisher.schedule_updates(StateVersions(4, 0, 0), 0.0)
-    assert held.revision == -1
+    (due,) = publisher.schedule_updates(StateVersions(4, 0, 0), 0.0)
+    assert due.held.revision == -1
     assert not publisher.holds_revision("r1", 1)
 
 
 def send_configuration(publisher, now, version=2, **options):
     """Return the names of the routers that are sent a configuration now."""
     due = publisher.schedule_updates(StateVersions(4, version, 0), now, **options)
-    return [name for name, _, with_configuration in due if with_configuration]
+    return [update.name for update in due if update.with_configuration]
 
 
 def acknowledge(publisher, name, now, version):
--- a/sassafrashook/quarantine/_ledger.py
+++ b/sassafrashook/quarantine/_ledger.py
@@ -76,21 +76,31 @@
     """State of one crash.
 
     :ivar crashed_at: when it was detected, in monotonic seconds.
-    :ivar requests: set of pairs of traits and origin of the requests that broke off.
-    :ivar cleared: set of the traits that have completed since.
-    :ivar revision: revision of the ledger of the last change.
-    :ivar observed_at: time of the last change that this node observed itself, in monotonic seconds;
-        minus infinity if there is none.
+    :ivar requests: revision of the ledger at the last change of each request that broke off, by the
+        pair of its traits and origin.
+    :ivar cleared: the same of each trait that has completed since.
+    :ivar revision: revision of the ledger at the last change of the crash.
+    :ivar observed_requests: when this node observed that a request broke off, in monotonic seconds,
+        by the pair of its traits and origin.
+    :ivar observed_cleared: when this node observed a completed request, by its traits.
     """
 
-    __slots__ = ("crashed_at", "requests", "cleared", "revision", "observed_at")
+    __slots__ = (
+        "crashed_at",
+        "requests",
+        "cleared",
+        "revision",
+        "observed_requests",
+        "observed_cleared",
+    )
 
     def __init__(self, crashed_at):
         self.crashed_at = crashed_at
-        self.requests = set()
-        self.cleared = set()
+        self.requests = {}
+        self.cleared = {}
         self.revision = 0
-        self.observed_at = float("-inf")
+        self.observed_requests = {}
+        self.observed_cleared = {}
 
 
 class _Suspect:
@@ -162,8 +172,11 @@
         :param origins: hash of the request id of each of them.
         :param now: monotonic seconds.
         """
-        self.merge(CrashRecord(*key, 0.0, requests, origins=origins), now)
-        self._crashes[key].observed_at = now
+        record = CrashRecord(*key, 0.0, requests, origins=origins)
+        self.merge(record, now)
+        observed = self._crashes[key].observed_requests
+        for request in record.list_requests():
+            observed.setdefault(request, now)
         self._selected_at = float("-inf")
 
     def merge(self, record, now):
@@ -183,9 +196,9 @@
                 self._remove(next(iter(self._crashes)))
         free = max(0, MAX_REQUESTS_PER_CRASH - len(crash.requests))
         added = [pair for pair in record.list_requests() if pair not in crash.requests][:free]
-        cleared = set(record.cleared) - crash.cleared
+        cleared = set(record.cleared) - crash.cleared.keys()
         for traits, origin in added:
-            crash.requests.add((traits, origin))
+            crash.requests[traits, origin] = 0
             self._add_request(traits, origin, key)
             cleared.update(
                 trait
@@ -193,9 +206,8 @@
                 if self._completed_at.get(trait, float("-inf")) > crash.crashed_at
                 and trait not in crash.cleared
             )
-        crash.cleared |= cleared
         if is_new or added or cleared:
-            self._mark_changed(key)
+            self._mark_changed(key, added, cleared)
         return bool(is_new or added or cleared)
 
     def _add_request(self, traits, origin, key):
@@ -203,14 +215,23 @@
             requests_by_key = self._requests_by_trait.setdefault(trait, {})
             if len(requests_by_key) == 1 and key not in requests_by_key:
                 # The trait is now repeated, so routers need to know of its first crash.
-                self._mark_changed(next(iter(requests_by_key)))
+                self._mark_repeated(trait, next(iter(requests_by_key)))
             requests_by_key.setdefault(key, set()).add((traits[-1], origin))
             known_distance = self._distance_by_trait.get(trait, 0)
             self._distance_by_trait[trait] = max(known_distance, distance)
 
-    def _mark_changed(self, key):
+    def _mark_repeated(self, trait, key):
+        crash = self._crashes[key]
+        requests = [request for request in crash.requests if trait in request[0]]
+        self._mark_changed(key, requests, [trait] if trait in crash.cleared else ())
+
+    def _mark_changed(self, key, requests=(), cleared=()):
+        """Assign a new revision to a crash and to some of its requests and cleared traits."""
         self.revision_ += 1
-        self._crashes[key].revision = self.revision_
+        crash = self._crashes[key]
+        crash.revision = self.revision_
+        crash.requests.update(dict.fromkeys(requests, self.revision_))
+        crash.cleared.update(dict.fromkeys(cleared, self.revision_))
 
     def record_completion(self, traits, now):
         """Record that a request completed, which clears its traits of all known crashes.
@@ -226,9 +247,8 @@
             for key in self._requests_by_trait.get(trait, ()):
                 crash = self._crashes[key]
                 if trait not in crash.cleared:
-                    crash.cleared.add(trait)
-                    crash.observed_at = now
-                    self._mark_changed(key)
+                    crash.observed_cleared[trait] = now
+                    self._mark_changed(key, cleared=[trait])
                     cleared[trait] = None
         while len(self._completed_at) > MAX_COMPLETED_TRAITS:
             self._completed_at.popitem(last=False)
@@ -369,16 +389,21 @@
         return independent >= CRASH_LIMIT or len(keys) >= RESUMED_CRASH_LIMIT
 
     def list_changes(self, revision, now):
-        """Return the records that changed after a revision.
+        """Return what has changed after a revision, as records of the crashes concerned.
 
         :param revision: the last revision that the receiver has.
         :param now: monotonic seconds.
         """
-        keys = [key for key, crash in self._crashes.items() if crash.revision > revision]
-        return [self._make_record(key, now) for key in keys]
+        records = []
+        for key, crash in self._crashes.items():
+            if crash.revision > revision:
+                requests = [request for request, at in crash.requests.items() if at > revision]
+                cleared = [trait for trait, at in crash.cleared.items() if at > revision]
+                records.append(self._make_record(key, requests, cleared, now))
+        return records
 
     def list_repeated_changes(self, revision, now):
-        """Return the records that changed after a revision, limited to what routers decide by.
+        """Return what has changed after a revision, limited to what routers decide by.
 
         Only traits of at least two crashes can be quarantined, and contents of requests without a
         prompt are suspected after one. A request without any is left out, of the others the content
@@ -391,22 +416,33 @@
         for record in self.list_changes(revision, now):
             requests = {(self._select_repeated(t), origin) for t, origin in record.list_requests()}
             requests = {(traits, origin) for traits, origin in requests if traits}
-            if requests:
-                known = {trait for traits, _ in requests for trait in traits}
-                cleared = [t for t in record.cleared if t in known or self._is_repeated(t)]
+            key = (record.upstream_id, record.boot_ms)
+            cleared = [trait for trait in record.cleared if self._concerns_routers(trait, key)]
+            if requests or cleared:
                 records.append(
                     msgspec.structs.replace(record, **_encode_requests(requests), cleared=cleared)
                 )
         return records
 
     def list_observed(self, since, now):
-        """Return the records with changes that this node observed itself at or after a time.
+        """Return what this node observed itself at or after a time, as records of the crashes.
 
         :param since: monotonic seconds.
         :param now: monotonic seconds.
         """
-        keys = [key for key, crash in self._crashes.items() if crash.observed_at >= since]
-        return [self._make_record(key, now) for key in keys]
+        records = []
+        for key, crash in self._crashes.items():
+            requests = [request for request, at in crash.observed_requests.items() if at >= since]
+            cleared = [trait for trait, at in crash.observed_cleared.items() if at >= since]
+            if requests or cleared:
+                records.append(self._make_record(key, requests, cleared, now))
+        return records
+
+    def _concerns_routers(self, trait, key):
+        """Return whether routers decide by a trait, because of the requests of a crash."""
+        return self._is_repeated(trait) or any(
+            traits == (trait,) for traits, _ in self._crashes[key].requests
+        )
 
     def _is_repeated(self, trait):
         return len(self._requests_by_trait.get(trait, ())) > 1
@@ -417,11 +453,9 @@
         parts = tuple(trait for trait in traits[:-1] if self._is_repeated(trait))
         return (*parts, traits[-1]) if parts or self._is_repeated(traits[-1]) else ()
 
-    def _make_record(self, key, now):
-        crash = self._crashes[key]
-        age_ms = (now - crash.crashed_at) * MS_PER_S
-        requests = _encode_requests(crash.requests)
-        return CrashRecord(*key, age_ms, **requests, cleared=sorted(crash.cleared))
+    def _make_record(self, key, requests, cleared, now):
+        age_ms = (now - self._crashes[key].crashed_at) * MS_PER_S
+        return CrashRecord(*key, age_ms, **_encode_requests(requests), cleared=sorted(cleared))
 
     def _expire(self, now):
         """Remove the crashes that no quarantine can be based on any more."""
