gateway: no final rejection by a configuration that may be outdated

Callers got 404 for a route that had been added 5 s before. A router took its own configuration as current: updates did not say which version the controller holds unless they carried it, and controllers without a majority confirmed it as well. Updates now name the version and whether the controller is connected to a majority. A router that knows of a newer version, or that no such controller has confirmed for 2.5 s, answers 503 with a time to come back where its table has no route or no key; requests that its table allows are served as before.

--- a/sassafrashook/fleet/_controller.py
+++ b/sassafrashook/fleet/_controller.py
@@ -255,6 +255,8 @@
                 crash_records,
                 held.revision,
                 held.crash_revision,
+                state.version_,
+                self._had_majority,
             )
             self.mesh.send(name, message)
 
--- a/sassafrashook/fleet/_messages.py
+++ b/sassafrashook/fleet/_messages.py
@@ -66,6 +66,9 @@
     :param base_revision: revision since which ``registrations`` holds the changes. A node that does
         not hold it must not acknowledge ``revision``.
     :param base_crash_revision: the same for ``crashes``.
+    :param newest_version: version of the configuration that the controller holds, also if it is
+        omitted here.
+    :param is_connected: whether the controller is connected to a majority.
     """
 
     boot_id: str
@@ -81,6 +84,8 @@
     crashes: list[CrashRecord] = []
     base_revision: int = 0
     base_crash_revision: int = 0
+    newest_version: int = 0
+    is_connected: bool = True
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
--- a/sassafrashook/fleet/_subscriber.py
+++ b/sassafrashook/fleet/_subscriber.py
@@ -19,6 +19,8 @@
 CONNECT_INTERVAL_S = 0.1  # between requests to a controller that is not connected
 # A controller that sent an update within this time is connected; it sends one at least each second.
 CONTROLLER_TIMEOUT_S = 2.5
+# A configuration that no controller with a majority has confirmed for this time may be outdated.
+CONFIRMATION_TIMEOUT_S = 2.5
 
 
 class FleetView:
@@ -34,6 +36,9 @@
     :ivar drained_zones_: availability zones that are drained.
     :ivar drain_index_: log index of ``drained_zones_``.
     :ivar routers_: names of all routers.
+    :ivar newest_version_: highest version of a configuration that a controller has named.
+    :ivar confirmed_at_: when a controller that is connected to a majority last sent an update, in
+        monotonic seconds.
     """
 
     def __init__(self, registry, crashes=None):
@@ -44,12 +49,22 @@
         self.drained_zones_ = frozenset()
         self.drain_index_ = 0
         self.routers_ = ()
+        self.newest_version_ = 0
+        self.confirmed_at_ = float("-inf")
 
     @property
     def version(self):
         """Version of the configuration, 0 if there is none."""
         return self.table_.version if self.table_ is not None else 0
 
+    def may_be_outdated(self, now):
+        """Return whether there is, or may be, a newer configuration than this node's.
+
+        :param now: monotonic seconds.
+        """
+        is_confirmed = now < self.confirmed_at_ + CONFIRMATION_TIMEOUT_S
+        return self.newest_version_ > self.version or not is_confirmed
+
     def apply(self, update, now):
         """Apply an update from a controller.
 
@@ -67,6 +82,9 @@
             )
             self.table_ = RouteTable(configuration)
             self.configured_.set()
+        self.newest_version_ = max(self.newest_version_, update.newest_version)
+        if update.is_connected:
+            self.confirmed_at_ = now
         if update.routers:
             self.routers_ = tuple(update.routers)
         if update.drain_index <= self.drain_index_:
--- a/sassafrashook/fleet/tests/test_publisher.py
+++ b/sassafrashook/fleet/tests/test_publisher.py
@@ -2,6 +2,8 @@
 
 import itertools
 
+import msgspec
+
 from sassafrashook.fleet import FleetState, FleetSubscriber, FleetView, Publisher
 from sassafrashook.fleet._loads import LoadAggregator
 from sassafrashook.fleet._messages import ViewChanged, ViewRequested
@@ -20,6 +22,7 @@
     decode_outcome,
     encode_command,
 )
+from sassafrashook.fleet._subscriber import CONFIRMATION_TIMEOUT_S
 from sassafrashook.registry import Registry
 
 
@@ -211,6 +214,19 @@
     assert view.drained_zones_ == frozenset()
 
 
+def test_view_may_be_outdated_unless_a_majority_confirmed_it_as_the_newest():
+    view = FleetView(Registry(10.0))
+    update = make_update(0, [])
+    assert view.may_be_outdated(0.0)
+    view.apply(msgspec.structs.replace(update, is_connected=False), 0.0)
+    assert view.may_be_outdated(0.0)
+    view.apply(update, 1.0)
+    assert not view.may_be_outdated(1.0)
+    assert view.may_be_outdated(1.0 + CONFIRMATION_TIMEOUT_S)
+    view.apply(msgspec.structs.replace(update, newest_version=7), 2.0)
+    assert view.may_be_outdated(2.0)
+
+
 def test_expired_load_reports_are_discarded():
     loads = LoadAggregator()
     loads.update_router("r1", {"a": 2}, 0.0)
--- a/sassafrashook/gateway/_server.py
+++ b/sassafrashook/gateway/_server.py
@@ -1,5 +1,6 @@
 """Accepts client connections and serves their requests until the server is stopped."""
 
+import math
 import time
 
 import gevent
@@ -20,8 +21,8 @@
 # removed the node: it checks readiness once a second and removes a node after two failed checks.
 CLOSE_IDLE_AFTER_S = 2.2
 STOP_ACCEPTING_AFTER_S = 3.5
-# Bounds of the random retry delay while there is no configuration. A restart of the whole fleet
-# takes about 1 s; the range spreads the retries of the clients.
+# Bounds of the random retry delay while there is no configuration, or it may be outdated. A restart
+# of the whole fleet takes about 1 s; the range spreads the retries of the clients.
 NO_CONFIGURATION_RETRY_MS = (400, 800)
 # A request waits for the first configuration for this fraction of its deadline, but no longer than
 # the maximum. Once a controller has the configuration, a restarted router receives it within that
@@ -30,6 +31,7 @@
 MAX_CONFIGURATION_WAIT_S = 0.5
 STATUS_NOT_FOUND = 404
 STATUS_UNAUTHORIZED = 401
+MS_PER_S = 1_000
 
 
 class GatewayServer:
@@ -140,25 +142,40 @@
         metadata = gateway.header_codec.decode_request_headers(head.headers)
         table = gateway.view.table_ or self._wait_for_table(metadata, started_at)
         if table is None:
-            self._record_rejection(metadata, head, RefusalReason.NO_CONFIGURATION, 0)
-            text = "no configuration is known"
-            retry_after_ms = round(gateway.placement.rng.uniform(*NO_CONFIGURATION_RETRY_MS))
-            self._send_rejection(client, STATUS_UNAVAILABLE, text, retry_after_ms)
+            self._reject_for_now(client, metadata, head, RefusalReason.NO_CONFIGURATION)
             return
         route = table.match(head.host, head.path)
         if route is None:
-            self._record_rejection(metadata, head, RefusalReason.UNKNOWN_SERVICE, table.version)
-            self._send_rejection(client, STATUS_NOT_FOUND, "no route")
+            reason = RefusalReason.UNKNOWN_SERVICE
+            self._reject_by_table(client, metadata, head, reason, STATUS_NOT_FOUND, "no route")
             return
         account = None
         if table.requires_keys and not route.allows_anonymous:
             account = table.find_account(metadata.api_key)
             if account is None:
-                self._record_rejection(metadata, head, RefusalReason.UNAUTHENTICATED, table.version)
-                self._send_rejection(client, STATUS_UNAUTHORIZED, "unknown key")
+                reason = RefusalReason.UNAUTHENTICATED
+                text = "unknown key"
+                self._reject_by_table(client, metadata, head, reason, STATUS_UNAUTHORIZED, text)
                 return
         RequestHandler(gateway, client, head, metadata, route, account, body, started_at).handle()
 
+    def _reject_by_table(self, client, metadata, head, reason, status, text):
+        """Reject a request that the route table does not allow, unless the table may be outdated.
+
+        Clients do not retry after such a rejection.
+        """
+        if self.gateway.view.may_be_outdated(time.monotonic()):
+            self._reject_for_now(client, metadata, head, RefusalReason.STALE_VIEW)
+            return
+        self._record_rejection(metadata, head, reason)
+        self._send_rejection(client, status, text)
+
+    def _reject_for_now(self, client, metadata, head, reason):
+        """Reject a request that this router may be able to handle later."""
+        self._record_rejection(metadata, head, reason)
+        retry_after_ms = round(self.gateway.placement.rng.uniform(*NO_CONFIGURATION_RETRY_MS))
+        self._send_rejection(client, STATUS_UNAVAILABLE, reason, retry_after_ms)
+
     def _wait_for_table(self, metadata, started_at):
         """Wait for the first configuration.
 
@@ -176,11 +193,14 @@
         )  # fmt: skip
         return view.table_
 
-    def _record_rejection(self, metadata, head, reason, version):
+    def _record_rejection(self, metadata, head, reason):
+        view = self.gateway.view
+        confirmed_s = time.monotonic() - view.confirmed_at_
         self.gateway.metrics.count("refusals", reason)
         log_event(
             "request_rejected", request=metadata.request_id, host=head.host, path=head.path,
-            reason=reason, version=version,
+            reason=reason, version=view.version, newest=view.newest_version_,
+            confirmed_ms=round(confirmed_s * MS_PER_S) if math.isfinite(confirmed_s) else "-",
         )  # fmt: skip
 
     def _send_rejection(self, client, status, text, retry_after_ms=None):
