gateway: a router that reaches no upstream sends requests through another router

Callers of routers that are cut off from all upstreams got 503 on each first attempt, while other routers served. A router sent requests to upstreams itself or not at all, and took its own lost connections for lost upstreams.

Where the upstreams of a service are registered but none can be connected to, a request now goes to another router on a port of its own, as the client sent it, with the time that is left and the number of upstreams that may still run it. That router handles it like a client's, with its own limits, quarantines and records of streams, but neither counts it towards the retry budget again nor forwards it once more. Its own responses carry a verdict: not run lets the next router be asked, four at most, anything else ends the request. A router that reaches no upstream of the service either is not asked for a second; after twelve such answers in a row nobody is, as the upstreams are probably down. Only known routers are accepted.

Considered and dropped: to turn unready or refuse connections, which is a failed attempt for the caller as well.

--- a/sassafrashook/daemons/_router.py
+++ b/sassafrashook/daemons/_router.py
@@ -94,8 +94,12 @@
             limits,
             self.metrics_,
             self.streams_,
+            settings.peer_port,
         )
         self.server_ = GatewayServer(self.gateway_, *settings.router.clients)
+        self.peer_server_ = GatewayServer(
+            self.gateway_, settings.name, settings.peer_port, is_for_peers=True
+        )
         self._readiness_server = None
         self._usable = []
 
@@ -111,6 +115,7 @@
         self.subscriber_.set_seeds(self.settings.seeds)
         self.subscriber_.start()
         self.streams_.start()
+        self.peer_server_.start()
         self.server_.start()
         application = make_endpoint_application(self.readiness_path, self._make_readiness_response)
         self._readiness_server = serve_application(self.settings.router.readiness, application)
@@ -140,7 +145,10 @@
 
         :param deadline: requests still running then are not waited for, monotonic seconds.
         """
-        unfinished = self.server_.stop(deadline)
+        servers = (self.server_, self.peer_server_)
+        stops = [spawn_task(server.stop, deadline) for server in servers]
+        gevent.joinall(stops)
+        unfinished = sum(stop.value for stop in stops)
         log_event("requests_unfinished_at_stop", count=unfinished)
         self.streams_.stop()
         self.subscriber_.stop()
--- a/sassafrashook/daemons/_settings.py
+++ b/sassafrashook/daemons/_settings.py
@@ -22,6 +22,8 @@
     :param name: IP address of the node, which is its node name.
     :param availability_zone: availability zone that it runs in.
     :param stream_port: port of the streams between nodes, the same on every node.
+    :param peer_port: port on which a router accepts requests that other routers forward, the same
+        on every router.
     :param seeds: IP addresses of some controllers.
     :param router: a :class:`RouterAddresses`, ``None`` on a controller.
     :param control: pair of host and port for operators and upstreams, ``None`` on a router.
@@ -46,6 +48,7 @@
     name: str
     availability_zone: str
     stream_port: int
+    peer_port: int
     seeds: tuple
     router: RouterAddresses | None
     control: tuple | None
--- a/sassafrashook/gateway/__init__.py
+++ b/sassafrashook/gateway/__init__.py
@@ -5,6 +5,7 @@
 from sassafrashook.gateway._header_codec import (
     ForwardingMetadata,
     HeaderCodec,
+    PeerForwardingMetadata,
     PromptPart,
     RequestMetadata,
     ResponseMetadata,
@@ -19,6 +20,7 @@
     "Gateway",
     "RetryLimits",
     "GatewayServer",
+    "PeerForwardingMetadata",
     "PromptPart",
     "RequestMetadata",
 ]
--- a/sassafrashook/gateway/_attempt.py
+++ b/sassafrashook/gateway/_attempt.py
@@ -123,6 +123,14 @@
         self._connect()
         self._send()
         self.head_ = self._read_head()
+        self._check_head()
+        return self.head_
+
+    def _check_head(self):
+        """Record what the head of the response states.
+
+        :raises AttemptError: if the response is not successful.
+        """
         metadata = self.metadata_
         if metadata.load is not None:
             self.upstream.record_load_report(*metadata.load, time.monotonic())
@@ -136,23 +144,38 @@
                 self.upstream.is_address_reused_ = True
             kind = FailureKind.MISDIRECTED if metadata.is_misdirected else FailureKind.REFUSED
             raise AttemptError(kind, Verdict.NOT_RUN, f"status {self.head_.status}")
+        self._check_upstream_head()
+
+    def _check_upstream_head(self):
+        """Check the head of an upstream that has run the request.
+
+        :raises AttemptError: if the response is not successful.
+        """
         if self.head_.status >= 300:
             response = UpstreamResponse(self.head_, self.read_body())
             self.finish()
             raise AttemptError(
                 FailureKind.UNSUCCESSFUL_STATUS, Verdict.RAN, f"{response.head.status}", response
             )
-        if not metadata.is_signed:
+        if not self.metadata_.is_signed:
             raise self._close_with_error(
                 FailureKind.UNSIGNED, "successful response without a signature"
             )
-        return self.head_
+
+    @property
+    def pool_key(self):
+        """Key under which the pool keeps idle connections."""
+        return self.upstream.key
+
+    @property
+    def software_version(self):
+        """Version of the software that responds, ``None`` if it is not known."""
+        return self.upstream.registration.version
 
     def _connect(self):
         handler = self.handler
-        pool = handler.gateway.pool
         max_idle_s = MAX_IDLE_S if handler.route.is_idempotent else MAX_IDLE_AT_MOST_ONCE_S
-        connection = pool.acquire(self.upstream.key, max_idle_s)
+        connection = handler.gateway.pool.acquire(self.pool_key, max_idle_s)
         self.is_reused_ = connection is not None
         if connection is None:
             try:
@@ -175,7 +198,7 @@
         self.upstream.record_connect_failure(time.monotonic())
         if isinstance(error, ConnectionRefusedError):
             gateway.record_refused_connection(self.upstream)
-        gateway.pool.close_idle(self.upstream.key)
+        gateway.pool.close_idle(self.pool_key)
 
     def _send(self):
         handler = self.handler
@@ -185,6 +208,20 @@
             raise AttemptError(
                 FailureKind.TIMEOUT, Verdict.NOT_RUN, "deadline passed before the request was sent"
             )
+        fields = self._encode_fields(remaining_ms)
+        head = handler.head
+        try:
+            self.connection_.send_request(head.method, head.target, fields, handler.body)
+        except OSError as error:
+            raise self._close_after_interruption(error) from error
+
+    def _encode_fields(self, remaining_ms):
+        """Encode the header of the request.
+
+        :param remaining_ms: time that is left until the request's deadline, in milliseconds.
+        :returns: list of (name, value) pairs of ``bytes``.
+        """
+        handler = self.handler
         forwarding = ForwardingMetadata(
             self.upstream.registration.upstream_id,
             remaining_ms,
@@ -193,14 +230,9 @@
             handler.last_event_id_,
             self.prompt_source.registration.address if self.prompt_source is not None else None,
         )
-        fields = handler.gateway.header_codec.encode_forwarded_headers(
+        return handler.gateway.header_codec.encode_forwarded_headers(
             handler.head.headers, forwarding
         )
-        head = handler.head
-        try:
-            self.connection_.send_request(head.method, head.target, fields, handler.body)
-        except OSError as error:
-            raise self._close_after_interruption(error) from error
 
     def _read_head(self):
         return self._read_with_timeouts(
@@ -249,9 +281,12 @@
         data = self._read_with_timeouts(
             self.connection_.read_data, self.handler.data_silence_timeout_s
         )
-        self.upstream.last_body_data_at_ = time.monotonic()
+        self._record_body_data()
         return data
 
+    def _record_body_data(self):
+        self.upstream.last_body_data_at_ = time.monotonic()
+
     def read_body(self):
         """Read the whole body.
 
@@ -305,10 +340,13 @@
         if self.handler.client.is_disconnected_:
             kind = FailureKind.CLIENT_DISCONNECTED
         elif kind is FailureKind.SILENT or (kind is FailureKind.BROKEN and not self.is_reused_):
-            self.upstream.request_probe()
+            self._request_probe()
         self.close()
         return AttemptError(kind, Verdict.MAY_HAVE_RUN, detail)
 
+    def _request_probe(self):
+        self.upstream.request_probe()
+
     def _discard_body(self):
         """Read the body of a response that refuses the request, to reuse the connection."""
         deadline, size = time.monotonic() + REFUSAL_TIMEOUT_S, 0
@@ -355,12 +393,12 @@
             attempt_error = self._close_after_interruption(ended)
             self._record_connect_failure(error)
             raise attempt_error from error
-        self.handler.gateway.pool.add_unused(self.upstream.key, connection)
+        self.handler.gateway.pool.add_unused(self.pool_key, connection)
 
     def _release_connection(self):
         connection, self.connection_ = self.connection_, None
         if connection is not None:
-            self.handler.gateway.pool.release(self.upstream.key, connection, self.head_)
+            self.handler.gateway.pool.release(self.pool_key, connection, self.head_)
 
     def close(self):
         """Close the connection if it is still in use."""
--- a/sassafrashook/gateway/_gateway.py
+++ b/sassafrashook/gateway/_gateway.py
@@ -6,6 +6,7 @@
 
 from gevent.event import Event
 
+from sassafrashook.gateway._peers import PeerSelector
 from sassafrashook.placement import RetryBudget
 from sassafrashook.quarantine import CrashDetector, compute_trial_delay_s, format_trait
 from sassafrashook.routes import ClientLimits
@@ -43,14 +44,18 @@
     :param limits: the :class:`RetryLimits` of each service.
     :param metrics: a :class:`~sassafrashook.telemetry.Metrics`.
     :param streams: a :class:`~sassafrashook.streams.StreamVersions`.
+    :param peer_port: port on which every router accepts requests that other routers forward.
 
+    :ivar peers: the :class:`~sassafrashook.gateway._peers.PeerSelector`.
     :ivar active_handlers_: set of the :class:`~sassafrashook.gateway._request.RequestHandler` in
         progress.
     :ivar probe_requested_: event that is set when an upstream needs a probe.
     :ivar crash_observed_: event that is set when this router observes a crash of an upstream.
     """
 
-    def __init__(self, name, header_codec, view, placement, pool, limits, metrics, streams):
+    def __init__(
+        self, name, header_codec, view, placement, pool, limits, metrics, streams, peer_port=0
+    ):
         self.name = name
         self.header_codec = header_codec
         self.view = view
@@ -59,6 +64,8 @@
         self.limits = limits
         self.metrics = metrics
         self.streams = streams
+        self.peer_port = peer_port
+        self.peers = PeerSelector(name, placement.rng)
         self.active_handlers_ = set()
         self.probe_requested_ = Event()
         self.crash_observed_ = Event()
--- a/sassafrashook/gateway/_header_codec.py
+++ b/sassafrashook/gateway/_header_codec.py
@@ -86,6 +86,21 @@
     prompt_source: tuple | None = None
 
 
+@dataclass(slots=True, frozen=True)
+class PeerForwardingMetadata:
+    """Metadata that a router adds to the request that it forwards to another router.
+
+    :param deadline_ms: time that is left until the request's deadline, in milliseconds.
+    :param last_event_id: id of the event after which a stream resumes, ``None`` to start at its
+        beginning.
+    :param stream_request_id: id of the request that began the stream, ``None`` unless it resumes.
+    """
+
+    deadline_ms: float
+    last_event_id: str | None
+    stream_request_id: str | None
+
+
 class HeaderCodec(ABC):
     """Decodes and encodes the HTTP headers of one deployment."""
 
@@ -113,3 +128,12 @@
         :param forwarding: a :class:`ForwardingMetadata`.
         :returns: list of (name, value) pairs of ``bytes``.
         """
+
+    @abstractmethod
+    def encode_peer_headers(self, headers, forwarding):
+        """Encode the headers of the request to another router, which decodes them as a client's.
+
+        :param headers: the client's :class:`~sassafrashook.http1.Headers`.
+        :param forwarding: a :class:`PeerForwardingMetadata`.
+        :returns: list of (name, value) pairs of ``bytes``.
+        """
--- /dev/null
+++ b/sassafrashook/gateway/_peers.py
@@ -0,0 +1,197 @@
+"""Forwarding of requests through another router, while this one reaches no upstream."""
+
+import time
+from dataclasses import dataclass, replace
+
+from sassafrashook.gateway._attempt import (
+    Attempt,
+    AttemptError,
+    FailureKind,
+)
+from sassafrashook.gateway._header_codec import PeerForwardingMetadata
+from sassafrashook.gateway._responses import MS_PER_S, STATUS_GATEWAY_TIMEOUT, VERDICT_HEADER
+from sassafrashook.http1 import Headers, UpstreamResponseError
+from sassafrashook.outcomes import RefusalReason, Verdict
+
+# Set by routers on the requests that they send each other: how many upstreams may run the request.
+MAX_UPSTREAMS_HEADER = b"sassafrashook-max-upstreams"
+# A peer that reaches no upstream of a service either is not asked again for this time.
+AVOIDANCE_S = 1.0
+MAX_PEERS_PER_REQUEST = 4
+# Number of peers, one after another, that reach no upstream of a service, after which none is asked
+# for ``AVOIDANCE_S``: the upstreams themselves are probably down.
+MAX_CONSECUTIVE_REFUSALS = 12
+MAX_REASON_BYTES = 64
+
+
+def take_max_upstreams(head):
+    """Take the number of upstreams that may run a request out of its head.
+
+    :param head: the :class:`~sassafrashook.http1.RequestHead` that another router has sent.
+    :returns: the head without the number, and the number; 1 if it is missing or malformed.
+    """
+    text = head.headers.get(MAX_UPSTREAMS_HEADER, "")
+    fields = [pair for pair in head.headers.fields if pair[0].lower() != MAX_UPSTREAMS_HEADER]
+    return replace(head, headers=Headers(fields)), int(text) if text.isdigit() else 1
+
+
+class PeerSelector:
+    """Selects the routers through which requests for a service are forwarded.
+
+    :param name: name of this router.
+    :param rng: a ``random.Random``.
+    """
+
+    def __init__(self, name, rng):
+        self.name = name
+        self.rng = rng
+        self._avoided_until = {}
+        self._refusals = {}
+        self._paused_until = {}
+
+    def select(self, service, routers, excluded, now):
+        """Return the name of a router to forward a request to, ``None`` if there is none.
+
+        :param service: name of the service.
+        :param routers: names of all routers.
+        :param excluded: names of the routers that the request was forwarded to already.
+        :param now: monotonic seconds.
+        """
+        if now < self._paused_until.get(service, now):
+            return None
+        candidates = [
+            name
+            for name in routers
+            if name != self.name
+            and name not in excluded
+            and now >= self._avoided_until.get((service, name), now)
+        ]
+        return self.rng.choice(candidates) if candidates else None
+
+    def record_refusal(self, service, name, now):
+        """Record that a router could not be reached, or reaches no upstream of a service.
+
+        :param service: name of the service.
+        :param name: name of the router.
+        :param now: monotonic seconds.
+        """
+        self._avoided_until[service, name] = now + AVOIDANCE_S
+        self._refusals[service] = self._refusals.get(service, 0) + 1
+        if self._refusals[service] >= MAX_CONSECUTIVE_REFUSALS:
+            self._refusals[service] = 0
+            self._paused_until[service] = now + AVOIDANCE_S
+
+    def record_success(self, service):
+        """Record that a router reaches the upstreams of a service.
+
+        :param service: name of the service.
+        """
+        self._refusals.pop(service, None)
+
+
+@dataclass(slots=True, frozen=True)
+class PeerRefusal:
+    """A router's own response to a forwarded request.
+
+    :param reason: a :class:`~sassafrashook.outcomes.RefusalReason`, or ``None`` if the response
+        names none.
+    :param retry_after_ms: delay after which the client may retry, in milliseconds, or ``None``.
+    """
+
+    reason: RefusalReason | None
+    retry_after_ms: int | None
+
+
+class PeerAttempt(Attempt):
+    """Sends a request to another router and reads the response that it passes on.
+
+    The router handles the request like one of a client, but does not forward it to a third router.
+
+    :param handler: the :class:`~sassafrashook.gateway._request.RequestHandler`.
+    :param peer: name of the router, which is its IP address.
+
+    :ivar refusal_: the :class:`PeerRefusal` if the router did not send the request to an upstream.
+    """
+
+    __slots__ = ("peer", "refusal_")
+
+    def __init__(self, handler, peer):
+        super().__init__(handler, None, None)
+        self.peer = peer
+        self.refusal_ = None
+
+    @property
+    def software_version(self):
+        """Unknown: the other router records which software version begins a stream."""
+        return None
+
+    @property
+    def pool_key(self):
+        """Key under which the pool keeps idle connections."""
+        return ("router", self.peer)
+
+    def _open_connection(self):
+        gateway = self.handler.gateway
+        remaining_s = self.handler.deadline - time.monotonic()
+        return gateway.pool.open((self.peer, gateway.peer_port), remaining_s, gateway.name)
+
+    def _record_connect_failure(self, _error):
+        self.handler.gateway.pool.close_idle(self.pool_key)
+
+    def _encode_fields(self, remaining_ms):
+        handler = self.handler
+        stream_request_id = handler.metadata.stream_request_id
+        if handler.last_event_id_ is not None and stream_request_id is None:
+            stream_request_id = handler.metadata.request_id
+        forwarding = PeerForwardingMetadata(remaining_ms, handler.last_event_id_, stream_request_id)
+        fields = handler.gateway.header_codec.encode_peer_headers(handler.head.headers, forwarding)
+        fields = [pair for pair in fields if pair[0].lower() != MAX_UPSTREAMS_HEADER]
+        remaining = handler.route.max_upstreams - handler.execution_count_
+        return [*fields, (MAX_UPSTREAMS_HEADER, b"%d" % max(1, remaining))]
+
+    def _check_head(self):
+        status = self.head_.status
+        verdict = self.head_.headers.get(VERDICT_HEADER)
+        if verdict is None:
+            self._check_upstream_head()
+            return
+        text = self._read_text()
+        if verdict != Verdict.NOT_RUN:
+            kind = FailureKind.TIMEOUT if status == STATUS_GATEWAY_TIMEOUT else FailureKind.BROKEN
+            raise AttemptError(kind, Verdict.MAY_HAVE_RUN, f"{status} {text}")
+        reason = RefusalReason(text) if text in set(RefusalReason) else None
+        self.refusal_ = PeerRefusal(reason, self._parse_retry_after_ms())
+        raise AttemptError(FailureKind.REFUSED, Verdict.NOT_RUN, f"{status} {text}")
+
+    def _parse_retry_after_ms(self):
+        try:
+            return round(float(self.head_.headers.get(b"retry-after", "")) * MS_PER_S)
+        except ValueError:
+            return None
+
+    def _read_text(self):
+        """Read the router's own response; :returns: its text, empty if it is not a reason."""
+        try:
+            body = self.read_body()
+        except AttemptError:
+            return ""
+        self.finish()
+        return body[:MAX_REASON_BYTES].decode("ascii", "replace").strip()
+
+    def _read_with_timeouts(self, read, _silence_timeout_s):
+        """Read until the deadline: the other router abandons silent upstreams itself."""
+        try:
+            return read(self.handler.deadline)
+        except UpstreamResponseError as error:
+            raise self._close_after_interruption(error) from error
+        except TimeoutError as error:
+            raise self._close_with_error(FailureKind.TIMEOUT, str(error)) from error
+
+    def _record_body_data(self):
+        pass
+
+    def _close_after_interruption(self, error):
+        return self._close_with_error(FailureKind.BROKEN, str(error))
+
+    def _request_probe(self):
+        pass
--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -6,8 +6,15 @@
 
 from sassafrashook.gateway._attempt import Attempt, AttemptError, FailureKind
 from sassafrashook.gateway._events import EventSplitter
+from sassafrashook.gateway._peers import MAX_PEERS_PER_REQUEST, PeerAttempt
 from sassafrashook.gateway._request_log import RequestLog
-from sassafrashook.gateway._responses import STATUS_UNAVAILABLE, send_text
+from sassafrashook.gateway._responses import (
+    STATUS_BAD_GATEWAY,
+    STATUS_GATEWAY_TIMEOUT,
+    STATUS_UNAVAILABLE,
+    VERDICT_HEADER,
+    send_text,
+)
 from sassafrashook.http1 import remove_hop_by_hop_headers
 from sassafrashook.outcomes import RefusalReason, RetryReason, Verdict
 from sassafrashook.placement import BUSY_RETRY_MS, PlacementQuery
@@ -30,9 +37,17 @@
 # Bounds of the random retry delay of a stream of unknown origin: its record may arrive meanwhile
 # from the router that began it, for example after a restart of the controllers.
 UNKNOWN_STREAM_RETRY_MS = (400, 800)
-STATUS_BAD_GATEWAY = 502
-STATUS_GATEWAY_TIMEOUT = 504
-REFRAMED_HEADERS = frozenset((b"content-length",))  # the client's connection sets its own framing
+# The client's connection sets its own framing, and routers their own verdict.
+REFRAMED_HEADERS = frozenset((b"content-length", VERDICT_HEADER))
+# Reasons for which another router rejects a request that any router would reject.
+FINAL_PEER_REFUSALS = frozenset(
+    (
+        RefusalReason.NO_CAPACITY,
+        RefusalReason.QUARANTINED,
+        RefusalReason.STREAM_UNKNOWN,
+        RefusalReason.UPSTREAM_LIMIT,
+    )
+)
 RETRY_REASONS = {
     FailureKind.UNREACHABLE: RetryReason.CONNECT_FAILED,
     FailureKind.REFUSED: RetryReason.UPSTREAM_BUSY,
@@ -58,7 +73,11 @@
     :param account: the client's :class:`~sassafrashook.routes.Account`, or ``None``.
     :param body: the whole body.
     :param started_at: time at which the head had been received, in monotonic seconds.
+    :param max_upstreams: number of upstreams that may run the request if another router has
+        forwarded it, ``None`` if it comes from a client.
 
+    :ivar is_from_peer: whether another router has forwarded the request.
+    :ivar max_upstreams: number of upstreams that may run the request.
     :ivar client_wait_ms: time that the client waits for the whole response, in milliseconds.
     :ivar deadline: time at which the request fails, in monotonic seconds.
     :ivar head_silence_timeout_s: time without a response head after which an attempt may be
@@ -76,7 +95,22 @@
     :ivar verdict_: :class:`~sassafrashook.outcomes.Verdict` on whether the request has run.
     """
 
-    def __init__(self, gateway, client, head, metadata, route, account, body, started_at):
+    def __init__(
+        self,
+        gateway,
+        client,
+        head,
+        metadata,
+        route,
+        account,
+        body,
+        started_at,
+        max_upstreams=None,
+    ):
+        self.is_from_peer = max_upstreams is not None
+        self.max_upstreams = min(
+            route.max_upstreams, max_upstreams if self.is_from_peer else route.max_upstreams
+        )
         self.gateway = gateway
         self.client = client
         self.head = head
@@ -131,7 +165,8 @@
 
     def handle(self):
         """Attempt the request until a final response has been sent or the client disconnects."""
-        self.gateway.record_request(self.service.name)
+        if not self.is_from_peer:  # the other router has counted it
+            self.gateway.record_request(self.service.name)
         self.client.on_disconnect = self._cancel
         self.gateway.active_handlers_.add(self)
         try:
@@ -156,7 +191,7 @@
         """Return whether an attempt that receives no data may be abandoned for a retry."""
         return (
             self.route.is_idempotent
-            and self.execution_count_ + 1 < self.route.max_upstreams
+            and self.execution_count_ + 1 < self.max_upstreams
             and self.gateway.can_retry(self.service.name)
             and (
                 self.stream_version_ is None
@@ -201,7 +236,8 @@
             if isinstance(result, Failure):
                 refusal = result.failure()
                 self._request_log.log_placement_refusal(refusal)
-                self._reject(refusal.reason, refusal.retry_after_ms)
+                if not (self._reaches_no_upstream(refusal) and self._forward_to_peers()):
+                    self._reject(refusal.reason, refusal.retry_after_ms)
                 return
             upstream = result.unwrap()
             error = self._run_attempt(query, upstream)
@@ -212,10 +248,85 @@
                 self._send_failure(error)
                 return
             if not self._prepare_retry(upstream, error):
-                self._send_failure(error)
+                is_unreachable = error.kind is FailureKind.UNREACHABLE
+                if not (is_unreachable and self._forward_to_peers()):
+                    self._send_failure(error)
                 return
         self._log("client_left", "-", "-")
 
+    def _reaches_no_upstream(self, refusal):
+        """Return whether upstreams of the service are known, but none can be connected to."""
+        is_unreachable = refusal.candidates > 0 or self.unreachable_count_ > 0
+        return refusal.reason is RefusalReason.NO_UPSTREAM and is_unreachable
+
+    def _forward_to_peers(self):
+        """Forward the request to other routers until one of them reaches an upstream.
+
+        :returns: whether the request has ended; otherwise certainly no upstream has run it because
+            of this, and it must be rejected.
+        """
+        gateway, service = self.gateway, self.service.name
+        tried = set()
+        while len(tried) < MAX_PEERS_PER_REQUEST and not self.client.is_disconnected_:
+            now = time.monotonic()
+            peer = None
+            if not self.is_from_peer and now < self.deadline:
+                peer = gateway.peers.select(service, gateway.view.routers_, tried, now)
+            if peer is None:
+                return False
+            tried.add(peer)
+            if self._run_peer_attempt(peer):
+                gateway.peers.record_success(service)
+                return True
+            gateway.peers.record_refusal(service, peer, time.monotonic())
+        return False
+
+    def _run_peer_attempt(self, peer):
+        """Forward the request to one router.
+
+        :returns: whether the request has ended.
+        """
+        attempt = self._attempt = PeerAttempt(self, peer)
+        self._request_log.log_peer(peer)
+        try:
+            head = attempt.start()
+            if self.route.is_stream:
+                self._relay_stream(attempt, head)
+            else:
+                self._relay_response(attempt, head)
+        except AttemptError as error:
+            self._request_log.log_peer_failure(peer, error)
+            return self._end_after_peer_failure(attempt, error)
+        finally:
+            self._attempt = None
+            attempt.close()
+        self.gateway.record_completion(self.metadata.request_id, self.traits)
+        self.verdict_ = Verdict.RAN
+        self._log("answered", f"router:{peer}", head.status)
+        return True
+
+    def _end_after_peer_failure(self, attempt, error):
+        """End the request, unless another router may still serve it.
+
+        :returns: whether the request has ended.
+        """
+        if error.kind is FailureKind.UNREACHABLE:
+            return False
+        if attempt.refusal_ is not None:
+            if attempt.refusal_.reason not in FINAL_PEER_REFUSALS:
+                return False
+            retry_after_ms = attempt.refusal_.retry_after_ms
+            if retry_after_ms is None:
+                retry_after_ms = round(self.gateway.placement.rng.uniform(*BUSY_RETRY_MS))
+            self._reject(attempt.refusal_.reason, retry_after_ms)
+            return True
+        if error.verdict is not Verdict.NOT_RUN:
+            # The other router may have tried as many upstreams as are allowed.
+            self.execution_count_ = self.max_upstreams
+            self.verdict_ = error.verdict
+        self._send_failure(error)
+        return True
+
     def _make_query(self):
         return PlacementQuery(
             self.service,
@@ -312,7 +423,7 @@
                 has_events = True
                 now = time.monotonic()
                 longest_pause_s, sent_at = max(longest_pause_s, now - sent_at), now
-                self._record_stream_version(attempt.upstream)
+                self._record_stream_version(attempt.software_version)
                 client.send_data(events)
         # A stream without framing may have broken off wherever it ends.
         if splitter.take_incomplete() or (head.is_close_delimited and not has_events):
@@ -321,11 +432,14 @@
         self._record("longest_pause_ms", "complete", longest_pause_s * 1_000)
         client.finish_response()
 
-    def _record_stream_version(self, upstream):
-        """Bind the stream to the software version of the upstream that sent its first event."""
-        if self.stream_version_ is not None:
+    def _record_stream_version(self, version):
+        """Bind the stream to the software version of the upstream that sent its first event.
+
+        :param version: the version, ``None`` if another router records it.
+        """
+        if self.stream_version_ is not None or version is None:
             return
-        self.stream_version_ = upstream.registration.version
+        self.stream_version_ = version
         if self.route.is_idempotent:
             until = self.started_at + self.client_wait_ms / 1_000 + RESUMPTION_MARGIN_S
             self.gateway.streams.record(self.metadata.request_id, self.stream_version_, until)
@@ -368,7 +482,7 @@
             return None
         if not self.route.is_idempotent:
             return "runs_once"
-        return "attempts" if self.execution_count_ >= self.route.max_upstreams else None
+        return "attempts" if self.execution_count_ >= self.max_upstreams else None
 
     def _send_failure(self, error):
         """End the request after its last attempt has failed.
@@ -413,7 +527,8 @@
     def _send_error(self, status, reason, retry_after_ms=None):
         self.gateway.metrics.count("refusals", reason)
         self._log("refused", "-", f"{status}:{reason}")
-        send_text(self.client, status, reason, retry_after_ms)
+        verdict = self.verdict_ if self.is_from_peer else None
+        send_text(self.client, status, reason, retry_after_ms, verdict)
 
     def _compute_elapsed_ms(self):
         return (time.monotonic() - self.started_at) * 1_000
--- a/sassafrashook/gateway/_request_log.py
+++ b/sassafrashook/gateway/_request_log.py
@@ -102,6 +102,28 @@
             runs=handler.execution_count_,
         )  # fmt: skip
 
+    def log_peer(self, peer):
+        """Log that the request is forwarded to another router.
+
+        :param peer: name of the router.
+        """
+        handler = self.handler
+        self._log_or_buffer(
+            "request_forwarded_to_router", router=peer, service=handler.service.name,
+            after=handler.last_event_id_ or "-", unreachable=handler.unreachable_count_,
+        )  # fmt: skip
+
+    def log_peer_failure(self, peer, error):
+        """Log that another router did not serve the request.
+
+        :param peer: name of the router.
+        :param error: an :class:`~sassafrashook.gateway._attempt.AttemptError`.
+        """
+        self._log_or_buffer(
+            "router_attempt_failed", router=peer, kind=error.kind, verdict=error.verdict,
+            detail=error,
+        )  # fmt: skip
+
     def log_no_retry(self, upstream, reason):
         """Log why the request is not retried.
 
--- a/sassafrashook/gateway/_server.py
+++ b/sassafrashook/gateway/_server.py
@@ -7,10 +7,11 @@
 from absl import logging
 from gevent.server import StreamServer
 
+from sassafrashook.gateway._peers import take_max_upstreams
 from sassafrashook.gateway._request import RequestHandler
 from sassafrashook.gateway._responses import STATUS_UNAVAILABLE, send_text
 from sassafrashook.http1 import ClientDisconnectedError, InvalidRequestError, ServerConnection
-from sassafrashook.outcomes import RefusalReason
+from sassafrashook.outcomes import RefusalReason, Verdict
 from sassafrashook.telemetry import log_event
 
 LISTEN_BACKLOG = 1_024
@@ -40,16 +41,19 @@
     :param gateway: the :class:`~sassafrashook.gateway.Gateway`.
     :param host: IP address to listen on.
     :param port: port to listen on, 0 to let the system choose one.
+    :param is_for_peers: whether the clients are other routers, which forward requests for which
+        they reach no upstream. Other clients are not accepted then.
 
     :ivar active_request_count_: number of requests in progress.
     :ivar is_stopping_: whether :meth:`stop` has been called.
     :ivar server_: the ``gevent.server.StreamServer`` once started.
     """
 
-    def __init__(self, gateway, host, port):
+    def __init__(self, gateway, host, port, is_for_peers=False):
         self.gateway = gateway
         self.host = host
         self.port = port
+        self.is_for_peers = is_for_peers
         self.active_request_count_ = 0
         self.is_stopping_ = False
         self.server_ = None
@@ -87,7 +91,11 @@
         self.server_.close()
         return self.active_request_count_
 
-    def _handle_client(self, sock, _address):
+    def _handle_client(self, sock, address):
+        if self.is_for_peers and address[0] not in self.gateway.view.routers_:
+            log_event("peer_rejected", level="warning", address=address[0])
+            sock.close()
+            return
         limits = self.gateway.get_client_limits()
         client = ServerConnection(sock, limits.max_header_bytes, SEND_TIMEOUT_S)
         try:
@@ -140,6 +148,9 @@
         """Match the request to a route and a client account, then forward it or reject it."""
         gateway = self.gateway
         metadata = gateway.header_codec.decode_request_headers(head.headers)
+        if self.is_for_peers and self.is_stopping_:
+            self._reject_for_now(client, metadata, head, RefusalReason.STOPPING)
+            return
         table = gateway.view.table_ or self._wait_for_table(metadata, started_at)
         if table is None:
             self._reject_for_now(client, metadata, head, RefusalReason.NO_CONFIGURATION)
@@ -157,7 +168,12 @@
                 text = "unknown key"
                 self._reject_by_table(client, metadata, head, reason, STATUS_UNAUTHORIZED, text)
                 return
-        RequestHandler(gateway, client, head, metadata, route, account, body, started_at).handle()
+        max_upstreams = None
+        if self.is_for_peers:
+            head, max_upstreams = take_max_upstreams(head)
+        RequestHandler(
+            gateway, client, head, metadata, route, account, body, started_at, max_upstreams
+        ).handle()
 
     def _reject_by_table(self, client, metadata, head, reason, status, text):
         """Reject a request that the route table does not allow, unless the table may be outdated.
@@ -204,8 +220,9 @@
         )  # fmt: skip
 
     def _send_rejection(self, client, status, text, retry_after_ms=None):
+        verdict = Verdict.NOT_RUN if self.is_for_peers else None
         try:
-            send_text(client, status, text, retry_after_ms)
+            send_text(client, status, text, retry_after_ms, verdict)
         except ClientDisconnectedError as error:
             log_event("rejection_not_sent", status=status, reason=error)
 
--- a/sassafrashook/http1/_pool.py
+++ b/sassafrashook/http1/_pool.py
@@ -40,14 +40,15 @@
             connection.close()
         return None
 
-    def open(self, address, timeout_s):
+    def open(self, address, timeout_s, source_host=None):
         """Open a new connection.
 
         :param address: ``(host, port)`` of the upstream.
         :param timeout_s: longest time that it may take, in seconds; the pool's limit applies too.
+        :param source_host: IP address to connect from, ``None`` for any.
         :raises OSError: if the connection can't be opened.
         """
-        return UpstreamConnection(address, min(timeout_s, self.connect_timeout_s))
+        return UpstreamConnection(address, min(timeout_s, self.connect_timeout_s), source_host)
 
     def release(self, key, connection, head):
         """Return a connection to the pool, or close it if it is not reusable or the pool is full.
--- a/sassafrashook/http1/_upstream.py
+++ b/sassafrashook/http1/_upstream.py
@@ -34,6 +34,7 @@
 
     :param address: ``(host, port)``.
     :param connect_timeout_s: longest time that opening it may take, in seconds.
+    :param source_host: IP address to connect from, ``None`` for any.
     :raises OSError: if it can't be opened; nothing has been sent in that case.
 
     :ivar is_broken_: whether sending failed or the upstream had closed the connection.
@@ -43,7 +44,7 @@
     :ivar idle_since_: time at which the last exchange ended, in monotonic seconds.
     """
 
-    def __init__(self, address, connect_timeout_s):
+    def __init__(self, address, connect_timeout_s, source_host=None):
         self.address = address
         self.sock = gsocket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.is_broken_ = False
@@ -53,6 +54,8 @@
         self._writer = None
         try:
             self._set_socket_options()
+            if source_host is not None:
+                self.sock.bind((source_host, 0))
             self.sock.settimeout(connect_timeout_s)
             self.sock.connect(address)
         except BaseException:
--- a/sassafrashook/platform/_header_codec.py
+++ b/sassafrashook/platform/_header_codec.py
@@ -26,6 +26,8 @@
 RESUMES = b"resumes"
 STATUS_MISDIRECTED_REQUEST = 421
 LOWEST_PRIORITY = 9
+# Replaced in requests to another router; everything else goes on as the client sent it.
+PEER_HEADERS = frozenset((b"content-length", DEADLINE_MS, LAST_EVENT_ID, RESUMES))
 # Removed from client requests: only this system may set them.
 RESERVED_HEADERS = frozenset(
     (
@@ -107,6 +109,22 @@
             fields.append((b"Last-Event-Id", forwarding.last_event_id.encode("latin-1")))
         return fields
 
+    def encode_peer_headers(self, headers, forwarding):
+        """Encode the headers of the request to another router.
+
+        :param headers: the client's :class:`~sassafrashook.http1.Headers`.
+        :param forwarding: a :class:`~sassafrashook.gateway.PeerForwardingMetadata`.
+        :returns: list of (name, value) pairs of ``bytes``.
+        """
+        fields = remove_hop_by_hop_headers(headers, PEER_HEADERS)
+        deadline_ms = max(1, int(forwarding.deadline_ms))
+        fields.append((b"X-Sassafrashook-Deadline-Ms", b"%d" % deadline_ms))
+        if forwarding.last_event_id is not None:
+            fields.append((b"Last-Event-Id", forwarding.last_event_id.encode("latin-1")))
+        if forwarding.stream_request_id is not None:
+            fields.append((b"Resumes", forwarding.stream_request_id.encode("latin-1")))
+        return fields
+
 
 def _parse_number(text):
     if text is None or not text.strip().isdigit():
--- a/sassafrashook/platform/_settings.py
+++ b/sassafrashook/platform/_settings.py
@@ -83,6 +83,7 @@
         name=node.ip,
         availability_zone=node.zone,
         stream_port=node.internal_port_range[0],
+        peer_port=node.internal_port_range[0] + 1,
         seeds=tuple(split_address(seed)[0] for seed in node.seed_nodes),
         router=router,
         control=split_address(control) if control is not None else None,
--- a/sassafrashook/platform/tests/test_isolated_routers.py
+++ b/sassafrashook/platform/tests/test_isolated_routers.py
@@ -1,5 +1,6 @@
 """Tests of routers whose connections to all upstreams fail, while other routers reach these."""
 
+import contextlib
 import itertools
 
 import gevent
@@ -13,6 +14,8 @@
 from sassafrashook.platform.tests.scripted_upstreams import (
     ScriptedUpstream,
     encode_request,
+    encode_response,
+    find_header,
     make_route_configuration,
     make_stream_script,
     read_http_message,
@@ -22,6 +25,7 @@
 from sassafrashook.routes import RouteTable
 
 STREAM_PORT = 17_340
+PEER_PORT = 17_341
 CONTACT_TIMEOUT_S = 3.0
 REQUESTS = 40
 MIN_SHARE = 2 / 3  # of what the other routers serve
@@ -83,8 +87,8 @@
 
     def start_router(self, name):
         settings = NodeSettings(
-            name, "z", STREAM_PORT, (), RouterAddresses((name, 0), (name, 0)), None, None, False, 0,
-            1_000.0, 2_000.0, 1_000.0, 0.2, 50, 10.0, 1.5, 5,
+            name, "z", STREAM_PORT, PEER_PORT, (), RouterAddresses((name, 0), (name, 0)), None,
+            None, False, 0, 1_000.0, 2_000.0, 1_000.0, 0.2, 50, 10.0, 1.5, 5,
         )  # fmt: skip
         daemon = RouterDaemon(settings, PlatformHeaderCodec(), "/readyz")
         view = daemon.view_
@@ -137,7 +141,8 @@
 
     def stop(self):
         for router in self.routers.values():
-            router.server_.server_.stop(timeout=0)
+            for server in (router.server_, router.peer_server_):
+                server.server_.stop(timeout=0)
             gevent.killall(router._tasks)
             router.mesh_.stop()
         for paths in self.paths.values():
@@ -203,6 +208,7 @@
     sent = [head for u in fleet.upstreams for head, _ in u.requests if b"order-" in head]
     ids = [next(line for line in head.split(b"\r\n") if b"order-" in line) for head in sent]
     assert statuses.count(200) >= MIN_SHARE * len(statuses)
+    assert not any(b"sassafrashook-max-upstreams" in head.lower() for head in sent)
     assert len(ids) == len(set(ids)) == statuses.count(200)
 
 
@@ -214,3 +220,46 @@
     with gevent.Timeout(1.0):
         assert fleet.send_request(fleet.names[0], "/orders/7")[0] == 503
     assert fleet.count_requests() == 0
+
+
+def test_response_that_breaks_off_at_another_router_is_not_said_to_have_not_run(start_fleet):
+    fleet = start_fleet(2, *[lambda *_: False] * 2)
+    isolated = fleet.names[0]
+    fleet.partition(isolated, "reset")
+    gevent.sleep(CONTACT_TIMEOUT_S)
+    assert fleet.send_request(isolated, "/orders/7")[0] == 502
+    assert fleet.count_requests() == 1
+
+
+def test_upstreams_that_may_run_a_forwarded_request_are_counted_once(start_fleet):
+    fleet = start_fleet(4, *[lambda *_: False] * 4)
+    isolated = fleet.names[0]
+    fleet.partition(isolated, "reset")
+    gevent.sleep(CONTACT_TIMEOUT_S)
+    fleet.send_request(isolated, "/counts/7", ("Sassafrashook-Max-Upstreams: 99",))
+    assert fleet.count_requests() <= 2
+
+
+def test_request_rejected_by_other_router_names_its_reason(start_fleet):
+    def refuse(_upstream, sock, head, _body):
+        fields = ("X-Sassafrashook-Not-Executed: 1",)
+        sock.sendall(encode_response(head, b"", "503 Service Unavailable", fields))
+        return True
+
+    fleet = start_fleet(2, *[refuse] * 3)
+    isolated = fleet.names[0]
+    fleet.partition(isolated, "reset")
+    gevent.sleep(CONTACT_TIMEOUT_S)
+    status, head, body, _ = fleet.send_request(isolated, "/orders/7")
+    assert (status, body) == (503, b"no_capacity\n")
+    assert float(find_header(head, "Retry-After")) > 0
+    assert find_header(head, "Sassafrashook-Verdict") is None
+
+
+def test_port_for_routers_accepts_no_other_hosts(start_fleet):
+    fleet = start_fleet(1, serve_request)
+    with socket.create_connection((fleet.names[0], PEER_PORT), timeout=2.0) as sock:
+        sock.sendall(encode_request("/orders/7"))
+        with contextlib.suppress(ConnectionResetError):
+            assert sock.recv(1) == b""
+    assert fleet.count_requests() == 0
