Test that fails: connections that are reset by a partition count as crashes of upstreams

Found beside RECOVER: a router whose connections to all upstreams are reset and refused reports that these have crashed. By two such reports a popular prompt part may be quarantined on all routers.

--- a/sassafrashook/platform/tests/test_isolated_routers.py
+++ b/sassafrashook/platform/tests/test_isolated_routers.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import itertools
+import time
 
 import gevent
 import pytest
@@ -11,6 +12,7 @@
 from sassafrashook.daemons import NodeSettings, RouterAddresses
 from sassafrashook.daemons._router import RouterDaemon
 from sassafrashook.platform._header_codec import PlatformHeaderCodec
+from sassafrashook.platform.tests.crashing_upstreams import make_prompt_field
 from sassafrashook.platform.tests.scripted_upstreams import (
     ScriptedUpstream,
     encode_request,
@@ -256,6 +258,22 @@
     assert find_header(head, "Sassafrashook-Verdict") is None
 
 
+def test_lost_connections_of_router_that_reaches_no_upstream_are_no_crashes(start_fleet):
+    fleet = start_fleet(1, *[make_stream_script(last=50, pause_s=0.05)] * 4)
+    isolated = fleet.names[0]
+    fields = (make_prompt_field(),)
+    streams = [
+        gevent.spawn(fleet.send_request, isolated, "/plans/7", fields, f"stream-{number}")
+        for number in range(12)
+    ]
+    gevent.sleep(0.5)
+    fleet.partition(isolated, "reset")
+    gevent.joinall(streams)
+    gevent.sleep(0.5)
+    crashes = fleet.routers[isolated].view_.crashes
+    assert crashes.list_changes(0, time.monotonic()) == []
+
+
 def test_port_for_routers_accepts_no_other_hosts(start_fleet):
     fleet = start_fleet(1, serve_request)
     with socket.create_connection((fleet.names[0], PEER_PORT), timeout=2.0) as sock:
