gateway: a crash counts only if another upstream is reached

A router whose connections are all reset and refused took this for crashes of all its upstreams and reported them, so that popular prompt parts could be quarantined on all routers, for 30 s after two reports and for an hour after three. Before a crash is recorded, the router now connects to another upstream; if it reaches none of two, nothing is recorded. Where no other upstream is known, the crash counts as before. Connections to some upstreams that are reset while others are reached still count as crashes.

--- a/sassafrashook/gateway/_gateway.py
+++ b/sassafrashook/gateway/_gateway.py
@@ -14,6 +14,10 @@
 from sassafrashook.utils import hash_key
 
 DEFAULT_LIMITS = ClientLimits(16_384, 4_194_304, 3_000, 15_000)  # before the first configuration
+# A crash is confirmed by a connection to one of this number of other upstreams, each attempted for
+# this time: far above the latency to another zone.
+MAX_CONFIRMING_UPSTREAMS = 2
+CONFIRMATION_TIMEOUT_S = 0.1
 MAX_LOGGED_REQUESTS = 16  # ids of interrupted requests in one log line
 
 
@@ -130,7 +134,7 @@
 
     def _record_crash(self, upstream, interrupted):
         """Record and log the requests that a crash interrupted, if there are any."""
-        if not interrupted:
+        if not interrupted or not self._confirm_crash(upstream):
             return
         traits = [request.traits for request in interrupted]
         origins = [hash_key(request.request_id) for request in interrupted]
@@ -146,6 +150,30 @@
             contents=[format_trait(r.traits[-1]) for r in interrupted[:MAX_LOGGED_REQUESTS]],
         )  # fmt: skip
 
+    def _confirm_crash(self, upstream):
+        """Return whether this router reaches another upstream than one that seems to have crashed.
+
+        Otherwise its own connections may be interrupted. If no other upstream is known, the crash
+        counts as confirmed.
+        """
+        now = time.monotonic()
+        others = [other for other in self.placement.upstreams_.values() if other is not upstream]
+        reachable = [other for other in others if not other.is_suspended(now)]
+        sample_size = min(MAX_CONFIRMING_UPSTREAMS, len(reachable))
+        for other in self.placement.rng.sample(reachable, sample_size):
+            try:
+                self.pool.open(other.registration.address, CONFIRMATION_TIMEOUT_S).close()
+                return True
+            except OSError:
+                other.request_probe()
+        if others:
+            log_event(
+                "crash_not_confirmed", level="warning",
+                upstream=upstream.registration.upstream_id, boot_ms=upstream.registration.boot_ms,
+                others=len(others), suspended=len(others) - len(reachable),
+            )  # fmt: skip
+        return not others
+
     def record_completion(self, request_id, traits):
         """Record that a request completed, so that its traits crash no upstream.
 
