Logs name who closed a connection and which limit left no upstream

Three texts did not help to find a cause: h11's own when an upstream closes before its response, EBADF when this router had given up the host itself, and no_capacity without saying whether upstreams were full, limited or held back. Three tests failed before.

--- a/sassafrashook/gateway/_attempt.py
+++ b/sassafrashook/gateway/_attempt.py
@@ -330,7 +330,8 @@
             handler.gateway.record_interruption(
                 self.upstream, handler.metadata.request_id, handler.traits
             )
-        return self._close_with_error(FailureKind.BROKEN, str(error))
+        detail = "this router gave up the unresponsive host" if self.is_aborted_ else str(error)
+        return self._close_with_error(FailureKind.BROKEN, detail)
 
     def _close_with_error(self, kind, detail):
         """Close the connection, which makes the upstream cancel the request.
--- a/sassafrashook/gateway/_request_log.py
+++ b/sassafrashook/gateway/_request_log.py
@@ -57,7 +57,8 @@
         drained_zones = sorted(handler.gateway.placement.drained_zones_)
         self._log_or_buffer(
             "request_unplaced", reason=refusal.reason, candidates=refusal.candidates,
-            suspended=refusal.suspended, limited=refusal.limited,
+            suspended=refusal.suspended, limited=refusal.limited, full=refusal.full,
+            held_back=refusal.held_back,
             tried=len(handler.attempted_keys_), software=handler.stream_version_ or "-",
             drained_zones=drained_zones, version=handler.table.version,
         )  # fmt: skip
--- a/sassafrashook/http1/_upstream.py
+++ b/sassafrashook/http1/_upstream.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 client connection to an upstream, with one exchange at a time."""
 
+import errno
 import socket
 import time
 
@@ -169,9 +170,13 @@
 
     def _next_event(self, deadline):
         while True:
+            is_before_head = self._http.their_state is h11.SEND_RESPONSE
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
+                if self.is_ended_ and is_before_head:
+                    text = "the upstream closed the connection before a complete response head"
+                    raise UpstreamResponseError(text) from error
                 raise UpstreamResponseError(str(error)) from error
             if event is not h11.NEED_DATA:
                 return event
@@ -195,6 +200,8 @@
                 raise
             raise UpstreamResponseError("the upstream's host does not answer") from error
         except OSError as error:
+            if error.errno == errno.EBADF:
+                raise UpstreamResponseError("this router closed the connection") from error
             raise UpstreamResponseError(f"reset: {error}") from error
 
     def is_reusable(self):
--- a/sassafrashook/placement/_placement.py
+++ b/sassafrashook/placement/_placement.py
@@ -1,7 +1,7 @@
 """Selection of an upstream for each request."""
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from returns.result import Failure, Success
 
@@ -57,6 +57,9 @@
     :param candidates: number of upstreams of the service that were considered.
     :param suspended: number of these that are suspended.
     :param limited: number of these that limit their request rate.
+    :param full: number of these without room.
+    :param held_back: number of these with room that may not get a request now, because they are
+        cold or on probation.
     """
 
     reason: RefusalReason
@@ -64,6 +67,8 @@
     candidates: int = 0
     suspended: int = 0
     limited: int = 0
+    full: int = 0
+    held_back: int = 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -203,15 +208,25 @@
         if not candidates:
             return Failure(self._make_refusal(RefusalReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_MS))
         active = [state for state in candidates if not state.is_suspended(now)]
-        ordered = self._order_candidates(query, self._prefer_healthy(active), service_states, now)
+        healthy = self._prefer_healthy(active)
+        ordered = self._order_candidates(query, healthy, service_states, now)
         for state in ordered:
             if self._try_admit(state, query.service, now):
                 return Success(state)
         if ordered and all(state.get_rate_limit(now) is not None for state in ordered):
             return Failure(self._make_limit_refusal(query.service, ordered, len(candidates), now))
         reason = RefusalReason.NO_CAPACITY if active else RefusalReason.NO_UPSTREAM
-        suspended = len(candidates) - len(active)
-        return Failure(self._make_refusal(reason, BUSY_RETRY_MS, len(candidates), suspended))
+        refusal = self._make_refusal(reason, BUSY_RETRY_MS, len(candidates))
+        limited = sum(state.get_rate_limit(now) is not None for state in ordered)
+        return Failure(
+            replace(
+                refusal,
+                suspended=len(candidates) - len(active),
+                limited=limited,
+                full=len(healthy) - len(ordered),
+                held_back=len(ordered) - limited,
+            )
+        )
 
     def _list_candidates(self, query, now):
         """Return the upstreams that may get a request, including suspended ones."""
@@ -426,9 +441,9 @@
         state.last_chosen_at_ = now
         return True
 
-    def _make_refusal(self, reason, retry_bounds_ms, candidates=0, suspended=0):
+    def _make_refusal(self, reason, retry_bounds_ms, candidates=0):
         retry_after_ms = round(self.rng.uniform(*retry_bounds_ms))
-        return PlacementRefusal(reason, retry_after_ms, candidates, suspended)
+        return PlacementRefusal(reason, retry_after_ms, candidates)
 
     def list_probe_targets(self, now):
         """Return the upstreams to which a probe connection should be opened."""
--- a/sassafrashook/platform/tests/test_forwarding.py
+++ b/sassafrashook/platform/tests/test_forwarding.py
@@ -855,3 +855,49 @@
     for _ in range(3):
         harness.send_request("/plans/7", fields=(make_prompt_field(POISON_PART),))
     assert harness.gateway.crash_observed_.is_set()
+
+
+def record_events(monkeypatch):
+    """Record the log lines of requests; :returns: list of the pairs of each line."""
+    events = []
+    monkeypatch.setattr(
+        "sassafrashook.gateway._request_log.log_event",
+        lambda event, **pairs: events.append({"event": event, **pairs}),
+    )
+    return events
+
+
+def list_failure_details(events):
+    return [str(pairs["detail"]) for pairs in events if pairs["event"] == "attempt_failed"]
+
+
+def test_log_says_that_upstream_closed_connection_before_its_response(start_harness, monkeypatch):
+    events = record_events(monkeypatch)
+    start_harness(close_connection).send_request("/orders/7")
+    detail = "the upstream closed the connection before a complete response head"
+    assert list_failure_details(events) == [detail]
+
+
+def test_log_says_why_this_router_closed_the_connection(start_harness, monkeypatch):
+    def hang(_upstream, _sock, _head, _body):
+        gevent.sleep(1.0)
+        return False
+
+    events = record_events(monkeypatch)
+    harness = start_harness(hang, respond_with_name)
+    task = gevent.spawn(harness.send_request, "/counts/7")
+    assert wait_for(lambda: harness.count_requests() == 1)
+    for upstream in harness.placement.upstreams_.values():
+        harness.gateway.abort_attempts(upstream)
+    assert task.get(timeout=5)[0] == 200
+    assert list_failure_details(events) == ["this router gave up the unresponsive host"]
+
+
+def test_log_says_how_many_upstreams_have_no_room(start_harness, monkeypatch):
+    events = record_events(monkeypatch)
+    harness = start_harness(*[respond_with_name] * 3)
+    for upstream in harness.placement.upstreams_.values():
+        upstream.running_ = 1_000
+    assert harness.send_request("/orders/7")[0] == 503
+    (unplaced,) = [pairs for pairs in events if pairs["event"] == "request_unplaced"]
+    assert (unplaced["candidates"], unplaced["full"], unplaced["held_back"]) == (3, 3, 0)
