quarantine: a single resumed request does not hold back its content; names

A call that broke off at two upstreams because it was resumed is no evidence by itself. Names say what the methods return for; two tests of the selection of routers.

--- a/sassafrashook/fleet/_controller.py
+++ b/sassafrashook/fleet/_controller.py
@@ -199,7 +199,7 @@
     def _measure_crashes(self, revision):
         """Return the approximate size of the records of crashes that a router lacks, in bytes."""
         now = time.monotonic()
-        records = self.crashes_.list_repeated_changes(revision, now)
+        records = self.crashes_.list_changes_for_routers(revision, now)
         return UPDATE_BYTES + sum(len(msgspec.msgpack.encode(record)) for record in records)
 
     def _expire_registrations(self, now):
@@ -239,7 +239,9 @@
             if update.with_crashes:
                 crash_revision = crashes.revision_
                 is_router = self.publisher_.subscribers_[name].is_router
-                list_crashes = crashes.list_repeated_changes if is_router else crashes.list_changes
+                list_crashes = (
+                    crashes.list_changes_for_routers if is_router else crashes.list_changes
+                )
                 crash_records = list_crashes(held.crash_revision, now)
             message = ViewChanged(
                 self.publisher_.boot_id,
--- a/sassafrashook/fleet/_publisher.py
+++ b/sassafrashook/fleet/_publisher.py
@@ -133,8 +133,8 @@
         self.boot_id = boot_id
         self.subscribers_ = {}
         self._restored_routers = {}
-        self._crash_bytes = 0.0
-        self._crash_bytes_at = 0.0
+        self._crash_backlog_bytes = 0.0
+        self._crash_backlog_at = 0.0
 
     def restore_routers(self, names, now):
         """Add routers known before a restart; each counts for ``ROUTER_RETENTION_S`` at least."""
@@ -212,7 +212,7 @@
             if with_configuration:
                 available -= 1
                 subscriber.configuration_sent_at = now
-            with_crashes = self._takes_crashes(subscriber, current, now, measure_crashes)
+            with_crashes = self._try_schedule_crashes(subscriber, current, now, measure_crashes)
             target = current
             if not with_configuration:
                 target = target.with_configuration_of(subscriber.sent)
@@ -226,10 +226,12 @@
                 due.append(DueUpdate(name, subscriber.held, with_configuration, with_crashes))
         return due
 
-    def _takes_crashes(self, subscriber, current, now, measure_crashes):
-        """Return whether a subscriber is sent records of crashes now.
+    def _try_schedule_crashes(self, subscriber, current, now, measure_crashes):
+        """Mark records of crashes as sent to a subscriber, if it lacks some and they are allowed.
 
         There are few controllers, so what is sent to them is not limited.
+
+        :returns: whether it is sent records of crashes now.
         """
         if (
             subscriber.held.crash_revision >= current.crash_revision
@@ -237,12 +239,14 @@
             or now < subscriber.crashes_sent_at + CRASH_INTERVAL_S
         ):
             return False
-        elapsed_s, self._crash_bytes_at = now - self._crash_bytes_at, now
-        self._crash_bytes = max(0.0, self._crash_bytes - elapsed_s * MAX_CRASH_BYTES_PER_S)
-        if subscriber.is_router and self._crash_bytes >= MAX_CRASH_BURST_BYTES:
+        elapsed_s, self._crash_backlog_at = now - self._crash_backlog_at, now
+        self._crash_backlog_bytes = max(
+            0.0, self._crash_backlog_bytes - elapsed_s * MAX_CRASH_BYTES_PER_S
+        )
+        if subscriber.is_router and self._crash_backlog_bytes >= MAX_CRASH_BURST_BYTES:
             return False
         if subscriber.is_router:
-            self._crash_bytes += measure_crashes(subscriber.held.crash_revision)
+            self._crash_backlog_bytes += measure_crashes(subscriber.held.crash_revision)
         subscriber.crashes_sent_at = now
         return True
 
--- a/sassafrashook/gateway/_peers.py
+++ b/sassafrashook/gateway/_peers.py
@@ -3,11 +3,7 @@
 import time
 from dataclasses import dataclass, replace
 
-from sassafrashook.gateway._attempt import (
-    Attempt,
-    AttemptError,
-    FailureKind,
-)
+from sassafrashook.gateway._attempt import Attempt, AttemptError, FailureKind
 from sassafrashook.gateway._header_codec import PeerForwardingMetadata
 from sassafrashook.gateway._responses import MS_PER_S, STATUS_GATEWAY_TIMEOUT, VERDICT_HEADER
 from sassafrashook.http1 import Headers, UpstreamResponseError
--- a/sassafrashook/platform/tests/test_isolated_routers.py
+++ b/sassafrashook/platform/tests/test_isolated_routers.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import itertools
+import random
 import time
 
 import gevent
@@ -11,6 +12,7 @@
 from fakes.fault_proxy import FaultProxy
 from sassafrashook.daemons import NodeSettings, RouterAddresses
 from sassafrashook.daemons._router import RouterDaemon
+from sassafrashook.gateway._peers import AVOIDANCE_S, MAX_CONSECUTIVE_REFUSALS, PeerSelector
 from sassafrashook.platform._header_codec import PlatformHeaderCodec
 from sassafrashook.platform.tests.crashing_upstreams import make_prompt_field
 from sassafrashook.platform.tests.scripted_upstreams import (
@@ -281,3 +283,24 @@
         with contextlib.suppress(ConnectionResetError):
             assert sock.recv(1) == b""
     assert fleet.count_requests() == 0
+
+
+def test_router_that_reaches_no_upstream_either_is_avoided_for_a_while():
+    peers = PeerSelector("r0", random.Random(1))
+    routers = ("r0", "r1", "r2")
+    peers.record_refusal("s", "r1", 0.0)
+    assert {peers.select("s", routers, (), 0.5) for _ in range(20)} == {"r2"}
+    assert {peers.select("t", routers, (), 0.5) for _ in range(20)} == {"r1", "r2"}
+    assert peers.select("s", routers, {"r2"}, 0.5) is None
+    assert {peers.select("s", routers, (), AVOIDANCE_S) for _ in range(20)} == {"r1", "r2"}
+
+
+def test_no_router_is_asked_for_a_while_after_many_refusals_in_a_row():
+    peers = PeerSelector("r0", random.Random(1))
+    routers = [f"r{n}" for n in range(100)]
+    for number in range(1, MAX_CONSECUTIVE_REFUSALS):
+        peers.record_refusal("s", f"r{number}", 0.0)
+    assert peers.select("s", routers, (), 0.1) is not None
+    peers.record_refusal("s", "r90", 0.1)
+    assert peers.select("s", routers, (), 0.2) is None
+    assert peers.select("s", routers, (), 0.1 + AVOIDANCE_S) is not None
--- a/sassafrashook/quarantine/_ledger.py
+++ b/sassafrashook/quarantine/_ledger.py
@@ -265,7 +265,7 @@
             routers this one admits it again, in seconds. ``None`` for no delay.
         :returns: a :class:`Quarantine`, or ``None`` if the request may be sent.
         """
-        for quarantine in self._list_relevant(traits, now):
+        for quarantine in self._list_quarantines(traits, now):
             delay_s = get_trial_delay_s(quarantine.trait) if get_trial_delay_s is not None else 0.0
             if now < quarantine.until + delay_s:
                 return replace(quarantine, until=quarantine.until + delay_s)
@@ -277,9 +277,9 @@
         :param traits: traits of the request.
         :param now: monotonic seconds.
         """
-        return bool(self._list_relevant(traits, now))
+        return bool(self._list_quarantines(traits, now))
 
-    def _list_relevant(self, traits, now):
+    def _list_quarantines(self, traits, now):
         """Return each :class:`Quarantine` of a trait of a request, including those that are over.
 
         The content of a request with a prompt comes again only if its client resumes a stream, so
@@ -299,6 +299,8 @@
     def _list_suspicions(self, content, now):
         """Return the :class:`Quarantine` of a content that has not caused any crash for certain.
 
+        It is over at once unless several requests with the content were running at crashes.
+
         :returns: list of one item if the content was running at a crash, else an empty list.
         """
         keys = [
@@ -308,7 +310,10 @@
         ]
         if not keys or self._has_completed_recently(content, now):
             return []
-        duration_s = SUSPECTED_QUARANTINE_S if len(keys) >= CRASH_LIMIT else 0.0
+        requests_by_key = {key: self._requests_by_trait[content][key] for key in keys}
+        suspect = _Suspect(content, requests_by_key, self._distance_by_trait[content])
+        is_repeated = min(len(keys), suspect.count_origins(keys)) >= CRASH_LIMIT
+        duration_s = SUSPECTED_QUARANTINE_S if is_repeated else 0.0
         crashed_at = max(self._crashes[key].crashed_at for key in keys)
         return [Quarantine(content, tuple(keys), crashed_at + duration_s)]
 
@@ -402,7 +407,7 @@
                 records.append(self._make_record(key, requests, cleared, now))
         return records
 
-    def list_repeated_changes(self, revision, now):
+    def list_changes_for_routers(self, revision, now):
         """Return what has changed after a revision, limited to what routers decide by.
 
         Only traits of at least two crashes can be quarantined, and contents of requests without a
@@ -414,7 +419,9 @@
         """
         records = []
         for record in self.list_changes(revision, now):
-            requests = {(self._select_repeated(t), origin) for t, origin in record.list_requests()}
+            requests = {
+                (self._select_for_routers(t), origin) for t, origin in record.list_requests()
+            }
             requests = {(traits, origin) for traits, origin in requests if traits}
             key = (record.upstream_id, record.boot_ms)
             cleared = [trait for trait in record.cleared if self._concerns_routers(trait, key)]
@@ -447,7 +454,7 @@
     def _is_repeated(self, trait):
         return len(self._requests_by_trait.get(trait, ())) > 1
 
-    def _select_repeated(self, traits):
+    def _select_for_routers(self, traits):
         if len(traits) == 1:
             return traits
         parts = tuple(trait for trait in traits[:-1] if self._is_repeated(trait))
