--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -289,11 +289,7 @@
         attempt = self._attempt = PeerAttempt(self, peer)
         self._request_log.log_peer(peer)
         try:
-            head = attempt.start()
-            if self.route.is_stream:
-                self._relay_stream(attempt, head)
-            else:
-                self._relay_response(attempt, head)
+            head = self._exchange(attempt)
         except AttemptError as error:
             self._request_log.log_peer_failure(peer, error)
             return self._end_after_peer_failure(attempt, error)
@@ -359,11 +355,7 @@
         self.attempted_keys_.add(upstream.key)
         upstream.running_ += 1
         try:
-            head = attempt.start()
-            if self.route.is_stream:
-                self._relay_stream(attempt, head)
-            else:
-                self._relay_response(attempt, head)
+            head = self._exchange(attempt)
         except AttemptError as error:
             self._record_failure(upstream, error)
             return error
@@ -379,6 +371,20 @@
         self._log("answered", upstream.registration.upstream_id, detail)
         return None
 
+    def _exchange(self, attempt):
+        """Send the request and pass the response on to the client.
+
+        :param attempt: the :class:`~sassafrashook.gateway._attempt.Attempt`.
+        :returns: head of the response.
+        :raises AttemptError: if the attempt fails.
+        """
+        head = attempt.start()
+        if self.route.is_stream:
+            self._relay_stream(attempt, head)
+        else:
+            self._relay_response(attempt, head)
+        return head
+
     def _record_failure(self, upstream, error):
         if error.kind in (
             FailureKind.UNSUCCESSFUL_STATUS,
