--- a/sassafrashook/quarantine/_ledger.py
+++ b/sassafrashook/quarantine/_ledger.py
@@ -20,8 +20,9 @@
 # then confirms it.
 PROVISIONAL_QUARANTINE_S = 30.0
 CONFIRMED_CRASHES = 3
-# Quarantine of a content that was running at several crashes which another trait explains. It ends
-# after an upstream has restarted, so that a sound request can complete and clear the content.
+# Quarantine of a content that was running at several crashes which another trait explains, or which
+# may have interrupted one request that was resumed. It ends after an upstream has restarted, so
+# that a sound request can complete and clear the content.
 SUSPECTED_QUARANTINE_S = 5.0
 CONFIRMED_QUARANTINE_S = 3_600.0
 # Shortest time between two selections of the traits to quarantine, unless this node observes a
@@ -299,7 +300,7 @@
     def _list_suspicions(self, content, now):
         """Return the :class:`Quarantine` of a content that has not caused any crash for certain.
 
-        It is over at once unless several requests with the content were running at crashes.
+        It is over at once unless the content was running at several crashes.
 
         :returns: list of one item if the content was running at a crash, else an empty list.
         """
@@ -310,10 +311,7 @@
         ]
         if not keys or self._has_completed_recently(content, now):
             return []
-        requests_by_key = {key: self._requests_by_trait[content][key] for key in keys}
-        suspect = _Suspect(content, requests_by_key, self._distance_by_trait[content])
-        is_repeated = min(len(keys), suspect.count_origins(keys)) >= CRASH_LIMIT
-        duration_s = SUSPECTED_QUARANTINE_S if is_repeated else 0.0
+        duration_s = SUSPECTED_QUARANTINE_S if len(keys) >= CRASH_LIMIT else 0.0
         crashed_at = max(self._crashes[key].crashed_at for key in keys)
         return [Quarantine(content, tuple(keys), crashed_at + duration_s)]
 
--- a/sassafrashook/quarantine/tests/test_ledger.py
+++ b/sassafrashook/quarantine/tests/test_ledger.py
@@ -110,7 +110,8 @@
     assert ledger.find_quarantine(cause, 3_000.0) is not None
     assert ledger.find_quarantine(repeated, SUSPECTED_QUARANTINE_S - 0.1) is not None
     assert ledger.find_quarantine(repeated, SUSPECTED_QUARANTINE_S) is None
-    assert ledger.find_quarantine(resumed, 0.1) is None
+    assert ledger.find_quarantine(resumed, SUSPECTED_QUARANTINE_S - 0.1) is not None
+    assert ledger.find_quarantine(resumed, SUSPECTED_QUARANTINE_S) is None
 
 
 def test_popular_part_is_not_quarantined_beside_part_of_all_crashes():
