Wording of comments and docstrings after a last read

Compared by their syntax trees without docstrings, the five modules are those of the commit before, but for the place of one constant and two bodies that were a bare pass.

--- a/sassafrashook/fleet/_controller.py
+++ b/sassafrashook/fleet/_controller.py
@@ -35,7 +35,7 @@
 PROPAGATION_POLL_S = 0.01
 CACHE_INTERVAL_S = 1.0  # between checks whether the fleet cache must be saved
 COMPRESSION_LEVEL = 6
-UPDATE_BYTES = 1_500  # of an update without changes to one of 76 routers, which it names
+UPDATE_BYTES = 1_500  # approximate size of an update without changes; it names all routers
 
 
 class OperatorCommandOutcome(StrEnum):
--- a/sassafrashook/fleet/_publisher.py
+++ b/sassafrashook/fleet/_publisher.py
@@ -11,10 +11,10 @@
 # A router without a request for this time is sent no configuration; routers send one every 0.5 s.
 ROUTER_CONNECTED_S = 0.8
 ACKNOWLEDGE_TIMEOUT_S = 1.0  # an unacknowledged configuration is sent again after this time
-# Crashes of many upstreams at once change the records of crashes continually, while the log and the
-# configurations need the link.
+# Crashes of many upstreams at once change the records of crashes continually. The limits leave most
+# of the link to the log and the configurations.
 CRASH_INTERVAL_S = 0.2  # between two updates with records of crashes to one subscriber
-MAX_CRASH_BYTES_PER_S = 125_000  # to all routers; a sixth of a link of 6 Mbit/s
+MAX_CRASH_BYTES_PER_S = 125_000  # to all routers
 MAX_CRASH_BURST_BYTES = 62_500
 KEEPALIVE_INTERVAL_S = 1.0  # longest time without a message to a subscriber
 SUBSCRIBER_TIMEOUT_S = 3.0  # a subscriber without a request for this time is sent nothing
--- a/sassafrashook/gateway/_gateway.py
+++ b/sassafrashook/gateway/_gateway.py
@@ -14,8 +14,8 @@
 from sassafrashook.utils import hash_key
 
 DEFAULT_LIMITS = ClientLimits(16_384, 4_194_304, 3_000, 15_000)  # before the first configuration
-# A crash is confirmed by a connection to one of this number of other upstreams, each attempted for
-# this time: far above the latency to another zone.
+# A crash is confirmed by a connection to another upstream. At most this number is tried, each for
+# this time, which is far above the latency to another zone.
 MAX_CONFIRMING_UPSTREAMS = 2
 CONFIRMATION_TIMEOUT_S = 0.1
 MAX_LOGGED_REQUESTS = 16  # ids of interrupted requests in one log line
@@ -151,10 +151,12 @@
         )  # fmt: skip
 
     def _confirm_crash(self, upstream):
-        """Return whether this router reaches another upstream than one that seems to have crashed.
+        """Return whether a broken connection and refused ones are those of a crashed upstream.
 
-        Otherwise its own connections may be interrupted. If no other upstream is known, the crash
-        counts as confirmed.
+        If this router reaches no other upstream either, its own network may have failed instead. If
+        no other upstream is known, the crash counts as confirmed.
+
+        :param upstream: :class:`~sassafrashook.placement.UpstreamState` that may have crashed.
         """
         now = time.monotonic()
         others = [other for other in self.placement.upstreams_.values() if other is not upstream]
@@ -189,7 +191,8 @@
         """Return why a request must not be sent to an upstream, ``None`` if it may be.
 
         :param traits: traits of the request.
-        :param is_resumed: whether the request, which was not suspected then, has run already.
+        :param is_resumed: whether an upstream has begun to run the request, which was not
+            suspected then.
         :returns: a :class:`~sassafrashook.quarantine.Quarantine` or ``None``.
         """
         crashes = self.view.crashes
--- a/sassafrashook/gateway/_peers.py
+++ b/sassafrashook/gateway/_peers.py
@@ -11,7 +11,8 @@
 
 # Set by routers on the requests that they send each other: how many upstreams may run the request.
 MAX_UPSTREAMS_HEADER = b"sassafrashook-max-upstreams"
-# A peer that reaches no upstream of a service either is not asked again for this time.
+# A router that can't be reached, or reaches no upstream of a service either, is not asked again for
+# this time.
 AVOIDANCE_S = 1.0
 MAX_PEERS_PER_REQUEST = 4
 # Number of peers, one after another, that reach no upstream of a service, after which none is asked
@@ -166,7 +167,7 @@
             return None
 
     def _read_text(self):
-        """Read the router's own response; :returns: its text, empty if it is not a reason."""
+        """Read the router's own response; :returns: its text, empty if it breaks off."""
         try:
             body = self.read_body()
         except AttemptError:
@@ -184,10 +185,11 @@
             raise self._close_with_error(FailureKind.TIMEOUT, str(error)) from error
 
     def _record_body_data(self):
-        pass
+        """Record nothing: which upstream responds is known to the other router only."""
 
     def _close_after_interruption(self, error):
+        """Close the connection; that of another router says nothing of a crash of an upstream."""
         return self._close_with_error(FailureKind.BROKEN, str(error))
 
     def _request_probe(self):
-        pass
+        """Probe nothing: a router that can't be reached is avoided for a while instead."""
--- a/sassafrashook/quarantine/_ledger.py
+++ b/sassafrashook/quarantine/_ledger.py
@@ -20,11 +20,11 @@
 # then confirms it.
 PROVISIONAL_QUARANTINE_S = 30.0
 CONFIRMED_CRASHES = 3
+CONFIRMED_QUARANTINE_S = 3_600.0
 # Quarantine of a content that was running at several crashes which another trait explains, or which
 # may have interrupted one request that was resumed. It ends after an upstream has restarted, so
 # that a sound request can complete and clear the content.
 SUSPECTED_QUARANTINE_S = 5.0
-CONFIRMED_QUARANTINE_S = 3_600.0
 # Shortest time between two selections of the traits to quarantine, unless this node observes a
 # crash itself: records of other nodes arrive in quick succession.
 SELECTION_INTERVAL_S = 0.05
