--- a/sassafrashook/fleet/_exchange.py
+++ b/sassafrashook/fleet/_exchange.py
@@ -48,6 +48,7 @@
         self._heartbeats = deque(maxlen=MAX_HEARTBEATS)
         self._cached_parts = deque(maxlen=MAX_CACHED_PARTS)
         self._rate_limits = deque(maxlen=MAX_RATE_LIMITS)
+        self._heartbeats_sent_at = float("-inf")
         self._handlers = {
             HeartbeatsHeard: self._on_heartbeats_heard,
             LoadReported: self._on_load_reported,
@@ -104,34 +105,38 @@
         return limits
 
     def run(self):
-        """Send heartbeats and loads to the other controllers, and loads to the routers, forever.
+        """Send heartbeats and loads, forever."""
+        while True:
+            gevent.sleep(LOAD_INTERVAL_S)
+            self.send_due(time.monotonic())
+
+    def send_due(self, now):
+        """Send heartbeats and loads to the other controllers, and loads to the routers.
 
         Parts and rate limits reported by a router are sent to every controller and to all routers
         but that one; those received from another controller are sent to the routers only.
+
+        :param now: monotonic seconds.
         """
-        heartbeats_sent_at = 0.0
-        while True:
-            gevent.sleep(LOAD_INTERVAL_S)
-            now = time.monotonic()
-            controllers = self.publisher.list_controllers(now, CONNECTED_TIMEOUT_S)
-            own_loads = self.loads_.sum_own(now)
-            heartbeats = []
-            if now >= heartbeats_sent_at + HEARTBEAT_INTERVAL_S:
-                heartbeats = _drain_queue(self._heartbeats)
-                heartbeats_sent_at = now
-            parts = _drain_queue(self._cached_parts)
-            own_parts = [cached for origin, cached in parts if origin]
-            limits = self._drain_rate_limits(now)
-            own_limits = [limit for origin, limit in limits if origin]
-            for name in controllers:
-                self.mesh.send(name, LoadShared(own_loads, own_parts, own_limits))
-                if heartbeats:
-                    self.mesh.send(name, HeartbeatsHeard(heartbeats))
-            for router in self.loads_.list_routers(now):
-                other_parts = [cached for origin, cached in parts if origin != router]
-                other_limits = [limit for origin, limit in limits if origin != router]
-                other_loads = self.loads_.sum_others(router, now)
-                self.mesh.send(router, OtherLoads(other_loads, other_parts, other_limits))
+        controllers = self.publisher.list_controllers(now, CONNECTED_TIMEOUT_S)
+        own_loads = self.loads_.sum_own(now)
+        heartbeats = []
+        if now >= self._heartbeats_sent_at + HEARTBEAT_INTERVAL_S:
+            heartbeats = _drain_queue(self._heartbeats)
+            self._heartbeats_sent_at = now
+        parts = _drain_queue(self._cached_parts)
+        own_parts = [cached for origin, cached in parts if origin]
+        limits = self._drain_rate_limits(now)
+        own_limits = [limit for origin, limit in limits if origin]
+        for name in controllers:
+            self.mesh.send(name, LoadShared(own_loads, own_parts, own_limits))
+            if heartbeats:
+                self.mesh.send(name, HeartbeatsHeard(heartbeats))
+        for router in self.loads_.list_routers(now):
+            other_parts = [cached for origin, cached in parts if origin != router]
+            other_limits = [limit for origin, limit in limits if origin != router]
+            other_loads = self.loads_.sum_others(router, now)
+            self.mesh.send(router, OtherLoads(other_loads, other_parts, other_limits))
 
 
 def _drain_queue(queue):
