--- a/sassafrashook/daemons/_controller.py
+++ b/sassafrashook/daemons/_controller.py
@@ -90,6 +90,7 @@
             settings.stream_port,
             FleetCache(cache_store),
             CACHE_VALID_HEARTBEATS * settings.heartbeat_ms / 1_000,
+            settings.link_bytes_per_s,
         )
         self._application = make_application(self.fleet_, settings)
         self._server = None
@@ -116,6 +117,9 @@
         self.metrics_.register_gauge(
             "upstreams_known", lambda: len(self.fleet_.registry.registrations_)
         )
+        publisher, exchange = self.fleet_.publisher_, self.fleet_.exchange_
+        self.metrics_.register_gauge("updates_postponed", lambda: publisher.postponed_)
+        self.metrics_.register_gauge("parts_dropped", lambda: exchange.parts_dropped_)
         self._server = serve_application(self.settings.control, self._application)
 
     def _start_replica(self):
--- a/sassafrashook/daemons/_settings.py
+++ b/sassafrashook/daemons/_settings.py
@@ -1,5 +1,6 @@
 """Settings of one node, independent of the file format that they are loaded from."""
 
+import math
 from dataclasses import dataclass
 
 
@@ -43,6 +44,7 @@
     :param warmup_tolerance: requests that it may be sent in addition in any second, over the whole
         fleet.
     :param metrics: pair of host and port of the metrics endpoint, ``None`` to disable it.
+    :param link_bytes_per_s: bandwidth of the host's link, in bytes per second.
     """
 
     name: str
@@ -64,3 +66,4 @@
     warmup_factor: float
     warmup_tolerance: float
     metrics: tuple | None = None
+    link_bytes_per_s: float = math.inf
--- a/sassafrashook/fleet/_controller.py
+++ b/sassafrashook/fleet/_controller.py
@@ -1,5 +1,7 @@
 """Controller side of the fleet state: replicates it and publishes it to all nodes."""
 
+import functools
+import math
 import time
 import uuid
 import zlib
@@ -35,7 +37,8 @@
 PROPAGATION_POLL_S = 0.01
 CACHE_INTERVAL_S = 1.0  # between checks whether the fleet cache must be saved
 COMPRESSION_LEVEL = 6
-UPDATE_BYTES = 1_500  # approximate size of an update without changes; it names all routers
+UPDATE_BYTES = 200  # approximate size of an update without changes, with its headers
+NAME_BYTES = 14  # approximate size of the name of a router
 
 
 class OperatorCommandOutcome(StrEnum):
@@ -78,6 +81,7 @@
     :param port: port on which every node accepts streams of other nodes.
     :param cache: a :class:`~sassafrashook.fleet.FleetCache`, ``None`` to save nothing.
     :param recalled_valid_s: how long recalled registrations are valid without a heartbeat, seconds.
+    :param link_bytes_per_s: bandwidth of this controller's link, in bytes per second.
 
     :ivar crashes_: the :class:`~sassafrashook.quarantine.CrashLedger` of the whole fleet.
     :ivar publisher_: the :class:`~sassafrashook.fleet.Publisher`.
@@ -87,7 +91,16 @@
     """
 
     def __init__(
-        self, name, replica, state, registry, mesh, port, cache=None, recalled_valid_s=0.0
+        self,
+        name,
+        replica,
+        state,
+        registry,
+        mesh,
+        port,
+        cache=None,
+        recalled_valid_s=0.0,
+        link_bytes_per_s=math.inf,
     ):
         self.name = name
         self.replica = replica
@@ -97,9 +110,11 @@
         self.port = port
         self.cache = cache
         self.recalled_valid_s = recalled_valid_s
-        self.publisher_ = Publisher(uuid.uuid4().hex[:16])
+        self.publisher_ = Publisher(uuid.uuid4().hex[:16], link_bytes_per_s)
         self.crashes_ = CrashLedger()
-        self.exchange_ = LoadExchange(mesh, registry, self.crashes_, self.publisher_)
+        self.exchange_ = LoadExchange(
+            mesh, registry, self.crashes_, self.publisher_, link_bytes_per_s
+        )
         self.streams_ = StreamRecords(mesh, registry, self.has_majority)
         view = FleetView(registry, self.crashes_)
         self.subscriber_ = FleetSubscriber(
@@ -191,11 +206,26 @@
         :param now: monotonic seconds.
         """
         size = len(self.state.configuration_)
+        self.publisher_.router_names_.update(self.publisher_.list_routers(now))
         due = self.publisher_.schedule_updates(
-            self._get_versions(), now, self._is_primary, size, self._measure_crashes
+            self._get_versions(),
+            now,
+            self._make_primary_test(),
+            size,
+            self._measure_crashes,
+            functools.cache(self._measure_update),
         )
         self._send_updates(due, now)
 
+    def _measure_update(self, revision, routers_revision):
+        """Return the approximate size of an update without crashes and configuration, in bytes."""
+        names = self.publisher_.router_names_
+        changes = names.list_changes(routers_revision)
+        name_count = len(names.names_) if changes is None else sum(map(len, changes))
+        registrations = self.registry.list_changes(revision, time.monotonic())
+        size = len(msgspec.msgpack.encode(registrations))
+        return UPDATE_BYTES + size + name_count * NAME_BYTES
+
     def _measure_crashes(self, revision):
         """Return the approximate size of the records of crashes that a router lacks, in bytes."""
         now = time.monotonic()
@@ -221,17 +251,22 @@
             event = "majority_connected" if has_majority else "majority_lost"
             log_event(event, heard=sorted(self.publisher_.list_connected(now, CONNECTED_TIMEOUT_S)))
 
-    def _is_primary(self, router):
-        """Return whether this controller is the one that sends a router new configurations."""
+    def _make_primary_test(self):
+        """Return a function of a router's name that tells whether this is its primary controller.
+
+        The primary controller is the one that sends a router new configurations.
+        """
         voters = self._list_voters()
-        return not voters or rank_nodes(hash_key(router), voters)[0] == self.name
+        return lambda router: not voters or rank_nodes(hash_key(router), voters)[0] == self.name
 
     def _send_updates(self, due, now):
         """Send an update to each subscriber of :meth:`Publisher.schedule_updates`."""
         state, registry, crashes = self.state, self.registry, self.crashes_
-        routers = self.publisher_.list_routers(now)
+        router_names = self.publisher_.router_names_
         members = sorted(member.name for member in self.replica.get_members())
         drained_zones = sorted(state.drained_zones_)
+        list_registrations = functools.cache(lambda revision: registry.list_changes(revision, now))
+        list_names = functools.cache(router_names.list_changes)
         for update in due:
             name, held = update.name, update.held
             is_newer = update.with_configuration and state.version_ > held.configuration_version
@@ -243,12 +278,14 @@
                     crashes.list_changes_for_routers if is_router else crashes.list_changes
                 )
                 crash_records = list_crashes(held.crash_revision, now)
+            name_changes = list_names(update.routers_revision)
+            joined, left = name_changes or ((), ())
             message = ViewChanged(
                 self.publisher_.boot_id,
                 registry.revision_,
-                registry.list_changes(held.revision, now),
+                list_registrations(held.revision),
                 members,
-                routers,
+                router_names.names_ if name_changes is None else (),
                 state.drain_index_,
                 drained_zones,
                 state.version_ if is_newer else 0,
@@ -259,6 +296,10 @@
                 held.crash_revision,
                 state.version_,
                 self._had_majority,
+                router_names.revision_,
+                update.routers_revision,
+                joined,
+                left,
             )
             self.mesh.send(name, message)
 
--- a/sassafrashook/fleet/_exchange.py
+++ b/sassafrashook/fleet/_exchange.py
@@ -1,5 +1,6 @@
 """Frequent exchange of loads, cached prompt parts and heartbeats between the nodes."""
 
+import math
 import time
 from collections import deque
 
@@ -16,7 +17,16 @@
 )
 from sassafrashook.telemetry import log_event
 
-LOAD_INTERVAL_S = 0.2
+LOAD_INTERVAL_S = 0.2  # shortest time between two messages with loads to one node
+MAX_LOAD_INTERVAL_S = 0.8  # routers use the loads of others for 1 s
+# Share of a controller's link for loads to routers. The interval grows with the number of routers.
+LOAD_LINK_SHARE = 0.15
+# Share of a controller's link for cached prompt parts to routers. The oldest that exceed it
+# are not announced: a router that doesn't know a holder copies from where the part probably is.
+PART_LINK_SHARE = 0.1
+PART_BYTES = 24  # approximate size of a cached prompt part
+LOAD_BYTES = 16  # approximate size of the load of an upstream
+LOAD_MESSAGE_BYTES = 100  # approximate size of a message without loads, with its headers
 HEARTBEAT_INTERVAL_S = 0.3  # between batches of heartbeats to the other controllers
 CONNECTED_TIMEOUT_S = 1.5  # a node that sent a request within this time is connected
 MAX_HEARTBEATS = 2_000  # per batch; the oldest are dropped
@@ -33,22 +43,27 @@
     :param crashes: a :class:`~sassafrashook.quarantine.CrashLedger`.
     :param publisher: a :class:`~sassafrashook.fleet.Publisher`, which lists the connected
         controllers.
+    :param link_bytes_per_s: bandwidth of the controller's link, in bytes per second.
 
+    :ivar parts_dropped_: number of cached prompt parts that were not announced to routers.
     :ivar loads_: a :class:`~sassafrashook.fleet._loads.LoadAggregator`.
     """
 
     handled_messages = (HeartbeatsHeard, LoadReported, LoadShared)
 
-    def __init__(self, mesh, registry, crashes, publisher):
+    def __init__(self, mesh, registry, crashes, publisher, link_bytes_per_s=math.inf):
         self.mesh = mesh
         self.registry = registry
         self.crashes = crashes
         self.publisher = publisher
+        self.link_bytes_per_s = link_bytes_per_s
         self.loads_ = LoadAggregator()
+        self.parts_dropped_ = 0
         self._heartbeats = deque(maxlen=MAX_HEARTBEATS)
         self._cached_parts = deque(maxlen=MAX_CACHED_PARTS)
         self._rate_limits = deque(maxlen=MAX_RATE_LIMITS)
         self._heartbeats_sent_at = float("-inf")
+        self._loads_due_at = self._loads_sent_at = float("-inf")
         self._handlers = {
             HeartbeatsHeard: self._on_heartbeats_heard,
             LoadReported: self._on_load_reported,
@@ -124,19 +139,45 @@
         if now >= self._heartbeats_sent_at + HEARTBEAT_INTERVAL_S:
             heartbeats = _drain_queue(self._heartbeats)
             self._heartbeats_sent_at = now
-        parts = _drain_queue(self._cached_parts)
+        parts, limits = [], []
+        is_due_to_routers = now >= self._loads_due_at
+        if is_due_to_routers:
+            parts = _drain_queue(self._cached_parts)
+            limits = self._drain_rate_limits(now)
         own_parts = [cached for origin, cached in parts if origin]
-        limits = self._drain_rate_limits(now)
         own_limits = [limit for origin, limit in limits if origin]
         for name in controllers:
             self.mesh.send(name, LoadShared(own_loads, own_parts, own_limits))
             if heartbeats:
                 self.mesh.send(name, HeartbeatsHeard(heartbeats))
-        for router in self.loads_.list_routers(now):
+        if is_due_to_routers:
+            self._send_to_routers(parts, limits, now)
+
+    def _send_to_routers(self, parts, limits, now):
+        """Send each own router the loads, parts and rate limits of the others."""
+        routers = self.loads_.list_routers(now)
+        totals = self.loads_.sum_all(now)
+        parts = self._thin_parts(parts, len(routers), now)
+        for router in routers:
             other_parts = [cached for origin, cached in parts if origin != router]
             other_limits = [limit for origin, limit in limits if origin != router]
-            other_loads = self.loads_.sum_others(router, now)
+            other_loads = self.loads_.subtract_own(totals, router)
             self.mesh.send(router, OtherLoads(other_loads, other_parts, other_limits))
+        size = len(routers) * (LOAD_MESSAGE_BYTES + LOAD_BYTES * len(totals))
+        interval_s = size / (LOAD_LINK_SHARE * self.link_bytes_per_s)
+        self._loads_sent_at = now
+        self._loads_due_at = now + min(interval_s, MAX_LOAD_INTERVAL_S)
+
+    def _thin_parts(self, parts, router_count, now):
+        """Return the newest of the parts, as many as their share of the link allows."""
+        elapsed_s = min(now - self._loads_sent_at, MAX_LOAD_INTERVAL_S)
+        allowed = PART_LINK_SHARE * self.link_bytes_per_s * elapsed_s
+        max_parts = allowed / (PART_BYTES * max(1, router_count))
+        if len(parts) <= max_parts:
+            return parts
+        kept = parts[-max(1, int(max_parts)) :]
+        self.parts_dropped_ += len(parts) - len(kept)
+        return kept
 
 
 def _drain_queue(queue):
--- a/sassafrashook/fleet/_loads.py
+++ b/sassafrashook/fleet/_loads.py
@@ -37,11 +37,24 @@
         self._discard_expired(now)
         return _sum_loads(loads for loads, _ in self._routers.values())
 
+    def sum_all(self, now):
+        """Return the load of all routers, by upstream."""
+        own = self.sum_own(now)
+        return _sum_loads([own, *(loads for loads, _ in self._controllers.values())])
+
+    def subtract_own(self, totals, router):
+        """Return what remains of the totals of :meth:`sum_all` without the load of a router."""
+        own, _ = self._routers.get(router, ({}, 0.0))
+        others = dict(totals)
+        for name, load in own.items():
+            others[name] -= load
+            if not others[name]:
+                del others[name]
+        return others
+
     def sum_others(self, router, now):
         """Return the load of all routers except ``router``, by upstream."""
-        self._discard_expired(now)
-        own = [loads for name, (loads, _) in self._routers.items() if name != router]
-        return _sum_loads([*own, *(loads for loads, _ in self._controllers.values())])
+        return self.subtract_own(self.sum_all(now), router)
 
     def _discard_expired(self, now):
         for reports in (self._routers, self._controllers):
--- a/sassafrashook/fleet/_messages.py
+++ b/sassafrashook/fleet/_messages.py
@@ -36,6 +36,8 @@
     :param drain_index: log index of the drained zones that the node holds.
     :param crash_revision: latest revision of the controller's crash ledger that the node holds.
     :param wants_crashes: whether the controller should send the node records of crashes.
+    :param routers_revision: latest revision of the controller's list of routers that the node
+        holds; -1 if the node needs the whole list in each update.
     """
 
     is_router: bool
@@ -45,6 +47,7 @@
     drain_index: int = 0
     crash_revision: int = 0
     wants_crashes: bool = True
+    routers_revision: int = -1
 
 
 class ViewChanged(Message):
@@ -56,7 +59,8 @@
     :param revision: revision of the controller that includes these changes.
     :param registrations: registrations that changed.
     :param controllers: names of all members of the consensus group.
-    :param routers: names of all routers that were connected recently.
+    :param routers: names of all routers that were connected recently; empty if the node holds the
+        list of ``base_routers_revision``.
     :param drain_index: log index of the last change of ``drained_zones``.
     :param drained_zones: availability zones that are drained.
     :param configuration_version: version of ``configuration``, 0 if it is omitted.
@@ -69,6 +73,12 @@
     :param newest_version: version of the configuration that the controller holds, also if it is
         omitted here.
     :param is_connected: whether the controller is connected to a majority.
+    :param routers_revision: revision of the controller's list of routers that includes these
+        changes.
+    :param base_routers_revision: revision of the list that ``joined_routers`` and ``left_routers``
+        change.
+    :param joined_routers: names of the routers that were added to the list.
+    :param left_routers: names of the routers that were removed from it.
     """
 
     boot_id: str
@@ -86,6 +96,10 @@
     base_crash_revision: int = 0
     newest_version: int = 0
     is_connected: bool = True
+    routers_revision: int = 0
+    base_routers_revision: int = 0
+    joined_routers: list[str] = []
+    left_routers: list[str] = []
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
--- a/sassafrashook/fleet/_publisher.py
+++ b/sassafrashook/fleet/_publisher.py
@@ -1,7 +1,10 @@
 """Tracks the subscribers of a controller and schedules the updates sent to them."""
 
+import math
 from dataclasses import dataclass, replace
 
+from sassafrashook.fleet._router_names import RouterNameHistory
+
 RESEND_DELAY_S = 0.4  # longer than a round trip on a busy link
 # A router is sent a configuration by its primary controller, and by the others too once it has made
 # no progress for this time.
@@ -16,6 +19,10 @@
 CRASH_INTERVAL_S = 0.2  # between two updates with records of crashes to one subscriber
 MAX_CRASH_BYTES_PER_S = 125_000  # to all routers
 MAX_CRASH_BURST_BYTES = 62_500
+# Share of a controller's link for updates to routers, without configurations. The rest is left to
+# the log, the configurations, loads and heartbeats.
+UPDATE_LINK_SHARE = 0.5
+MAX_UPDATE_BURST_S = 0.1  # the updates sent at once take the link at most for this time
 KEEPALIVE_INTERVAL_S = 1.0  # longest time without a message to a subscriber
 SUBSCRIBER_TIMEOUT_S = 3.0  # a subscriber without a request for this time is sent nothing
 # Disconnected routers are listed for this time, so that their shares of the warm-up rate are not
@@ -37,6 +44,8 @@
         monotonic seconds; ``None`` if it holds that.
     :ivar wants_crashes: whether this controller sends it records of crashes.
     :ivar crashes_sent_at: when it was last sent records of crashes, monotonic seconds.
+    :ivar routers_revision: revision of the list of routers that it holds; -1 if it needs the whole
+        list in each update.
     """
 
     is_router: bool
@@ -48,6 +57,14 @@
     lagging_since: float | None = None
     wants_crashes: bool = True
     crashes_sent_at: float = float("-inf")
+    routers_revision: int = -1
+
+    def is_awaited(self, now):
+        """Return whether it may still acknowledge the last update, which then need not be resent.
+
+        :param now: monotonic seconds.
+        """
+        return now < self.sent_at + RESEND_DELAY_S and not self.held.covers(self.sent)
 
     def can_receive_configuration(self, now):
         """Return whether it is connected and has no unacknowledged configuration.
@@ -113,28 +130,74 @@
     :param held: the :class:`StateVersions` that it holds.
     :param with_configuration: whether to include the configuration.
     :param with_crashes: whether to include records of crashes.
+    :param routers_revision: revision of the list of routers that it holds, -1 for none.
     """
 
     name: str
     held: StateVersions
     with_configuration: bool
     with_crashes: bool
+    routers_revision: int = -1
+
+
+class ByteBudget:
+    """Limits the bytes sent over time; one message may exceed the limit, and delays the next ones.
+
+    :param bytes_per_s: the rate.
+    :param max_burst_bytes: bytes that may be sent at once.
+
+    >>> budget = ByteBudget(1_000.0, 500.0)
+    >>> budget.charge(600, now=0.0)
+    >>> budget.is_available(now=0.05), budget.is_available(now=0.2)
+    (False, True)
+    """
+
+    def __init__(self, bytes_per_s, max_burst_bytes):
+        self.bytes_per_s = bytes_per_s
+        self.max_burst_bytes = max_burst_bytes
+        self._backlog_bytes = 0.0
+        self._backlog_at = 0.0
+
+    def is_available(self, now):
+        """Return whether a message may be sent.
+
+        :param now: monotonic seconds.
+        """
+        elapsed_s, self._backlog_at = now - self._backlog_at, now
+        self._backlog_bytes = max(0.0, self._backlog_bytes - elapsed_s * self.bytes_per_s)
+        return self._backlog_bytes < self.max_burst_bytes
+
+    def charge(self, size, now):
+        """Record a message that is sent.
+
+        :param size: its size, in bytes.
+        :param now: monotonic seconds.
+        """
+        self.is_available(now)
+        self._backlog_bytes += size
 
 
 class Publisher:
     """Decides which subscribers are sent an update, and when it is sent again.
 
     :param boot_id: identifies this run of the controller; revisions are comparable within it only.
+    :param link_bytes_per_s: bandwidth of the controller's link, in bytes per second.
 
     :ivar subscribers_: :class:`Subscriber` by node name.
+    :ivar router_names_: the :class:`~sassafrashook.fleet._router_names.RouterNameHistory`.
+    :ivar postponed_: number of updates that were due and had to wait for the link.
     """
 
-    def __init__(self, boot_id):
+    def __init__(self, boot_id, link_bytes_per_s=math.inf):
         self.boot_id = boot_id
+        self.link_bytes_per_s = link_bytes_per_s
         self.subscribers_ = {}
+        self.router_names_ = RouterNameHistory()
+        self.postponed_ = 0
         self._restored_routers = {}
-        self._crash_backlog_bytes = 0.0
-        self._crash_backlog_at = 0.0
+        self._crash_budget = ByteBudget(MAX_CRASH_BYTES_PER_S, MAX_CRASH_BURST_BYTES)
+        rate = UPDATE_LINK_SHARE * link_bytes_per_s
+        self._update_budget = ByteBudget(rate, MAX_UPDATE_BURST_S * link_bytes_per_s)
 
     def restore_routers(self, names, now):
         """Add routers known before a restart; each counts for ``ROUTER_RETENTION_S`` at least."""
@@ -163,12 +226,14 @@
                 float("-inf"),
                 now,
                 wants_crashes=request.wants_crashes,
+                routers_revision=request.routers_revision if is_same_boot else 0,
             )
             return
         if held.configuration_version > subscriber.held.configuration_version:
             subscriber.lagging_since = None
             subscriber.configuration_sent_at = float("-inf")
         subscriber.wants_crashes = request.wants_crashes
+        subscriber.routers_revision = request.routers_revision if is_same_boot else 0
         subscriber.held = held
         subscriber.last_request_at = now
 
@@ -179,11 +244,18 @@
         is_primary=lambda _name: True,
         configuration_bytes=1,
         measure_crashes=lambda _revision: 0,
+        measure_update=lambda _revision, _routers_revision: 0,
     ):
         """Return the subscribers to send an update to now, and mark them as sent ``current``.
 
         Controllers are never sent a configuration, because they have it from the log.
 
+        A router is sent further changes once it has acknowledged the last update, or after
+        ``RESEND_DELAY_S``. On a busy link, where acknowledgements come late, it is thus sent fewer
+        and larger updates instead of the same changes again and again. Those that have waited the
+        longest come first when the link does not suffice for all. There are few controllers, so
+        what is sent to them is not limited.
+
         :param current: the :class:`StateVersions` of this controller.
         :param now: monotonic seconds.
         :param is_primary: called with a router's name; returns whether this controller is the one
@@ -193,12 +265,15 @@
             are sent the configuration at once, so that a small link is not congested.
         :param measure_crashes: called with the crash revision that a router holds; returns the size
             of the records that it lacks, in bytes. It limits how many routers are sent these.
+        :param measure_update: called with the revisions of the registrations and of the list of
+            routers that a router holds; returns the size of an update without crashes and
+            configuration, in bytes.
         :returns: list of :class:`DueUpdate`.
         """
         due = []
         max_unacknowledged = max(1, MAX_UNACKNOWLEDGED_BYTES // max(1, configuration_bytes))
         available = max_unacknowledged - self._count_unacknowledged(now)
-        for name, subscriber in self.subscribers_.items():
+        for name, subscriber in self._list_by_wait(is_primary):
             if now >= subscriber.last_request_at + SUBSCRIBER_TIMEOUT_S:
                 continue
             lag_s = subscriber.update_lag(current.configuration_version, now)
@@ -212,20 +287,59 @@
             if with_configuration:
                 available -= 1
                 subscriber.configuration_sent_at = now
+            elif subscriber.is_router and subscriber.is_awaited(now):
+                continue
+            is_limited = subscriber.is_router and not with_configuration
+            if is_limited and not self._update_budget.is_available(now):
+                self.postponed_ += self._is_due(subscriber, current, now)
+                continue
             with_crashes = self._try_schedule_crashes(subscriber, current, now, measure_crashes)
             target = current
             if not with_configuration:
                 target = target.with_configuration_of(subscriber.sent)
             if not with_crashes:
                 target = target.with_crashes_of(subscriber.held)
-            is_new = with_configuration or with_crashes or not subscriber.sent.covers(target)
-            interval_s = KEEPALIVE_INTERVAL_S if subscriber.held.covers(target) else RESEND_DELAY_S
-            if is_new or now >= subscriber.sent_at + interval_s:
+            is_new = with_configuration or with_crashes
+            if is_new or self._is_due(subscriber, target, now):
+                if subscriber.is_router:
+                    size = measure_update(subscriber.held.revision, subscriber.routers_revision)
+                    self._update_budget.charge(size, now)
                 subscriber.sent = target
                 subscriber.sent_at = now
-                due.append(DueUpdate(name, subscriber.held, with_configuration, with_crashes))
+                due.append(
+                    DueUpdate(
+                        name,
+                        subscriber.held,
+                        with_configuration,
+                        with_crashes,
+                        subscriber.routers_revision,
+                    )
+                )
         return due
 
+    def _list_by_wait(self, is_primary):
+        """Return pairs of name and subscriber, those that have waited the longest first.
+
+        Of the nodes that were sent nothing yet, each controller begins with those whose primary it
+        is. A node that has started thus learns of all upstreams from one controller early.
+        """
+        return sorted(
+            self.subscribers_.items(),
+            key=lambda pair: (
+                pair[1].is_router,
+                pair[1].sent_at,
+                math.isinf(pair[1].sent_at) and not is_primary(pair[0]),
+            ),
+        )
+
+    def _is_due(self, subscriber, target, now):
+        """Return whether a subscriber lacks changes, or needs a keepalive.
+
+        :param target: the :class:`StateVersions` that it may be sent now.
+        """
+        interval_s = KEEPALIVE_INTERVAL_S if subscriber.held.covers(target) else RESEND_DELAY_S
+        return not subscriber.sent.covers(target) or now >= subscriber.sent_at + interval_s
+
     def _try_schedule_crashes(self, subscriber, current, now, measure_crashes):
         """Mark records of crashes as sent to a subscriber, if it lacks some and they are allowed.
 
@@ -239,14 +353,10 @@
             or now < subscriber.crashes_sent_at + CRASH_INTERVAL_S
         ):
             return False
-        elapsed_s, self._crash_backlog_at = now - self._crash_backlog_at, now
-        self._crash_backlog_bytes = max(
-            0.0, self._crash_backlog_bytes - elapsed_s * MAX_CRASH_BYTES_PER_S
-        )
-        if subscriber.is_router and self._crash_backlog_bytes >= MAX_CRASH_BURST_BYTES:
+        if subscriber.is_router and not self._crash_budget.is_available(now):
             return False
         if subscriber.is_router:
-            self._crash_backlog_bytes += measure_crashes(subscriber.held.crash_revision)
+            self._crash_budget.charge(measure_crashes(subscriber.held.crash_revision), now)
         subscriber.crashes_sent_at = now
         return True
 
--- a/sassafrashook/fleet/_subscriber.py
+++ b/sassafrashook/fleet/_subscriber.py
@@ -8,6 +8,7 @@
 from gevent.event import Event
 
 from sassafrashook.fleet._messages import LoadReported, PartCached, ViewChanged, ViewRequested
+from sassafrashook.fleet._router_names import RouterNameLists
 from sassafrashook.quarantine import CrashLedger
 from sassafrashook.routes import RouteConfiguration, RouteTable
 from sassafrashook.tasks import spawn_task
@@ -36,6 +37,7 @@
     :ivar drained_zones_: availability zones that are drained.
     :ivar drain_index_: log index of ``drained_zones_``.
     :ivar routers_: names of all routers.
+    :ivar router_lists_: the :class:`~sassafrashook.fleet._router_names.RouterNameLists`.
     :ivar newest_version_: highest version of a configuration that a controller has named.
     :ivar confirmed_at_: when a controller that is connected to a majority last sent an update, in
         monotonic seconds.
@@ -49,6 +51,7 @@
         self.drained_zones_ = frozenset()
         self.drain_index_ = 0
         self.routers_ = ()
+        self.router_lists_ = RouterNameLists()
         self.newest_version_ = 0
         self.confirmed_at_ = float("-inf")
 
@@ -85,8 +88,8 @@
         self.newest_version_ = max(self.newest_version_, update.newest_version)
         if update.is_connected:
             self.confirmed_at_ = now
-        if update.routers:
-            self.routers_ = tuple(update.routers)
+        self.router_lists_.apply(update, now)
+        self.routers_ = self.router_lists_.names_
         if update.drain_index <= self.drain_index_:
             return frozenset()
         undrained_zones = self.drained_zones_ - set(update.drained_zones)
@@ -170,6 +173,7 @@
                 drain_index,
                 crash_revision,
                 self._wants_crashes(name),
+                self.view.router_lists_.get_revision(boot_id),
             ),
         )
 
--- a/sassafrashook/fleet/tests/simulated_fleet.py
+++ b/sassafrashook/fleet/tests/simulated_fleet.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+import math
 import random
 from types import SimpleNamespace
 
@@ -96,7 +97,13 @@
             get_members=lambda: members, add_announcement_targets=lambda _names: None
         )
         controller = FleetController(
-            name, replica, FleetState(), Registry(10.0), self.meshes[name], PORT
+            name,
+            replica,
+            FleetState(),
+            Registry(10.0),
+            self.meshes[name],
+            PORT,
+            link_bytes_per_s=self.link_bytes_per_s or math.inf,
         )
         controller.subscriber_.controllers_ = set(CONTROLLERS) - {name}
         return controller
--- a/sassafrashook/fleet/tests/test_large_fleet.py
+++ b/sassafrashook/fleet/tests/test_large_fleet.py
@@ -24,8 +24,8 @@
 
 def make_registration(number, sequence=1, state=RegistrationState.READY):
     return Registration(
-        f"i-{number:08x}", 1_700_000_000_000, sequence, state, "advisor", "10.1.0.1", 8_000 + number,
-        "muscat-a", "v1", 16,
+        f"i-{number:08x}", 1_700_000_000_000, sequence, state, "advisor", "10.1.0.1",
+        8_000 + number, "muscat-a", "v1", 16,
     )  # fmt: skip
 
 
--- a/sassafrashook/platform/_settings.py
+++ b/sassafrashook/platform/_settings.py
@@ -1,11 +1,14 @@
 """Reading of the settings file that the platform writes for each process."""
 
+import math
+
 import msgspec
 from returns.result import Failure, Success
 
 from sassafrashook.daemons import NodeSettings, RouterAddresses
 
 DEFAULT_HEARTBEAT_MS = 1_000
+BYTES_PER_MBIT = 1_000_000 / 8
 METRICS_PORT = 9464  # as in deploy/system.toml; the settings file has no field for it
 
 
@@ -22,6 +25,15 @@
     control_plane: str | None = None
 
 
+class _Limits(msgspec.Struct, frozen=True):
+    """Limits of the host.
+
+    :param bandwidth_mbps: bandwidth of its link, in Mbit/s; ``None`` if it is not stated.
+    """
+
+    bandwidth_mbps: float | None = None
+
+
 class _Tolerance(msgspec.Struct, frozen=True):
     machine_failures: int = 0
 
@@ -54,6 +66,7 @@
     data_dir: str | None = None
     heartbeat_interval_ms: float = DEFAULT_HEARTBEAT_MS
     fault_tolerance: _Tolerance = _Tolerance()
+    limits: _Limits = _Limits()
 
 
 def load_node_settings(path):
@@ -99,6 +112,7 @@
         warmup_factor=bounds.warmup_factor,
         warmup_tolerance=bounds.warmup_tolerance,
         metrics=(node.ip, METRICS_PORT),
+        link_bytes_per_s=(node.limits.bandwidth_mbps or math.inf) * BYTES_PER_MBIT,
     )
 
 
