--- a/sassafrashook/placement/tests/test_placement.py
+++ b/sassafrashook/placement/tests/test_placement.py
@@ -346,3 +346,26 @@
     record_placement(placement, first, 99)
     query = PlacementQuery(SERVICE, 7)
     assert placement.find_prompt_source(query, placement.upstreams_[first], 20.0).key == (second, 1)
+
+
+def choose_for_version(placement, now=10.0):
+    return placement.choose(PlacementQuery(SERVICE, 7, software_version="v1"), now)
+
+
+def test_stream_does_not_go_on_at_upstream_that_may_have_restarted_with_another_version():
+    placement = make_placement(names=NAMES[:1])
+    (state,) = placement.upstreams_.values()
+    state.record_connect_failure(5.0)
+    state.record_probe(True, 9.0)
+    assert isinstance(choose_for_version(placement), Failure)
+    renewed = make_registration(NAMES[0], sequence=2)
+    placement.set_registrations([renewed], {NAMES[0]: 0.0}, 10.0)
+    assert isinstance(choose_for_version(placement), Success)
+
+
+def test_stream_does_not_go_on_at_upstream_that_is_known_from_saved_state_only():
+    recalled = msgspec.structs.replace(
+        make_registration(NAMES[0]), state=RegistrationState.RECALLED
+    )
+    placement = make_placement(registrations=[recalled], cold_until=20.0)
+    assert isinstance(choose_for_version(placement), Failure)
--- a/sassafrashook/platform/tests/test_processes.py
+++ b/sassafrashook/platform/tests/test_processes.py
@@ -366,14 +366,14 @@
         upstream.stop()
 
 
-def make_resumable_config(version):
-    """Return a configuration with one more route, of streams that may be resumed, to service s8."""
+def make_resumable_config(version, service="s8"):
+    """Return a configuration with one more route and service, of streams that may be resumed."""
     config = make_config(version)
     route = next(r for r in config["route_table"] if r["stream_resumption"])
     config["route_table"].append(
-        {**route, "name": "r-chats", "path_prefix": "/chats/", "service": "s8"}
+        {**route, "name": "r-chats", "path_prefix": "/chats/", "service": service}
     )
-    config["services"].append({**config["services"][0], "name": "s8"})
+    config["services"].append({**config["services"][0], "name": service})
     return config
 
 
@@ -384,16 +384,18 @@
 
     :param fleet: the :class:`Fleet`.
     :param versions: software version of each upstream.
+    :param prefix: beginning of the upstreams' names.
+    :param service: name of their service.
     """
 
-    def __init__(self, fleet, versions):
+    def __init__(self, fleet, versions, prefix="i-3", service="s8"):
         self.fleet = fleet
         self.upstreams = []
         self.begun = {}
         for number, version in enumerate(versions):
             script = make_versioned_stream_script(version, is_cut=is_begun_request)
-            self.upstreams.append(ScriptedUpstream(f"i-3{number}", script))
-            fleet.send_report(self.upstreams[-1], service="s8", version=version)
+            self.upstreams.append(ScriptedUpstream(f"{prefix}{number}", script))
+            fleet.send_report(self.upstreams[-1], service=service, version=version)
 
     def begin(self, router_ip, count):
         """Begin streams and receive their events until they break off."""
@@ -402,15 +404,20 @@
             _, body = self.fleet.send_request(router_ip, "/chats/1", f"b{number}", fields)
             self.begun[number] = list_event_versions(body)
 
-    def resume(self, router_ip, numbers):
-        """Resume streams; :returns: the software versions in the events of each whole stream."""
+    def resume(self, router_ip, numbers, is_named=True):
+        """Resume streams.
+
+        :param is_named: whether the client names the request that began the stream.
+        :returns: the software versions in the events of each whole stream.
+        """
         streams = []
         for number in numbers:
-            fields = (
+            fields = [
                 f"Last-Event-Id: {len(self.begun[number])}",
-                f"Resumes: b{number}",
                 make_prompt_field(f"session{number}:4"),
-            )
+            ]
+            if is_named:
+                fields.append(f"Resumes: b{number}")
             status, body = self.fleet.send_request(router_ip, "/chats/1", f"c{number}", fields)
             streams.append(self.begun[number] + list_event_versions(body if status == 200 else b""))
         return streams
@@ -445,6 +452,31 @@
     streams.stop()
 
 
+def test_streams_taken_up_after_a_restart_of_all_routers_are_not_joined_from_two_versions(fleet):
+    """The upstreams of the old version have started again under their names with the new one."""
+    fleet.request_until_accepted("PUT", "/config", make_resumable_config(60, "s9"))
+    streams = ResumedStreams(fleet, ("v1", "v1"), "i-4", "s9")
+    for router_ip in ROUTER_IPS:
+        assert wait_for(
+            lambda router_ip=router_ip: fleet.send_request(router_ip, "/chats/1", "b")[0] == 200
+        )
+    streams.begin(ROUTER_IPS[0], 8)
+    for upstream in streams.upstreams:
+        upstream.script = make_versioned_stream_script("v1.1", is_cut=is_begun_request)
+        fleet.send_report(upstream, service="s9", version="v1.1", born=9_000)
+    for ip in ROUTER_IPS:
+        fleet.kill(ip)
+    for ip in ROUTER_IPS:
+        fleet.start(ip)
+    for ip in ROUTER_IPS:
+        assert wait_for(lambda ip=ip: is_ready(fleet, ip), START_TIMEOUT_S)
+        assert wait_for(lambda ip=ip: fleet.send_request(ip, "/chats/1", "b")[0] == 200)
+    named = streams.resume(ROUTER_IPS[1], range(4))
+    unnamed = streams.resume(ROUTER_IPS[1], range(4, 8), is_named=False)
+    assert all(len(set(versions)) == 1 for versions in named + unnamed)
+    streams.stop()
+
+
 def test_router_stops_gracefully(fleet, upstream):
     assert wait_for(lambda: is_request_served(fleet, ROUTER_IPS[1]))
     assert fleet.kill(ROUTER_IPS[1], signal.SIGTERM) == 0
--- a/sassafrashook/registry/tests/test_registry.py
+++ b/sassafrashook/registry/tests/test_registry.py
@@ -212,3 +212,19 @@
     registry.mark_left("a", 2.0, unix_ms=1_000)
     assert registry.list_software_versions("advisor") == ["v1", "v1.1"]
     assert registry.list_software_versions("ledger") == []
+
+
+def test_software_versions_include_those_that_upstreams_ran_before_a_restart():
+    """An upstream may start again under its name, with another version."""
+    registry = Registry(10.0)
+    registry.merge(make_registration("a", boot=1), 0.0)
+    restarted = msgspec.structs.replace(make_registration("a", boot=2), version="v1.1")
+    registry.merge(restarted, 1.0)
+    assert registry.list_software_versions("advisor") == ["v1", "v1.1"]
+
+
+def test_software_versions_include_those_of_registrations_that_expired():
+    registry = Registry(10.0)
+    registry.recall([make_registration("a")], 2.0, 0.0)
+    assert registry.remove_expired_recalled(3.0) == ["a"]
+    assert registry.list_software_versions("advisor") == ["v1"]
