--- a/sassafrashook/fleet/_cache.py
+++ b/sassafrashook/fleet/_cache.py
@@ -16,11 +16,13 @@
     :param registrations: registrations of all upstreams.
     :param routers: names of all routers.
     :param crashes: records of upstream crashes.
+    :param software_versions: pairs of a service and a software version that its upstreams ran.
     """
 
     registrations: list[Registration] = []
     routers: list[str] = []
     crashes: list[CrashRecord] = []
+    software_versions: list[tuple[str, str]] = []
 
 
 class FleetCache:
--- a/sassafrashook/fleet/_controller.py
+++ b/sassafrashook/fleet/_controller.py
@@ -115,18 +115,19 @@
         self.exchange_ = LoadExchange(
             mesh, registry, self.crashes_, self.publisher_, link_bytes_per_s
         )
-        self.streams_ = StreamRecords(mesh, registry, self.has_majority)
+        self.streams_ = StreamRecords(mesh, registry, self.is_current)
         view = FleetView(registry, self.crashes_)
         self.subscriber_ = FleetSubscriber(
             name, mesh, view, port, False, self._add_announcement_targets
         )
         self._had_majority = False
+        self._started_at = time.monotonic()
 
     def start(self):
         """Start to subscribe to the other controllers and to publish updates."""
         tasks = [self._publish, self.exchange_.run, self.streams_.run]
         if self.cache is not None:
-            self._load_cache()
+            self.load_cache()
             tasks.append(self._save_cache)
         self.mesh.subscribe((ViewRequested,), self._on_view_requested)
         self.mesh.subscribe(self.exchange_.handled_messages, self.exchange_.deliver)
@@ -140,31 +141,40 @@
         self.subscriber_.stop()
         gevent.killall(self._tasks)
 
-    def _load_cache(self):
+    def load_cache(self):
+        """Restore what this controller had saved before it stopped."""
         cached, now = self.cache.load(), time.monotonic()
         self.registry.recall(cached.registrations, self.recalled_valid_s, now)
+        for service, version in cached.software_versions:
+            self.registry.record_software_version(service, version, now)
         self.publisher_.restore_routers(cached.routers, now)
         for record in cached.crashes:
             self.crashes_.merge(record, now)
         log_event(
             "fleet_cache_loaded", upstreams=len(cached.registrations), routers=len(cached.routers),
             crashes=len(cached.crashes), valid_s=self.recalled_valid_s,
+            software_versions=len(cached.software_versions),
         )  # fmt: skip
 
+    def collect_fleet(self):
+        """Return what this controller restores after a restart, a :class:`CachedFleet`."""
+        now = time.monotonic()
+        return CachedFleet(
+            list(self.registry.registrations_.values()),
+            self.publisher_.list_routers(now),
+            self.crashes_.list_changes(0, now),
+            self.registry.list_all_software_versions(now),
+        )
+
     def _save_cache(self):
         """Save the known upstreams, routers and crashes whenever they have changed, forever."""
         saved = None
         pool = gevent.get_hub().threadpool
         while True:
             gevent.sleep(CACHE_INTERVAL_S)
-            now = time.monotonic()
-            routers = self.publisher_.list_routers(now)
+            routers = self.publisher_.list_routers(time.monotonic())
             current = (self.registry.revision_, routers, self.crashes_.revision_)
-            if current == saved:
-                continue
-            crashes = self.crashes_.list_changes(0, now)
-            fleet = CachedFleet(list(self.registry.registrations_.values()), routers, crashes)
-            if pool.apply(self.cache.save, (fleet,)):
+            if current != saved and pool.apply(self.cache.save, (self.collect_fleet(),)):
                 saved = current
 
     def set_seeds(self, names):
@@ -314,6 +324,16 @@
         )
         return len(connected) * 2 > len(voters)
 
+    def is_current(self, now):
+        """Return whether this controller knows the upstreams that a majority knows.
+
+        Upstreams that registered just before it stopped may be missing in what it had saved, so it
+        has to run for as long as all upstreams need to send their heartbeats.
+
+        :param now: monotonic seconds.
+        """
+        return now >= self._started_at + self.recalled_valid_s and self.has_majority(now)
+
     def register(self, registration):
         """Process an upstream's heartbeat.
 
--- a/sassafrashook/fleet/_messages.py
+++ b/sassafrashook/fleet/_messages.py
@@ -219,7 +219,8 @@
     :param recorded: version in the record of the stream, ``None`` if there is none.
     :param known_versions: software versions of all upstreams of the service that the controller
         knows, including those that have left.
-    :param is_current: whether the controller is connected to a majority.
+    :param is_current: whether the controller is connected to a majority, and has run for long
+        enough to have heard of all upstreams.
     """
 
     lookup_id: int
--- a/sassafrashook/fleet/_streams.py
+++ b/sassafrashook/fleet/_streams.py
@@ -39,18 +39,18 @@
 
     :param mesh: a :class:`~sassafrashook.transport.Mesh`.
     :param registry: a :class:`~sassafrashook.registry.Registry`.
-    :param has_majority: called with the time in monotonic seconds; returns whether this controller
-        is connected to a majority of the controllers.
+    :param is_current: called with the time in monotonic seconds; returns whether this controller
+        knows what a majority of the controllers knows.
 
     :ivar ledger_: a :class:`~sassafrashook.streams.StreamLedger`.
     """
 
     handled_messages = (StreamsBegun, StreamVersionRequested)
 
-    def __init__(self, mesh, registry, has_majority):
+    def __init__(self, mesh, registry, is_current):
         self.mesh = mesh
         self.registry = registry
-        self.has_majority = has_majority
+        self.is_current = is_current
         self.ledger_ = StreamLedger()
 
     def deliver(self, sender, message):
@@ -64,8 +64,8 @@
         reply = StreamVersionReply(
             message.lookup_id,
             self.ledger_.find(message.key, now),
-            self.registry.list_software_versions(message.service),
-            self.has_majority(now),
+            self.registry.list_software_versions(message.service, now),
+            self.is_current(now),
         )
         self.mesh.send(sender, reply)
 
--- a/sassafrashook/placement/_placement.py
+++ b/sassafrashook/placement/_placement.py
@@ -235,7 +235,10 @@
             for state in self._states_by_service.get(query.service.name, ())
             if state.registration.availability_zone not in self.drained_zones_
             and state.key not in query.excluded_keys
-            and query.software_version in (None, state.registration.version)
+            and (
+                query.software_version is None
+                or state.is_certain_to_run(query.software_version, now)
+            )
             and not state.is_address_reused_
             and not state.is_expired(now)
         ]
--- a/sassafrashook/placement/_upstreams.py
+++ b/sassafrashook/placement/_upstreams.py
@@ -7,6 +7,9 @@
 # Consecutive failed probes after which a host counts as unresponsive. A lossy link loses at most
 # one connection-opening packet in ten, so one failed probe is not enough.
 UNRESPONSIVE_PROBES = 2
+# A restart that could explain a failed connection attempt is known after this time, from the next
+# heartbeat of the new boot.
+RESTART_KNOWN_S = 3.0
 UNRESPONSIVE_S = 0.6  # minimum time without response body data from an unresponsive host
 FAILURE_RATE_WEIGHT = 0.2  # weight of the newest response in the moving average of failures
 FAILURE_RATE_THRESHOLD = 0.5
@@ -38,6 +41,7 @@
         its last response that contains its load.
     :ivar load_reported_at_: time of that report, in monotonic seconds.
     :ivar suspended_until_: end of its suspension, in monotonic seconds.
+    :ivar connect_failed_at_: when a connection attempt last failed, in monotonic seconds.
     :ivar needs_probe_: whether a connection broke or stayed silent, which doesn't show whether new
         connections fail as well.
     :ivar failed_probes_: number of consecutive failed probes.
@@ -66,6 +70,7 @@
         "reported_load_",
         "load_reported_at_",
         "suspended_until_",
+        "connect_failed_at_",
         "needs_probe_",
         "failed_probes_",
         "last_body_data_at_",
@@ -88,6 +93,7 @@
         self.reported_load_ = 0
         self.load_reported_at_ = float("-inf")
         self.suspended_until_ = float("-inf")
+        self.connect_failed_at_ = float("-inf")
         self.needs_probe_ = False
         self.failed_probes_ = 0
         self.last_body_data_at_ = float("-inf")
@@ -127,6 +133,20 @@
         """Return whether its registration is recalled and has expired without a renewal."""
         return self.registration.state == RegistrationState.RECALLED and now >= self.cold_until
 
+    def is_certain_to_run(self, software_version, now):
+        """Return whether it runs a software version.
+
+        One that may have restarted since its last heartbeat may run another version.
+
+        :param software_version: the version.
+        :param now: monotonic seconds.
+        """
+        return (
+            self.registration.version == software_version
+            and self.registration.state != RegistrationState.RECALLED
+            and now >= self.connect_failed_at_ + RESTART_KNOWN_S
+        )
+
     def is_suspended(self, now):
         """Return whether it currently gets no requests because a connection attempt failed."""
         return now < self.suspended_until_
@@ -164,6 +184,7 @@
 
         :param now: monotonic seconds.
         """
+        self.connect_failed_at_ = now
         self.suspended_until_ = now + SUSPENSION_S
         self.is_on_probation_ = True
 
--- a/sassafrashook/registry/_registry.py
+++ b/sassafrashook/registry/_registry.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from sassafrashook.registry._entries import Registration, RegistrationState
+from sassafrashook.registry._versions import SoftwareVersions
 
 MAX_SEQUENCE = 2**62
 # Time for which an upstream that left is remembered; longer than a heartbeat can be delayed.
@@ -49,7 +50,7 @@
         self.cold_until_ = {}
         self._runs_until = {}
         self._changed_revisions = {}
-        self._software_versions = ({}, -1)
+        self._past_versions = SoftwareVersions()
 
     def merge(self, registration, now):
         """Merge a registration received from its upstream or from another node.
@@ -67,6 +68,8 @@
             return False
         cold_until = now + registration.cold_ms / MS_PER_S
         changed = self._needs_propagation(known, registration, cold_until, now)
+        if known is not None:
+            self._past_versions.record(known.service, known.version, now)
         if (
             registration.state == RegistrationState.LEFT
             and known is not None
@@ -132,6 +135,7 @@
         :param now: monotonic seconds.
         """
         for registration in registrations:
+            self._past_versions.record(registration.service, registration.version, now)
             if registration.is_closed_to_requests:
                 self.merge(msgspec.structs.replace(registration, cold_ms=0.0), now)
             elif registration.state != RegistrationState.SILENT:
@@ -170,7 +174,7 @@
             heard_at = self.heard_at_[name]
             if registration.state == RegistrationState.LEFT:
                 if now >= heard_at + LEFT_RETENTION_S:
-                    self._remove(name)
+                    self._remove(name, now)
             elif (
                 registration.state == RegistrationState.READY
                 and now >= heard_at + self.silence_timeout_s
@@ -193,10 +197,12 @@
             if registration.state == RegistrationState.RECALLED and now >= self.cold_until_[name]
         ]
         for name in expired:
-            self._remove(name)
+            self._remove(name, now)
         return expired
 
-    def _remove(self, name):
+    def _remove(self, name, now):
+        registration = self.registrations_[name]
+        self._past_versions.record(registration.service, registration.version, now)
         tables = (self.registrations_, self.heard_at_, self.cold_until_, self._runs_until)
         for table in (*tables, self._changed_revisions):
             table.pop(name, None)
@@ -221,19 +227,40 @@
         cold_ms = max(0.0, (self.cold_until_[name] - now) * MS_PER_S)
         return msgspec.structs.replace(registration, cold_ms=cold_ms)
 
-    def list_software_versions(self, service):
-        """Return the software versions of all registrations of a service, whatever their state.
+    def record_software_version(self, service, version, now):
+        """Record a version that upstreams of a service ran, as known from another source.
+
+        :param now: monotonic seconds.
+        """
+        self._past_versions.record(service, version, now)
+
+    def list_software_versions(self, service, now):
+        """Return the software versions that upstreams of a service run or ran recently.
+
+        Versions of upstreams that left, or restarted with another one, are included.
 
         :param service: name of the service.
+        :param now: monotonic seconds.
         :returns: sorted list.
         """
-        versions, revision = self._software_versions
-        if revision != self.revision_:
-            versions = {}
-            for registration in self.registrations_.values():
-                versions.setdefault(registration.service, set()).add(registration.version)
-            self._software_versions = (versions, self.revision_)
-        return sorted(versions.get(service, ()))
+        versions = {
+            registration.version
+            for registration in self.registrations_.values()
+            if registration.service == service
+        }
+        return sorted(versions.union(self._past_versions.list_versions(service, now)))
+
+    def list_all_software_versions(self, now):
+        """Return the pairs of service and version of :meth:`list_software_versions`, sorted.
+
+        :param now: monotonic seconds.
+        """
+        services = {registration.service for registration in self.registrations_.values()}
+        return [
+            (service, version)
+            for service in sorted(services.union(self._past_versions.list_services()))
+            for version in self.list_software_versions(service, now)
+        ]
 
     def list_usable(self):
         """Return the registrations of upstreams that may get requests, one for each address.
