--- a/sassafrashook/platform/tests/test_processes.py
+++ b/sassafrashook/platform/tests/test_processes.py
@@ -51,10 +51,13 @@
     """Starts and stops the processes and sends requests to them.
 
     :param folder: directory for settings, data and logs.
+
+    :ivar tree: directory with the sources of the processes that are started.
     """
 
     def __init__(self, folder):
         self.folder = folder
+        self.tree = ROOT
         self.processes = {}
         self.sequence = 0
 
@@ -67,7 +70,7 @@
         with open(self.folder / f"{ip}.log", "ab") as log:
             self.processes[ip] = subprocess.Popen(
                 [sys.executable, "-m", "sassafrashook.platform", daemon],
-                cwd=ROOT, env={**os.environ, "SASSAFRASHOOK_NODE_FILE": str(path)},
+                cwd=self.tree, env={**os.environ, "SASSAFRASHOOK_NODE_FILE": str(path)},
                 stdout=log, stderr=log,
             )  # fmt: skip
 
