--- a/sassafrashook/transport/_codec.py
+++ b/sassafrashook/transport/_codec.py
@@ -10,6 +10,10 @@
     """Received bytes are not a known message; the connection must be closed."""
 
 
+class UnknownMessageError(CodecError):
+    """A message of a class that this build does not know, probably sent by a newer one."""
+
+
 class Codec:
     """Encodes and decodes a fixed set of message classes.
 
@@ -45,18 +49,27 @@
         """Return an incremental unpacker for the bytes of one connection."""
         return msgpack.Unpacker(max_buffer_size=MAX_MESSAGE_BYTES)
 
-    def decode_chunk(self, unpacker, data):
+    def decode_chunk(self, unpacker, data, on_unknown=None):
         """Add received bytes and yield each message that they complete.
 
         :param unpacker: the connection's unpacker, from :meth:`make_unpacker`.
         :param data: bytes received from the connection.
+        :param on_unknown: called with the :class:`UnknownMessageError` of each message of an
+            unknown class, which is then left out; ``None`` to raise it.
         :raises CodecError: if the bytes are no known message, or more than ``MAX_MESSAGE_BYTES``
             are buffered.
         """
         try:
             unpacker.feed(data)
             for value in unpacker:
-                yield self._convert(value)
+                try:
+                    message = self._convert(value)
+                except UnknownMessageError as error:
+                    if on_unknown is None:
+                        raise
+                    on_unknown(error)
+                else:
+                    yield message
         except (ValueError, msgpack.UnpackException) as error:
             if isinstance(error, CodecError):
                 raise
@@ -67,7 +80,7 @@
             raise CodecError("a message must be an array whose first element is its type name")
         message_type = self._types_by_tag.get(value[0])
         if message_type is None:
-            raise CodecError(f"unknown message type {value[0][:64]!r}")
+            raise UnknownMessageError(f"unknown message type {value[0][:64]!r}")
         try:
             return msgspec.convert(value, message_type)
         except msgspec.ValidationError as error:
--- a/sassafrashook/transport/_mesh.py
+++ b/sassafrashook/transport/_mesh.py
@@ -220,11 +220,17 @@
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         unpacker = self.codec.make_unpacker()
         sender = None
+
+        def count_unknown(error):
+            if sender is None:
+                raise error
+            self.count("messages_unknown", "", 1)
+
         while True:
             data = connection.recv(RECEIVE_BYTES)
             if not data:
                 return
-            for message in self.codec.decode_chunk(unpacker, data):
+            for message in self.codec.decode_chunk(unpacker, data, count_unknown):
                 if sender is None:
                     sender = self._validate_hello(connection, message)
                     connection.settimeout(RECEIVE_TIMEOUT_MS / 1000)
--- a/sassafrashook/transport/tests/test_mesh.py
+++ b/sassafrashook/transport/tests/test_mesh.py
@@ -163,6 +163,21 @@
     assert receiver.received == [("sender", PermitWithdrawn(2))]
 
 
+def test_message_of_a_newer_build_is_left_out_and_counted(pair):
+    _, receiver = pair
+    counted = []
+    receiver.mesh.count = lambda metric, attribute, amount: counted.append(metric)
+    client = socket.create_connection(("127.0.0.1", receiver.mesh.port_))
+    codec = Codec((Hello, PermitWithdrawn))
+    client.sendall(codec.encode(Hello("sender", "receiver")))
+    client.sendall(msgpack.packb(["MessageOfTheFuture", 1, "x"]))
+    client.sendall(codec.encode(PermitWithdrawn(1)))
+    wait_until(lambda: receiver.received)
+    client.close()
+    assert receiver.received == [("sender", PermitWithdrawn(1))]
+    assert counted.count("messages_unknown") == 1
+
+
 @settings(max_examples=300, deadline=None, derandomize=True)
 @given(st.binary(max_size=200))
 def test_decoder_raises_only_codec_errors(data):
