--- a/sassafrashook/gateway/_attempt.py
+++ b/sassafrashook/gateway/_attempt.py
@@ -138,6 +138,10 @@
         handler.gateway.record_rate_limit(
             self.upstream, metadata.rate_limit, handler.metadata.request_id
         )
+        if not metadata.is_misdirected:
+            handler.gateway.record_upstream_signals(
+                self.upstream, metadata, handler.metadata.request_id
+            )
         if metadata.was_not_executed:
             self._discard_body()
             if metadata.is_misdirected:
--- a/sassafrashook/gateway/_gateway.py
+++ b/sassafrashook/gateway/_gateway.py
@@ -110,6 +110,34 @@
                 before=known,
             )  # fmt: skip
 
+    def record_upstream_signals(self, upstream, metadata, request_id):
+        """Record whether an upstream says that it leaves, or asks for a wait.
+
+        :param upstream: an :class:`~sassafrashook.placement.UpstreamState`.
+        :param metadata: the :class:`ResponseMetadata` of its response.
+        :param request_id: identifier of the request.
+        """
+        name = upstream.registration.upstream_id
+        if metadata.is_leaving and not upstream.is_leaving_:
+            upstream.is_leaving_ = True
+            self.metrics.count("upstream_signals", "leaving")
+            log_event(
+                "upstream_leaving", upstream=name, request=request_id,
+                boot_ms=upstream.registration.boot_ms,
+            )  # fmt: skip
+        if metadata.wait_s is None:
+            return
+        if math.isnan(metadata.wait_s):
+            self.metrics.count("upstream_signals", "wait_invalid")
+            log_event("upstream_wait_invalid", level="warning", upstream=name, request=request_id)
+            return
+        wait_s = upstream.record_wait(metadata.wait_s, time.monotonic())
+        self.metrics.count("upstream_signals", "wait")
+        log_event(
+            "upstream_wait", upstream=name, request=request_id, stated_s=metadata.wait_s,
+            wait_s=wait_s,
+        )  # fmt: skip
+
     def record_interruption(self, upstream, request_id, traits):
         """Record that an upstream closed the connection of a running request.
 
--- a/sassafrashook/gateway/_header_codec.py
+++ b/sassafrashook/gateway/_header_codec.py
@@ -53,6 +53,9 @@
         absent.
     :param rate_limit: number of requests per second that the upstream accepts from all routers
         together, ``None`` if it states no limit, NaN if the value is malformed.
+    :param is_leaving: whether it states that the upstream leaves.
+    :param wait_s: time for which the upstream wants no requests from this router, in seconds;
+        ``None`` if it states none, NaN if the value is malformed.
     """
 
     request_id: str
@@ -61,6 +64,8 @@
     is_misdirected: bool = False
     load: tuple | None = None
     rate_limit: float | None = None
+    is_leaving: bool = False
+    wait_s: float | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/sassafrashook/outcomes/_outcomes.py
+++ b/sassafrashook/outcomes/_outcomes.py
@@ -48,6 +48,8 @@
     UPSTREAM_LIMIT = "upstream_limit"
     # The upstream did not respond in time.
     UPSTREAM_SILENT = "upstream_silent"
+    # All upstreams that could take the request have asked for a wait.
+    UPSTREAM_WAIT = "upstream_wait"
     # The request has waited, or would wait, longer than its waiting target.
     WAITING_TARGET = "waiting_target"
 
--- a/sassafrashook/placement/_placement.py
+++ b/sassafrashook/placement/_placement.py
@@ -204,9 +204,12 @@
             :class:`PlacementRefusal`.
         """
         service_states = self._states_by_service.get(query.service.name, ())
-        candidates = self._list_candidates(query, now)
-        if not candidates:
+        all_candidates = self._list_candidates(query, now)
+        candidates = [state for state in all_candidates if now >= state.wait_until_]
+        if not all_candidates:
             return Failure(self._make_refusal(RefusalReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_MS))
+        if not candidates:
+            return Failure(self._make_wait_refusal(all_candidates, now))
         active = [state for state in candidates if not state.is_suspended(now)]
         healthy = self._prefer_healthy(active)
         ordered = self._order_candidates(query, healthy, service_states, now)
@@ -240,6 +243,7 @@
                 or state.is_certain_to_run(query.software_version, now)
             )
             and not state.is_address_reused_
+            and not state.is_leaving_
             and not state.is_expired(now)
         ]
 
@@ -249,7 +253,20 @@
         :param query: a :class:`PlacementQuery`.
         :param now: monotonic seconds.
         """
-        return any(not state.is_suspended(now) for state in self._list_candidates(query, now))
+        return any(
+            not state.is_suspended(now) and now >= state.wait_until_
+            for state in self._list_candidates(query, now)
+        )
+
+    def _make_wait_refusal(self, waiting, now):
+        """Return the refusal of a request while all upstreams that could take it want a wait.
+
+        The client may return soon after the first of these waits has ended.
+        """
+        ends_at = min(state.wait_until_ for state in waiting)
+        remaining_ms = min((ends_at - now) * MS_PER_S, MAX_LIMITED_RETRY_MS)
+        retry_after_ms = round(remaining_ms + self.rng.uniform(*BUSY_RETRY_MS))
+        return PlacementRefusal(RefusalReason.UPSTREAM_WAIT, retry_after_ms, len(waiting))
 
     def _make_limit_refusal(self, service, limited, candidates, now):
         """Return the refusal of a request for which all rate limits are used up.
--- a/sassafrashook/placement/_upstreams.py
+++ b/sassafrashook/placement/_upstreams.py
@@ -10,6 +10,7 @@
 # A restart that could explain a failed connection attempt is known after this time, from the next
 # heartbeat of the new boot.
 RESTART_KNOWN_S = 3.0
+MAX_WAIT_S = 30.0  # longer waits that an upstream asks for are cut to this time
 UNRESPONSIVE_S = 0.6  # minimum time without response body data from an unresponsive host
 FAILURE_RATE_WEIGHT = 0.2  # weight of the newest response in the moving average of failures
 FAILURE_RATE_THRESHOLD = 0.5
@@ -55,6 +56,8 @@
         last stated; ``None`` if it stated no limit.
     :ivar rate_limit_heard_at_: when a router received the response that the limit is known from, in
         monotonic seconds.
+    :ivar is_leaving_: whether it has said that it leaves; it then gets no new requests.
+    :ivar wait_until_: until when it wants no requests from this router, in monotonic seconds.
     :ivar presumed_cold_until_: until when it counts as cold because its zone was drained, in
         monotonic seconds.
     """
@@ -77,6 +80,8 @@
         "failure_rate_",
         "is_on_probation_",
         "is_address_reused_",
+        "is_leaving_",
+        "wait_until_",
         "presumed_cold_until_",
         "rate_limit_",
         "rate_limit_heard_at_",
@@ -100,6 +105,8 @@
         self.failure_rate_ = 0.0
         self.is_on_probation_ = False
         self.is_address_reused_ = False
+        self.is_leaving_ = False
+        self.wait_until_ = float("-inf")
         self.presumed_cold_until_ = float("-inf")
         self.rate_limit_ = None
         self.rate_limit_heard_at_ = float("-inf")
@@ -174,6 +181,17 @@
         has_changed, self.rate_limit_ = rate != self.rate_limit_, rate
         return has_changed
 
+    def record_wait(self, wait_s, now):
+        """Record that it wants no requests from this router for some time.
+
+        :param wait_s: the time that it asks for, in seconds.
+        :param now: monotonic seconds.
+        :returns: the time that is observed, at most ``MAX_WAIT_S``.
+        """
+        wait_s = min(wait_s, MAX_WAIT_S)
+        self.wait_until_ = max(self.wait_until_, now + wait_s)
+        return wait_s
+
     def get_rate_limit(self, now):
         """Return its rate limit in requests per second, ``None`` if there is none."""
         has_lapsed = now >= self.rate_limit_heard_at_ + RATE_LIMIT_TTL_S
--- a/sassafrashook/platform/_header_codec.py
+++ b/sassafrashook/platform/_header_codec.py
@@ -18,6 +18,9 @@
 INSTANCE_LOAD = b"x-sassafrashook-instance-load"
 # Requests per second that the engine accepts from all machines together.
 SERVER_LIMIT = b"server-limit"
+SERVER_LEAVING = b"server-leaving"
+# In a response with status 503: seconds for which the engine wants nothing from this machine.
+RETRY_AFTER = b"retry-after"
 REQUEST_PRIORITY = b"x-sassafrashook-request-priority"
 # Contains the parts of the prompt in order, as ID:TOKENS each, not a hash of the whole prompt.
 PREFIX_HASH = b"x-sassafrashook-prefix-hash"
@@ -25,6 +28,7 @@
 # Attempt id of the client attempt that brought the first event of the stream that a client resumes.
 RESUMES = b"resumes"
 STATUS_MISDIRECTED_REQUEST = 421
+STATUS_UNAVAILABLE = 503
 LOWEST_PRIORITY = 9
 # Replaced in requests to another router; everything else goes on as the client sent it.
 PEER_HEADERS = frozenset((b"content-length", DEADLINE_MS, LAST_EVENT_ID, RESUMES))
@@ -73,13 +77,16 @@
         """
         headers = head.headers
         load = _parse_numbers(headers.get(INSTANCE_LOAD, ""))
+        wait = headers.get(RETRY_AFTER) if head.status == STATUS_UNAVAILABLE else None
         return ResponseMetadata(
             headers.get(ATTEMPT_ID, ""),
             RESPONSE_SIGNATURE in headers,
             NOT_EXECUTED in headers or head.status == STATUS_MISDIRECTED_REQUEST,
             head.status == STATUS_MISDIRECTED_REQUEST,
             (load[0], load[1]) if len(load) == 3 else None,
-            _parse_rate(headers.get(SERVER_LIMIT)),
+            _parse_positive(headers.get(SERVER_LIMIT)),
+            headers.get(SERVER_LEAVING) == "1",
+            _parse_positive(wait),
         )
 
     def encode_forwarded_headers(self, headers, forwarding):
@@ -132,15 +139,15 @@
     return float(text)
 
 
-def _parse_rate(text):
-    """Return a rate per second; ``None`` without a text, NaN if it is malformed or negative."""
+def _parse_positive(text):
+    """Return a number; ``None`` without a text, NaN if it is malformed, negative or infinite."""
     if text is None:
         return None
     try:
-        rate = float(text)
+        number = float(text)
     except ValueError:
         return math.nan
-    return rate if 0 <= rate < math.inf else math.nan
+    return number if 0 <= number < math.inf else math.nan
 
 
 def _parse_numbers(text):
--- a/sassafrashook/platform/tests/test_forwarding.py
+++ b/sassafrashook/platform/tests/test_forwarding.py
@@ -1,5 +1,6 @@
 """Tests of request forwarding by a gateway in front of scripted upstreams on loopback."""
 
+import math
 import time
 
 import gevent
@@ -812,6 +813,83 @@
     assert {harness.send_request("/orders/7")[0] for _ in range(20)} == {200}
 
 
+def respond_as_leaving(_upstream, sock, head, _body):
+    sock.sendall(encode_response(head, extra=("Server-Leaving: 1",)))
+    return True
+
+
+def make_waiting_script(retry_after, accepted_at=math.inf):
+    """Return a script that refuses requests with a wait until a time, monotonic seconds."""
+
+    def refuse(_upstream, sock, head, _body):
+        fields = ("X-Sassafrashook-Not-Executed: 1", f"Retry-After: {retry_after}")
+        if time.monotonic() >= accepted_at:
+            sock.sendall(encode_response(head))
+        else:
+            sock.sendall(encode_response(head, status="503 Busy", extra=fields))
+        return True
+
+    return refuse
+
+
+def test_upstream_that_says_it_leaves_gets_no_further_requests(start_harness):
+    harness = start_harness(respond_as_leaving, respond_with_name)
+    assert {harness.send_request("/orders/7")[0] for _ in range(30)} == {200}
+    assert len(harness.upstreams[0].requests) <= 1
+
+
+def test_request_is_rejected_at_once_if_all_upstreams_leave(start_harness):
+    harness = start_harness(respond_as_leaving)
+    assert harness.send_request("/orders/7")[0] == 200
+    status, head, body, _ = harness.send_request("/orders/7")
+    assert (status, body) == (503, b"no_upstream\n")
+    assert find_header(head, "Retry-After") is not None
+    assert harness.count_requests() == 1
+
+
+def test_upstream_that_asks_for_a_wait_gets_no_requests_until_its_end(start_harness):
+    started = time.monotonic()
+    harness = start_harness(make_waiting_script(1.2, started + 0.2), respond_with_name)
+    waiting = harness.upstreams[0]
+    assert wait_for(lambda: harness.send_request("/counts/7")[0] == 200 and waiting.requests)
+    refused_at = time.monotonic()
+    while time.monotonic() < refused_at + 1.0:
+        assert harness.send_request("/counts/7")[0] == 200
+        gevent.sleep(0.01)
+    assert len(waiting.requests) == 1
+    assert wait_for(
+        lambda: harness.send_request("/counts/7")[0] == 200 and len(waiting.requests) > 1
+    )
+
+
+def test_request_is_rejected_at_once_with_the_wait_that_all_upstreams_ask_for(start_harness):
+    harness = start_harness(make_waiting_script(3), make_waiting_script(5))
+    harness.send_request("/counts/7")
+    wait_for(lambda: harness.send_request("/counts/7")[2] == b"upstream_wait\n")
+    count, delays_s, started = harness.count_requests(), [], time.monotonic()
+    for _ in range(10):
+        status, head, body, _ = harness.send_request("/counts/7")
+        assert (status, body) == (503, b"upstream_wait\n")
+        delays_s.append(float(find_header(head, "Retry-After")))
+    assert harness.count_requests() == count
+    assert time.monotonic() - started < 0.5
+    assert all(2.0 < delay_s < 6.0 for delay_s in delays_s)
+    assert len(set(delays_s)) > 5
+
+
+@pytest.mark.parametrize("value", ["-1", "nan", "soon", "", "1e400", "1, 2"])
+def test_invalid_wait_is_ignored(start_harness, value):
+    harness = start_harness(make_waiting_script(value, time.monotonic() + 0.2))
+    assert wait_for(lambda: harness.send_request("/counts/7")[0] == 200, 1.0)
+
+
+def test_endless_wait_is_bounded(start_harness):
+    harness = start_harness(make_waiting_script("1000000000000"))
+    harness.send_request("/counts/7")
+    (state,) = harness.placement.upstreams_.values()
+    assert state.wait_until_ <= time.monotonic() + 30.0
+
+
 @pytest.mark.parametrize("path", ["/plans/7", "/summaries/7"])
 def test_requests_with_prompt_part_that_crashes_upstreams_do_not_crash_more_than_five(
     start_harness, path
