--- a/sassafrashook/placement/_rate_limits.py
+++ b/sassafrashook/placement/_rate_limits.py
@@ -3,6 +3,7 @@
 from sassafrashook.base import Parametrized
 from sassafrashook.utils import Interval, hash_key, rank_nodes
 
+MAX_CACHED_RANKINGS = 10_000  # the cache is cleared when it holds more
 BUCKET_CAPACITY = 1.0  # tokens; bounds the burst of one router to one request
 
 
@@ -41,6 +42,7 @@
         self.window_s = window_s
         self.routers_ = ()
         self._buckets = {}
+        self._senders = {}
         self.validate_parameters()
 
     def set_routers(self, names):
@@ -48,7 +50,10 @@
 
         :param names: names of the routers.
         """
-        self.routers_ = tuple(sorted({*names, self.name}))
+        routers = tuple(sorted({*names, self.name}))
+        if routers != self.routers_:
+            self.routers_ = routers
+            self._senders = {}
 
     def compute_rate(self, upstream_id, total_rate):
         """Return the requests per second that this router may send to an upstream.
@@ -67,10 +72,23 @@
         max_senders = int(min(surplus, len(self.routers_) + 1)) - 1
         if max_senders <= 0:
             return 0.0
-        senders = self.routers_
-        if len(senders) > max_senders:
-            senders = rank_nodes(hash_key(upstream_id), senders)[:max_senders]
-        return total_rate / len(senders) if self.name in senders else 0.0
+        if len(self.routers_) <= max_senders:
+            return total_rate / len(self.routers_)
+        return total_rate / max_senders if self._is_sender(upstream_id, max_senders) else 0.0
+
+    def _is_sender(self, upstream_id, max_senders):
+        """Return whether this router is one of those that may send to an upstream.
+
+        Ranking all routers takes longer than everything else that a placement does, so the result
+        is kept until the set of routers changes.
+        """
+        key = (upstream_id, max_senders)
+        if key not in self._senders:
+            if len(self._senders) >= MAX_CACHED_RANKINGS:
+                self._senders.clear()
+            ranked = rank_nodes(hash_key(upstream_id), self.routers_)
+            self._senders[key] = self.name in ranked[:max_senders]
+        return self._senders[key]
 
     def try_acquire(self, upstream_id, total_rate, now):
         """Take one token of an upstream's bucket if there is one.
