--- a/sassafrashook/consensus/_durability.py
+++ b/sassafrashook/consensus/_durability.py
@@ -217,6 +217,7 @@
         self.snapshot_ = event.snapshot
         self.log_.compact(self._find_compaction_index(now))
         self._compact = True
+        self._request_snapshot_if_due()
 
     def _find_compaction_index(self, now):
         """Return the index up to which the log is compacted.
--- a/sassafrashook/consensus/tests/test_core.py
+++ b/sassafrashook/consensus/tests/test_core.py
@@ -20,6 +20,7 @@
     SendMessage,
     Snapshot,
     SnapshotSaved,
+    TakeSnapshot,
 )
 from sassafrashook.consensus._actions import BootstrapState
 from sassafrashook.consensus._messages import (
@@ -241,3 +242,24 @@
     (second,) = filter_messages(core.handle(answer, READY_AT_S), SnapshotPiece)
     assert (piece.offset, second.offset, second.index) == (0, 8, 10)
     assert core.log_.base_index == 10
+
+
+def commit_entries(core):
+    """Persist and commit all entries of a leader; return the snapshots that it requests."""
+    event = ProposalsSubmitted((Proposal(1, b"x"),))
+    report_persisted(core, core.handle(event, READY_AT_S), READY_AT_S)
+    answer = AppendAnswered(
+        *make_header("b", core.term_), True, core.log_.last_index, 0, core.round_
+    )
+    return filter_actions(core.handle(answer, READY_AT_S), TakeSnapshot)
+
+
+def test_snapshot_that_falls_due_while_another_is_saved_follows_without_a_commit():
+    core = make_core(snapshot_entries=1, trailing_entries=0)
+    elect_leader(core)
+    (first,) = commit_entries(core)
+    assert commit_entries(core) == []
+    members = [Member(name, identity) for name, identity in COMPLETED_BOOTSTRAP.bindings.items()]
+    saved = SnapshotSaved(Snapshot(first.index, first.term, 0, members, b""))
+    (second,) = filter_actions(core.handle(saved, READY_AT_S), TakeSnapshot)
+    assert second.index == core.commit_index_ == first.index + 1
