--- a/sassafrashook/daemons/_settings.py
+++ b/sassafrashook/daemons/_settings.py
@@ -1,8 +1,9 @@
 """Settings of one node, independent of the file format that they are loaded from."""
 
-import math
 from dataclasses import dataclass
 
+from sassafrashook.fleet import DEFAULT_LINK_BYTES_PER_S
+
 
 @dataclass(slots=True, frozen=True)
 class RouterAddresses:
@@ -66,4 +67,4 @@
     warmup_factor: float
     warmup_tolerance: float
     metrics: tuple | None = None
-    link_bytes_per_s: float = math.inf
+    link_bytes_per_s: float = DEFAULT_LINK_BYTES_PER_S
--- a/sassafrashook/fleet/_controller.py
+++ b/sassafrashook/fleet/_controller.py
@@ -1,7 +1,6 @@
 """Controller side of the fleet state: replicates it and publishes it to all nodes."""
 
 import functools
-import math
 import time
 import uuid
 import zlib
@@ -15,7 +14,11 @@
 from sassafrashook.fleet._cache import CachedFleet
 from sassafrashook.fleet._exchange import CONNECTED_TIMEOUT_S, LoadExchange
 from sassafrashook.fleet._messages import ViewChanged, ViewRequested
-from sassafrashook.fleet._publisher import Publisher, StateVersions
+from sassafrashook.fleet._publisher import (
+    DEFAULT_LINK_BYTES_PER_S,
+    Publisher,
+    StateVersions,
+)
 from sassafrashook.fleet._state import (
     PutConfiguration,
     SetZoneDrained,
@@ -35,6 +38,7 @@
 PROPAGATION_TIMEOUT_S = 0.8  # longest wait for a departure to reach the other nodes
 ROUTER_PROPAGATION_TIMEOUT_S = 0.5  # the part of it that lagging routers are waited for
 PROPAGATION_POLL_S = 0.01
+LINK_LOG_INTERVAL_S = 5.0  # between log lines about what the link had no room for
 CACHE_INTERVAL_S = 1.0  # between checks whether the fleet cache must be saved
 COMPRESSION_LEVEL = 6
 UPDATE_BYTES = 200  # approximate size of an update without changes, with its headers
@@ -100,7 +104,7 @@
         port,
         cache=None,
         recalled_valid_s=0.0,
-        link_bytes_per_s=math.inf,
+        link_bytes_per_s=DEFAULT_LINK_BYTES_PER_S,
     ):
         self.name = name
         self.replica = replica
@@ -122,6 +126,8 @@
         )
         self._had_majority = False
         self._started_at = time.monotonic()
+        self._link_logged_at = self._started_at
+        self._link_totals = (0, 0)
 
     def start(self):
         """Start to subscribe to the other controllers and to publish updates."""
@@ -226,6 +232,20 @@
             functools.cache(self._measure_update),
         )
         self._send_updates(due, now)
+        self._log_full_link(now)
+
+    def _log_full_link(self, now):
+        """Log how much the link had no room for since the last line, if anything."""
+        if now < self._link_logged_at + LINK_LOG_INTERVAL_S:
+            return
+        totals = (self.publisher_.postponed_, self.exchange_.parts_dropped_)
+        if totals != self._link_totals:
+            postponed, dropped = (a - b for a, b in zip(totals, self._link_totals, strict=True))
+            log_event(
+                "link_full", level="warning", updates_postponed=postponed, parts_dropped=dropped,
+                routers=len(self.publisher_.router_names_.names_),
+            )  # fmt: skip
+        self._link_logged_at, self._link_totals = now, totals
 
     def _measure_update(self, revision, routers_revision):
         """Return the approximate size of an update without crashes and configuration, in bytes."""
--- a/sassafrashook/fleet/_exchange.py
+++ b/sassafrashook/fleet/_exchange.py
@@ -1,6 +1,5 @@
 """Frequent exchange of loads, cached prompt parts and heartbeats between the nodes."""
 
-import math
 import time
 from collections import deque
 
@@ -15,6 +14,7 @@
     LoadShared,
     OtherLoads,
 )
+from sassafrashook.fleet._publisher import DEFAULT_LINK_BYTES_PER_S
 from sassafrashook.telemetry import log_event
 
 LOAD_INTERVAL_S = 0.2  # shortest time between two messages with loads to one node
@@ -51,7 +51,9 @@
 
     handled_messages = (HeartbeatsHeard, LoadReported, LoadShared)
 
-    def __init__(self, mesh, registry, crashes, publisher, link_bytes_per_s=math.inf):
+    def __init__(
+        self, mesh, registry, crashes, publisher, link_bytes_per_s=DEFAULT_LINK_BYTES_PER_S
+    ):
         self.mesh = mesh
         self.registry = registry
         self.crashes = crashes
--- a/sassafrashook/fleet/_publisher.py
+++ b/sassafrashook/fleet/_publisher.py
@@ -5,6 +5,7 @@
 
 from sassafrashook.fleet._router_names import RouterNameHistory
 
+DEFAULT_LINK_BYTES_PER_S = 125_000_000.0  # 1 Gbit/s
 RESEND_DELAY_S = 0.4  # longer than a round trip on a busy link
 # A router is sent a configuration by its primary controller, and by the others too once it has made
 # no progress for this time.
@@ -188,7 +189,7 @@
     :ivar postponed_: number of updates that were due and had to wait for the link.
     """
 
-    def __init__(self, boot_id, link_bytes_per_s=math.inf):
+    def __init__(self, boot_id, link_bytes_per_s=DEFAULT_LINK_BYTES_PER_S):
         self.boot_id = boot_id
         self.link_bytes_per_s = link_bytes_per_s
         self.subscribers_ = {}
--- a/sassafrashook/fleet/tests/simulated_fleet.py
+++ b/sassafrashook/fleet/tests/simulated_fleet.py
@@ -2,7 +2,6 @@
 
 import heapq
 import itertools
-import math
 import random
 from types import SimpleNamespace
 
@@ -12,6 +11,7 @@
 from sassafrashook.fleet._controller import PUBLISH_INTERVAL_S
 from sassafrashook.fleet._exchange import LOAD_INTERVAL_S
 from sassafrashook.fleet._messages import OtherLoads, ViewChanged, ViewRequested
+from sassafrashook.fleet._publisher import DEFAULT_LINK_BYTES_PER_S
 from sassafrashook.fleet._subscriber import REQUEST_INTERVAL_S
 from sassafrashook.quarantine import CrashLedger
 from sassafrashook.registry import Registry
@@ -103,7 +103,7 @@
             Registry(10.0),
             self.meshes[name],
             PORT,
-            link_bytes_per_s=self.link_bytes_per_s or math.inf,
+            link_bytes_per_s=self.link_bytes_per_s or DEFAULT_LINK_BYTES_PER_S,
         )
         controller.subscriber_.controllers_ = set(CONTROLLERS) - {name}
         return controller
--- a/sassafrashook/platform/_settings.py
+++ b/sassafrashook/platform/_settings.py
@@ -1,13 +1,12 @@
 """Reading of the settings file that the platform writes for each process."""
 
-import math
-
 import msgspec
 from returns.result import Failure, Success
 
 from sassafrashook.daemons import NodeSettings, RouterAddresses
 
 DEFAULT_HEARTBEAT_MS = 1_000
+UNLIMITED_MBPS = 1_000.0  # bandwidth that is assumed if none is stated
 BYTES_PER_MBIT = 1_000_000 / 8
 METRICS_PORT = 9464  # as in deploy/system.toml; the settings file has no field for it
 
@@ -28,7 +27,7 @@
 class _Limits(msgspec.Struct, frozen=True):
     """Limits of the host.
 
-    :param bandwidth_mbps: bandwidth of its link, in Mbit/s; ``None`` if it is not stated.
+    :param bandwidth_mbps: bandwidth of its link, in Mbit/s; ``None`` or 0 if it is not limited.
     """
 
     bandwidth_mbps: float | None = None
@@ -112,7 +111,7 @@
         warmup_factor=bounds.warmup_factor,
         warmup_tolerance=bounds.warmup_tolerance,
         metrics=(node.ip, METRICS_PORT),
-        link_bytes_per_s=(node.limits.bandwidth_mbps or math.inf) * BYTES_PER_MBIT,
+        link_bytes_per_s=(node.limits.bandwidth_mbps or UNLIMITED_MBPS) * BYTES_PER_MBIT,
     )
 
 
--- a/sassafrashook/platform/tests/test_decoding.py
+++ b/sassafrashook/platform/tests/test_decoding.py
@@ -179,3 +179,18 @@
     assert fields[b"X-Sassafrashook-Request-Priority"] == b"9"
     assert fields[b"Last-Event-Id"] == b"7"
     assert b"X-Sassafrashook-Tenant" not in fields
+
+
+@pytest.mark.parametrize(
+    ("limits", "bytes_per_s"),
+    [
+        ({"limits": {"bandwidth_mbps": 6.0}}, 750_000.0),
+        ({"limits": {"bandwidth_mbps": 0}}, 125_000_000.0),
+        ({"limits": {"bandwidth_mbps": None}}, 125_000_000.0),
+        ({}, 125_000_000.0),
+    ],
+)
+def test_bandwidth_of_the_link_is_read(tmp_path, limits, bytes_per_s):
+    path = tmp_path / "node.json"
+    path.write_text(json.dumps(make_node_settings("core", data_dir="/data") | limits))
+    assert load_node_settings(str(path)).unwrap().link_bytes_per_s == bytes_per_s
