--- a/sassafrashook/placement/_placement.py
+++ b/sassafrashook/placement/_placement.py
@@ -210,7 +210,7 @@
             return Failure(self._make_refusal(RefusalReason.NO_UPSTREAM, NO_UPSTREAM_RETRY_MS))
         if not candidates:
             return Failure(self._make_wait_refusal(all_candidates, now))
-        active = [state for state in candidates if not state.is_suspended(now)]
+        active = [state for state in candidates if self._is_active(state, query, now)]
         healthy = self._prefer_healthy(active)
         ordered = self._order_candidates(query, healthy, service_states, now)
         for state in ordered:
@@ -238,10 +238,7 @@
             for state in self._states_by_service.get(query.service.name, ())
             if state.registration.availability_zone not in self.drained_zones_
             and state.key not in query.excluded_keys
-            and (
-                query.software_version is None
-                or state.is_certain_to_run(query.software_version, now)
-            )
+            and query.software_version in (None, state.registration.version)
             and not state.is_address_reused_
             and not state.is_leaving_
             and not state.is_expired(now)
@@ -254,10 +251,15 @@
         :param now: monotonic seconds.
         """
         return any(
-            not state.is_suspended(now) and now >= state.wait_until_
+            self._is_active(state, query, now) and now >= state.wait_until_
             for state in self._list_candidates(query, now)
         )
 
+    def _is_active(self, state, query, now):
+        """Return whether a candidate is neither suspended nor of an uncertain software version."""
+        is_certain = query.software_version is None or state.has_certain_version(now)
+        return is_certain and not state.is_suspended(now)
+
     def _make_wait_refusal(self, waiting, now):
         """Return the refusal of a request while all upstreams that could take it want a wait.
 
--- a/sassafrashook/placement/_upstreams.py
+++ b/sassafrashook/placement/_upstreams.py
@@ -140,17 +140,15 @@
         """Return whether its registration is recalled and has expired without a renewal."""
         return self.registration.state == RegistrationState.RECALLED and now >= self.cold_until
 
-    def is_certain_to_run(self, software_version, now):
-        """Return whether it runs a software version.
+    def has_certain_version(self, now):
+        """Return whether it certainly runs the software version of its registration.
 
         One that may have restarted since its last heartbeat may run another version.
 
-        :param software_version: the version.
         :param now: monotonic seconds.
         """
         return (
-            self.registration.version == software_version
-            and self.registration.state != RegistrationState.RECALLED
+            self.registration.state != RegistrationState.RECALLED
             and now >= self.connect_failed_at_ + RESTART_KNOWN_S
         )
 
--- a/sassafrashook/placement/tests/test_placement.py
+++ b/sassafrashook/placement/tests/test_placement.py
@@ -359,7 +359,9 @@
     state.record_connect_failure(5.0)
     state.record_probe(True, 7.0)
     state.record_response(True)
-    assert isinstance(choose_for_version(placement, 5.0 + RESTART_KNOWN_S - 0.1), Failure)
+    refusal = choose_for_version(placement, 5.0 + RESTART_KNOWN_S - 0.1).failure()
+    # A router that reaches no upstream itself then asks another router.
+    assert (refusal.reason, refusal.candidates) == (RefusalReason.NO_UPSTREAM, 1)
     assert isinstance(choose_for_version(placement, 5.0 + RESTART_KNOWN_S), Success)
 
 
