--- a/sassafrashook/fleet/_publisher.py
+++ b/sassafrashook/fleet/_publisher.py
@@ -10,8 +10,8 @@
 # A router is sent a configuration by its primary controller, and by the others too once it has made
 # no progress for this time.
 FAILOVER_DELAY_S = 0.8
-# Limit of configurations sent and not acknowledged: about 0.1 s of transmission on a slow link.
-MAX_UNACKNOWLEDGED_BYTES = 65_536
+# Limit of configurations sent and not acknowledged: about 0.17 s of transmission on a slow link.
+MAX_UNACKNOWLEDGED_BYTES = 131_072
 # A router without a request for this time is sent no configuration; routers send one every 0.5 s.
 ROUTER_CONNECTED_S = 0.8
 ACKNOWLEDGE_TIMEOUT_S = 1.0  # an unacknowledged configuration is sent again after this time
--- a/sassafrashook/fleet/tests/test_large_fleet.py
+++ b/sassafrashook/fleet/tests/test_large_fleet.py
@@ -1,6 +1,7 @@
 """Tests of what controllers of a large fleet send over slow links."""
 
 import random
+import zlib
 
 import msgspec
 import pytest
@@ -13,6 +14,14 @@
     SimulatedFleet,
 )
 from sassafrashook.registry import Registration, RegistrationState
+from sassafrashook.routes import (
+    ClientLimits,
+    Repeatability,
+    Route,
+    RouteConfiguration,
+    Service,
+    WeightedService,
+)
 
 UPSTREAM_COUNT = 55
 # A message of the log that waits for longer than this, twice in a row, causes an election.
@@ -112,3 +121,39 @@
         updates = [message for message in sent if type(message).__name__ == "ViewChanged"]
         sizes.append(max(len(msgspec.msgpack.encode(message)) for message in updates))
     assert sizes[1] <= sizes[0] + 50
+
+
+def make_configuration(version, route_count, rng):
+    """Return an encoded configuration as controllers send it, with random names of routes."""
+    routes = [
+        Route(
+            f"r-{rng.getrandbits(35):x}", "shop.example", f"/{rng.getrandbits(35):x}/",
+            Repeatability.STREAM, [WeightedService("advisor", 1.0)], 10_000.0, 600.0, 400.0, 1, 0,
+            False, True,
+        )
+        for _ in range(route_count)
+    ]  # fmt: skip
+    limits = ClientLimits(16_384, 4_194_304, 3_000.0, 15_000.0)
+    configuration = RouteConfiguration(version, routes, [Service("advisor", 12.0)], limits, [])
+    return zlib.compress(msgspec.msgpack.encode(configuration))
+
+
+def test_change_of_a_large_configuration_is_held_by_all_routers_within_three_seconds(monkeypatch):
+    """The shortest time that a deployment of 200 hosts allows for it is 3 s."""
+    fleet, rng = LargeFleet(monkeypatch, 200), random.Random(2)
+    encoded = make_configuration(7, 2_000, rng)
+
+    def commit(version, configuration):
+        for controller in fleet.controllers.values():
+            controller.state.version_ = version
+            controller.state.configuration_ = configuration
+
+    fleet.run_until(START_S)
+    commit(7, encoded)
+    fleet.run_until(START_S + 30.0)
+    assert {router.view.version for router in fleet.routers.values()} == {7}
+    configuration = msgspec.msgpack.decode(zlib.decompress(encoded), type=RouteConfiguration)
+    changed = msgspec.structs.replace(configuration, version=8)
+    commit(8, zlib.compress(msgspec.msgpack.encode(changed)))
+    fleet.run_until(START_S + 33.0)
+    assert {router.view.version for router in fleet.routers.values()} == {8}
