--- a/sassafrashook/daemons/_router.py
+++ b/sassafrashook/daemons/_router.py
@@ -102,6 +102,7 @@
         )
         self._readiness_server = None
         self._usable = []
+        self._logged_paths = (0, 0)
 
     def start(self):
         """Subscribe to the controllers and serve clients.
@@ -126,6 +127,8 @@
         self.metrics_.register_gauge("controllers_heard", self.subscriber_.count_connected)
         self.metrics_.register_gauge("view_age_ms", self.subscriber_.measure_age_ms)
         self.metrics_.register_gauge("upstreams_usable", lambda: len(self.placement_.upstreams_))
+        self.metrics_.register_gauge("upstream_paths_known", lambda: self._count_paths()[0])
+        self.metrics_.register_gauge("upstream_paths_suspended", lambda: self._count_paths()[1])
         tasks = (self._report_loads, self._close_expired_connections, self._probe_upstreams)
         self._tasks = [spawn_task(task) for task in tasks]
 
@@ -233,6 +236,20 @@
             self.gateway_.probe_requested_.clear()
             upstreams = self.placement_.list_probe_targets(time.monotonic())
             gevent.joinall([gevent.spawn(self._probe_upstream, upstream) for upstream in upstreams])
+            self._log_paths()
+
+    def _count_paths(self):
+        """Return the number of known upstreams, and how many of them are suspended."""
+        now = time.monotonic()
+        states = self.placement_.upstreams_.values()
+        return len(states), sum(state.is_suspended(now) for state in states)
+
+    def _log_paths(self):
+        """Log how many upstreams this router can't connect to, if that number changed."""
+        known, suspended = paths = self._count_paths()
+        if suspended != self._logged_paths[1]:
+            log_event("upstream_paths", known=known, suspended=suspended)
+        self._logged_paths = paths
 
     def _probe_upstream(self, upstream):
         """Open a connection to an upstream, and abort attempts if its host is unresponsive."""
--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -91,6 +91,8 @@
     :ivar attempted_keys_: keys of the upstreams attempted so far.
     :ivar execution_count_: number of attempts that have run or may have run the request.
     :ivar unreachable_count_: number of attempts that could not connect.
+    :ivar unreachable_ms_: time that these attempts took, in milliseconds.
+    :ivar peer_count_: number of other routers that the request was forwarded to.
     :ivar refused_count_: number of attempts that upstreams refused without running the request.
     :ivar verdict_: :class:`~sassafrashook.outcomes.Verdict` on whether the request has run.
     """
@@ -139,6 +141,8 @@
         self.attempted_keys_ = set()
         self.execution_count_ = 0
         self.unreachable_count_ = 0
+        self.unreachable_ms_ = 0.0
+        self.peer_count_ = 0
         self.refused_count_ = 0
         self.verdict_ = Verdict.NOT_RUN
         self._traits = None
@@ -287,6 +291,7 @@
         :returns: whether the request has ended.
         """
         attempt = self._attempt = PeerAttempt(self, peer)
+        self.peer_count_ += 1
         self._request_log.log_peer(peer)
         try:
             head = self._exchange(attempt)
@@ -357,7 +362,7 @@
         try:
             head = self._exchange(attempt)
         except AttemptError as error:
-            self._record_failure(upstream, error)
+            self._record_failure(upstream, error, now)
             return error
         finally:
             upstream.running_ -= 1
@@ -385,7 +390,7 @@
             self._relay_response(attempt, head)
         return head
 
-    def _record_failure(self, upstream, error):
+    def _record_failure(self, upstream, error, began_at):
         if error.kind in (
             FailureKind.UNSUCCESSFUL_STATUS,
             FailureKind.BROKEN,
@@ -395,7 +400,9 @@
         if error.verdict is not Verdict.NOT_RUN:
             self.execution_count_ += 1
             self.verdict_ = error.verdict
-        self.unreachable_count_ += error.kind is FailureKind.UNREACHABLE
+        if error.kind is FailureKind.UNREACHABLE:
+            self.unreachable_count_ += 1
+            self.unreachable_ms_ += (time.monotonic() - began_at) * 1_000
         self.refused_count_ += error.kind in (FailureKind.REFUSED, FailureKind.MISDIRECTED)
         if error.kind is not FailureKind.CLIENT_DISCONNECTED:
             self._request_log.log_attempt_failure(upstream, error)
--- a/sassafrashook/gateway/_request_log.py
+++ b/sassafrashook/gateway/_request_log.py
@@ -162,7 +162,9 @@
             "request_ended", level=level, request=handler.metadata.request_id,
             route=handler.route.name, service=handler.service.name, upstream=upstream,
             outcome=outcome, detail=detail, verdict=handler.verdict_,
-            runs=handler.execution_count_, version=handler.table.version, ms=round(elapsed_ms),
+            runs=handler.execution_count_, unreachable=handler.unreachable_count_,
+            unreachable_ms=round(handler.unreachable_ms_), routers=handler.peer_count_,
+            version=handler.table.version, ms=round(elapsed_ms),
         )  # fmt: skip
 
     def _log_or_buffer(self, event, **pairs):
