--- a/sassafrashook/platform/tests/isolated_fleet.py
+++ b/sassafrashook/platform/tests/isolated_fleet.py
@@ -111,9 +111,15 @@
         daemon.start()
         return daemon
 
-    def partition(self, name, how):
+    def partition(self, name, how, reached=0):
+        """Interrupt the paths of one router.
+
+        :param name: name of the router.
+        :param how: one of ``PARTITIONS``.
+        :param reached: number of upstreams that the router still reaches.
+        """
         self.partitioned.add(name)
-        for path in self.paths[name]:
+        for path in self.paths[name][reached:]:
             path.interrupt(how)
 
     def heal(self, name):
