paths: routers that served a forwarded request are asked again before others

Cause: each request asks up to four routers at random, what a request learned was kept for 1 s and only about refusals, and after 12 refusals in a row no request asks any router for 1 s, also those that had just served one. Class: the same as before, one at a time per request.

A router that served a request is now preferred for 5 s, and asked during a pause too; up to four are found, by a quarter of the requests. Routers with unusable paths connect to up to four others in advance, so that no request has to find out which of them are out of reach.

--- a/sassafrashook/daemons/_router.py
+++ b/sassafrashook/daemons/_router.py
@@ -19,7 +19,7 @@
     OtherLoads,
     RateLimitStated,
 )
-from sassafrashook.gateway import Gateway, GatewayServer, RetryLimits
+from sassafrashook.gateway import Gateway, GatewayServer, RetryLimits, make_peer_pool_key
 from sassafrashook.http1 import ConnectionPool
 from sassafrashook.placement import Placement, SharedRateLimiter, StatedRateLimit
 from sassafrashook.registry import Registry
@@ -237,6 +237,11 @@
             self.gateway_.probe_requested_.clear()
             upstreams = paths.take_probe_targets(time.monotonic())
             probes = [gevent.spawn(self._probe_upstream, upstream) for upstream in upstreams]
+            if paths.count_unusable():
+                peers = self.gateway_.peers.take_probe_targets(
+                    self.view_.routers_, time.monotonic()
+                )
+                probes.extend(gevent.spawn(self._probe_peer, peer) for peer in peers)
             gevent.joinall(probes)
             self._log_paths()
             if paths.needs_immediate_round():
@@ -253,6 +258,17 @@
             log_event("upstream_paths", known=known, suspended=suspended)
         self._logged_paths = paths
 
+    def _probe_peer(self, name):
+        """Open a connection to another router and keep it for the next forwarded request."""
+        address = (name, self.settings.peer_port)
+        try:
+            connection = self.pool_.open(address, CONNECT_TIMEOUT_S, self.settings.name)
+        except OSError:
+            self.gateway_.peers.record_probe(name, False, time.monotonic())
+            return
+        self.pool_.add_unused(make_peer_pool_key(name), connection)
+        self.gateway_.peers.record_probe(name, True, time.monotonic())
+
     def _probe_upstream(self, upstream):
         """Open a connection to an upstream, and abort attempts if its host is unresponsive."""
         was_failed, began_at, is_silent = upstream.path.is_failed_, time.monotonic(), False
--- a/sassafrashook/gateway/__init__.py
+++ b/sassafrashook/gateway/__init__.py
@@ -10,6 +10,7 @@
     RequestMetadata,
     ResponseMetadata,
 )
+from sassafrashook.gateway._peers import make_peer_pool_key
 from sassafrashook.gateway._server import GatewayServer
 
 __all__ = [
@@ -23,4 +24,5 @@
     "PeerForwardingMetadata",
     "PromptPart",
     "RequestMetadata",
+    "make_peer_pool_key",
 ]
--- a/sassafrashook/gateway/_peers.py
+++ b/sassafrashook/gateway/_peers.py
@@ -25,6 +25,14 @@
     return replace(head, headers=Headers(fields)), int(text) if text.isdigit() else 1
 
 
+def make_peer_pool_key(name):
+    """Return the key under which the pool keeps idle connections to another router.
+
+    :param name: name of the router.
+    """
+    return ("router", name)
+
+
 @dataclass(slots=True, frozen=True)
 class PeerRefusal:
     """A router's own response to a forwarded request.
@@ -64,7 +72,7 @@
     @property
     def pool_key(self):
         """Key under which the pool keeps idle connections."""
-        return ("router", self.peer)
+        return make_peer_pool_key(self.peer)
 
     def _open_connection(self):
         gateway = self.handler.gateway
--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -292,7 +292,7 @@
                 return False
             tried.add(peer)
             if self._run_peer_attempt(peer):
-                gateway.peers.record_success(service)
+                gateway.peers.record_success(service, peer, time.monotonic())
                 return True
             gateway.peers.record_refusal(service, peer, time.monotonic())
         return False
