gateway: requests go through another router if the few upstreams that this one reaches have no room

Cause: a request was forwarded only if its router reached no upstream at all; a router that reached one sent everything there until it was full, and all such routers chose the same one. Class: a decision by "none at all", which holds with few upstreams and not with many.

A request is now forwarded if its router has unusable paths and no upstream that it reaches is within the load bound; if no other router takes it, it goes to an upstream over the bound as before. A router that gets such a request and does not reach all upstreams itself says no_upstream, so that another one is asked, rather than no_capacity, which is final. If there is an upstream with room, only routers that were reached lately are asked.

--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -242,11 +242,11 @@
             if isinstance(result, Failure):
                 refusal = result.failure()
                 self._request_log.log_placement_refusal(refusal)
-                if self._reaches_no_upstream(refusal) and self._forward_to_peers():
+                if self._may_peers_serve(refusal) and self._forward_to_peers(refusal):
                     return
-                result = self._choose_doubtful(query, refusal)
+                result = self._choose_without_peers(query, refusal)
                 if isinstance(result, Failure):
-                    self._reject(refusal.reason, refusal.retry_after_ms)
+                    self._reject_unplaced(refusal)
                     return
             upstream = result.unwrap()
             error = self._run_attempt(query, upstream)
@@ -263,31 +263,54 @@
                 return
         self._log("client_left", "-", "-")
 
-    def _choose_doubtful(self, query, refusal):
-        """Choose an upstream whose path may have failed, once, as there is no better one."""
-        if refusal.suspended == 0 or self.unreachable_count_ > 0:
+    def _may_peers_serve(self, refusal):
+        """Return whether upstreams are known that this router does not reach, but others may."""
+        is_unreachable = refusal.candidates > 0 or self.unreachable_count_ > 0
+        return refusal.is_local or (refusal.reason is RefusalReason.NO_UPSTREAM and is_unreachable)
+
+    def _choose_without_peers(self, query, refusal):
+        """Choose an upstream over the load bound, or one whose path may have failed.
+
+        A request tries one path that may have failed, at most.
+
+        :returns: a result as that of :meth:`~sassafrashook.placement.Placement.choose`.
+        """
+        if self.is_from_peer or not refusal.is_local:
             return Failure(refusal)
-        query = replace(query, uses_doubtful_paths=True)
+        query = replace(
+            query, keeps_load_bound=False, uses_doubtful_paths=self.unreachable_count_ == 0
+        )
         return self.gateway.placement.choose(query, time.monotonic())
 
-    def _reaches_no_upstream(self, refusal):
-        """Return whether upstreams of the service are known, but none can be connected to."""
-        is_unreachable = refusal.candidates > 0 or self.unreachable_count_ > 0
-        return refusal.reason is RefusalReason.NO_UPSTREAM and is_unreachable
+    def _reject_unplaced(self, refusal):
+        """Reject a request for which no upstream was chosen.
+
+        Another router is told to ask a third one if this router does not reach all upstreams.
+        """
+        reason = refusal.reason
+        if self.is_from_peer and refusal.is_local:
+            reason = RefusalReason.NO_UPSTREAM
+        self._reject(reason, refusal.retry_after_ms)
 
-    def _forward_to_peers(self):
+    def _forward_to_peers(self, refusal=None):
         """Forward the request to other routers until one of them reaches an upstream.
 
+        :param refusal: :class:`~sassafrashook.placement.PlacementRefusal` of this router, ``None``
+            if it chose an upstream but could not connect. If this router has an upstream over the
+            load bound, no other router that may be out of reach is asked.
         :returns: whether the request has ended; otherwise certainly no upstream has run it because
             of this, and it must be rejected.
         """
         gateway, service = self.gateway, self.service.name
         tried = set()
+        is_reached_only = refusal is not None and refusal.over_bound > 0
         while len(tried) < MAX_PEERS_PER_REQUEST and not self.client.is_disconnected_:
             now = time.monotonic()
             peer = None
             if not self.is_from_peer and now < self.deadline:
-                peer = gateway.peers.select(service, gateway.view.routers_, tried, now)
+                peer = gateway.peers.select(
+                    service, gateway.view.routers_, tried, now, is_reached_only
+                )
             if peer is None:
                 return False
             tried.add(peer)
@@ -346,6 +369,7 @@
             self._session_part_hash,
             frozenset(self.attempted_keys_),
             self.stream_version_,
+            keeps_load_bound=True,
         )
 
     def _compute_session_part_hash(self):
--- a/sassafrashook/gateway/_request_log.py
+++ b/sassafrashook/gateway/_request_log.py
@@ -58,7 +58,7 @@
         self._log_or_buffer(
             "request_unplaced", reason=refusal.reason, candidates=refusal.candidates,
             suspended=refusal.suspended, limited=refusal.limited, full=refusal.full,
-            held_back=refusal.held_back,
+            held_back=refusal.held_back, over_bound=refusal.over_bound,
             tried=len(handler.attempted_keys_), software=handler.stream_version_ or "-",
             drained_zones=drained_zones, version=handler.table.version,
         )  # fmt: skip
--- a/sassafrashook/placement/_placement.py
+++ b/sassafrashook/placement/_placement.py
@@ -41,6 +41,8 @@
         prompt.
     :param excluded_keys: keys of the upstreams that must not be chosen.
     :param software_version: version of the software that the upstream must run, ``None`` for any.
+    :param keeps_load_bound: whether no upstream over the load bound may be chosen while others are
+        out of reach, as another router may reach these.
     :param uses_doubtful_paths: whether an upstream may be chosen before the doubtful path to it has
         been probed.
     """
@@ -49,6 +51,7 @@
     session_part_hash: int | None = None
     excluded_keys: frozenset = frozenset()
     software_version: str | None = None
+    keeps_load_bound: bool = False
     uses_doubtful_paths: bool = False
 
 
@@ -64,6 +67,7 @@
     :param full: number of these without room.
     :param held_back: number of these with room that may not get a request now, because they are
         cold or on probation.
+    :param over_bound: number of these with room that are over the load bound.
     """
 
     reason: RefusalReason
@@ -73,6 +77,12 @@
     limited: int = 0
     full: int = 0
     held_back: int = 0
+    over_bound: int = 0
+
+    @property
+    def is_local(self):
+        """Whether another router may reach upstreams that this one does not reach."""
+        return self.suspended > 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -219,22 +229,28 @@
             return Failure(self._make_wait_refusal(all_candidates, now))
         active = [state for state in candidates if self._is_active(state, query, now)]
         healthy = self._prefer_healthy(active)
-        ordered = self._order_candidates(query, healthy, service_states, now)
-        for state in ordered:
+        suspended = len(candidates) - len(active)
+        within_bound, over_bound = self._order_candidates(query, healthy, service_states, now)
+        ordered = within_bound + over_bound
+        keeps_load_bound = query.keeps_load_bound and suspended > 0
+        for state in within_bound if keeps_load_bound else ordered:
             if self._try_admit(state, query.service, now):
                 return Success(state)
         if ordered and all(state.get_rate_limit(now) is not None for state in ordered):
-            return Failure(self._make_limit_refusal(query.service, ordered, len(candidates), now))
+            refusal = self._make_limit_refusal(query.service, ordered, len(candidates), now)
+            return Failure(replace(refusal, suspended=suspended))
         reason = RefusalReason.NO_CAPACITY if active else RefusalReason.NO_UPSTREAM
         refusal = self._make_refusal(reason, BUSY_RETRY_MS, len(candidates))
         limited = sum(state.get_rate_limit(now) is not None for state in ordered)
+        left_out = len(over_bound) if keeps_load_bound else 0
         return Failure(
             replace(
                 refusal,
-                suspended=len(candidates) - len(active),
+                suspended=suspended,
                 limited=limited,
                 full=len(healthy) - len(ordered),
-                held_back=len(ordered) - limited,
+                held_back=max(0, len(ordered) - limited - left_out),
+                over_bound=left_out,
             )
         )
 
@@ -436,26 +452,25 @@
         return healthy if len(healthy) * 2 >= len(states) else states
 
     def _order_candidates(self, query, candidates, service_states, now):
-        """Return the candidates with free capacity in the order in which to try them.
+        """Return the candidates with free capacity, within and over the load bound.
 
-        For requests with a prompt, upstreams within the load bound come first, in the session's
-        order, and the others follow by load. The mean load covers all upstreams of the service,
-        including those that currently get no requests.
+        Both are in the order in which to try them. Requests with a prompt try those within the
+        bound in the session's order and the others by load. The mean load covers all upstreams of
+        the service, including those that currently get no requests. For requests without a prompt,
+        which go to the least loaded upstream, the bound is its number of slots.
         """
         use_remote = now < self.loads_received_at_ + REMOTE_LOADS_TTL_S
         loads = {state.key: state.estimate_load(use_remote, now) for state in service_states}
         available = [s for s in candidates if loads[s.key] < self._compute_capacity(s, query)]
         if query.session_part_hash is None:
-            return sorted(available, key=lambda s: self._make_load_sort_key(s, loads[s.key]))
+            available.sort(key=lambda s: self._make_load_sort_key(s, loads[s.key]))
+            return _split(available, lambda s: loads[s.key] < self._count_slots(s, query))
         mean = sum(loads.values()) / len(service_states)
         bound = self.load_factor * mean + self.load_slack
         available.sort(key=lambda s: self._compute_session_rank(query.session_part_hash, s))
         self._prefer_holder(query.session_part_hash, available, now)
-        within_bound = [s for s in available if loads[s.key] + 1 <= bound]
-        over_bound = sorted(
-            (s for s in available if loads[s.key] + 1 > bound), key=lambda s: loads[s.key]
-        )
-        return within_bound + over_bound
+        within_bound, over_bound = _split(available, lambda s: loads[s.key] + 1 <= bound)
+        return within_bound, sorted(over_bound, key=lambda s: loads[s.key])
 
     def _prefer_holder(self, session_part_hash, ordered, now):
         """Swap the first two upstreams if only the second holds the session's part.
@@ -472,8 +487,11 @@
         is_remote_zone = state.registration.availability_zone != self.zone
         return (load / max(1, state.registration.slots), is_remote_zone, self.rng.random())
 
+    def _count_slots(self, state, query):
+        return state.registration.slots or query.service.slots or math.inf
+
     def _compute_capacity(self, state, query):
-        slots = state.registration.slots or query.service.slots or math.inf
+        slots = self._count_slots(state, query)
         return slots if query.session_part_hash is not None else slots * PROMPTLESS_CAPACITY_FACTOR
 
     def _try_admit(self, state, service, now):
@@ -502,3 +520,11 @@
     def list_local_loads(self):
         """Return the number of running requests of this router by upstream name, without zeros."""
         return {name: s.running_ for name, s in self.upstreams_.items() if s.running_}
+
+
+def _split(states, is_first):
+    """Split a list by a condition; :returns: the items that meet it, and the others, in order."""
+    first, second = [], []
+    for state in states:
+        (first if is_first(state) else second).append(state)
+    return first, second
--- a/sassafrashook/placement/tests/test_placement.py
+++ b/sassafrashook/placement/tests/test_placement.py
@@ -371,3 +371,31 @@
     )
     placement = make_placement(registrations=[recalled], cold_until=20.0)
     assert isinstance(choose_for_version(placement), Failure)
+
+
+@pytest.mark.parametrize("upstreams", [5, 70, 300])
+@pytest.mark.parametrize("session_part_hash", [None, 7])
+def test_router_that_reaches_one_upstream_keeps_it_within_load_bound(upstreams, session_part_hash):
+    names = [f"u{number}" for number in range(upstreams)]
+    placement = make_placement(registrations=[make_registration(name, slots=8) for name in names])
+    placement.set_remote_loads(dict.fromkeys(names[1:], 4), 10.0)
+    for name in names[1:]:
+        placement.record_connect_failure(placement.upstreams_[name], 9.9, 10.0, False)
+    reached = placement.upstreams_["u0"]
+    reached.path.record_connection(10.0)
+    query = PlacementQuery(SERVICE, session_part_hash, keeps_load_bound=True)
+    results = []
+    for _ in range(20):
+        results.append(placement.choose(query, 10.1))
+        reached.running_ += isinstance(results[-1], Success)
+    refusal = results[-1].failure()
+    assert reached.running_ == 8
+    assert (refusal.suspended, refusal.is_local) == (upstreams - 1, True)
+    assert refusal.full + refusal.over_bound == 1
+
+
+def test_load_bound_does_not_refuse_requests_while_all_upstreams_are_reached():
+    placement = make_placement(registrations=[make_registration("u0", slots=8)])
+    query = PlacementQuery(SERVICE, None, keeps_load_bound=True)
+    placement.upstreams_["u0"].running_ = 9
+    assert isinstance(placement.choose(query, 10.0), Success)
