placement: probation ends once a restart would be known

A router that had lost its paths to an upstream and regained them treated it as possibly restarted, and so as cold, until a request succeeded there. Of 70 routers 10 share the rate of a cold upstream, so 60 could never send the request that would have ended it: they kept away from the upstream for good, and with few upstreams rejected requests (held_back). Class: what holds with 7 routers, each of which has a share, and not with 70; and one's own failure taken for that of the upstream.

Probation now also ends 3 s after the last failed connection, when the heartbeat of a new boot would have arrived; the choice of upstreams for streams of a known software version relies on the same time.

The test of the warm-up bound sets the probation by a failed connection instead of the attribute, which is now derived.

--- a/sassafrashook/placement/_placement.py
+++ b/sassafrashook/placement/_placement.py
@@ -169,7 +169,7 @@
                 discovered_at = float("-inf") if is_recalled else now
                 state = UpstreamState(registration, cold_until[name], discovered_at)
             elif registration.sequence > state.registration.sequence:
-                state.is_on_probation_ = False
+                state.may_have_restarted_ = False
                 state.is_address_reused_ = False
             state.registration = registration
             state.cold_until = cold_until[name]
@@ -294,7 +294,7 @@
         :param is_silent: whether there was no reply at all, rather than a refusal.
         :returns: number of paths that have become doubtful because of this.
         """
-        upstream.is_on_probation_ = True
+        upstream.may_have_restarted_ = True
         return self.paths_.record_failure(upstream, began_at, now, is_silent)
 
     def record_probe(self, upstream, succeeded, began_at, now, is_silent=True):
@@ -305,7 +305,7 @@
 
         :returns: number of paths that have become doubtful because of this.
         """
-        upstream.is_on_probation_ = upstream.is_on_probation_ or not succeeded
+        upstream.may_have_restarted_ = upstream.may_have_restarted_ or not succeeded
         return self.paths_.record_probe(upstream, succeeded, began_at, now, is_silent)
 
     def _make_wait_refusal(self, waiting, now):
@@ -499,14 +499,15 @@
 
         :returns: whether the upstream may get a request now.
         """
-        if state.is_on_probation_ and now < state.last_chosen_at_ + 1 / PROBATION_RATE_PER_S:
+        is_on_probation = state.is_on_probation(now)
+        if is_on_probation and now < state.last_chosen_at_ + 1 / PROBATION_RATE_PER_S:
             return False
         rate_limit = state.get_rate_limit(now)
         if rate_limit is not None and not self.rate_limiter.try_acquire(
             state.registration.upstream_id, rate_limit, now
         ):
             return False
-        is_limited = service.cold_rate_per_s > 0 and (state.is_on_probation_ or state.is_cold(now))
+        is_limited = service.cold_rate_per_s > 0 and (is_on_probation or state.is_cold(now))
         name, cold_rate = state.registration.upstream_id, service.cold_rate_per_s
         if is_limited and not self.warmup.try_acquire(name, cold_rate, now):
             return False
--- a/sassafrashook/placement/_upstreams.py
+++ b/sassafrashook/placement/_upstreams.py
@@ -21,7 +21,8 @@
     """One router's view of one boot of an upstream.
 
     An upstream is on probation after a failure that a restart could explain, because it may have
-    restarted with a cold cache. Probation ends with a newer registration or a successful response.
+    restarted with a cold cache. Probation ends with a newer registration, a successful response, or
+    once the restart would be known.
 
     :param registration: its :class:`~sassafrashook.registry.Registration`.
     :param cold_until: end of its warm-up, in monotonic seconds; for a recalled registration, the
@@ -39,7 +40,8 @@
     :ivar load_reported_at_: time of that report, in monotonic seconds.
     :ivar path: this router's :class:`~sassafrashook.paths.Path` to it.
     :ivar failure_rate_: exponential moving average of failed responses, 0 to 1.
-    :ivar is_on_probation_: whether it is on probation.
+    :ivar may_have_restarted_: whether a connection attempt failed since the last registration or
+        successful response.
     :ivar is_address_reused_: whether an upstream with another name responded at its address. It
         gets no requests until a newer registration arrives.
     :ivar rate_limit_: number of requests per second that it accepts from all routers together, as
@@ -64,7 +66,7 @@
         "load_reported_at_",
         "path",
         "failure_rate_",
-        "is_on_probation_",
+        "may_have_restarted_",
         "is_address_reused_",
         "is_leaving_",
         "wait_until_",
@@ -85,7 +87,7 @@
         self.load_reported_at_ = float("-inf")
         self.path = Path()
         self.failure_rate_ = 0.0
-        self.is_on_probation_ = False
+        self.may_have_restarted_ = False
         self.is_address_reused_ = False
         self.is_leaving_ = False
         self.wait_until_ = float("-inf")
@@ -114,6 +116,10 @@
         """Return whether it is known for long enough to hold the sessions that hash to it."""
         return now >= self.discovered_at + ESTABLISHED_AFTER_S
 
+    def is_on_probation(self, now):
+        """Return whether it may have restarted, and a restart might not be known yet."""
+        return self.may_have_restarted_ and now < self.path.failed_at_ + RESTART_KNOWN_S
+
     def is_cold(self, now):
         """Return whether it is cold or presumed to be cold."""
         return now < max(self.cold_until, self.presumed_cold_until_)
@@ -179,7 +185,7 @@
         :param succeeded: whether the response was complete and correct.
         """
         if succeeded:
-            self.is_on_probation_ = False
+            self.may_have_restarted_ = False
         self.failure_rate_ += FAILURE_RATE_WEIGHT * (
             (0.0 if succeeded else 1.0) - self.failure_rate_
         )
--- a/sassafrashook/placement/tests/test_placement.py
+++ b/sassafrashook/placement/tests/test_placement.py
@@ -174,6 +174,18 @@
     assert isinstance(choose(placement, 7, 10.9), Success)
 
 
+@pytest.mark.parametrize("routers", [5, 70, 300])
+def test_every_router_sends_requests_to_upstream_that_has_not_restarted_while_out_of_reach(routers):
+    names = [f"r{number}" for number in range(routers)]
+    for name in names:
+        placement = make_placement(NAMES[:1], router=name)
+        placement.warmup.set_routers(names)
+        state = placement.upstreams_["u0"]
+        placement.record_connect_failure(state, 9.9, 10.0, True)
+        placement.record_probe(state, True, 14.9, 15.0)
+        assert isinstance(choose(placement, 7, now=10.0 + RESTART_KNOWN_S + 5.0), Success)
+
+
 def test_new_boot_resets_upstream_state():
     placement = make_placement(NAMES[:1])
     placement.upstreams_["u0"].running_ = 5
@@ -216,7 +228,8 @@
     for name in names:
         placement = make_placement(["u0"], name)
         placement.warmup.set_routers(names)
-        placement.upstreams_["u0"].is_on_probation_ = True
+        placement.record_connect_failure(placement.upstreams_["u0"], 9.9, 10.0, False)
+        placement.record_probe(placement.upstreams_["u0"], True, 9.9, 10.0)
         taken = [isinstance(choose(placement, 7, 10.0 + n / 50), Success) for n in range(50)]
         sent += sum(taken)
     assert 0 < sent <= SERVICE.cold_rate_per_s * 1.5 + 5
