gateway: a crash is confirmed by most of ten other upstreams, not by one of two

A router whose connections to four fifths of the upstreams were reset and refused reported that several upstreams had crashed, and all routers held back the contents of its requests: a few were rejected as quarantined. Cause: the crash of an upstream counted if a connection to either of two others succeeded, which is likely wherever some paths remain. Class: one's own failure taken for that of the others.

Up to ten others are now tried at the same time, and seven tenths must be reached; more than three quarters of unusable paths rule a crash out. Several upstreams that crash together are still confirmed: those known to have failed are not tried. Ruled out: waiting for the check of the paths (crashes are then reported too late: tests of the quarantine fail), a majority of five (the test failed in 2 of 18 runs). A router that keeps two thirds of its paths can still report a crash.

Test: test_connections_that_are_reset_on_most_paths_of_one_router_are_no_crashes failed with 5, 70 and 300 upstreams before; passes, eight runs each.

--- a/sassafrashook/gateway/_gateway.py
+++ b/sassafrashook/gateway/_gateway.py
@@ -4,6 +4,7 @@
 import time
 from dataclasses import dataclass
 
+import gevent
 from gevent.event import Event
 
 from sassafrashook.paths import PeerSelector
@@ -14,10 +15,13 @@
 from sassafrashook.utils import hash_key
 
 DEFAULT_LIMITS = ClientLimits(16_384, 4_194_304, 3_000, 15_000)  # before the first configuration
-# A crash is confirmed by a connection to another upstream. At most this number is tried, each for
-# this time, which is far above the latency to another zone.
-MAX_CONFIRMING_UPSTREAMS = 2
+# A crash is confirmed by connections to most of some other upstreams. At most this number is tried,
+# all at once, for this time, which is far above the latency to another zone.
+MAX_CONFIRMING_UPSTREAMS = 10
+MIN_CONFIRMING_SHARE = 0.7
 CONFIRMATION_TIMEOUT_S = 0.1
+# Share of a router's paths. While more are unusable, its own network has probably failed.
+MAX_UNUSABLE_SHARE = 0.75
 MAX_LOGGED_REQUESTS = 16  # ids of interrupted requests in one log line
 
 
@@ -218,29 +222,39 @@
     def _confirm_crash(self, upstream):
         """Return whether a broken connection and refused ones are those of a crashed upstream.
 
-        If this router reaches no other upstream either, its own network may have failed instead. If
-        no other upstream is known, the crash counts as confirmed.
+        If this router does not reach most others either, its own network may have failed instead.
+        If no other upstream is known, the crash counts as confirmed.
 
         :param upstream: :class:`~sassafrashook.placement.UpstreamState` that may have crashed.
         """
         others = [other for other in self.placement.upstreams_.values() if other is not upstream]
-        reachable = [other for other in others if not other.path.is_failed_]
-        sample_size = min(MAX_CONFIRMING_UPSTREAMS, len(reachable))
-        for other in self.placement.rng.sample(reachable, sample_size):
-            try:
-                self.pool.open(other.registration.address, CONFIRMATION_TIMEOUT_S).close()
-                self.placement.paths_.record_connection(other, time.monotonic())
-                return True
-            except OSError:
-                self.request_probe(other)
+        usable = [other for other in others if not other.path.is_failed_]
+        is_isolated = len(others) - len(usable) > MAX_UNUSABLE_SHARE * len(others)
+        sample_size = 0 if is_isolated else min(MAX_CONFIRMING_UPSTREAMS, len(usable))
+        sample = self.placement.rng.sample(usable, sample_size)
+        attempts = [gevent.spawn(self._can_connect, other) for other in sample]
+        gevent.joinall(attempts)
+        reached = sum(attempt.value for attempt in attempts)
+        if sample and reached >= MIN_CONFIRMING_SHARE * len(sample):
+            return True
         if others:
             log_event(
                 "crash_not_confirmed", level="warning",
                 upstream=upstream.registration.upstream_id, boot_ms=upstream.registration.boot_ms,
-                others=len(others), suspended=len(others) - len(reachable),
+                others=len(others), suspended=len(others) - len(usable), tried=len(sample),
+                reached=reached,
             )  # fmt: skip
         return not others
 
+    def _can_connect(self, upstream):
+        try:
+            self.pool.open(upstream.registration.address, CONFIRMATION_TIMEOUT_S).close()
+        except OSError:
+            self.request_probe(upstream)
+            return False
+        self.placement.paths_.record_connection(upstream, time.monotonic())
+        return True
+
     def record_completion(self, request_id, traits):
         """Record that a request completed, so that its traits crash no upstream.
 
--- a/sassafrashook/platform/tests/test_many_upstreams_cut_off.py
+++ b/sassafrashook/platform/tests/test_many_upstreams_cut_off.py
@@ -93,3 +93,21 @@
     gevent.joinall(streams)
     statuses = [stream.value[0] for stream in streams if stream.value is not None]
     assert statuses.count(200) == len(streams)
+
+
+@pytest.mark.parametrize("upstreams", SIZES)
+def test_connections_that_are_reset_on_most_paths_of_one_router_are_no_crashes(
+    start_fleet, upstreams
+):
+    fleet = start_fleet(1, *[make_stream_script(last=50, pause_s=0.05)] * upstreams)
+    name = fleet.names[0]
+    streams = [
+        gevent.spawn(fleet.send_request, name, "/plans/7", (make_prompt_field(),), f"stream-{n}")
+        for n in range(12)
+    ]
+    gevent.sleep(0.5)
+    fleet.partition(name, "reset", reached=upstreams // 5)
+    gevent.joinall(streams)
+    gevent.sleep(0.5)
+    crashes = fleet.routers[name].view_.crashes
+    assert crashes.list_changes(0, time.monotonic()) == []
