gateway: a refusal on a kept connection must name its request

A faulty engine that writes an earlier refusal once more, without the id of its request, made the router tell the next client on that connection 503, not run, while the engine ran its order (REFUSED), and try the order at a second engine (TWICE). A response with two ids, or with the status of a success and the statement that it was not executed, was trusted as well. Cause: a response without an id was taken to match any request.

On a connection that carried other requests, a response without an id now ends the attempt: the request may have run. So does one whose head contradicts itself. On a new connection a refusal without an id still counts, and routers' own responses to each other need none.

Copies with an id were discarded before, too: shown not to happen.

--- a/sassafrashook/gateway/_attempt.py
+++ b/sassafrashook/gateway/_attempt.py
@@ -273,10 +273,22 @@
     def _matches_request(self, head):
         """Decode a response head and return whether it responds to this request.
 
-        A response without a request id is taken to match.
+        On a new connection, a response without a request id is taken to match. On one that has
+        carried other requests, it may be a copy of the response to one of these.
+
+        :raises UpstreamResponseError: if it can't be told to which request it responds.
         """
-        self.metadata_ = self.handler.gateway.header_codec.decode_response_head(head)
-        return self.metadata_.request_id in ("", self.handler.metadata.request_id)
+        self.metadata_ = metadata = self.handler.gateway.header_codec.decode_response_head(head)
+        if metadata.is_contradictory:
+            raise UpstreamResponseError("the head of the response contradicts itself")
+        expected_id = self.handler.metadata.request_id
+        if not metadata.request_id and expected_id and self.is_reused_ and self._requires_id(head):
+            raise UpstreamResponseError("response without a request id on a kept connection")
+        return metadata.request_id in ("", expected_id)
+
+    def _requires_id(self, _head):
+        """Return whether a response on a kept connection must name its request."""
+        return True
 
     def read_data(self):
         """Read the next part of the body.
--- a/sassafrashook/gateway/_header_codec.py
+++ b/sassafrashook/gateway/_header_codec.py
@@ -56,6 +56,8 @@
     :param is_leaving: whether it states that the upstream leaves.
     :param wait_s: time for which the upstream wants no requests from this router, in seconds;
         ``None`` if it states none, NaN if the value is malformed.
+    :param is_contradictory: whether it names several requests, or states both that it was
+        successful and that the request was not executed.
     """
 
     request_id: str
@@ -66,6 +68,7 @@
     rate_limit: float | None = None
     is_leaving: bool = False
     wait_s: float | None = None
+    is_contradictory: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/sassafrashook/gateway/_peers.py
+++ b/sassafrashook/gateway/_peers.py
@@ -93,6 +93,9 @@
         remaining = handler.route.max_upstreams - handler.execution_count_
         return [*fields, (MAX_UPSTREAMS_HEADER, b"%d" % max(1, remaining))]
 
+    def _requires_id(self, head):
+        return VERDICT_HEADER not in head.headers  # a router's own responses name no request
+
     def _check_head(self):
         status = self.head_.status
         verdict = self.head_.headers.get(VERDICT_HEADER)
--- a/sassafrashook/platform/_header_codec.py
+++ b/sassafrashook/platform/_header_codec.py
@@ -27,6 +27,7 @@
 LAST_EVENT_ID = b"last-event-id"
 # Attempt id of the client attempt that brought the first event of the stream that a client resumes.
 RESUMES = b"resumes"
+STATUS_BAD_REQUEST = 400
 STATUS_MISDIRECTED_REQUEST = 421
 STATUS_UNAVAILABLE = 503
 LOWEST_PRIORITY = 9
@@ -77,6 +78,8 @@
         """
         headers = head.headers
         load = _parse_numbers(headers.get(INSTANCE_LOAD, ""))
+        request_ids = {value for name, value in headers.fields if name.lower() == ATTEMPT_ID}
+        is_success = head.status < STATUS_BAD_REQUEST
         wait = headers.get(RETRY_AFTER) if head.status == STATUS_UNAVAILABLE else None
         return ResponseMetadata(
             headers.get(ATTEMPT_ID, ""),
@@ -87,6 +90,7 @@
             _parse_positive(headers.get(SERVER_LIMIT)),
             headers.get(SERVER_LEAVING) == "1",
             _parse_positive(wait),
+            len(request_ids) > 1 or (is_success and NOT_EXECUTED in headers),
         )
 
     def encode_forwarded_headers(self, headers, forwarding):
