gateway: a stream goes on only with a response that continues it

Events that had been sent already came twice. Cause: the response of a later attempt was relayed like that of the first one.

A later response must have the status of the first one and its content type, or that of event streams; its first event must have an id that is higher than that after which the stream was resumed; and it must have an event at all. Otherwise the attempt has failed, and the stream goes on elsewhere or is broken off. A stream that a client resumes and that has no events left may still end empty. An event that is left out can't be told: ids only increase.

--- a/sassafrashook/gateway/_attempt.py
+++ b/sassafrashook/gateway/_attempt.py
@@ -320,11 +320,11 @@
             chunks.append(data)
             size += len(data)
             if size > MAX_BODY_BYTES:
-                raise self.close_endless_response(f"body of more than {MAX_BODY_BYTES} bytes")
+                raise self.close_wrong_response(f"body of more than {MAX_BODY_BYTES} bytes")
         return b"".join(chunks)
 
-    def close_endless_response(self, detail):
-        """Close the connection in the middle of a response that is too long.
+    def close_wrong_response(self, detail):
+        """Close the connection in the middle of a response that is too long or not as expected.
 
         :param detail: description for the log.
         :returns: the :class:`AttemptError` to raise.
--- a/sassafrashook/gateway/_events.py
+++ b/sassafrashook/gateway/_events.py
@@ -4,20 +4,36 @@
 ID_FIELD = b"id:"
 
 
+class EventOrderError(ValueError):
+    """Raised when a response does not continue the stream that it was requested for."""
+
+
 class EventSplitter:
     """Buffers received bytes and returns complete events only.
 
     :ivar last_event_id_: id of the last complete event that has one, ``None`` before the first.
+    :ivar has_events_: whether there was a complete event since the last call of :meth:`resume`.
 
     >>> splitter = EventSplitter()
     >>> splitter.feed(b"id: 1\\ndata: a\\n\\nid: 2"), splitter.last_event_id_
     (b'id: 1\\ndata: a\\n\\n', '1')
     """
 
-    __slots__ = ("last_event_id_", "_incomplete")
+    __slots__ = ("last_event_id_", "has_events_", "_resumed_after", "_incomplete")
 
     def __init__(self):
         self.last_event_id_ = None
+        self.has_events_ = False
+        self._resumed_after = None
+        self._incomplete = b""
+
+    def resume(self, last_event_id):
+        """Expect the events of another response, which must go on after an event.
+
+        :param last_event_id: id of that event, ``None`` if the stream starts at its beginning.
+        """
+        self.has_events_ = False
+        self._resumed_after = last_event_id
         self._incomplete = b""
 
     def feed(self, data):
@@ -25,6 +41,8 @@
 
         :param data: ``bytes``.
         :returns: the complete events as ``bytes``, empty if there are none.
+        :raises EventOrderError: if the first event of a resumed stream does not go on after the
+            event at which the stream was resumed.
         """
         data = self._incomplete + data
         end = data.rfind(EVENT_END)
@@ -32,19 +50,22 @@
             self._incomplete = data
             return b""
         complete, self._incomplete = data[: end + 2], data[end + 2 :]
+        if not self.has_events_ and self._resumed_after is not None:
+            self._check_first_event(complete[: complete.index(EVENT_END) + 1])
+        self.has_events_ = True
         self._update_last_event_id(complete)
         return complete
 
+    def _check_first_event(self, event):
+        event_id, after = _find_event_id(event), self._resumed_after
+        is_numeric = event_id is not None and event_id.isdecimal() and after.isdecimal()
+        if event_id is None or (int(event_id) <= int(after) if is_numeric else event_id == after):
+            raise EventOrderError(f"event {event_id} does not go on after {after}")
+
     def _update_last_event_id(self, complete):
-        start = complete.rfind(b"\n" + ID_FIELD)
-        if start >= 0:
-            start += 1
-        elif complete.startswith(ID_FIELD):
-            start = 0
-        else:
-            return
-        line = complete[start + len(ID_FIELD) : complete.index(b"\n", start)]
-        self.last_event_id_ = line.strip().decode("latin-1")
+        event_id = _find_event_id(complete)
+        if event_id is not None:
+            self.last_event_id_ = event_id
 
     def measure_incomplete(self):
         """Return the number of bytes after the last complete event."""
@@ -54,3 +75,16 @@
         """Return the bytes after the last complete event and clear the buffer."""
         incomplete, self._incomplete = self._incomplete, b""
         return incomplete
+
+
+def _find_event_id(events):
+    """Return the id of the last of some events that has one, ``None`` if none has."""
+    start = events.rfind(b"\n" + ID_FIELD)
+    if start >= 0:
+        start += 1
+    elif events.startswith(ID_FIELD):
+        start = 0
+    else:
+        return None
+    line = events[start + len(ID_FIELD) : events.index(b"\n", start)]
+    return line.strip().decode("latin-1")
--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -6,7 +6,7 @@
 from returns.result import Failure
 
 from sassafrashook.gateway._attempt import Attempt, AttemptError, FailureKind
-from sassafrashook.gateway._events import EventSplitter
+from sassafrashook.gateway._events import EventOrderError, EventSplitter
 from sassafrashook.gateway._peers import PeerAttempt
 from sassafrashook.gateway._request_log import RequestLog
 from sassafrashook.gateway._responses import (
@@ -39,6 +39,8 @@
 # Bounds of the random retry delay of a stream of unknown origin: its record may arrive meanwhile
 # from the router that began it, for example after a restart of the controllers.
 UNKNOWN_STREAM_RETRY_MS = (400, 800)
+CONTENT_TYPE = b"content-type"
+EVENT_STREAM_TYPE = "text/event-stream"
 # The client's connection sets its own framing, and routers their own verdict.
 REFRAMED_HEADERS = frozenset((b"content-length", VERDICT_HEADER))
 # Reasons for which another router rejects a request that any router would reject.
@@ -150,6 +152,7 @@
         self._traits = None
         self._session_part_hash = self._compute_session_part_hash()
         self._splitter = EventSplitter()
+        self._stream_head = None
         self._attempt = None
         self._request_log = RequestLog(self)
 
@@ -457,30 +460,44 @@
     def _relay_stream(self, attempt, head):
         """Send each event of a stream to the client as soon as it is complete."""
         client = self.client
-        if not client.has_started_response():
+        splitter, sent_at, longest_pause_s = self._splitter, time.monotonic(), 0.0
+        splitter.resume(self.last_event_id_)
+        is_continued = client.has_started_response()
+        if not is_continued:
             self._record("first_event_ms", "started", self._compute_elapsed_ms())
+            self._stream_head = head
             client.start_response(
                 head.status, remove_hop_by_hop_headers(head.headers, REFRAMED_HEADERS)
             )
-        splitter, sent_at, longest_pause_s = self._splitter, time.monotonic(), 0.0
-        has_events = False
+        elif not self._continues_stream(head):
+            raise attempt.close_wrong_response("the response is not of the kind of the stream")
         while (data := attempt.read_data()) is not None:
-            events = splitter.feed(data)
+            try:
+                events = splitter.feed(data)
+            except EventOrderError as error:
+                raise attempt.close_wrong_response(str(error)) from error
             if splitter.measure_incomplete() > MAX_EVENT_BYTES:
-                raise attempt.close_endless_response(f"event of more than {MAX_EVENT_BYTES} bytes")
+                raise attempt.close_wrong_response(f"event of more than {MAX_EVENT_BYTES} bytes")
             if events:
-                has_events = True
                 now = time.monotonic()
                 longest_pause_s, sent_at = max(longest_pause_s, now - sent_at), now
                 self._record_stream_version(attempt.software_version)
                 client.send_data(events)
         # A stream without framing may have broken off wherever it ends.
-        if splitter.take_incomplete() or (head.is_close_delimited and not has_events):
+        may_be_empty = not (head.is_close_delimited or is_continued)
+        if splitter.take_incomplete() or not (splitter.has_events_ or may_be_empty):
             raise attempt.close_incomplete_stream()
         attempt.finish()
         self._record("longest_pause_ms", "complete", longest_pause_s * 1_000)
         client.finish_response()
 
+    def _continues_stream(self, head):
+        """Return whether a response is a stream like the one that it must continue."""
+        first, content_type = self._stream_head, head.headers.get(CONTENT_TYPE, "")
+        is_same_type = content_type == first.headers.get(CONTENT_TYPE, "")
+        is_stream = content_type.partition(";")[0].strip().lower() == EVENT_STREAM_TYPE
+        return head.status == first.status and (is_same_type or is_stream)
+
     def _record_stream_version(self, version):
         """Bind the stream to the software version of the upstream that sent its first event.
 
