platform: registrations with numbers, names or addresses out of range are refused

One liveness report with a number above 2**64 in slots, sequence or born was accepted, and could then not be encoded in any update: in a fleet of processes the controllers accepted no heartbeat any more, and routers learned of no change (LOST). An id with line breaks or other letters was accepted and sent in a header of each request to that engine. A start far in the future outranked all later boots of the engine; 0.0.0.0, broadcast and multicast addresses and ports in other digits were taken as addresses. Cause: only the types of the fields were checked.

Numbers are bounded, born by the controller's clock plus 60 s; names have 1 to 256 characters, ids visible ASCII only. Deep nesting, ports out of range and text that can't be encoded were refused before: shown by tests.

--- a/sassafrashook/platform/_control.py
+++ b/sassafrashook/platform/_control.py
@@ -1,15 +1,18 @@
 """HTTP interface for operators and engines."""
 
+import time
+
 import falcon
 from returns.result import Failure
 
 from sassafrashook.fleet import OperatorCommandOutcome
 from sassafrashook.platform._configuration import decode_configuration
-from sassafrashook.platform._registrations import decode_heartbeat
+from sassafrashook.platform._registrations import decode_heartbeat, is_upstream_id
 from sassafrashook.telemetry import log_event
 
 MAX_CONFIGURATION_BYTES = 16 * 1024 * 1024
 MAX_HEARTBEAT_BYTES = 65_536
+MS_PER_S = 1_000
 
 
 def make_control_application(fleet, settings):
@@ -90,7 +93,8 @@
 
     def on_put(self, request, response, upstream_id):
         """Record a heartbeat."""
-        decoded = decode_heartbeat(upstream_id, _read_body(request, MAX_HEARTBEAT_BYTES))
+        body = _read_body(request, MAX_HEARTBEAT_BYTES)
+        decoded = decode_heartbeat(upstream_id, body, time.time() * MS_PER_S)
         if isinstance(decoded, Failure):
             log_event("heartbeat_refused", upstream=upstream_id, reason=decoded.failure())
             response.status = falcon.HTTP_400
@@ -99,6 +103,9 @@
 
     def on_delete(self, _request, response, upstream_id):
         """Record that an engine leaves."""
+        if not is_upstream_id(upstream_id):
+            response.status = falcon.HTTP_400
+            return
         _send_acknowledgement(response, self.fleet.mark_departed(upstream_id))
 
 
--- a/sassafrashook/platform/_settings.py
+++ b/sassafrashook/platform/_settings.py
@@ -8,6 +8,7 @@
 DEFAULT_HEARTBEAT_MS = 1_000
 UNLIMITED_MBPS = 1_000.0  # bandwidth that is assumed if none is stated
 BYTES_PER_MBIT = 1_000_000 / 8
+MAX_PORT_DIGITS = 5
 METRICS_PORT = 9464  # as in deploy/system.toml; the settings file has no field for it
 
 
@@ -123,6 +124,7 @@
     :raises ValueError: if the text has another form or the port is out of range.
     """
     host, separator, port = text.rpartition(":")
-    if not separator or not port.isdigit() or not 0 < int(port) < 65_536 or not host:
+    is_number = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+    if not separator or not is_number or not 0 < int(port) < 65_536 or not host:
         raise ValueError(f"{text!r} is not an address of the form IP:PORT")
     return host, int(port)
--- a/sassafrashook/platform/tests/documents.py
+++ b/sassafrashook/platform/tests/documents.py
@@ -33,6 +33,26 @@
             "tenants": tenants}  # fmt: skip
 
 
+# Fields of liveness reports that name no engine to use.
+ODD_FIELDS = (
+    ("slots", 2**64),
+    ("slots", 2**40),
+    ("sequence", 2**64),
+    ("sequence", 2**62),
+    ("born", 2**64),
+    ("born", 2**53),
+    ("warmup_remaining_ms", 1e300),
+    ("address", "10.0.0.9:70000"),
+    ("address", "10.0.0.9:8\uff10"),
+    ("address", "0.0.0.0:80"),
+    ("address", "255.255.255.255:80"),
+    ("address", "224.0.0.1:80"),
+    ("zone", "z" * 10_000),
+    ("version", "v" * 10_000),
+    ("service", ""),
+)
+
+
 def make_liveness_report(
     address="10.0.0.9:8080",
     service="s1",
--- a/sassafrashook/platform/tests/test_decoding.py
+++ b/sassafrashook/platform/tests/test_decoding.py
@@ -4,8 +4,12 @@
 import json
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 from returns.result import Failure, Success
 
+from sassafrashook.fleet import FLEET_MESSAGES
+from sassafrashook.fleet._messages import ViewChanged
 from sassafrashook.gateway import ForwardingMetadata, PromptPart
 from sassafrashook.http1 import Headers, ResponseHead
 from sassafrashook.platform._configuration import decode_configuration
@@ -13,12 +17,16 @@
 from sassafrashook.platform._registrations import decode_heartbeat
 from sassafrashook.platform._settings import load_node_settings
 from sassafrashook.platform.tests.documents import (
+    ODD_FIELDS,
     make_config,
     make_liveness_report,
     make_node_settings,
 )
 from sassafrashook.registry import RegistrationState
 from sassafrashook.routes import Repeatability
+from sassafrashook.transport import Codec
+
+NOW_MS = 5_000  # of the controller's clock
 
 
 def decode(config):
@@ -93,7 +101,7 @@
 
 def test_registration_is_decoded():
     registration = decode_heartbeat(
-        "i-1", json.dumps(make_liveness_report(state="draining")).encode()
+        "i-1", json.dumps(make_liveness_report(state="draining")).encode(), NOW_MS
     ).unwrap()
     assert registration.state is RegistrationState.DRAINING
     assert (registration.host, registration.port, registration.boot_ms, registration.sequence) == (
@@ -111,14 +119,56 @@
 )
 def test_registration_with_invalid_field_is_rejected(field, value):
     report = {**make_liveness_report(), field: value}
-    assert isinstance(decode_heartbeat("i-1", json.dumps(report).encode()), Failure)
+    assert isinstance(decode_heartbeat("i-1", json.dumps(report).encode(), NOW_MS), Failure)
+
+
+@pytest.mark.parametrize(("field", "value"), ODD_FIELDS)
+def test_registration_with_odd_field_is_rejected(field, value):
+    report = {**make_liveness_report(), field: value}
+    assert isinstance(decode_heartbeat("i-1", json.dumps(report).encode(), NOW_MS), Failure)
+
+
+@pytest.mark.parametrize("nesting", [("[", "]"), ('{"a":', "}")])
+def test_deeply_nested_registration_is_rejected(nesting):
+    opening, closing = nesting
+    report = json.dumps(make_liveness_report())[:-1]
+    body = f'{report}, "x": {opening * 20_000}1{closing * 20_000}}}'
+    assert isinstance(decode_heartbeat("i-1", body.encode(), NOW_MS), Failure)
+
+
+@pytest.mark.parametrize("name", ["", "a b", "a\r\nX: y", "\u00e9", "\ud800", "i" * 10_000])
+def test_registration_with_odd_name_is_rejected(name):
+    body = json.dumps(make_liveness_report()).encode()
+    assert isinstance(decode_heartbeat(name, body, NOW_MS), Failure)
+
+
+@given(
+    st.fixed_dictionaries(
+        {
+            field: st.one_of(
+                st.just(value),
+                st.integers(-(2**70), 2**70),
+                st.floats(allow_nan=False, allow_infinity=False),
+                st.text(max_size=20),
+            )
+            for field, value in make_liveness_report().items()
+        }
+    )
+)
+def test_every_accepted_registration_can_be_sent_to_routers(report):
+    decoded = decode_heartbeat("i-1", json.dumps(report).encode(), NOW_MS)
+    if isinstance(decoded, Failure):
+        return
+    codec = Codec(FLEET_MESSAGES)
+    change = ViewChanged("b", 1, [decoded.unwrap()], [], [], 0, [])
+    assert codec.decode(codec.encode(change)) == change
 
 
 @pytest.mark.parametrize("field", sorted(make_liveness_report()))
 def test_registration_with_missing_field_is_rejected(field):
     report = make_liveness_report()
     del report[field]
-    assert isinstance(decode_heartbeat("i-1", json.dumps(report).encode()), Failure)
+    assert isinstance(decode_heartbeat("i-1", json.dumps(report).encode(), NOW_MS), Failure)
 
 
 def test_settings_of_both_roles_are_loaded(tmp_path):
--- a/sassafrashook/platform/tests/test_processes.py
+++ b/sassafrashook/platform/tests/test_processes.py
@@ -1,5 +1,6 @@
 """Tests with five controller and two router processes, each with its own loopback address."""
 
+import itertools
 import json
 import os
 import shutil
@@ -23,6 +24,7 @@
     CONTROL_PORT,
     CONTROLLER_IPS,
     FRONTEND_PORT,
+    ODD_FIELDS,
     READINESS_PORT,
     ROUTER_IPS,
     make_config,
@@ -36,6 +38,7 @@
     find_header,
     list_event_versions,
     make_event,
+    make_stream_script,
     make_versioned_stream_script,
     read_http_message,
     respond_with_name,
@@ -238,6 +241,28 @@
     assert fleet.call(CONTROLLER_IPS[0], "PUT", "/instances/i-9", {"service": 7})[0] == 400
 
 
+def test_odd_registrations_do_not_keep_routers_from_later_ones(fleet):
+    processes, numbers = dict(fleet.processes), itertools.count()
+    for number, (field, value) in enumerate(ODD_FIELDS):
+        body = {**make_liveness_report("127.0.0.1:9", "odd"), field: value}
+        for ip in CONTROLLER_IPS:
+            fleet.call(ip, "PUT", f"/instances/odd-{number}", body)
+    late = ScriptedUpstream("i-10", make_stream_script())
+    fleet.send_report(late, service="s2")
+    for ip in ROUTER_IPS:
+        count = len(late.requests)
+
+        def receives_request(ip=ip, count=count):
+            # Which service gets a request depends on its id.
+            fleet.send_request(ip, "/plans/1", f"odd-{next(numbers)}")
+            return len(late.requests) > count
+
+        assert wait_for(receives_request)
+    assert all(process.poll() is None for process in processes.values())
+    fleet.send_report(late, service="s2", state="draining")
+    late.stop()
+
+
 def test_routers_serve_requests_without_controllers(fleet, upstream):
     assert wait_for(lambda: is_request_served(fleet, ROUTER_IPS[0]))
     for ip in CONTROLLER_IPS:
