--- a/sassafrashook/platform/tests/test_isolated_routers_random.py
+++ b/sassafrashook/platform/tests/test_isolated_routers_random.py
@@ -75,14 +75,15 @@
         if name in fleet.partitioned:
             fleet.heal(name)
         else:
-            fleet.partition(name, rng.choice(PARTITIONS))
+            reached = rng.choice((0, 0, len(fleet.upstreams) // 4))
+            fleet.partition(name, rng.choice(PARTITIONS), reached)
         gevent.sleep(rng.uniform(0.05, 0.8))
 
 
 @pytest.mark.parametrize("seed", range(FIRST_SEED, FIRST_SEED + RUNS))
 def test_requests_run_at_most_once_and_rejected_ones_never_during_partitions(seed):
     rng = random.Random(seed)
-    fleet = RouterFleet(rng.choice((2, 3, 5)), *[serve_request] * rng.choice((2, 4)))
+    fleet = RouterFleet(rng.choice((2, 3, 5)), *[serve_request] * rng.choice((2, 4, 40)))
     try:
         done = gevent.spawn_later(DURATION_S, lambda: None)
         clients = [
--- a/sassafrashook/platform/tests/test_many_upstreams_cut_off.py
+++ b/sassafrashook/platform/tests/test_many_upstreams_cut_off.py
@@ -74,6 +74,19 @@
     assert served[cut_off] >= MIN_SHARE * min(served[name] for name in others) > 0
 
 
+@pytest.mark.parametrize("upstreams", [70, 300])
+def test_first_attempts_are_served_in_time_at_router_that_keeps_a_tenth_of_its_paths(
+    start_fleet, upstreams
+):
+    fleet = start_fleet(3, *[serve_request] * upstreams)
+    cut_off, *others = fleet.names
+    measure_routers(fleet, 6, 1.0)
+    fleet.partition(cut_off, "hang", reached=upstreams // 10)
+    measure_routers(fleet, 6, LEARNING_S)
+    served = measure_routers(fleet, 6, MEASURED_S)
+    assert served[cut_off] >= MIN_SHARE * min(served[name] for name in others) > 0
+
+
 @pytest.mark.parametrize("upstreams", SIZES)
 @pytest.mark.parametrize("how", ["hang", "reset"])
 def test_router_that_reaches_one_of_many_upstreams_serves_more_requests_than_this_one_holds(
