--- a/sassafrashook/paths/tests/test_peers.py
+++ b/sassafrashook/paths/tests/test_peers.py
@@ -17,7 +17,7 @@
     names = [f"r{number}" for number in range(routers)]
     rng = random.Random(seed)
     able = set(rng.sample(names[1:], reaching))
-    peers = PeerSelector("r0", random.Random(seed))
+    peers = PeerSelector("r0", random.Random(f"{seed}-peers"))
     served = []
     for number in range(round((LEARNING_S + MEASURED_S) * REQUESTS_PER_S)):
         now, asked = number / REQUESTS_PER_S, set()
