gateway: a router that does not respond to a forwarded request is not asked again before others

Found by reading: since routers that served a forwarded request are preferred, one that left a request unanswered, or answered it in part, was taken for one that had served it, and got most of the further requests, for as long as it stayed silent (one that is frozen, for example). Cause: a request that had ended counted as served.

Test: test_router_that_does_not_respond_to_a_forwarded_request_is_not_preferred failed before (the next order after the one that timed out went to the same router), passes now, three runs.

--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -318,7 +318,6 @@
                 return False
             tried.add(peer)
             if self._run_peer_attempt(peer):
-                gateway.peers.record_success(service, peer, time.monotonic())
                 return True
             gateway.peers.record_refusal(service, peer, time.monotonic())
         return False
@@ -335,15 +334,25 @@
             head = self._exchange(attempt)
         except AttemptError as error:
             self._request_log.log_peer_failure(peer, error)
+            self._record_peer_failure(attempt, error)
             return self._end_after_peer_failure(attempt, error)
         finally:
             self._attempt = None
             attempt.close()
+        self.gateway.peers.record_success(self.service.name, peer, time.monotonic())
         self.gateway.record_completion(self.metadata.request_id, self.traits)
         self.verdict_ = Verdict.RAN
         self._log("answered", f"router:{peer}", head.status)
         return True
 
+    def _record_peer_failure(self, attempt, error):
+        """Record what a failed attempt says of the other router, unless it refused the request."""
+        peers, service, now = self.gateway.peers, self.service.name, time.monotonic()
+        if error.kind is FailureKind.UNSUCCESSFUL_STATUS:
+            peers.record_success(service, attempt.peer, now)
+        elif error.verdict is not Verdict.NOT_RUN and not self.client.is_disconnected_:
+            peers.record_failure(service, attempt.peer, now)
+
     def _end_after_peer_failure(self, attempt, error):
         """End the request, unless another router may still serve it.
 
--- a/sassafrashook/paths/_peers.py
+++ b/sassafrashook/paths/_peers.py
@@ -71,14 +71,23 @@
         :param name: name of the router.
         :param now: monotonic seconds.
         """
-        self._avoided_until[service, name] = now + AVOIDANCE_S
-        self._reached_until.pop(name, None)
-        self._proven_until.get(service, {}).pop(name, None)
+        self.record_failure(service, name, now)
         self._refusals[service] = self._refusals.get(service, 0) + 1
         if self._refusals[service] >= MAX_CONSECUTIVE_REFUSALS:
             self._refusals[service] = 0
             self._paused_until[service] = now + AVOIDANCE_S
 
+    def record_failure(self, service, name, now):
+        """Record that a router did not respond to a request, or not completely.
+
+        :param service: name of the service.
+        :param name: name of the router.
+        :param now: monotonic seconds.
+        """
+        self._avoided_until[service, name] = now + AVOIDANCE_S
+        self._reached_until.pop(name, None)
+        self._proven_until.get(service, {}).pop(name, None)
+
     def record_success(self, service, name, now):
         """Record that a router reaches the upstreams of a service.
 
--- a/sassafrashook/platform/tests/test_many_upstreams_cut_off.py
+++ b/sassafrashook/platform/tests/test_many_upstreams_cut_off.py
@@ -5,9 +5,10 @@
 
 import gevent
 import pytest
+from gevent.server import StreamServer
 
 from sassafrashook.platform.tests.crashing_upstreams import make_prompt_field
-from sassafrashook.platform.tests.isolated_fleet import RouterFleet, serve_request
+from sassafrashook.platform.tests.isolated_fleet import PEER_PORT, RouterFleet, serve_request
 from sassafrashook.platform.tests.scripted_upstreams import make_stream_script
 
 SIZES = (5, 70, 300)  # upstreams
@@ -124,3 +125,20 @@
     gevent.sleep(0.5)
     crashes = fleet.routers[name].view_.crashes
     assert crashes.list_changes(0, time.monotonic()) == []
+
+
+def test_router_that_does_not_respond_to_a_forwarded_request_is_not_preferred(start_fleet):
+    fleet = start_fleet(3, *[serve_request] * 4)
+    cut_off, silent, _ = fleet.names
+    fleet.partition(cut_off, "reset")
+    gevent.sleep(LEARNING_S)
+    fleet.routers[silent].peer_server_.server_.stop(timeout=0)
+    listener = StreamServer((silent, PEER_PORT), lambda *_: gevent.sleep(60.0))
+    listener.start()
+    peers = fleet.routers[cut_off].gateway_.peers
+    peers.record_success("service", silent, time.monotonic())
+    first = (fleet.send_request(cut_off, "/orders/7", request_id=f"a{n}")[0] for n in range(50))
+    assert any(status == 504 for status in first)
+    statuses = [fleet.send_request(cut_off, "/orders/7", request_id=f"b{n}")[0] for n in range(9)]
+    listener.stop(timeout=0)
+    assert statuses == [200] * 9
