--- a/sassafrashook/gateway/_server.py
+++ b/sassafrashook/gateway/_server.py
@@ -42,7 +42,7 @@
     :param host: IP address to listen on.
     :param port: port to listen on, 0 to let the system choose one.
     :param is_for_peers: whether the clients are other routers, which forward requests for which
-        they reach no upstream. Other clients are not accepted then.
+        they reach no upstream with room. Other clients are not accepted then.
 
     :ivar active_request_count_: number of requests in progress.
     :ivar is_stopping_: whether :meth:`stop` has been called.
--- a/sassafrashook/platform/_registrations.py
+++ b/sassafrashook/platform/_registrations.py
@@ -14,8 +14,8 @@
 MAX_SLOTS = 1_000_000
 MAX_SEQUENCE = 2**53  # larger integers are not exact in all JSON implementations
 MAX_WARMUP_MS = 86_400_000
-# By this time, the clocks of an engine and of this process may differ. A later start would outrank
-# all later boots of the engine.
+# Largest difference between the clocks of an engine and of this process. A start further in the
+# future would outrank the engine's next boots.
 MAX_CLOCK_DIFFERENCE_MS = 60_000
 # The name is sent in a header of each request.
 UPSTREAM_ID_PATTERN = re.compile(r"[!-~]{1,256}", re.ASCII)
--- a/sassafrashook/platform/tests/test_errors_within_streams.py
+++ b/sassafrashook/platform/tests/test_errors_within_streams.py
@@ -3,7 +3,6 @@
 import pytest
 
 from sassafrashook.platform.tests.scripted_upstreams import (
-    Harness,
     encode_response,
     find_header,
     make_event,
@@ -14,19 +13,6 @@
 CUT_AFTER = 3
 
 
-@pytest.fixture
-def start_harness():
-    harnesses = []
-
-    def make_harness(*scripts):
-        harnesses.append(Harness(*scripts))
-        return harnesses[-1]
-
-    yield make_harness
-    for harness in harnesses:
-        harness.stop()
-
-
 def encode_signed(head, status, content_type, body):
     return encode_response(head, body, status, (f"Content-Type: {content_type}",))
 
--- a/sassafrashook/platform/tests/test_isolated_routers.py
+++ b/sassafrashook/platform/tests/test_isolated_routers.py
@@ -14,7 +14,6 @@
 from sassafrashook.platform.tests.isolated_fleet import (
     PARTITIONS,
     PEER_PORT,
-    RouterFleet,
     serve_request,
 )
 from sassafrashook.platform.tests.scripted_upstreams import (
@@ -28,19 +27,6 @@
 MIN_SHARE = 2 / 3  # of what the other routers serve
 
 
-@pytest.fixture
-def start_fleet():
-    fleets = []
-
-    def make_fleet(router_count, *scripts):
-        fleets.append(RouterFleet(router_count, *scripts))
-        return fleets[-1]
-
-    yield make_fleet
-    for fleet in fleets:
-        fleet.stop()
-
-
 @pytest.mark.parametrize("how", PARTITIONS)
 def test_router_that_reaches_no_upstream_serves_first_attempts(start_fleet, how):
     fleet = start_fleet(3, *[serve_request] * 4)
--- a/sassafrashook/platform/tests/test_many_upstreams_cut_off.py
+++ b/sassafrashook/platform/tests/test_many_upstreams_cut_off.py
@@ -8,7 +8,7 @@
 from gevent.server import StreamServer
 
 from sassafrashook.platform.tests.crashing_upstreams import make_prompt_field
-from sassafrashook.platform.tests.isolated_fleet import PEER_PORT, RouterFleet, serve_request
+from sassafrashook.platform.tests.isolated_fleet import PEER_PORT, serve_request
 from sassafrashook.platform.tests.scripted_upstreams import make_stream_script
 
 SIZES = (5, 70, 300)  # upstreams
@@ -20,19 +20,6 @@
 STREAM_S = 1.0
 
 
-@pytest.fixture
-def start_fleet():
-    fleets = []
-
-    def make_fleet(router_count, *scripts):
-        fleets.append(RouterFleet(router_count, *scripts))
-        return fleets[-1]
-
-    yield make_fleet
-    for fleet in fleets:
-        fleet.stop()
-
-
 def send_paced(fleet, name, rate, duration_s):
     """Send requests of all kinds to one router at a steady rate.
 
--- a/sassafrashook/platform/tests/test_repeated_refusals.py
+++ b/sassafrashook/platform/tests/test_repeated_refusals.py
@@ -5,7 +5,6 @@
 
 from sassafrashook.platform.tests.isolated_fleet import RouterFleet
 from sassafrashook.platform.tests.scripted_upstreams import (
-    Harness,
     encode_response,
     find_header,
     respond_with_name,
@@ -15,19 +14,6 @@
 RUN_S = 0.1
 
 
-@pytest.fixture
-def start_harness():
-    harnesses = []
-
-    def make_harness(*scripts):
-        harnesses.append(Harness(*scripts))
-        return harnesses[-1]
-
-    yield make_harness
-    for harness in harnesses:
-        harness.stop()
-
-
 def encode_refusal(head, has_id=True):
     refusal = encode_response(head, b"full", "503 Service Unavailable", REFUSAL_FIELDS)
     if has_id:
