--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -456,6 +456,8 @@
             refusal = 400
         elif self.running >= self.slots:
             refusal = 503
+        else:
+            refusal = self.get_rejection(headers)
         if refusal is not None:
             self.world.record(f"engine {self.name} rejects {attempt} with {refusal}")
             await self._answer(writer, refusal, attempt, b"", not_run=True)
@@ -487,13 +489,21 @@
         writer.write(self._make_head(status, attempt, fields) + body)
         await writer.drain()
 
+    def get_rejection(self, headers):
+        """Return the status with which to reject a request without running it, or ``None``."""
+        return None
+
+    def plan_answer(self, headers, path):
+        return self.plan(self, headers, path)
+
     async def _run(self, writer, headers, path, attempt, body):
-        plan = self.plan(self, headers, path)
+        plan = self.plan_answer(headers, path)
         signature = f"X-Sassafrashook-Response-Signature: {attempt}.{self.name}"
         if "events" not in plan:
             await asyncio.sleep(plan.get("work_s", 0.02))
             text = plan.get("body", f"{attempt} by {self.name}".encode())
-            await self._answer(writer, plan.get("status", 200), attempt, text, fields=[signature])
+            fields = [signature, *plan.get("fields", ())]
+            await self._answer(writer, plan.get("status", 200), attempt, text, fields=fields)
             return True
         is_framed = plan.get("is_framed", True)
         fields = [
