--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -19,6 +19,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -641,8 +642,12 @@
 
 def run_case(folder, play, **options):
     """Play a case and exit: ``play`` returns the list of what broke the rule."""
-    world = World(folder, **options)
     code = EXIT_COULD_NOT_RUN
+    try:
+        world = World(folder, **options)
+    except (CouldNotRunError, OSError) as error:
+        print(f"could not run: {error}")
+        sys.exit(code)
     try:
         broken = asyncio.run(play_to_end(world, play))
         for line in broken:
@@ -656,6 +661,9 @@
     except TimeoutError:
         world.record("the case could not run: time is over")
         print("could not run: time is over")
+    except Exception:
+        world.record(f"the case could not run: {traceback.format_exc()}")
+        traceback.print_exc()
     finally:
         world.close()
     sys.exit(code)
