Routes: check, table and lookup compare hosts by one rule

Two routes whose hosts differ in case only were acknowledged, and one replaced the other. normalize_host decides for case, a trailing dot and a port; a route with the host and prefix of another one is now answered 400.

--- a/sassafrashook/http1/_messages.py
+++ b/sassafrashook/http1/_messages.py
@@ -72,7 +72,7 @@
     :param target: path and query as received, ``bytes``.
     :param headers: the :class:`Headers`.
     :param path: the target without its query.
-    :param host: the Host header in lower case, without a port.
+    :param host: the Host header, normalized by :func:`~sassafrashook.utils.normalize_host`.
     """
 
     method: bytes
--- a/sassafrashook/http1/_server.py
+++ b/sassafrashook/http1/_server.py
@@ -10,6 +10,7 @@
 
 from sassafrashook.http1._messages import Headers, InvalidRequestError, RequestHead
 from sassafrashook.tasks import spawn_task
+from sassafrashook.utils import normalize_host
 
 RECEIVE_BYTES = 65_536
 MAX_UNPARSED_BYTES = 262_144  # the receiving task pauses while more bytes wait to be parsed
@@ -131,7 +132,7 @@
             # RFC 9112 section 6.1: with ambiguous framing, whatever follows on the connection
             # could be a smuggled request.
             self.should_close_ = True
-        host = headers.get(b"host", "").lower().partition(":")[0]
+        host = normalize_host(headers.get(b"host", ""))
         path = event.target.partition(b"?")[0].decode("latin-1")
         return RequestHead(bytes(event.method), bytes(event.target), headers, path, host)
 
--- a/sassafrashook/platform/tests/test_decoding.py
+++ b/sassafrashook/platform/tests/test_decoding.py
@@ -3,6 +3,7 @@
 import copy
 import json
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -12,7 +13,11 @@
 from sassafrashook.fleet._messages import ViewChanged
 from sassafrashook.gateway import ForwardingMetadata, PromptPart
 from sassafrashook.http1 import Headers, ResponseHead
-from sassafrashook.platform._configuration import decode_configuration
+from sassafrashook.platform._configuration import (
+    _Config,
+    _convert_configuration,
+    decode_configuration,
+)
 from sassafrashook.platform._header_codec import PlatformHeaderCodec
 from sassafrashook.platform._registrations import decode_heartbeat
 from sassafrashook.platform._settings import load_node_settings
@@ -23,7 +28,7 @@
     make_node_settings,
 )
 from sassafrashook.registry import RegistrationState
-from sassafrashook.routes import Repeatability
+from sassafrashook.routes import Repeatability, RouteTable
 from sassafrashook.transport import Codec
 
 NOW_MS = 5_000  # of the controller's clock
@@ -52,6 +57,15 @@
     return change
 
 
+def set_route_place(host, prefix):
+    """Return a change that gives the second route another host and path prefix."""
+
+    def change(config):
+        config["route_table"][1] |= {"host": host, "path_prefix": prefix}
+
+    return change
+
+
 def clear_traffic_split(config):
     config["route_table"][0]["traffic_split"] = []
 
@@ -70,6 +84,9 @@
     [
         (set_route("service", "none", 1), "routes[1]"),
         (set_route("path_prefix", "/plans/", 1), "routes[1]"),
+        (set_route_place("Shop.Example", "/plans/"), "routes[1]"),
+        (set_route_place("shop.example.", "/plans/"), "routes[1]"),
+        (set_route_place("SHOP.example.:8080", "/plans/"), "routes[1]"),
         (set_route("timeout_ms", 0), "routes[0]"),
         (set_route("timeout_ms", "soon"), "route_table[0].timeout_ms"),
         (set_route("kind", "other"), "kind"),
@@ -87,6 +104,28 @@
     assert position in result.failure()
 
 
+HOSTS = ["shop.example", "Shop.Example", "shop.example.", "shop.example:80", "shop.example:"] + [
+    "SHOP.EXAMPLE.:8080", "other.example", "shop.example..", "[::1]", "[::1]:80", "[::2]", "shop"
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("second", HOSTS)
+@pytest.mark.parametrize("first", HOSTS)
+def test_two_routes_of_a_prefix_are_accepted_if_and_only_if_each_is_found(first, second):
+    """Guards against a host that the check and the lookup compare by different rules.
+
+    A route would then replace another one whose configuration has been acknowledged, or be refused
+    although it could be found.
+    """
+    config = make_config()
+    set_route("host", first, 0)(config)
+    set_route_place(second, "/plans/")(config)
+    configuration = _convert_configuration(msgspec.json.decode(json.dumps(config), type=_Config))
+    table = RouteTable(configuration)
+    found = [table.match(host, "/plans/1").name for host in (first, second)]
+    assert isinstance(decode(config), Success) == (found == ["r0", "r1"])
+
+
 @pytest.mark.parametrize("length", [0, 1, 100, -1])
 def test_truncated_configuration_is_rejected(length):
     body = json.dumps(make_config()).encode()
--- a/sassafrashook/platform/tests/test_forwarding.py
+++ b/sassafrashook/platform/tests/test_forwarding.py
@@ -164,6 +164,16 @@
     assert harness.send_request("/orders/1")[0] == 200
 
 
+@pytest.mark.parametrize("host", ["Shop.Example", "shop.example.", "SHOP.example.:80"])
+def test_host_of_a_request_matches_whatever_its_case_trailing_dot_and_port(start_harness, host):
+    """Guards against a 404 for a host that is the same by RFC 9110 and RFC 3986."""
+    harness = start_harness(respond_with_name)
+    sock = harness.connect()
+    request = encode_request("/counts/1").replace(b"Host: shop.example", b"Host: " + host.encode())
+    sock.sendall(request)
+    assert read_http_message(sock)[1] == b"u0"
+
+
 def test_too_large_body_is_rejected(start_harness):
     harness = start_harness(
         respond_with_name, configuration=make_route_configuration(max_body_bytes=10)
--- a/sassafrashook/routes/_configuration.py
+++ b/sassafrashook/routes/_configuration.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from sassafrashook.routes._keys import make_route_key
+
 
 class Repeatability(StrEnum):
     """Whether a route's requests may run more than once, and whether the response is a stream.
@@ -36,7 +38,8 @@
     """Rules for the requests of one host below one path prefix.
 
     :param name: name of the route.
-    :param host: host name, matched without regard to case.
+    :param host: host name; hosts are the same as stated by
+        :func:`~sassafrashook.utils.normalize_host`.
     :param path_prefix: path prefix that begins and ends with a slash.
     :param repeatability: a :class:`Repeatability`.
     :param services: list of :class:`WeightedService` that handle the requests.
@@ -148,7 +151,7 @@
         problem = _check_route(route, service_names)
         if problem is not None:
             return location, problem
-        first = locations.setdefault((route.host, route.path_prefix), location)
+        first = locations.setdefault(make_route_key(route), location)
         if first != location:
             return location, f"host and path prefix are those of {first}"
     return _check_accounts(configuration.accounts or ())
--- a/sassafrashook/routes/_table.py
+++ b/sassafrashook/routes/_table.py
@@ -1,6 +1,7 @@
 """Lookup of the route, the service and the client account of a request."""
 
-from sassafrashook.utils import hash_key
+from sassafrashook.routes._keys import make_route_key
+from sassafrashook.utils import hash_key, normalize_host
 
 
 class RouteTable:
@@ -29,7 +30,8 @@
         self.services_ = {service.name: service for service in configuration.services}
         self._routes_by_host = {}
         for route in configuration.routes:
-            self._routes_by_host.setdefault(route.host.lower(), {})[route.path_prefix] = route
+            host, path_prefix = make_route_key(route)
+            self._routes_by_host.setdefault(host, {})[path_prefix] = route
         self._accounts_by_key = {
             key: account for account in configuration.accounts or () for key in account.keys
         }
@@ -38,10 +40,10 @@
     def match(self, host, path):
         """Return the route with the longest path prefix that matches, or ``None``.
 
-        :param host: host name in lower case.
+        :param host: host name, as in a Host header.
         :param path: path without the query.
         """
-        routes_by_prefix = self._routes_by_host.get(host)
+        routes_by_prefix = self._routes_by_host.get(normalize_host(host))
         if routes_by_prefix is None:
             return None
         end = len(path)
--- a/sassafrashook/utils/__init__.py
+++ b/sassafrashook/utils/__init__.py
@@ -1,6 +1,7 @@
-"""Parameter validation and hashing that all packages share."""
+"""Parameter validation, hashing and comparison of hosts that all packages share."""
 
 from sassafrashook.utils._hashing import hash_key, mix_hashes, rank_nodes
+from sassafrashook.utils._hosts import normalize_host
 from sassafrashook.utils._lazy_imports import make_lazy_getattr
 from sassafrashook.utils._validation import Interval, Options, ParameterError, check_parameters
 
@@ -12,5 +13,6 @@
     "hash_key",
     "make_lazy_getattr",
     "mix_hashes",
+    "normalize_host",
     "rank_nodes",
 ]
