config check: findings and differences of a route configuration before it is sent

Operators learned of an entry that can never match, or of limits that contradict each other, only from what callers got. The check lists errors with their positions, entries without effect, contradictory limits, and what differs from a file or from the configuration in force, in words.

--- a/sassafrashook/operations/_cli.py
+++ b/sassafrashook/operations/_cli.py
@@ -1,5 +1,6 @@
 """Command line interface: ``sassafrashook <noun> <verb>``."""
 
+import functools
 import sys
 
 import fire
@@ -18,20 +19,43 @@
     read_lines_or_exit,
 )
 from sassafrashook.operations._output import print_response
+from sassafrashook.operations._route_configuration import (
+    check_route_configuration,
+    encode_document,
+    is_route_configuration,
+    read_file_or_exit,
+)
 from sassafrashook.settings import ControllerSettings, RouterSettings
 
+IN_FORCE = "in-force"
+
 
 class ConfigCommands(ConfigurationUpdateCommands):
     """Validate, apply and show the configuration."""
 
-    def check(self, file):
+    def check(self, file, against=None):
         """Validate a configuration or the settings of a process, without any other effect.
 
-        :param file: path of the YAML document.
+        For a configuration of routes in JSON, this also lists entries without effect, limits that
+        contradict each other, and the differences to another one.
+
+        :param file: path of the document.
+        :param against: path of the configuration of routes to compare with, or ``in-force`` to ask
+            the controllers for it.
         """
+        if is_route_configuration(file):
+            read_other = functools.partial(self._read_other, against)
+            sys.exit(check_route_configuration(file, read_other, self._json))
         load_or_exit(file, detect_document_type(file))
         print(f"{file}: ok")
 
+    def _read_other(self, against):
+        if against is None:
+            return None
+        if against == IN_FORCE:
+            return encode_document(self._request("GET", "/config"))
+        return read_file_or_exit(against)
+
     def apply(self, file, expected_revision=None, command_id=None, wait=False):
         """Replace the configuration.
 
--- a/sassafrashook/platform/_configuration.py
+++ b/sassafrashook/platform/_configuration.py
@@ -83,13 +83,25 @@
     :returns: ``Success`` of a :class:`~sassafrashook.routes.RouteConfiguration` or ``Failure`` of
         an error message that contains the position in the document.
     """
+    parsed = parse_configuration(body)
+    if isinstance(parsed, Failure):
+        return parsed
+    problem = find_configuration_error(parsed.unwrap())
+    return Failure(": ".join(problem)) if problem is not None else parsed
+
+
+def parse_configuration(body):
+    """Decode a configuration document that may be invalid as a whole.
+
+    :param body: the document as JSON, ``bytes``.
+    :returns: ``Success`` of a :class:`~sassafrashook.routes.RouteConfiguration` or ``Failure`` of
+        an error message if the document can't be read.
+    """
     try:
         config = msgspec.json.decode(body, type=_Config)
-        configuration = _convert_configuration(config)
+        return Success(_convert_configuration(config))
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         return Failure(str(error))
-    problem = find_configuration_error(configuration)
-    return Failure(": ".join(problem)) if problem is not None else Success(configuration)
 
 
 def _convert_configuration(config):
--- a/sassafrashook/routes/__init__.py
+++ b/sassafrashook/routes/__init__.py
@@ -9,17 +9,29 @@
     Service,
     WeightedService,
     find_configuration_error,
+    iterate_configuration_errors,
+)
+from sassafrashook.routes._review import (
+    Finding,
+    FindingKind,
+    compare_configurations,
+    review_configuration,
 )
 from sassafrashook.routes._table import RouteTable
 
 __all__ = [
     "Account",
     "ClientLimits",
+    "Finding",
+    "FindingKind",
     "Repeatability",
     "Route",
     "RouteConfiguration",
     "RouteTable",
     "Service",
     "WeightedService",
+    "compare_configurations",
     "find_configuration_error",
+    "iterate_configuration_errors",
+    "review_configuration",
 ]
--- a/sassafrashook/routes/_configuration.py
+++ b/sassafrashook/routes/_configuration.py
@@ -144,17 +144,26 @@
     :param configuration: a :class:`RouteConfiguration`.
     :returns: pair of the error's location in the document and its description, or ``None``.
     """
+    return next(iterate_configuration_errors(configuration), None)
+
+
+def iterate_configuration_errors(configuration):
+    """Yield the errors that make a configuration invalid, at most one for each route and key.
+
+    :param configuration: a :class:`RouteConfiguration`.
+    :returns: pairs of the error's location in the document and its description.
+    """
     service_names = {service.name for service in configuration.services}
     locations = {}
     for index, route in enumerate(configuration.routes):
         location = f"routes[{index}]"
         problem = _check_route(route, service_names)
         if problem is not None:
-            return location, problem
+            yield location, problem
         first = locations.setdefault(make_route_key(route), location)
         if first != location:
-            return location, f"host and path prefix are those of {first}"
-    return _check_accounts(configuration.accounts or ())
+            yield location, f"host and path prefix are those of {first}"
+    yield from _check_accounts(configuration.accounts or ())
 
 
 def _check_route(route, service_names):
@@ -179,5 +188,4 @@
         location = f"accounts[{index}]"
         for key in account.keys:
             if owners.setdefault(key, account.name) != account.name:
-                return location, f"shares a key with {owners[key]!r}"
-    return None
+                yield location, f"shares a key with {owners[key]!r}"
