platform: routers listen for clients before their libraries are loaded

After all hosts lost power, a router refused connections for as long as it took to load its libraries, 0.5 to 1.0 s on hosts with 0.36 of a core. Clients that repeat a request once lost their last attempt that way. The router now opens the socket first; who connects meanwhile waits.

Ruled out: listening for readiness probes as well, since an unanswered probe and a refused one both count as not ready.

--- a/sassafrashook/daemons/_router.py
+++ b/sassafrashook/daemons/_router.py
@@ -56,11 +56,12 @@
     :param settings: a :class:`~sassafrashook.daemons.NodeSettings`.
     :param header_codec: the deployment's :class:`~sassafrashook.gateway.HeaderCodec`.
     :param readiness_path: path of the load balancer's readiness probe.
+    :param listener: listening socket for clients, ``None`` to open one at the start.
 
     :ivar failed_: event that is set when the process must exit.
     """
 
-    def __init__(self, settings, header_codec, readiness_path):
+    def __init__(self, settings, header_codec, readiness_path, listener=None):
         self.settings = settings
         self.readiness_path = readiness_path
         self.failed_ = Event()
@@ -98,7 +99,7 @@
             self.streams_,
             settings.peer_port,
         )
-        self.server_ = GatewayServer(self.gateway_, *settings.router.clients)
+        self.server_ = GatewayServer(self.gateway_, *settings.router.clients, listener=listener)
         self.peer_server_ = GatewayServer(
             self.gateway_, settings.name, settings.peer_port, is_for_peers=True
         )
--- a/sassafrashook/gateway/_server.py
+++ b/sassafrashook/gateway/_server.py
@@ -5,6 +5,7 @@
 
 import gevent
 from absl import logging
+from gevent import socket
 from gevent.server import StreamServer
 
 from sassafrashook.gateway._peers import take_max_upstreams
@@ -43,17 +44,19 @@
     :param port: port to listen on, 0 to let the system choose one.
     :param is_for_peers: whether the clients are other routers, which forward requests for which
         they reach no upstream with room. Other clients are not accepted then.
+    :param listener: listening socket to use, ``None`` to open one at the start.
 
     :ivar active_request_count_: number of requests in progress.
     :ivar is_stopping_: whether :meth:`stop` has been called.
     :ivar server_: the ``gevent.server.StreamServer`` once started.
     """
 
-    def __init__(self, gateway, host, port, is_for_peers=False):
+    def __init__(self, gateway, host, port, is_for_peers=False, listener=None):
         self.gateway = gateway
         self.host = host
         self.port = port
         self.is_for_peers = is_for_peers
+        self.listener = listener
         self.active_request_count_ = 0
         self.is_stopping_ = False
         self.server_ = None
@@ -64,9 +67,12 @@
 
         :raises OSError: if the address can't be used.
         """
-        self.server_ = StreamServer(
-            (self.host, self.port), self._handle_client, backlog=LISTEN_BACKLOG
-        )
+        if self.listener is not None:
+            listener = socket.socket(fileno=self.listener.detach())
+            self.server_ = StreamServer(listener, self._handle_client)
+        else:
+            address = (self.host, self.port)
+            self.server_ = StreamServer(address, self._handle_client, backlog=LISTEN_BACKLOG)
         self.server_.start()
         self.port = self.server_.server_port
 
--- a/sassafrashook/platform/__main__.py
+++ b/sassafrashook/platform/__main__.py
@@ -5,24 +5,29 @@
 processor time of a router's imports.
 """
 
+import functools
 import gc
+import json
 import os
+import socket
 import sys
 
 SETTINGS_PATH_VARIABLE = "SASSAFRASHOOK_NODE_FILE"
 DEFAULT_SETTINGS_PATH = "/etc/sassafrashook/node.json"
 READINESS_PATH = "/readyz"
+LISTEN_BACKLOG = 1_024
 
 
-def make_router(settings):
+def make_router(settings, listener=None):
     """Return the router daemon of a node, importing only what it needs.
 
     :param settings: a :class:`~sassafrashook.daemons.NodeSettings`.
+    :param listener: listening socket for clients, ``None`` to open one.
     """
     from sassafrashook.daemons import RouterDaemon
     from sassafrashook.platform._header_codec import PlatformHeaderCodec
 
-    return RouterDaemon(settings, PlatformHeaderCodec(), READINESS_PATH)
+    return RouterDaemon(settings, PlatformHeaderCodec(), READINESS_PATH, listener)
 
 
 def make_controller(settings):
@@ -39,6 +44,28 @@
 DAEMON_FACTORIES = {"router": make_router, "controller": make_controller}
 
 
+def open_client_listener(path):
+    """Listen for clients before the libraries are loaded.
+
+    Loading them takes up to a second on a slow host. Clients that connect meanwhile wait for the
+    router instead of being refused, which costs many their last attempt after all hosts have lost
+    power.
+
+    :param path: path of the settings file.
+    :returns: the socket, ``None`` if the settings name no such address or it can't be used; the
+        daemon then reports the error.
+    """
+    try:
+        with open(path, encoding="utf-8") as file:
+            address = json.load(file)["listen_addresses"].get("frontend")
+        if address is None:
+            return None
+        host, _, port = address.rpartition(":")
+        return socket.create_server((host, int(port)), backlog=LISTEN_BACKLOG)
+    except (OSError, ValueError, LookupError, TypeError, AttributeError, OverflowError):
+        return None
+
+
 def run_role(role, path=None):
     """Run the daemon of a role until it stops.
 
@@ -48,13 +75,14 @@
     :returns: the exit code.
     """
     gc.disable()
+    path = path or os.environ.get(SETTINGS_PATH_VARIABLE, DEFAULT_SETTINGS_PATH)
+    make_daemon = DAEMON_FACTORIES[role]
+    if make_daemon is make_router:
+        make_daemon = functools.partial(make_router, listener=open_client_listener(path))
     from sassafrashook.daemons import run_daemon
     from sassafrashook.platform._settings import load_node_settings
 
-    path = path or os.environ.get(SETTINGS_PATH_VARIABLE, DEFAULT_SETTINGS_PATH)
-    return run_daemon(
-        path, load_node_settings, DAEMON_FACTORIES[role], on_started=_enable_collector
-    )
+    return run_daemon(path, load_node_settings, make_daemon, on_started=_enable_collector)
 
 
 def _enable_collector():
--- a/sassafrashook/platform/tests/test_startup.py
+++ b/sassafrashook/platform/tests/test_startup.py
@@ -6,9 +6,18 @@
 from pathlib import Path
 
 import pytest
+from gevent import socket
 
 from sassafrashook.daemons._endpoints import PageServer
+from sassafrashook.gateway import GatewayServer
+from sassafrashook.platform.__main__ import open_client_listener
 from sassafrashook.platform.tests.documents import make_node_settings
+from sassafrashook.platform.tests.scripted_upstreams import (
+    TIMEOUT_S,
+    encode_request,
+    read_http_message,
+    respond_with_name,
+)
 
 ROOT = Path(__file__).resolve().parents[3]
 # Starts the daemon of a role and prints the modules that are loaded then.
@@ -88,3 +97,32 @@
     server = PageServer(("127.0.0.1", 0), "/metrics", fail)
     assert server._respond("/metrics")[0] == 500
     assert server._respond("/other")[0] == 404
+
+
+def test_clients_that_connect_during_the_start_are_served(tmp_path, start_harness):
+    """Guards against refused connections while the libraries of a router are loaded."""
+    path = tmp_path / "node.json"
+    settings = make_node_settings("edge")
+    settings["listen_addresses"]["frontend"] = "127.0.0.1:0"
+    path.write_text(json.dumps(settings))
+    listener = open_client_listener(path)
+    early_client = socket.create_connection(listener.getsockname())
+    early_client.sendall(encode_request("/counts/1"))
+    harness = start_harness(respond_with_name)
+    server = GatewayServer(harness.gateway, "127.0.0.1", 0, listener=listener)
+    server.start()
+    early_client.settimeout(TIMEOUT_S)
+    assert read_http_message(early_client)[1] == b"u0"
+    server.server_.stop(timeout=0)
+
+
+@pytest.mark.parametrize(
+    "text", ["", "{", "[]", "{}", '{"listen_addresses": {"frontend": "127.0.0.1"}}',
+             '{"listen_addresses": {"frontend": "127.0.0.1:99999"}}',
+             '{"listen_addresses": {"control_plane": "127.0.0.1:1"}}']
+)  # fmt: skip
+def test_settings_without_a_usable_address_leave_the_error_to_the_daemon(tmp_path, text):
+    """Guards against a start that fails before the settings are checked and logged."""
+    path = tmp_path / "node.json"
+    path.write_text(text)
+    assert open_client_listener(path) is None
