Streams: a resumed stream counts the versions of all services that may have begun it

A client that resumes a stream without naming its first attempt was sent to the service that its new id picks, at that service's only version. The versions of all services now count to which the path is led, or was led before changes of the configuration while streams begun then may be resumed. Each service is asked for by a question of its own, which controllers of earlier builds understand.

--- a/sassafrashook/fleet/_streams.py
+++ b/sassafrashook/fleet/_streams.py
@@ -137,7 +137,7 @@
             ]
             self.mesh.send(name, StreamsBegun(begun))
 
-    def find(self, request_id, service, deadline):
+    def find(self, request_id, services, deadline):
         """Find a version in the own ledger, or ask controllers; see :class:`StreamVersions`."""
         key, now = hash_key(request_id or ""), time.monotonic()
         version = self.announcer_.ledger_.find(key, now)
@@ -145,31 +145,41 @@
             return StreamOrigin(version, LookupSource.OWN)
         controllers = self.subscriber.controllers_
         asked, quorum = select_asked_controllers(key, controllers), len(controllers) // 2 + 1
-        lookup = VersionLookup(asked, quorum, bool(request_id))
-        self._ask_controllers(lookup, key, service, min(deadline, now + LOOKUP_TIMEOUT_S))
+        # A record is found whatever the service.
+        services = services[:1] if request_id else services
+        lookup = VersionLookup(asked, quorum, bool(request_id), services)
+        self._ask_controllers(lookup, key, min(deadline, now + LOOKUP_TIMEOUT_S))
         return lookup.decide()
 
-    def _ask_controllers(self, lookup, key, service, deadline):
+    def _ask_controllers(self, lookup, key, deadline):
         """Ask the controllers of a lookup until it is decided.
 
+        Each service has a question of its own, which controllers of any build understand.
+
         :param deadline: monotonic seconds.
         """
-        has_reply, lookup_id, asked_at = Event(), next(self._lookup_ids), float("-inf")
-        self._lookups[lookup_id] = (lookup, has_reply)
+        has_reply, asked_at = Event(), float("-inf")
+        questions = {next(self._lookup_ids): service for service in lookup.services}
+        for lookup_id, service in questions.items():
+            self._lookups[lookup_id] = (lookup, service, has_reply)
         try:
             while (now := time.monotonic()) < deadline and not lookup.is_decided():
                 if now >= asked_at + LOOKUP_RESEND_INTERVAL_S:
                     asked_at = now
-                    for name in lookup.list_missing():
-                        self.mesh.send(name, StreamVersionRequested(lookup_id, key, service))
+                    for lookup_id, service in questions.items():
+                        for name in lookup.list_missing(service):
+                            self.mesh.send(name, StreamVersionRequested(lookup_id, key, service))
                 has_reply.wait(min(deadline, asked_at + LOOKUP_RESEND_INTERVAL_S) - now)
                 has_reply.clear()
         finally:
-            del self._lookups[lookup_id]
+            for lookup_id in questions:
+                del self._lookups[lookup_id]
 
     def deliver(self, sender, reply):
         """Add the reply of a controller to the lookup that waits for it."""
-        lookup, has_reply = self._lookups.get(reply.lookup_id, (None, None))
-        if lookup is not None:
-            lookup.add_reply(sender, reply.recorded, reply.known_versions, reply.is_current)
-            has_reply.set()
+        if reply.lookup_id not in self._lookups:
+            return
+        lookup, service, has_reply = self._lookups[reply.lookup_id]
+        known_versions, is_current = reply.known_versions, reply.is_current
+        lookup.add_reply(sender, reply.recorded, known_versions, is_current, service)
+        has_reply.set()
--- a/sassafrashook/fleet/_subscriber.py
+++ b/sassafrashook/fleet/_subscriber.py
@@ -10,7 +10,7 @@
 from sassafrashook.fleet._messages import LoadReported, PartCached, ViewChanged, ViewRequested
 from sassafrashook.fleet._router_names import RouterNameLists
 from sassafrashook.quarantine import CrashLedger
-from sassafrashook.routes import RouteConfiguration, RouteTable
+from sassafrashook.routes import RouteConfiguration, RouteHistory, RouteTable
 from sassafrashook.tasks import spawn_task
 from sassafrashook.telemetry import log_event
 from sassafrashook.transport import PeerAddress
@@ -33,6 +33,7 @@
     :param crashes: the node's :class:`~sassafrashook.quarantine.CrashLedger`; a new one if omitted.
 
     :ivar table_: the current :class:`~sassafrashook.routes.RouteTable`, or ``None``.
+    :ivar route_history_: the :class:`~sassafrashook.routes.RouteHistory` of the configurations.
     :ivar configured_: event that is set once there is a route table.
     :ivar drained_zones_: availability zones that are drained.
     :ivar drain_index_: log index of ``drained_zones_``.
@@ -47,6 +48,7 @@
         self.registry = registry
         self.crashes = crashes if crashes is not None else CrashLedger()
         self.table_ = None
+        self.route_history_ = RouteHistory()
         self.configured_ = Event()
         self.drained_zones_ = frozenset()
         self.drain_index_ = 0
@@ -83,7 +85,9 @@
             configuration = msgspec.msgpack.decode(
                 zlib.decompress(update.configuration), type=RouteConfiguration
             )
-            self.table_ = RouteTable(configuration)
+            table = RouteTable(configuration)
+            self.route_history_.record_change(self.table_, table, now)
+            self.table_ = table
             self.configured_.set()
         self.newest_version_ = max(self.newest_version_, update.newest_version)
         if update.is_connected:
--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -220,9 +220,10 @@
         """
         if self.last_event_id_ is None or not self.route.is_stream:
             return True
-        origin = self.gateway.streams.find(
-            self.metadata.stream_request_id, self.service.name, self.deadline
+        services = self.gateway.view.route_history_.list_services(
+            self.table, self.head.host, self.head.path, time.monotonic()
         )
+        origin = self.gateway.streams.find(self.metadata.stream_request_id, services, self.deadline)
         self.gateway.metrics.count("stream_lookups", origin.source)
         self._request_log.log_stream_origin(origin)
         self.stream_version_ = origin.version
@@ -516,7 +517,9 @@
             return
         self.stream_version_ = version
         if self.route.is_idempotent:
-            until = self.started_at + self.client_wait_ms / 1_000 + RESUMPTION_MARGIN_S
+            wait_s = self.client_wait_ms / 1_000
+            self.gateway.view.route_history_.record_client_wait(wait_s)
+            until = self.started_at + wait_s + RESUMPTION_MARGIN_S
             self.gateway.streams.record(self.metadata.request_id, self.stream_version_, until)
 
     def _abort_stream(self, reason):
--- a/sassafrashook/routes/__init__.py
+++ b/sassafrashook/routes/__init__.py
@@ -10,6 +10,7 @@
     WeightedService,
     find_configuration_error,
 )
+from sassafrashook.routes._history import RouteHistory
 from sassafrashook.routes._table import RouteTable
 
 __all__ = [
@@ -18,6 +19,7 @@
     "Repeatability",
     "Route",
     "RouteConfiguration",
+    "RouteHistory",
     "RouteTable",
     "Service",
     "WeightedService",
--- a/sassafrashook/routes/_configuration.py
+++ b/sassafrashook/routes/_configuration.py
@@ -78,6 +78,10 @@
         """Whether requests may run more than once."""
         return self.repeatability in (Repeatability.IDEMPOTENT, Repeatability.RESUMABLE_STREAM)
 
+    def list_services(self):
+        """Return the names of the services that get requests of the route."""
+        return [weighted.service for weighted in self.services if weighted.weight > 0]
+
 
 class Service(msgspec.Struct, frozen=True, array_like=True):
     """Group of interchangeable upstreams.
--- a/sassafrashook/routes/_table.py
+++ b/sassafrashook/routes/_table.py
@@ -4,6 +4,19 @@
 from sassafrashook.utils import hash_key, normalize_host
 
 
+def iterate_prefixes(path):
+    """Yield the prefixes of a path that end with a slash, the longest first.
+
+    :param path: path without the query.
+
+    >>> list(iterate_prefixes("/plans/3"))
+    ['/plans/', '/']
+    """
+    end = len(path)
+    while (end := path.rfind("/", 0, end)) >= 0:
+        yield path[: end + 1]
+
+
 class RouteTable:
     """Lookup table of a configuration.
 
@@ -46,13 +59,27 @@
         routes_by_prefix = self._routes_by_host.get(normalize_host(host))
         if routes_by_prefix is None:
             return None
-        end = len(path)
-        while (end := path.rfind("/", 0, end)) >= 0:
-            route = routes_by_prefix.get(path[: end + 1])
+        for prefix in iterate_prefixes(path):
+            route = routes_by_prefix.get(prefix)
             if route is not None:
                 return route
         return None
 
+    def get_route(self, host, path_prefix):
+        """Return the route of exactly this prefix, or ``None``.
+
+        :param host: normalized host name.
+        """
+        return self._routes_by_host.get(host, {}).get(path_prefix)
+
+    def list_routes(self):
+        """Return the pairs of the key, which is host and path prefix, and the route."""
+        return [
+            ((host, prefix), route)
+            for host, routes_by_prefix in self._routes_by_host.items()
+            for prefix, route in routes_by_prefix.items()
+        ]
+
     def find_account(self, key):
         """Return the :class:`~sassafrashook.routes.Account` with an API key, or ``None``."""
         return self._accounts_by_key.get(key)
--- a/sassafrashook/streams/_interface.py
+++ b/sassafrashook/streams/_interface.py
@@ -25,11 +25,11 @@
         """Announce the recorded streams to other nodes without further delay."""
 
     @abstractmethod
-    def find(self, request_id, service, deadline):
+    def find(self, request_id, services, deadline):
         """Find the version that began a stream; blocks until the deadline at the longest.
 
         :param request_id: id of the request that began the stream, ``None`` if it is not known.
-        :param service: name of the service.
+        :param services: names of the services that may have begun it.
         :param deadline: monotonic seconds.
         :returns: a :class:`~sassafrashook.streams.StreamOrigin`.
         """
@@ -43,7 +43,7 @@
     >>> import math
     >>> versions = LocalStreamVersions()
     >>> versions.record("a1", "v1", until=math.inf)
-    >>> versions.find("a1", "advisor", deadline=0.0).version
+    >>> versions.find("a1", ["advisor"], deadline=0.0).version
     'v1'
     """
 
@@ -58,7 +58,7 @@
     def flush(self):
         """Do nothing."""
 
-    def find(self, request_id, service, deadline):
+    def find(self, request_id, services, deadline):
         """Find the version in the own ledger; never blocks."""
         version = None
         if request_id:
--- a/sassafrashook/streams/tests/test_lookup.py
+++ b/sassafrashook/streams/tests/test_lookup.py
@@ -80,3 +80,18 @@
     assert announcer.take_due(controllers, boots, 0.2) == {}
     keeper = sorted(due)[0]
     assert announcer.take_due(controllers, boots | {keeper: "b"}, 0.3) == {keeper: [(7, "v1", 9.0)]}
+
+
+def test_only_version_is_inferred_for_several_services_from_a_majority_for_each():
+    """Guards against a service that has not been asked for counting as one of the same version."""
+    lookup = VersionLookup(CONTROLLERS, 2, is_named=False, services=("a", "b"))
+    lookup.add_reply("c1", None, ["v1"], True, "a")
+    lookup.add_reply("c2", None, ["v1"], True, "a")
+    lookup.add_reply("c2", None, ["v1"], True, "b")
+    assert not lookup.is_decided()
+    assert lookup.decide().version is None
+    assert lookup.list_missing("b") == ["c1", "c3"]
+    lookup.add_reply("c3", None, ["v1"], True, "b")
+    assert lookup.decide().version == "v1"
+    lookup.add_reply("c1", None, ["v2"], True, "b")
+    assert lookup.decide().version is None
