Gateway: an unframed response is complete only if its process lives on

A response that its connection ends counted as complete if the upstream's address accepted another connection. After a partition, or a suspension of the router, that was an upstream that had been started again. For services that state a health path, the process that sent the response must now answer a health check on a connection that is older than the request, or was opened with its head.

--- a/sassafrashook/gateway/_attempt.py
+++ b/sassafrashook/gateway/_attempt.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 
 from sassafrashook.gateway._header_codec import ForwardingMetadata
+from sassafrashook.gateway._witness import Witness
 from sassafrashook.http1 import UpstreamResponseError
 from sassafrashook.outcomes import Verdict
 
@@ -19,6 +20,8 @@
 # Bounds of the body of a refusal. A longer one is not worth waiting for to reuse the connection.
 MAX_REFUSAL_BYTES = 65_536
 REFUSAL_TIMEOUT_S = 0.1
+# Data that is waited for at least this time had not arrived when the wait began.
+MIN_RECEIVE_WAIT_S = 0.005
 MIN_CONNECT_TIMEOUT_S = 0.001  # with a timeout of 0 the socket would not wait at all
 
 
@@ -102,6 +105,8 @@
         "metadata_",
         "is_reused_",
         "is_aborted_",
+        "_witness",
+        "_awaited_data_at",
     )
 
     def __init__(self, handler, upstream, prompt_source):
@@ -113,6 +118,8 @@
         self.metadata_ = None
         self.is_reused_ = False
         self.is_aborted_ = False
+        self._witness = None
+        self._awaited_data_at = float("-inf")
 
     def start(self):
         """Connect, send the request and read the head of the response.
@@ -121,8 +128,12 @@
         :raises AttemptError: if there is no successful response.
         """
         self._connect()
+        self._prepare_witness()
         self._send()
         self.head_ = self._read_head()
+        if self._witness is not None and self.head_.is_close_delimited:
+            self.handler.gateway.record_unframed_response(self.handler.service.name)
+            self._witness.open(self._compute_remaining_s())
         self._check_head()
         return self.head_
 
@@ -192,12 +203,25 @@
         if handler.client.is_disconnected_:
             raise AttemptError(FailureKind.CLIENT_DISCONNECTED, Verdict.NOT_RUN)
 
+    def _prepare_witness(self):
+        """Have a second connection if the response may be unframed and its end must be proved.
+
+        Nothing is proved for services whose upstreams can't be asked for their health.
+        """
+        handler, upstream = self.handler, self.upstream
+        if not handler.service.health_path:
+            return
+        witness = self._witness = Witness(handler.gateway, upstream, time.monotonic())
+        if handler.gateway.expects_unframed_responses(handler.service.name):
+            witness.open(self._compute_remaining_s())
+            witness.sent_at = time.monotonic()
+
+    def _compute_remaining_s(self):
+        return max(self.handler.deadline - time.monotonic(), MIN_CONNECT_TIMEOUT_S)
+
     def _open_connection(self):
         gateway, upstream = self.handler.gateway, self.upstream
-        remaining_s = self.handler.deadline - time.monotonic()
-        connection = gateway.pool.open(
-            upstream.registration.address, max(remaining_s, MIN_CONNECT_TIMEOUT_S)
-        )
+        connection = gateway.pool.open(upstream.registration.address, self._compute_remaining_s())
         gateway.placement.paths_.record_connection(upstream, time.monotonic())
         return connection
 
@@ -296,9 +320,12 @@
         :returns: ``bytes``, or ``None`` once the body is complete.
         :raises AttemptError: if the response ends early or a timeout passes.
         """
+        began_at = time.monotonic()
         data = self._read_with_timeouts(
             self.connection_.read_data, self.handler.data_silence_timeout_s
         )
+        if data is not None and time.monotonic() >= began_at + MIN_RECEIVE_WAIT_S:
+            self._awaited_data_at = began_at
         self._record_body_data()
         return data
 
@@ -418,6 +445,18 @@
             self._record_connect_failure(began_at, error)
             raise attempt_error from error
         self.handler.gateway.pool.add_unused(self.pool_key, connection)
+        if self._witness is not None and not self._is_same_boot():
+            self.handler.gateway.metrics.count("unframed_responses", "unproved")
+            raise self._close_with_error(
+                FailureKind.BROKEN, "the response may have ended by a restart of the upstream"
+            )
+
+    def _is_same_boot(self):
+        """Return whether the process that sent the response certainly lives after its end."""
+        witness, service = self._witness, self.handler.service
+        return witness.proves(self._awaited_data_at) and witness.is_answered(
+            service.health_path, self.handler.deadline
+        )
 
     def _release_connection(self):
         connection, self.connection_ = self.connection_, None
@@ -425,7 +464,9 @@
             self.handler.gateway.pool.release(self.pool_key, connection, self.head_)
 
     def close(self):
-        """Close the connection if it is still in use."""
+        """Close the connection if it is still in use, and give the second one back."""
+        if self._witness is not None:
+            self._witness.release()
         connection, self.connection_ = self.connection_, None
         if connection is not None:
             connection.close()
--- a/sassafrashook/gateway/_gateway.py
+++ b/sassafrashook/gateway/_gateway.py
@@ -7,6 +7,7 @@
 import gevent
 from gevent.event import Event
 
+from sassafrashook.gateway._witness import UNFRAMED_RETENTION_S
 from sassafrashook.paths import PeerSelector
 from sassafrashook.placement import RetryBudget
 from sassafrashook.quarantine import CrashDetector, compute_trial_delay_s, format_trait
@@ -77,6 +78,7 @@
         self.active_handlers_ = set()
         self.probe_requested_ = Event()
         self.crash_observed_ = Event()
+        self._unframed_until = {}
         self._retry_budgets = {}
         self._crash_detector = CrashDetector()
         self._logged_quarantines = {}
@@ -291,6 +293,21 @@
     def _get_trial_delay_s(self, trait):
         return compute_trial_delay_s(trait, self.name, self.view.routers_)
 
+    def record_unframed_response(self, service):
+        """Record that an upstream of a service sent a response that its connection ends.
+
+        :param service: name of the service.
+        """
+        self._unframed_until[service] = time.monotonic() + UNFRAMED_RETENTION_S
+
+    def expects_unframed_responses(self, service):
+        """Return whether upstreams of a service have sent unframed responses recently.
+
+        :param service: name of the service.
+        """
+        until = self._unframed_until.get(service)
+        return until is not None and time.monotonic() < until
+
     def _log_quarantines(self, quarantines):
         """Log which traits are now quarantined, on what evidence, and which are no longer."""
         logged, self._logged_quarantines = self._logged_quarantines, quarantines
--- a/sassafrashook/gateway/_header_codec.py
+++ b/sassafrashook/gateway/_header_codec.py
@@ -56,6 +56,7 @@
     :param is_leaving: whether it states that the upstream leaves.
     :param wait_s: time for which the upstream wants no requests from this router, in seconds;
         ``None`` if it states none, NaN if the value is malformed.
+    :param upstream_id: name of the upstream that answered a health check, ``None`` if absent.
     :param is_contradictory: whether it names several requests, or states both that it was
         successful and that the request was not executed.
     """
@@ -69,6 +70,7 @@
     is_leaving: bool = False
     wait_s: float | None = None
     is_contradictory: bool = False
+    upstream_id: str | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -137,6 +139,14 @@
         :returns: list of (name, value) pairs of ``bytes``.
         """
 
+    def encode_health_request(self, address):
+        """Encode the headers of a health check of an upstream.
+
+        :param address: pair of its host and port.
+        :returns: list of (name, value) pairs of ``bytes``.
+        """
+        return [(b"Host", b"%s:%d" % (address[0].encode(), address[1]))]
+
     @abstractmethod
     def encode_peer_headers(self, headers, forwarding):
         """Encode the headers of the request to another router, which decodes them as a client's.
--- a/sassafrashook/gateway/_peers.py
+++ b/sassafrashook/gateway/_peers.py
@@ -74,6 +74,9 @@
         """Key under which the pool keeps idle connections."""
         return make_peer_pool_key(self.peer)
 
+    def _prepare_witness(self):
+        """Have none: the other router proves that the response is complete."""
+
     def _open_connection(self):
         gateway = self.handler.gateway
         remaining_s = self.handler.deadline - time.monotonic()
--- a/sassafrashook/http1/_pool.py
+++ b/sassafrashook/http1/_pool.py
@@ -40,6 +40,35 @@
             connection.close()
         return None
 
+    def take_oldest(self, key):
+        """Take the idle connection that was opened first, and is still open, out of the pool.
+
+        :param key: see :meth:`acquire`.
+        :returns: an :class:`UpstreamConnection`, or ``None`` if there is none.
+        """
+        idle, now = self.idle_by_key_.get(key, []), time.monotonic()
+        for connection in sorted(idle, key=lambda connection: connection.opened_at):
+            if now < connection.idle_deadline_ and connection.is_open_without_data():
+                idle.remove(connection)
+                return connection
+        return None
+
+    def restore(self, key, connection):
+        """Return a connection of :meth:`take_oldest`, or a new one, to the pool.
+
+        :param key: see :meth:`acquire`.
+        :param connection: the :class:`UpstreamConnection`; one that has carried requests is closed
+            if it is not reusable.
+        """
+        if connection.idle_since_ == 0.0:
+            self.add_unused(key, connection)
+            return
+        idle = self.idle_by_key_.setdefault(key, [])
+        if len(idle) >= MAX_IDLE_PER_UPSTREAM or not connection.is_open_without_data():
+            connection.close()
+        else:
+            idle.append(connection)
+
     def open(self, address, timeout_s, source_host=None):
         """Open a new connection.
 
--- a/sassafrashook/http1/_upstream.py
+++ b/sassafrashook/http1/_upstream.py
@@ -38,6 +38,7 @@
     :param source_host: IP address to connect from, ``None`` for any.
     :raises OSError: if it can't be opened; nothing has been sent in that case.
 
+    :ivar opened_at: when it was opened, in monotonic seconds.
     :ivar is_broken_: whether sending failed or the upstream had closed the connection.
     :ivar is_ended_: whether the upstream closed the connection during the last response. If that is
         complete, only the end of the connection ended it.
@@ -62,6 +63,7 @@
         except BaseException:
             self.sock.close()
             raise
+        self.opened_at = time.monotonic()
 
     def _set_socket_options(self):
         sock = self.sock
--- a/sassafrashook/platform/_configuration.py
+++ b/sassafrashook/platform/_configuration.py
@@ -1,5 +1,7 @@
 """Decoding of the configuration document that operators send."""
 
+import re
+
 import msgspec
 from returns.result import Failure, Success
 
@@ -14,6 +16,9 @@
     find_configuration_error,
 )
 
+# Visible ASCII characters, as in the target of a request. Another path is treated as unknown.
+HEALTH_PATH_PATTERN = re.compile(r"/[!-~]{0,255}", re.ASCII)
+
 
 class _Split(msgspec.Struct, frozen=True):
     service: str
@@ -52,6 +57,7 @@
 class _Service(msgspec.Struct, frozen=True):
     name: str
     warmup_per_s: float = 0.0
+    health_path: str = ""
     engine_id: _Engine | None = None
 
 
@@ -135,4 +141,5 @@
 
 def _convert_service(service):
     engine = service.engine_id or _Engine()
-    return Service(service.name, service.warmup_per_s, engine.slots)
+    health_path = service.health_path if HEALTH_PATH_PATTERN.fullmatch(service.health_path) else ""
+    return Service(service.name, service.warmup_per_s, engine.slots, health_path)
--- a/sassafrashook/platform/_header_codec.py
+++ b/sassafrashook/platform/_header_codec.py
@@ -10,6 +10,7 @@
 DEADLINE_MS = b"x-sassafrashook-deadline-ms"
 CREDENTIAL = b"x-sassafrashook-credential"
 TENANT = b"x-sassafrashook-tenant"
+INSTANCE_ID = b"x-sassafrashook-instance-id"  # of the engine that answers a health check
 EXPECT_INSTANCE = b"x-sassafrashook-expect-instance"
 # The platform's name; contains a digest of the response body, not a signature.
 RESPONSE_SIGNATURE = b"x-sassafrashook-response-signature"
@@ -91,6 +92,7 @@
             headers.get(SERVER_LEAVING) == "1",
             _parse_positive(wait),
             len(request_ids) > 1 or (is_success and NOT_EXECUTED in headers),
+            headers.get(INSTANCE_ID),
         )
 
     def encode_forwarded_headers(self, headers, forwarding):
--- a/sassafrashook/platform/tests/scripted_upstreams.py
+++ b/sassafrashook/platform/tests/scripted_upstreams.py
@@ -102,6 +102,7 @@
     :param script: called with (upstream, sock, head, body); returns whether to keep the connection.
 
     :ivar requests: (head, body) of each request received.
+    :ivar health_checks: number of health checks, which are answered with its name.
     :ivar connections: number of accepted connections.
     :ivar closed: number of closed connections.
     """
@@ -110,8 +111,10 @@
         self.name = name
         self.script = script
         self.requests = []
+        self.health_checks = 0
         self.connections = 0
         self.closed = 0
+        self.open_socks = set()
         self.server = StreamServer(("127.0.0.1", 0), self._serve)
         self.server.start()
 
@@ -121,12 +124,20 @@
 
     def _serve(self, sock, _address):
         self.connections += 1
+        self.open_socks.add(sock)
         rest = b""
         try:
             while True:
                 head, body, rest = read_http_message(sock, rest)
                 if body is None:
                     return
+                if head.startswith(b"GET /healthz "):
+                    self.health_checks += 1
+                    sock.sendall(
+                        b"HTTP/1.1 200 OK\r\nX-Sassafrashook-Instance-Id: %s\r\n"
+                        b"Content-Length: 0\r\n\r\n" % self.name.encode()
+                    )
+                    continue
                 self.requests.append((head, body))
                 if not self.script(self, sock, head, body):
                     return
@@ -134,8 +145,14 @@
             return
         finally:
             self.closed += 1
+            self.open_socks.discard(sock)
             sock.close()
 
+    def restart(self):
+        """Close all connections, as a crash does, and accept new ones at once."""
+        for sock in list(self.open_socks):
+            sock.shutdown(standard_socket.SHUT_RDWR)
+
     def stop(self):
         self.server.stop(timeout=0)
 
--- a/sassafrashook/routes/_configuration.py
+++ b/sassafrashook/routes/_configuration.py
@@ -90,11 +90,14 @@
     :param cold_rate_per_s: requests per second that a cold upstream can take; 0 if unlimited.
     :param slots: number of requests that an upstream runs concurrently; 0 if it is unknown. The
         number in an upstream's registration takes precedence.
+    :param health_path: path of the health checks of its upstreams, which answer with their name;
+        empty if it is unknown.
     """
 
     name: str
     cold_rate_per_s: float
     slots: int = 0
+    health_path: str = ""
 
 
 class ClientLimits(msgspec.Struct, frozen=True, array_like=True):
