Placement: the version of an upstream is certain only after a heartbeat of its boot

An upstream's registered version counted again 3 s after the last failed connection, although its new boot's registration might still be on its way. Elapsed time no longer proves it. As routers don't learn of plain heartbeats, they ask the controllers for those of upstreams that they doubt; a controller tells only of heartbeats that it received from the upstream itself.

The test of placement asserted that the version is certain after 3 s, which is the fault; it now asserts that it is not after 600 s, and is with the next registration.

--- a/sassafrashook/daemons/_router.py
+++ b/sassafrashook/daemons/_router.py
@@ -18,6 +18,7 @@
     FleetStreamVersions,
     FleetSubscriber,
     FleetView,
+    HeartbeatRequester,
     OtherLoads,
     RateLimitStated,
 )
@@ -87,6 +88,7 @@
         self.pool_ = ConnectionPool(CONNECT_TIMEOUT_S)
         limits = RetryLimits(settings.retry_ratio, settings.retry_slack, settings.retry_window_s)
         self.streams_ = FleetStreamVersions(self.mesh_, self.subscriber_)
+        self.heartbeats_ = HeartbeatRequester(self.mesh_, self.subscriber_, self.placement_)
         self.gateway_ = Gateway(
             settings.name,
             header_codec,
@@ -114,6 +116,7 @@
         self.mesh_.subscribe(self.subscriber_.handled_messages, self.subscriber_.deliver)
         self.mesh_.subscribe((OtherLoads,), self._apply_other_loads)
         self.mesh_.subscribe(self.streams_.handled_messages, self.streams_.deliver)
+        self.mesh_.subscribe(self.heartbeats_.handled_messages, self.heartbeats_.deliver)
         self.mesh_.start()
         self.subscriber_.set_seeds(self.settings.seeds)
         self.subscriber_.start()
@@ -215,6 +218,7 @@
         while True:
             self.gateway_.crash_observed_.wait(LOAD_REPORT_INTERVAL_S)
             self.gateway_.crash_observed_.clear()
+            self.heartbeats_.ask(len(self.view_.routers_), time.monotonic())
             controller = self.subscriber_.select_load_controller()
             cached_parts = self.placement_.take_new_cached_parts()
             if controller is not None:
--- a/sassafrashook/fleet/__init__.py
+++ b/sassafrashook/fleet/__init__.py
@@ -17,6 +17,7 @@
     "FleetStreamVersions",
     "FleetSubscriber",
     "FleetView",
+    "HeartbeatRequester",
     "OperatorCommandOutcome",
     "OtherLoads",
     "Publisher",
@@ -28,6 +29,7 @@
     {
         "_cache": ("FleetCache",),
         "_controller": ("FleetController", "OperatorCommandOutcome"),
+        "_heartbeats": ("HeartbeatRequester",),
         "_messages": ("FLEET_MESSAGES", "OtherLoads", "RateLimitStated"),
         "_link": ("DEFAULT_LINK_BYTES_PER_S",),
         "_publisher": ("Publisher",),
--- a/sassafrashook/fleet/_controller.py
+++ b/sassafrashook/fleet/_controller.py
@@ -13,6 +13,7 @@
 
 from sassafrashook.fleet._cache import CachedFleet
 from sassafrashook.fleet._exchange import CONNECTED_TIMEOUT_S, LoadExchange
+from sassafrashook.fleet._heartbeats import HeartbeatLog
 from sassafrashook.fleet._messages import ViewChanged, ViewRequested
 from sassafrashook.fleet._publisher import (
     DEFAULT_LINK_BYTES_PER_S,
@@ -91,6 +92,7 @@
     :ivar publisher_: the :class:`~sassafrashook.fleet.Publisher`.
     :ivar exchange_: the :class:`~sassafrashook.fleet._exchange.LoadExchange`.
     :ivar streams_: the :class:`~sassafrashook.fleet._streams.StreamRecords`.
+    :ivar heartbeats_: the :class:`~sassafrashook.fleet._heartbeats.HeartbeatLog`.
     :ivar subscriber_: the :class:`~sassafrashook.fleet.FleetSubscriber` to the other controllers.
     """
 
@@ -120,6 +122,7 @@
             mesh, registry, self.crashes_, self.publisher_, link_bytes_per_s
         )
         self.streams_ = StreamRecords(mesh, registry, self.is_current)
+        self.heartbeats_ = HeartbeatLog(mesh)
         view = FleetView(registry, self.crashes_)
         self.subscriber_ = FleetSubscriber(
             name, mesh, view, port, False, self._add_announcement_targets
@@ -138,6 +141,7 @@
         self.mesh.subscribe((ViewRequested,), self._on_view_requested)
         self.mesh.subscribe(self.exchange_.handled_messages, self.exchange_.deliver)
         self.mesh.subscribe(self.streams_.handled_messages, self.streams_.deliver)
+        self.mesh.subscribe(self.heartbeats_.handled_messages, self.heartbeats_.deliver)
         self.mesh.subscribe(self.subscriber_.handled_messages, self.subscriber_.deliver)
         self.subscriber_.start()
         self._tasks = [spawn_task(task) for task in tasks]
@@ -367,6 +371,7 @@
         if not self.has_majority(now):
             return False
         changed = self.registry.merge(registration, now)
+        self.heartbeats_.record(registration, now)
         self.exchange_.queue_heartbeat(registration)
         if changed:
             log_event(
--- a/sassafrashook/fleet/_messages.py
+++ b/sassafrashook/fleet/_messages.py
@@ -116,6 +116,30 @@
     heartbeats: list[Heartbeat]
 
 
+class HeartbeatsRequested(Message):
+    """Question of a router to a controller when it last heard upstreams itself."""
+
+    upstreams: list[str]
+
+
+class HeardUpstream(msgspec.Struct, frozen=True, array_like=True):
+    """When a controller last received a heartbeat of an upstream.
+
+    :param boot_ms: boot of the upstream, in Unix milliseconds.
+    :param age_ms: time since then, in milliseconds.
+    """
+
+    upstream_id: str
+    boot_ms: int
+    age_ms: float
+
+
+class HeartbeatsKnown(Message):
+    """Reply of a controller to a :class:`HeartbeatsRequested`; unheard upstreams are left out."""
+
+    heartbeats: list[HeardUpstream]
+
+
 class PartCached(msgspec.Struct, frozen=True, array_like=True):
     """An upstream is assumed to cache a prompt part; repeated while the part is in use.
 
@@ -239,4 +263,6 @@
     StreamsBegun,
     StreamVersionRequested,
     StreamVersionReply,
+    HeartbeatsRequested,
+    HeartbeatsKnown,
 )
--- a/sassafrashook/fleet/_subscriber.py
+++ b/sassafrashook/fleet/_subscriber.py
@@ -251,10 +251,14 @@
         last = max(self._last_update_at.values(), default=None)
         return -1 if last is None else round((time.monotonic() - last) * 1_000)
 
+    def list_connected(self):
+        """Return the sorted names of the connected controllers."""
+        now = time.monotonic()
+        return sorted(name for name in self.controllers_ if self._is_connected(name, now))
+
     def count_connected(self):
         """Return the number of connected controllers."""
-        now = time.monotonic()
-        return sum(self._is_connected(name, now) for name in self.controllers_)
+        return len(self.list_connected())
 
     def select_load_controller(self):
         """Return the connected controller that this node reports loads to, or ``None``.
--- a/sassafrashook/placement/_placement.py
+++ b/sassafrashook/placement/_placement.py
@@ -169,7 +169,7 @@
                 discovered_at = float("-inf") if is_recalled else now
                 state = UpstreamState(registration, cold_until[name], discovered_at)
             elif registration.sequence > state.registration.sequence:
-                state.may_have_restarted_ = False
+                state.record_heartbeat(now)
                 state.is_address_reused_ = False
             state.registration = registration
             state.cold_until = cold_until[name]
@@ -185,6 +185,20 @@
         current_keys = {state.key for state in self.upstreams_.values()}
         return [state.key for state in previous.values() if state.key not in current_keys]
 
+    def record_heartbeat(self, key, heard_at):
+        """Record when a controller received a heartbeat; see :class:`UpstreamState`.
+
+        :param key: key of the upstream's boot.
+        :param heard_at: monotonic seconds.
+        """
+        state = self.upstreams_.get(key[0])
+        if state is not None and state.key == key:
+            state.record_heartbeat(heard_at)
+
+    def list_doubted(self):
+        """Return the names of the upstreams whose next heartbeat this router needs to know."""
+        return [name for name, state in self.upstreams_.items() if state.needs_heartbeat()]
+
     def set_drained_zones(self, zones):
         """Replace the set of drained availability zones."""
         self.drained_zones_ = frozenset(zones)
@@ -280,7 +294,7 @@
 
     def _is_active(self, state, query, now):
         """Return whether a candidate is neither suspended nor of an uncertain software version."""
-        is_certain = query.software_version is None or state.has_certain_version(now)
+        is_certain = query.software_version is None or state.has_certain_version()
         path = state.path
         is_usable = path.is_usable or (query.uses_doubtful_paths and not path.is_failed_)
         return is_certain and is_usable
--- a/sassafrashook/placement/_upstreams.py
+++ b/sassafrashook/placement/_upstreams.py
@@ -44,6 +44,8 @@
         successful response.
     :ivar is_address_reused_: whether an upstream with another name responded at its address. It
         gets no requests until a newer registration arrives.
+    :ivar heard_at_: when its last known heartbeat was received, in monotonic seconds; only those
+        are known that changed its registration or that this router asked for.
     :ivar rate_limit_: number of requests per second that it accepts from all routers together, as
         last stated; ``None`` if it stated no limit.
     :ivar rate_limit_heard_at_: when a router received the response that the limit is known from, in
@@ -68,6 +70,7 @@
         "failure_rate_",
         "may_have_restarted_",
         "is_address_reused_",
+        "heard_at_",
         "is_leaving_",
         "wait_until_",
         "presumed_cold_until_",
@@ -89,6 +92,7 @@
         self.failure_rate_ = 0.0
         self.may_have_restarted_ = False
         self.is_address_reused_ = False
+        self.heard_at_ = float("-inf")
         self.is_leaving_ = False
         self.wait_until_ = float("-inf")
         self.presumed_cold_until_ = float("-inf")
@@ -128,17 +132,27 @@
         """Return whether its registration is recalled and has expired without a renewal."""
         return self.registration.state == RegistrationState.RECALLED and now >= self.cold_until
 
-    def has_certain_version(self, now):
+    def has_certain_version(self):
         """Return whether it certainly runs the software version of its registration.
 
-        One that may have restarted since its last heartbeat may run another version.
+        One that may have restarted since its last heartbeat may run another version, however long
+        ago that was: the registration of its new boot may be on its way.
+        """
+        is_recalled = self.registration.state == RegistrationState.RECALLED
+        return not is_recalled and self.heard_at_ >= self.path.failed_at_
 
-        :param now: monotonic seconds.
+    def record_heartbeat(self, heard_at):
+        """Record a heartbeat of this boot, which shows that it had not restarted before.
+
+        :param heard_at: when it was received, in monotonic seconds.
         """
-        return (
-            self.registration.state != RegistrationState.RECALLED
-            and now >= self.path.failed_at_ + RESTART_KNOWN_S
-        )
+        self.heard_at_ = max(self.heard_at_, heard_at)
+        if self.heard_at_ >= self.path.failed_at_:
+            self.may_have_restarted_ = False
+
+    def needs_heartbeat(self):
+        """Return whether only its next heartbeat shows that it has not restarted."""
+        return self.heard_at_ < self.path.failed_at_ and not self.path.is_failed_
 
     def record_load_report(self, running, waiting, now):
         """Record the load that it reported with a response.
--- a/sassafrashook/placement/tests/test_placement.py
+++ b/sassafrashook/placement/tests/test_placement.py
@@ -372,10 +372,14 @@
     placement.record_connect_failure(state, 4.9, 5.0, False)
     placement.record_probe(state, True, 6.9, 7.0)
     state.record_response(True)
-    refusal = choose_for_version(placement, 5.0 + RESTART_KNOWN_S - 0.1).failure()
-    # A router that reaches no upstream itself then asks another router.
-    assert (refusal.reason, refusal.candidates) == (RefusalReason.NO_UPSTREAM, 1)
-    assert isinstance(choose_for_version(placement, 5.0 + RESTART_KNOWN_S), Success)
+    # Elapsed time proves nothing: no registration of the new boot may have arrived.
+    for now in (5.0 + RESTART_KNOWN_S, 600.0):
+        refusal = choose_for_version(placement, now).failure()
+        # A router that reaches no upstream itself then asks another router.
+        assert (refusal.reason, refusal.candidates) == (RefusalReason.NO_UPSTREAM, 1)
+    assert isinstance(choose(placement, 7, now=600.0), Success)
+    placement.set_registrations([make_registration("u0", sequence=2)], {"u0": 0.0}, 601.0)
+    assert isinstance(choose_for_version(placement, 601.0), Success)
 
 
 def test_stream_does_not_go_on_at_upstream_that_is_known_from_saved_state_only():
