Gateway: one answer with 421 takes an upstream out until its next heartbeat only

Any 421 marked the upstream's address as reused for the rest of its boot, as routers don't learn of plain heartbeats. The suspicion now ends with the next heartbeat of the boot, which the router asks for. A 421 to a request in which the client itself names a version is a plain refusal.

--- a/sassafrashook/fleet/_heartbeats.py
+++ b/sassafrashook/fleet/_heartbeats.py
@@ -1,7 +1,7 @@
 """Questions of routers to controllers when an upstream was last heard.
 
 Heartbeats that change nothing are not sent to routers. A router asks for those of the upstreams
-that may have restarted since it last knew of them.
+that may have restarted, or lost their address to another one, since it last knew of them.
 """
 
 import random
@@ -13,8 +13,8 @@
 MAX_HEARD_UPSTREAMS = 100_000
 MAX_ASKED_UPSTREAMS = 16  # in one message; others are asked for in the next ones
 REQUEST_INTERVAL_S = 0.5
-# With more routers, each asks less often. A question and its answer take up to 0.9 KB, so that each
-# controller sends at most 0.11 MB/s of answers and routers wait 1.5 s longer at 400.
+# With more routers, each asks less often. An answer takes up to 0.55 KB, so that each controller
+# sends at most 0.11 MB/s of them.
 ROUTERS_PER_INTERVAL = 100
 MS_PER_S = 1_000
 
--- a/sassafrashook/gateway/_attempt.py
+++ b/sassafrashook/gateway/_attempt.py
@@ -155,9 +155,11 @@
             )
         if metadata.was_not_executed:
             self._discard_body()
-            if metadata.is_misdirected:
-                self.upstream.is_address_reused_ = True
-            kind = FailureKind.MISDIRECTED if metadata.is_misdirected else FailureKind.REFUSED
+            kind = FailureKind.REFUSED
+            # An upstream refuses a version that the client expects in the same way.
+            if metadata.is_misdirected and not handler.metadata.expects_version:
+                kind = FailureKind.MISDIRECTED
+                handler.gateway.record_misdirection(self.upstream, handler.metadata.request_id)
             raise AttemptError(kind, Verdict.NOT_RUN, f"status {self.head_.status}")
         self._check_upstream_head()
 
--- a/sassafrashook/gateway/_gateway.py
+++ b/sassafrashook/gateway/_gateway.py
@@ -144,6 +144,20 @@
             wait_s=wait_s,
         )  # fmt: skip
 
+    def record_misdirection(self, upstream, request_id):
+        """Record that another upstream than the registered one seems to respond at an address.
+
+        :param upstream: the :class:`~sassafrashook.placement.UpstreamState` that is registered.
+        :param request_id: identifier of the request.
+        """
+        upstream.suspect_address(time.monotonic())
+        self.metrics.count("addresses_suspected")
+        registration = upstream.registration
+        log_event(
+            "upstream_address_suspected", level="warning", upstream=registration.upstream_id,
+            request=request_id, boot_ms=registration.boot_ms, sequence=registration.sequence,
+        )  # fmt: skip
+
     def record_interruption(self, upstream, request_id, traits):
         """Record that an upstream closed the connection of a running request.
 
--- a/sassafrashook/gateway/_header_codec.py
+++ b/sassafrashook/gateway/_header_codec.py
@@ -30,6 +30,8 @@
         resumes a stream.
     :param stream_request_id: ``request_id`` of the client's attempt that began the stream that it
         resumes, ``None`` if absent.
+    :param expects_version: whether an upstream must refuse it unless it has a version that the
+        client names.
     """
 
     request_id: str
@@ -38,6 +40,7 @@
     parts: tuple = ()
     last_event_id: str | None = None
     stream_request_id: str | None = None
+    expects_version: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/sassafrashook/placement/_placement.py
+++ b/sassafrashook/placement/_placement.py
@@ -170,7 +170,6 @@
                 state = UpstreamState(registration, cold_until[name], discovered_at)
             elif registration.sequence > state.registration.sequence:
                 state.record_heartbeat(now)
-                state.is_address_reused_ = False
             state.registration = registration
             state.cold_until = cold_until[name]
             self.upstreams_[name] = state
--- a/sassafrashook/placement/_upstreams.py
+++ b/sassafrashook/placement/_upstreams.py
@@ -43,9 +43,11 @@
     :ivar may_have_restarted_: whether a connection attempt failed since the last registration or
         successful response.
     :ivar is_address_reused_: whether an upstream with another name responded at its address. It
-        gets no requests until a newer registration arrives.
+        gets no requests until a newer heartbeat of it is known.
     :ivar heard_at_: when its last known heartbeat was received, in monotonic seconds; only those
         are known that changed its registration or that this router asked for.
+    :ivar suspected_at_: when an upstream with another name last responded at its address, in
+        monotonic seconds.
     :ivar rate_limit_: number of requests per second that it accepts from all routers together, as
         last stated; ``None`` if it stated no limit.
     :ivar rate_limit_heard_at_: when a router received the response that the limit is known from, in
@@ -71,6 +73,7 @@
         "may_have_restarted_",
         "is_address_reused_",
         "heard_at_",
+        "suspected_at_",
         "is_leaving_",
         "wait_until_",
         "presumed_cold_until_",
@@ -93,6 +96,7 @@
         self.may_have_restarted_ = False
         self.is_address_reused_ = False
         self.heard_at_ = float("-inf")
+        self.suspected_at_ = float("-inf")
         self.is_leaving_ = False
         self.wait_until_ = float("-inf")
         self.presumed_cold_until_ = float("-inf")
@@ -149,10 +153,23 @@
         self.heard_at_ = max(self.heard_at_, heard_at)
         if self.heard_at_ >= self.path.failed_at_:
             self.may_have_restarted_ = False
+        if self.heard_at_ >= self.suspected_at_:
+            self.is_address_reused_ = False
+
+    def suspect_address(self, now):
+        """Record that an upstream with another name seems to respond at its address.
+
+        Its next heartbeat ends the suspicion: an upstream that has lost its address has crashed.
+
+        :param now: monotonic seconds.
+        """
+        self.is_address_reused_ = True
+        self.suspected_at_ = now
 
     def needs_heartbeat(self):
-        """Return whether only its next heartbeat shows that it has not restarted."""
-        return self.heard_at_ < self.path.failed_at_ and not self.path.is_failed_
+        """Return whether only its next heartbeat shows that it runs on at its address."""
+        may_have_restarted = self.heard_at_ < self.path.failed_at_ and not self.path.is_failed_
+        return may_have_restarted or self.is_address_reused_
 
     def record_load_report(self, running, waiting, now):
         """Record the load that it reported with a response.
--- a/sassafrashook/platform/_header_codec.py
+++ b/sassafrashook/platform/_header_codec.py
@@ -34,6 +34,8 @@
 LOWEST_PRIORITY = 9
 # Replaced in requests to another router; everything else goes on as the client sent it.
 PEER_HEADERS = frozenset((b"content-length", DEADLINE_MS, LAST_EVENT_ID, RESUMES))
+# The client's own: an engine whose weights have another version responds with status 421.
+EXPECT_VERSION = b"x-sassafrashook-expect-version"
 # Removed from client requests: only this system may set them.
 RESERVED_HEADERS = frozenset(
     (
@@ -69,6 +71,7 @@
             _parse_prompt_parts(headers.get(PREFIX_HASH, "")),
             headers.get(LAST_EVENT_ID),
             headers.get(RESUMES),
+            EXPECT_VERSION in headers,
         )
 
     def decode_response_head(self, head):
--- a/sassafrashook/platform/tests/test_forwarding.py
+++ b/sassafrashook/platform/tests/test_forwarding.py
@@ -677,6 +677,48 @@
     )
 
 
+def test_misdirected_answer_to_a_version_that_the_client_expects_is_a_plain_refusal(start_harness):
+    """Guards against a client that takes sound upstreams out with a version that they don't run."""
+
+    def respond_by_version(upstream, sock, head, body):
+        if find_header(head, "X-Sassafrashook-Expect-Version") in (None, "2"):
+            return respond_with_name(upstream, sock, head, body)
+        sock.sendall(encode_response(head, b"", "421 Misdirected Request"))
+        return True
+
+    harness = start_harness(respond_by_version, respond_by_version)
+    for number in range(4):
+        fields = ("X-Sassafrashook-Expect-Version: 7",)
+        response = harness.send_request("/orders/7", fields=fields, request_id=f"a{number}")
+        assert (response[0], find_header(response[1], "Retry-After") is not None) == (503, True)
+    assert not any(u.is_address_reused_ for u in harness.placement.upstreams_.values())
+    fields = ("X-Sassafrashook-Expect-Version: 2",)
+    assert harness.send_request("/orders/7", fields=fields, request_id="b")[0] == 200
+    assert harness.send_request("/orders/7", request_id="c")[0] == 200
+
+
+def test_upstream_that_sent_one_misdirected_answer_is_used_again_after_its_next_heartbeat(
+    start_harness,
+):
+    """Guards against a sound upstream that gets no requests for the rest of its boot."""
+    answers = iter(["421 Misdirected Request"])
+
+    def respond(_upstream, sock, head, _body):
+        sock.sendall(encode_response(head, b"ok", next(answers, "200 OK")))
+        return True
+
+    harness = start_harness(respond)
+    assert harness.send_request("/orders/7", request_id="a0")[0] == 503
+    (state,) = harness.placement.upstreams_.values()
+    suspected_at = time.monotonic()
+    assert harness.placement.list_doubted() == ["u0"]
+    harness.placement.record_heartbeat(state.key, suspected_at - 1.0)
+    assert harness.send_request("/orders/7", request_id="a1")[0] == 503
+    harness.placement.record_heartbeat(state.key, suspected_at)
+    assert harness.placement.list_doubted() == []
+    assert harness.send_request("/orders/7", request_id="a2")[0] == 200
+
+
 def test_request_waits_for_first_configuration(start_harness):
     harness = start_harness(respond_with_name)
     view = harness.gateway.view
