--- a/sassafrashook/gateway/_gateway.py
+++ b/sassafrashook/gateway/_gateway.py
@@ -7,6 +7,7 @@
 import gevent
 from gevent.event import Event
 
+from sassafrashook.gateway._witness import UNFRAMED_RETENTION_S
 from sassafrashook.paths import PeerSelector
 from sassafrashook.placement import RetryBudget
 from sassafrashook.quarantine import CrashDetector, compute_trial_delay_s, format_trait
@@ -77,6 +78,7 @@
         self.active_handlers_ = set()
         self.probe_requested_ = Event()
         self.crash_observed_ = Event()
+        self._unframed_until = {}
         self._retry_budgets = {}
         self._crash_detector = CrashDetector()
         self._logged_quarantines = {}
@@ -142,6 +144,20 @@
             wait_s=wait_s,
         )  # fmt: skip
 
+    def record_misdirection(self, upstream, request_id):
+        """Record that another upstream than the registered one seems to respond at an address.
+
+        :param upstream: the :class:`~sassafrashook.placement.UpstreamState` that is registered.
+        :param request_id: identifier of the request.
+        """
+        upstream.suspect_address(time.monotonic())
+        self.metrics.count("addresses_suspected")
+        registration = upstream.registration
+        log_event(
+            "upstream_address_suspected", level="warning", upstream=registration.upstream_id,
+            request=request_id, boot_ms=registration.boot_ms, sequence=registration.sequence,
+        )  # fmt: skip
+
     def record_interruption(self, upstream, request_id, traits):
         """Record that an upstream closed the connection of a running request.
 
@@ -291,6 +307,21 @@
     def _get_trial_delay_s(self, trait):
         return compute_trial_delay_s(trait, self.name, self.view.routers_)
 
+    def record_unframed_response(self, service):
+        """Record that an upstream of a service sent a response that its connection ends.
+
+        :param service: name of the service.
+        """
+        self._unframed_until[service] = time.monotonic() + UNFRAMED_RETENTION_S
+
+    def expects_unframed_responses(self, service):
+        """Return whether upstreams of a service have sent unframed responses recently.
+
+        :param service: name of the service.
+        """
+        until = self._unframed_until.get(service)
+        return until is not None and time.monotonic() < until
+
     def _log_quarantines(self, quarantines):
         """Log which traits are now quarantined, on what evidence, and which are no longer."""
         logged, self._logged_quarantines = self._logged_quarantines, quarantines
--- a/sassafrashook/platform/_header_codec.py
+++ b/sassafrashook/platform/_header_codec.py
@@ -10,6 +10,7 @@
 DEADLINE_MS = b"x-sassafrashook-deadline-ms"
 CREDENTIAL = b"x-sassafrashook-credential"
 TENANT = b"x-sassafrashook-tenant"
+INSTANCE_ID = b"x-sassafrashook-instance-id"  # of the engine that answers a health check
 EXPECT_INSTANCE = b"x-sassafrashook-expect-instance"
 # The platform's name; contains a digest of the response body, not a signature.
 RESPONSE_SIGNATURE = b"x-sassafrashook-response-signature"
@@ -33,6 +34,8 @@
 LOWEST_PRIORITY = 9
 # Replaced in requests to another router; everything else goes on as the client sent it.
 PEER_HEADERS = frozenset((b"content-length", DEADLINE_MS, LAST_EVENT_ID, RESUMES))
+# The client's own: an engine whose weights have another version responds with status 421.
+EXPECT_VERSION = b"x-sassafrashook-expect-version"
 # Removed from client requests: only this system may set them.
 RESERVED_HEADERS = frozenset(
     (
@@ -68,6 +71,7 @@
             _parse_prompt_parts(headers.get(PREFIX_HASH, "")),
             headers.get(LAST_EVENT_ID),
             headers.get(RESUMES),
+            EXPECT_VERSION in headers,
         )
 
     def decode_response_head(self, head):
@@ -91,6 +95,7 @@
             headers.get(SERVER_LEAVING) == "1",
             _parse_positive(wait),
             len(request_ids) > 1 or (is_success and NOT_EXECUTED in headers),
+            headers.get(INSTANCE_ID),
         )
 
     def encode_forwarded_headers(self, headers, forwarding):
--- a/sassafrashook/routes/__init__.py
+++ b/sassafrashook/routes/__init__.py
@@ -17,6 +17,7 @@
     compare_configurations,
     review_configuration,
 )
+from sassafrashook.routes._history import RouteHistory
 from sassafrashook.routes._table import RouteTable
 
 __all__ = [
@@ -27,6 +28,7 @@
     "Repeatability",
     "Route",
     "RouteConfiguration",
+    "RouteHistory",
     "RouteTable",
     "Service",
     "WeightedService",
