--- a/sassafrashook/routes/__init__.py
+++ b/sassafrashook/routes/__init__.py
@@ -11,13 +11,13 @@
     find_configuration_error,
     iterate_configuration_errors,
 )
+from sassafrashook.routes._history import RouteHistory
 from sassafrashook.routes._review import (
     Finding,
     FindingKind,
     compare_configurations,
     review_configuration,
 )
-from sassafrashook.routes._history import RouteHistory
 from sassafrashook.routes._table import RouteTable
 
 __all__ = [
