ejection: upstreams that fail or are slow are known fleet-wide

Routers report successes, failures and response times by upstream with their loads. Applies to upstreams that state how long work takes; the fourth figure of the load header is decoded, where a load with four figures was ignored before.

--- a/sassafrashook/daemons/_controller.py
+++ b/sassafrashook/daemons/_controller.py
@@ -119,6 +119,9 @@
         )
         publisher, exchange = self.fleet_.publisher_, self.fleet_.exchange_
         self.metrics_.register_gauge("updates_postponed", lambda: publisher.postponed_)
+        self.metrics_.register_gauge(
+            "upstreams_ejected", lambda: len(exchange.outliers_.ejections_)
+        )
         self.metrics_.register_gauge("parts_dropped", lambda: exchange.parts_dropped_)
         self._server = serve_application(self.settings.control, self._application)
 
--- a/sassafrashook/daemons/_router.py
+++ b/sassafrashook/daemons/_router.py
@@ -132,6 +132,11 @@
         self.metrics_.register_gauge("upstreams_usable", lambda: len(self.placement_.upstreams_))
         self.metrics_.register_gauge("upstream_paths_known", lambda: self._count_paths()[0])
         self.metrics_.register_gauge("upstream_paths_suspended", lambda: self._count_paths()[1])
+        ejections = self.placement_.ejections_
+        self.metrics_.register_gauge(
+            "upstreams_ejected", lambda: len(ejections.list_current(time.monotonic()))
+        )
+        self.metrics_.register_gauge("ejection_trials", lambda: ejections.trial_count_)
         tasks = (self._report_loads, self._close_expired_connections, self._probe_upstreams)
         self._tasks = [spawn_task(task) for task in tasks]
 
@@ -196,6 +201,7 @@
     def _apply_other_loads(self, _sender, message):
         now = time.monotonic()
         self.placement_.set_remote_loads(message.loads, now)
+        self._apply_ejections(message.ejections, now)
         cached_parts = [(cached.part, cached.upstream_id) for cached in message.cached_parts]
         self.placement_.record_remote_cached_parts(cached_parts, now)
         limits = [
@@ -210,6 +216,18 @@
                 age_ms=round((now - limit.heard_at) * MS_PER_S),
             )  # fmt: skip
 
+    def _apply_ejections(self, ejections, now):
+        """Apply the ejections of a controller, and log what has changed."""
+        placement = self.placement_
+        changes = placement.ejections_.update(ejections, placement.count_routers(), now)
+        for event, changed in zip(("upstream_avoided", "upstream_restored"), changes, strict=True):
+            for ejection in changed:
+                log_event(
+                    event, upstream=ejection.upstream_id, boot_ms=ejection.boot_ms,
+                    reason=ejection.reason, failure_share=ejection.failure_share,
+                    slowness=ejection.slowness,
+                )  # fmt: skip
+
     def _report_loads(self):
         """Report loads, cached prompt parts, crashes and rate limits to a controller, forever."""
         while True:
@@ -217,6 +235,7 @@
             self.gateway_.crash_observed_.clear()
             controller = self.subscriber_.select_load_controller()
             cached_parts = self.placement_.take_new_cached_parts()
+            results = self.gateway_.results.take()
             if controller is not None:
                 loads, now = self.placement_.list_local_loads(), time.monotonic()
                 crashes = self.view_.crashes.list_observed(now - CRASH_REPORT_S, now)
@@ -224,7 +243,9 @@
                     RateLimitStated(*limit.key, limit.rate, (now - limit.heard_at) * MS_PER_S)
                     for limit in self.placement_.take_new_rate_limits()
                 ]
-                self.subscriber_.report_loads(controller, loads, cached_parts, crashes, rate_limits)
+                self.subscriber_.report_loads(
+                    controller, loads, cached_parts, crashes, rate_limits, results
+                )
 
     def _close_expired_connections(self):
         """Close idle connections that have expired, forever."""
--- a/sassafrashook/fleet/_exchange.py
+++ b/sassafrashook/fleet/_exchange.py
@@ -6,6 +6,7 @@
 import gevent
 import msgspec
 
+from sassafrashook.ejection import OutlierDetector
 from sassafrashook.fleet._link import DEFAULT_LINK_BYTES_PER_S
 from sassafrashook.fleet._loads import LoadAggregator
 from sassafrashook.fleet._messages import (
@@ -26,7 +27,11 @@
 PART_LINK_SHARE = 0.1
 PART_BYTES = 24  # approximate size of a cached prompt part
 LOAD_BYTES = 16  # approximate size of the load of an upstream
+EJECTION_BYTES = 50  # approximate size of an ejection
 LOAD_MESSAGE_BYTES = 100  # approximate size of a message without loads, with its headers
+# Between two messages with results to the other controllers. Results come from many routers for
+# each upstream, so that a longer interval makes fewer bytes.
+RESULTS_INTERVAL_S = 0.5
 HEARTBEAT_INTERVAL_S = 0.3  # between batches of heartbeats to the other controllers
 CONNECTED_TIMEOUT_S = 1.5  # a node that sent a request within this time is connected
 MAX_HEARTBEATS = 2_000  # per batch; the oldest are dropped
@@ -46,6 +51,7 @@
     :param link_bytes_per_s: bandwidth of the controller's link, in bytes per second.
 
     :ivar parts_dropped_: number of cached prompt parts that were not announced to routers.
+    :ivar outliers_: the :class:`~sassafrashook.ejection.OutlierDetector`.
     :ivar loads_: a :class:`~sassafrashook.fleet._loads.LoadAggregator`.
     """
 
@@ -60,11 +66,13 @@
         self.publisher = publisher
         self.link_bytes_per_s = link_bytes_per_s
         self.loads_ = LoadAggregator()
+        self.outliers_ = OutlierDetector()
         self.parts_dropped_ = 0
         self._heartbeats = deque(maxlen=MAX_HEARTBEATS)
         self._cached_parts = deque(maxlen=MAX_CACHED_PARTS)
         self._rate_limits = deque(maxlen=MAX_RATE_LIMITS)
         self._heartbeats_sent_at = float("-inf")
+        self._results_sent_at = float("-inf")
         self._loads_due_at = self._loads_sent_at = float("-inf")
         self._handlers = {
             HeartbeatsHeard: self._on_heartbeats_heard,
@@ -96,6 +104,7 @@
         self.loads_.update_router(sender, message.loads, time.monotonic())
         self._cached_parts.extend((sender, cached) for cached in message.cached_parts)
         self._queue_rate_limits(sender, message.rate_limits)
+        self.outliers_.record_router(sender, message.results, time.monotonic())
         for record in message.crashes:
             if self.crashes.merge(record, time.monotonic()):
                 log_event(
@@ -108,6 +117,7 @@
         self.loads_.update_controller(sender, message.loads, time.monotonic())
         self._cached_parts.extend(("", cached) for cached in message.cached_parts)
         self._queue_rate_limits("", message.rate_limits)
+        self.outliers_.record_controller(sender, message.results, time.monotonic())
 
     def _queue_rate_limits(self, origin, rate_limits):
         received_at = time.monotonic()
@@ -141,6 +151,10 @@
         if now >= self._heartbeats_sent_at + HEARTBEAT_INTERVAL_S:
             heartbeats = _drain_queue(self._heartbeats)
             self._heartbeats_sent_at = now
+        results = []
+        if now >= self._results_sent_at + RESULTS_INTERVAL_S:
+            results = self.outliers_.take_shared()
+            self._results_sent_at = now
         parts, limits = [], []
         is_due_to_routers = now >= self._loads_due_at
         if is_due_to_routers:
@@ -149,7 +163,7 @@
         own_parts = [cached for origin, cached in parts if origin]
         own_limits = [limit for origin, limit in limits if origin]
         for name in controllers:
-            self.mesh.send(name, LoadShared(own_loads, own_parts, own_limits))
+            self.mesh.send(name, LoadShared(own_loads, own_parts, own_limits, results))
             if heartbeats:
                 self.mesh.send(name, HeartbeatsHeard(heartbeats))
         if is_due_to_routers:
@@ -159,17 +173,45 @@
         """Send each own router the loads, parts and rate limits of the others."""
         routers = self.loads_.list_routers(now)
         totals = self.loads_.sum_all(now)
+        ejections = self._update_ejections(now)
         parts = self._thin_parts(parts, len(routers), now)
         for router in routers:
             other_parts = [cached for origin, cached in parts if origin != router]
             other_limits = [limit for origin, limit in limits if origin != router]
             other_loads = self.loads_.subtract_own(totals, router)
-            self.mesh.send(router, OtherLoads(other_loads, other_parts, other_limits))
-        size = len(routers) * (LOAD_MESSAGE_BYTES + LOAD_BYTES * len(totals))
+            self.mesh.send(router, OtherLoads(other_loads, other_parts, other_limits, ejections))
+        size = len(routers) * (
+            LOAD_MESSAGE_BYTES + LOAD_BYTES * len(totals) + EJECTION_BYTES * len(ejections)
+        )
         interval_s = size / (LOAD_LINK_SHARE * self.link_bytes_per_s)
         self._loads_sent_at = now
         self._loads_due_at = now + min(interval_s, MAX_LOAD_INTERVAL_S)
 
+    def _update_ejections(self, now):
+        """Decide which upstreams are ejected, and log what has changed.
+
+        :returns: list of :class:`~sassafrashook.ejection.Ejection`.
+        """
+        keys_by_service = {}
+        for registration in self.registry.list_usable():
+            key = (registration.upstream_id, registration.boot_ms)
+            keys_by_service.setdefault(registration.service, []).append(key)
+        new, ended = self.outliers_.update(keys_by_service, now)
+        for ejection, evidence in new:
+            log_event(
+                "upstream_ejected", level="warning", upstream=ejection.upstream_id,
+                boot_ms=ejection.boot_ms, reason=ejection.reason,
+                failure_share=ejection.failure_share, slowness=ejection.slowness,
+                evidence=evidence, ejected=len(self.outliers_.ejections_),
+            )  # fmt: skip
+        for ejection, evidence in ended:
+            log_event(
+                "upstream_readmitted", upstream=ejection.upstream_id, boot_ms=ejection.boot_ms,
+                reason=ejection.reason, evidence=evidence,
+                ejected=len(self.outliers_.ejections_),
+            )  # fmt: skip
+        return list(self.outliers_.ejections_.values())
+
     def _thin_parts(self, parts, router_count, now):
         """Return the newest of the parts, as many as their share of the link allows."""
         elapsed_s = min(now - self._loads_sent_at, MAX_LOAD_INTERVAL_S)
--- a/sassafrashook/fleet/_messages.py
+++ b/sassafrashook/fleet/_messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from sassafrashook.ejection import Ejection, UpstreamResults
 from sassafrashook.messages import Message
 from sassafrashook.quarantine import CrashRecord
 from sassafrashook.registry import Registration
@@ -147,12 +148,14 @@
     :param cached_parts: prompt parts that upstreams cache, due to be announced.
     :param crashes: records of upstream crashes that the router observed recently.
     :param rate_limits: rate limits that upstreams stated to the router since its last report.
+    :param results: results of upstreams since its last report.
     """
 
     loads: dict[str, int]
     cached_parts: list[PartCached] = []
     crashes: list[CrashRecord] = []
     rate_limits: list[RateLimitStated] = []
+    results: list[UpstreamResults] = []
 
 
 class LoadShared(Message):
@@ -161,11 +164,13 @@
     :param loads: number of running requests, by upstream.
     :param cached_parts: prompt parts that upstreams cache, due to be announced.
     :param rate_limits: rate limits that upstreams stated to these routers.
+    :param results: results of upstreams at these routers.
     """
 
     loads: dict[str, int]
     cached_parts: list[PartCached] = []
     rate_limits: list[RateLimitStated] = []
+    results: list[UpstreamResults] = []
 
 
 class OtherLoads(Message):
@@ -174,11 +179,13 @@
     :param loads: number of running requests, by upstream.
     :param cached_parts: prompt parts that upstreams cache, due to be announced.
     :param rate_limits: rate limits that upstreams stated to other routers.
+    :param ejections: the upstreams that are ejected now.
     """
 
     loads: dict[str, int]
     cached_parts: list[PartCached] = []
     rate_limits: list[RateLimitStated] = []
+    ejections: list[Ejection] = []
 
 
 class StreamBegun(msgspec.Struct, frozen=True, array_like=True):
--- a/sassafrashook/fleet/_subscriber.py
+++ b/sassafrashook/fleet/_subscriber.py
@@ -261,13 +261,17 @@
         connected = [name for name in self.controllers_ if self._is_connected(name, now)]
         return rank_nodes(hash_key(self.name), connected)[0] if connected else None
 
-    def report_loads(self, controller, loads, cached_parts, crashes=(), rate_limits=()):
+    def report_loads(self, controller, loads, cached_parts, crashes=(), rate_limits=(), results=()):
         """Send this router's load to a controller.
 
         :param loads: number of running requests, by upstream.
         :param cached_parts: pairs of prompt part and the upstream that caches it.
         :param crashes: iterable of :class:`~sassafrashook.quarantine.CrashRecord`.
         :param rate_limits: iterable of :class:`RateLimitStated`.
+        :param results: iterable of :class:`~sassafrashook.ejection.UpstreamResults`.
         """
         parts = [PartCached(part, name) for part, name in cached_parts]
-        self.mesh.send(controller, LoadReported(loads, parts, list(crashes), list(rate_limits)))
+        self.mesh.send(
+            controller,
+            LoadReported(loads, parts, list(crashes), list(rate_limits), list(results)),
+        )
--- a/sassafrashook/gateway/_attempt.py
+++ b/sassafrashook/gateway/_attempt.py
@@ -91,6 +91,8 @@
     :ivar metadata_: the :class:`~sassafrashook.gateway.ResponseMetadata` of the last response head.
     :ivar is_reused_: whether the connection was taken from the pool.
     :ivar is_aborted_: whether another task has shut the connection down.
+    :ivar first_data_at_: when the first data of the body arrived, in monotonic seconds, or
+        ``None``.
     """
 
     __slots__ = (
@@ -102,6 +104,7 @@
         "metadata_",
         "is_reused_",
         "is_aborted_",
+        "first_data_at_",
     )
 
     def __init__(self, handler, upstream, prompt_source):
@@ -113,6 +116,7 @@
         self.metadata_ = None
         self.is_reused_ = False
         self.is_aborted_ = False
+        self.first_data_at_ = None
 
     def start(self):
         """Connect, send the request and read the head of the response.
@@ -134,6 +138,8 @@
         metadata = self.metadata_
         if metadata.load is not None:
             self.upstream.record_load_report(*metadata.load, time.monotonic())
+        if metadata.slowdown is not None:
+            self.upstream.slowdown_ = metadata.slowdown
         handler = self.handler
         handler.gateway.record_rate_limit(
             self.upstream, metadata.rate_limit, handler.metadata.request_id
@@ -300,6 +306,8 @@
             self.connection_.read_data, self.handler.data_silence_timeout_s
         )
         self._record_body_data()
+        if self.first_data_at_ is None:
+            self.first_data_at_ = time.monotonic()
         return data
 
     def _record_data(self):
--- a/sassafrashook/gateway/_gateway.py
+++ b/sassafrashook/gateway/_gateway.py
@@ -7,6 +7,7 @@
 import gevent
 from gevent.event import Event
 
+from sassafrashook.gateway._results import ResultRecorder
 from sassafrashook.paths import PeerSelector
 from sassafrashook.placement import RetryBudget
 from sassafrashook.quarantine import CrashDetector, compute_trial_delay_s, format_trait
@@ -55,6 +56,7 @@
     :param peer_port: port on which every router accepts requests that other routers forward.
 
     :ivar peers: the :class:`~sassafrashook.paths.PeerSelector`.
+    :ivar results: the :class:`~sassafrashook.gateway._results.ResultRecorder`.
     :ivar active_handlers_: set of the :class:`~sassafrashook.gateway._request.RequestHandler` in
         progress.
     :ivar probe_requested_: event that is set when an upstream needs a probe.
@@ -74,6 +76,7 @@
         self.streams = streams
         self.peer_port = peer_port
         self.peers = PeerSelector(name, placement.rng)
+        self.results = ResultRecorder()
         self.active_handlers_ = set()
         self.probe_requested_ = Event()
         self.crash_observed_ = Event()
--- a/sassafrashook/gateway/_header_codec.py
+++ b/sassafrashook/gateway/_header_codec.py
@@ -56,6 +56,8 @@
     :param is_leaving: whether it states that the upstream leaves.
     :param wait_s: time for which the upstream wants no requests from this router, in seconds;
         ``None`` if it states none, NaN if the value is malformed.
+    :param slowdown: how long work takes at the upstream's host, as a multiple of the usual time;
+        ``None`` if it states none.
     :param is_contradictory: whether it names several requests, or states both that it was
         successful and that the request was not executed.
     """
@@ -69,6 +71,7 @@
     is_leaving: bool = False
     wait_s: float | None = None
     is_contradictory: bool = False
+    slowdown: float | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -382,8 +382,13 @@
             frozenset(self.attempted_keys_),
             self.stream_version_,
             keeps_load_bound=True,
+            allows_trial=self._allows_trial(),
         )
 
+    def _allows_trial(self):
+        """Return whether an ejected upstream may be tried first, as a failure may be retried."""
+        return self.route.is_idempotent and self.max_upstreams > 1 and not self.attempted_keys_
+
     def _compute_session_part_hash(self):
         """Return the hash of the last prompt part that the requests of a session share.
 
@@ -411,12 +416,14 @@
             head = self._exchange(attempt)
         except AttemptError as error:
             self._record_failure(upstream, error, now)
+            self.gateway.results.record_attempt(attempt, now, error)
             return error
         finally:
             upstream.running_ -= 1
             self._attempt = None
             attempt.close()
         upstream.record_response(True)
+        self.gateway.results.record_attempt(attempt, now)
         self.gateway.record_completion(self.metadata.request_id, self.traits)
         self.execution_count_ += 1
         self.verdict_ = Verdict.RAN
--- /dev/null
+++ b/sassafrashook/gateway/_results.py
@@ -0,0 +1,57 @@
+"""Results of attempts that are reported to the controllers."""
+
+import time
+
+from sassafrashook.ejection import ResultCounter
+from sassafrashook.gateway._attempt import FailureKind
+
+MS_PER_S = 1_000
+STATUS_SERVER_ERROR = 500
+# An attempt that was abandoned because nothing arrived took at least as long as it lasted.
+SILENT_KINDS = frozenset((FailureKind.SILENT, FailureKind.TIMEOUT))
+FAILED_KINDS = frozenset((FailureKind.BROKEN, FailureKind.UNSIGNED))
+
+
+class ResultRecorder:
+    """Counts the results of the attempts at upstreams that state how long work takes.
+
+    Other upstreams belong to deployments that don't call for ejection.
+    """
+
+    def __init__(self):
+        self._counter = ResultCounter()
+
+    def record_attempt(self, attempt, began_at, error=None):
+        """Count the result of an attempt.
+
+        A status below 500 other than success is the client's fault and says nothing of the
+        upstream, nor does a request that it did not run. Responses of a cold upstream are slow.
+
+        :param attempt: the :class:`~sassafrashook.gateway._attempt.Attempt`.
+        :param began_at: when the attempt began, in monotonic seconds.
+        :param error: the :class:`~sassafrashook.gateway._attempt.AttemptError`, ``None`` if the
+            attempt succeeded.
+        """
+        upstream, now = attempt.upstream, time.monotonic()
+        if upstream.slowdown_ is None:
+            return
+        succeeded, end = None, None
+        if error is None:
+            succeeded, end = True, attempt.first_data_at_
+        elif error.kind in FAILED_KINDS and not attempt.is_aborted_:
+            succeeded = False
+        elif error.kind is FailureKind.UNSUCCESSFUL_STATUS:
+            succeeded = False if error.response.head.status >= STATUS_SERVER_ERROR else None
+        elif error.kind in SILENT_KINDS and attempt.first_data_at_ is None:
+            end = now
+        is_timed = end is not None and not upstream.is_cold(now)
+        if succeeded is not None or is_timed:
+            time_ms = (end - began_at) * MS_PER_S if is_timed else None
+            self._counter.record(upstream.key, succeeded, time_ms)
+
+    def take(self):
+        """Return and clear the results since the last call.
+
+        :returns: list of :class:`~sassafrashook.ejection.UpstreamResults`.
+        """
+        return self._counter.take()
--- a/sassafrashook/placement/_placement.py
+++ b/sassafrashook/placement/_placement.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Success
 
 from sassafrashook.base import Parametrized
+from sassafrashook.ejection import EjectionView
 from sassafrashook.outcomes import RefusalReason
 from sassafrashook.paths import PathMonitor
 from sassafrashook.placement._prompt_cache_index import PromptCacheIndex
@@ -45,6 +46,8 @@
         out of reach, as another router may reach these.
     :param uses_doubtful_paths: whether an upstream may be chosen before the doubtful path to it has
         been probed.
+    :param allows_trial: whether an ejected upstream may be tried with the request, which may then
+        be retried at another one.
     """
 
     service: object
@@ -53,6 +56,7 @@
     software_version: str | None = None
     keeps_load_bound: bool = False
     uses_doubtful_paths: bool = False
+    allows_trial: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -119,6 +123,7 @@
     :ivar loads_received_at_: when the loads of other routers were last received, in monotonic
         seconds.
     :ivar paths_: the :class:`~sassafrashook.paths.PathMonitor` of this router's paths.
+    :ivar ejections_: the :class:`~sassafrashook.ejection.EjectionView` of this router.
 
     See also :class:`~sassafrashook.placement.RetryBudget`.
     """
@@ -139,6 +144,7 @@
         self.drained_zones_ = frozenset()
         self.loads_received_at_ = float("-inf")
         self.paths_ = PathMonitor(rng)
+        self.ejections_ = EjectionView(rng)
         self._states_by_service = {}
         self._prompt_cache = PromptCacheIndex()
         self._unannounced_holders = []
@@ -195,8 +201,9 @@
         :param loads: number of running requests of other routers, by upstream name.
         :param now: monotonic seconds.
         """
-        self.loads_received_at_ = now
+        elapsed_s, self.loads_received_at_ = now - self.loads_received_at_, now
         for name, state in self.upstreams_.items():
+            state.decay_failure_rate(elapsed_s)
             state.remote_running_ = loads.get(name, 0)
 
     def presume_zone_cold(self, zone, until):
@@ -228,14 +235,23 @@
         if not candidates:
             return Failure(self._make_wait_refusal(all_candidates, now))
         active = [state for state in candidates if self._is_active(state, query, now)]
-        healthy = self._prefer_healthy(active)
+        trials, preferred, last_resort = self.ejections_.split(active, query.allows_trial, now)
+        healthy = self._prefer_healthy(preferred)
         suspended = len(candidates) - len(active)
         within_bound, over_bound = self._order_candidates(query, healthy, service_states, now)
         ordered = within_bound + over_bound
         keeps_load_bound = query.keeps_load_bound and suspended > 0
+        for state in self._order_all(query, trials, service_states, now):
+            if self._try_admit(state, query.service, now):
+                self.ejections_.record_trial(state, self.count_routers(), now)
+                return Success(state)
         for state in within_bound if keeps_load_bound else ordered:
             if self._try_admit(state, query.service, now):
                 return Success(state)
+        if not keeps_load_bound:
+            for state in self._order_all(query, last_resort, service_states, now):
+                if self._try_admit(state, query.service, now):
+                    return Success(state)
         if ordered and all(state.get_rate_limit(now) is not None for state in ordered):
             refusal = self._make_limit_refusal(query.service, ordered, len(candidates), now)
             return Failure(replace(refusal, suspended=suspended))
@@ -254,6 +270,17 @@
             )
         )
 
+    def count_routers(self):
+        """Return the number of known routers, at least 1."""
+        return max(1, len(self.rate_limiter.routers_))
+
+    def _order_all(self, query, states, service_states, now):
+        """Return ejected upstreams with free capacity, in the order in which to try them."""
+        if not states:
+            return []
+        within_bound, over_bound = self._order_candidates(query, states, service_states, now)
+        return within_bound + over_bound
+
     def _list_candidates(self, query, now):
         """Return the upstreams that may get a request, including suspended ones."""
         return [
--- a/sassafrashook/placement/_upstreams.py
+++ b/sassafrashook/placement/_upstreams.py
@@ -10,6 +10,7 @@
 MAX_WAIT_S = 30.0  # longer waits that an upstream asks for are cut to this time
 FAILURE_RATE_WEIGHT = 0.2  # weight of the newest response in the moving average of failures
 FAILURE_RATE_THRESHOLD = 0.5
+FAILURE_RATE_HALF_LIFE_S = 5.0  # as that of the evidence of all routers
 # A stated rate limit lapses after this time without a response at any router. Routers without a
 # share of it send nothing meanwhile.
 RATE_LIMIT_TTL_S = 30.0
@@ -50,6 +51,8 @@
         monotonic seconds.
     :ivar is_leaving_: whether it has said that it leaves; it then gets no new requests.
     :ivar wait_until_: until when it wants no requests from this router, in monotonic seconds.
+    :ivar slowdown_: how long work takes at its host, as a multiple of the usual time, as last
+        stated with a response; ``None`` if it has stated none.
     :ivar presumed_cold_until_: until when it counts as cold because its zone was drained, in
         monotonic seconds.
     """
@@ -71,6 +74,7 @@
         "is_leaving_",
         "wait_until_",
         "presumed_cold_until_",
+        "slowdown_",
         "rate_limit_",
         "rate_limit_heard_at_",
     )
@@ -92,6 +96,7 @@
         self.is_leaving_ = False
         self.wait_until_ = float("-inf")
         self.presumed_cold_until_ = float("-inf")
+        self.slowdown_ = None
         self.rate_limit_ = None
         self.rate_limit_heard_at_ = float("-inf")
 
@@ -190,6 +195,17 @@
             (0.0 if succeeded else 1.0) - self.failure_rate_
         )
 
+    def decay_failure_rate(self, elapsed_s):
+        """Reduce the failure rate by its age, if the results are known fleet-wide.
+
+        Otherwise an upstream that this router sends nothing because of its failures would get
+        nothing from it for the rest of its boot.
+
+        :param elapsed_s: time since the last call, in seconds.
+        """
+        if self.slowdown_ is not None:
+            self.failure_rate_ *= 0.5 ** (elapsed_s / FAILURE_RATE_HALF_LIFE_S)
+
     def is_failing(self):
         """Return whether most of its recent responses were failures."""
         return self.failure_rate_ > FAILURE_RATE_THRESHOLD
--- a/sassafrashook/placement/tests/test_placement.py
+++ b/sassafrashook/placement/tests/test_placement.py
@@ -6,6 +6,7 @@
 import pytest
 from returns.result import Failure, Success
 
+from sassafrashook.ejection import Ejection, EjectionReason
 from sassafrashook.outcomes import RefusalReason
 from sassafrashook.placement import Placement, PlacementQuery, RetryBudget, SharedRateLimiter
 from sassafrashook.placement._upstreams import RESTART_KNOWN_S
@@ -70,6 +71,37 @@
     assert all(get_name(choose(before, s)) == NAMES[0] for s in moved)
 
 
+@pytest.mark.parametrize(("slowdown", "is_failing"), [(None, True), (1.0, False)])
+def test_failure_rate_decays_only_where_results_are_known_fleet_wide(slowdown, is_failing):
+    """Guards against leaving out an upstream for the rest of its boot after four failures."""
+    placement = make_placement()
+    state = placement.upstreams_["u0"]
+    state.slowdown_ = slowdown
+    for _ in range(8):
+        state.record_response(False)
+    placement.set_remote_loads({}, 0.0)
+    for _ in range(8):
+        state.record_response(False)
+    placement.set_remote_loads({}, 5.0)
+    assert state.is_failing() == is_failing
+
+
+def test_ejected_upstream_gets_trials_and_what_the_others_have_no_room_for():
+    """Guards against an ejected upstream that can't come back, and against refused requests."""
+    placement = make_placement(NAMES[:3])
+    placement.ejections_.update([Ejection("u0", 1, EjectionReason.SLOW, 0.0, 4.0)], 1, 10.0)
+    names = [get_name(choose(placement, now=10.0 + n / 100)) for n in range(99)]
+    assert "u0" not in names
+    query = PlacementQuery(SERVICE, allows_trial=True)
+    placement.ejections_.update([Ejection("u0", 1, EjectionReason.SLOW, 0.0, 4.0)], 1, 12.0)
+    assert [get_name(placement.choose(query, 12.0)) == "u0" for _ in range(3)] == [True] + 2 * [
+        False
+    ]
+    for name in NAMES[1:3]:
+        placement.upstreams_[name].running_ = 96 * 3
+    assert get_name(choose(placement, now=12.1)) == "u0"
+
+
 def test_hot_session_stays_within_load_bound():
     placement = make_placement()
     for _ in range(90):
--- a/sassafrashook/platform/_header_codec.py
+++ b/sassafrashook/platform/_header_codec.py
@@ -14,7 +14,8 @@
 # The platform's name; contains a digest of the response body, not a signature.
 RESPONSE_SIGNATURE = b"x-sassafrashook-response-signature"
 NOT_EXECUTED = b"x-sassafrashook-not-executed"
-# Numbers of running requests, waiting requests and slots, separated by commas.
+# Numbers of running requests, waiting requests and slots, separated by commas; in newer deployments
+# also how long work takes at the engine's host, in percent of the usual time.
 INSTANCE_LOAD = b"x-sassafrashook-instance-load"
 # Requests per second that the engine accepts from all machines together.
 SERVER_LIMIT = b"server-limit"
@@ -31,6 +32,7 @@
 STATUS_MISDIRECTED_REQUEST = 421
 STATUS_UNAVAILABLE = 503
 LOWEST_PRIORITY = 9
+PERCENT = 100
 # Replaced in requests to another router; everything else goes on as the client sent it.
 PEER_HEADERS = frozenset((b"content-length", DEADLINE_MS, LAST_EVENT_ID, RESUMES))
 # Removed from client requests: only this system may set them.
@@ -86,11 +88,12 @@
             RESPONSE_SIGNATURE in headers,
             NOT_EXECUTED in headers or head.status == STATUS_MISDIRECTED_REQUEST,
             head.status == STATUS_MISDIRECTED_REQUEST,
-            (load[0], load[1]) if len(load) == 3 else None,
+            (load[0], load[1]) if len(load) in (3, 4) else None,
             _parse_positive(headers.get(SERVER_LIMIT)),
             headers.get(SERVER_LEAVING) == "1",
             _parse_positive(wait),
             len(request_ids) > 1 or (is_success and NOT_EXECUTED in headers),
+            load[3] / PERCENT if len(load) == 4 and load[3] > 0 else None,
         )
 
     def encode_forwarded_headers(self, headers, forwarding):
--- a/sassafrashook/platform/tests/test_decoding.py
+++ b/sassafrashook/platform/tests/test_decoding.py
@@ -207,6 +207,24 @@
     assert PlatformHeaderCodec().decode_request_headers(headers).deadline_ms is None
 
 
+@pytest.mark.parametrize(
+    ("text", "load", "slowdown"),
+    [
+        (b"3,1,8", (3, 1), None),
+        (b"3,1,8,250", (3, 1), 2.5),
+        (b"3, 1, 8, 100", (3, 1), 1.0),
+        (b"3,1,8,0", (3, 1), None),
+        (b"3,1,8,fast", None, None),
+        (b"3,1,8,100,7", None, None),
+    ],
+)
+def test_load_with_and_without_its_fourth_figure_is_decoded(text, load, slowdown):
+    """Guards against losing the load of an engine that also states how long work takes."""
+    head = ResponseHead(200, Headers([(b"X-Sassafrashook-Instance-Load", text)]))
+    metadata = PlatformHeaderCodec().decode_response_head(head)
+    assert (metadata.load, metadata.slowdown) == (load, slowdown)
+
+
 def test_response_headers_are_decoded():
     fields = [(b"X-Sassafrashook-Instance-Load", b"3,1,8"), (b"X-Sassafrashook-Not-Executed", b"1")]
     metadata = PlatformHeaderCodec().decode_response_head(ResponseHead(503, Headers(fields)))
