--- a/sassafrashook/gateway/_attempt.py
+++ b/sassafrashook/gateway/_attempt.py
@@ -94,6 +94,8 @@
     :ivar metadata_: the :class:`~sassafrashook.gateway.ResponseMetadata` of the last response head.
     :ivar is_reused_: whether the connection was taken from the pool.
     :ivar is_aborted_: whether another task has shut the connection down.
+    :ivar first_data_at_: when the first data of the body arrived, in monotonic seconds, or
+        ``None``.
     """
 
     __slots__ = (
@@ -107,6 +109,7 @@
         "is_aborted_",
         "_witness",
         "_awaited_data_at",
+        "first_data_at_",
     )
 
     def __init__(self, handler, upstream, prompt_source):
@@ -120,6 +123,7 @@
         self.is_aborted_ = False
         self._witness = None
         self._awaited_data_at = float("-inf")
+        self.first_data_at_ = None
 
     def start(self):
         """Connect, send the request and read the head of the response.
@@ -145,6 +149,8 @@
         metadata = self.metadata_
         if metadata.load is not None:
             self.upstream.record_load_report(*metadata.load, time.monotonic())
+        if metadata.slowdown is not None:
+            self.upstream.slowdown_ = metadata.slowdown
         handler = self.handler
         handler.gateway.record_rate_limit(
             self.upstream, metadata.rate_limit, handler.metadata.request_id
@@ -329,6 +335,8 @@
         if data is not None and time.monotonic() >= began_at + MIN_RECEIVE_WAIT_S:
             self._awaited_data_at = began_at
         self._record_body_data()
+        if self.first_data_at_ is None:
+            self.first_data_at_ = time.monotonic()
         return data
 
     def _record_data(self):
--- a/sassafrashook/gateway/_gateway.py
+++ b/sassafrashook/gateway/_gateway.py
@@ -7,6 +7,7 @@
 import gevent
 from gevent.event import Event
 
+from sassafrashook.gateway._results import ResultRecorder
 from sassafrashook.gateway._witness import UNFRAMED_RETENTION_S
 from sassafrashook.paths import PeerSelector
 from sassafrashook.placement import RetryBudget
@@ -56,6 +57,7 @@
     :param peer_port: port on which every router accepts requests that other routers forward.
 
     :ivar peers: the :class:`~sassafrashook.paths.PeerSelector`.
+    :ivar results: the :class:`~sassafrashook.gateway._results.ResultRecorder`.
     :ivar active_handlers_: set of the :class:`~sassafrashook.gateway._request.RequestHandler` in
         progress.
     :ivar probe_requested_: event that is set when an upstream needs a probe.
@@ -75,6 +77,7 @@
         self.streams = streams
         self.peer_port = peer_port
         self.peers = PeerSelector(name, placement.rng)
+        self.results = ResultRecorder()
         self.active_handlers_ = set()
         self.probe_requested_ = Event()
         self.crash_observed_ = Event()
--- a/sassafrashook/gateway/_header_codec.py
+++ b/sassafrashook/gateway/_header_codec.py
@@ -60,6 +60,8 @@
     :param wait_s: time for which the upstream wants no requests from this router, in seconds;
         ``None`` if it states none, NaN if the value is malformed.
     :param upstream_id: name of the upstream that answered a health check, ``None`` if absent.
+    :param slowdown: how long work takes at the upstream's host, as a multiple of the usual time;
+        ``None`` if it states none.
     :param is_contradictory: whether it names several requests, or states both that it was
         successful and that the request was not executed.
     """
@@ -74,6 +76,7 @@
     wait_s: float | None = None
     is_contradictory: bool = False
     upstream_id: str | None = None
+    slowdown: float | None = None
 
 
 @dataclass(slots=True, frozen=True)
