consensus: a new group accepts no commands before 2f+1 voters

Two lost disks right after the first acknowledgement left a group of three or four voters without a quorum. A leader now rejects proposals until the configuration with 2f+1 voters is committed.

--- a/sassafrashook/consensus/_core.py
+++ b/sassafrashook/consensus/_core.py
@@ -92,9 +92,13 @@
         members.
     :param tolerated_losses: number of disks that may be lost at the same time. An entry is
         committed once it is on one disk more than this (all voters, if there are fewer), and
-        on a majority of the voters.
+        on a majority of the voters. A new group accepts no commands until it has
+        ``2 * tolerated_losses + 1`` voters.
     :param automatic_membership: whether the leader adds replicas that announce themselves, and
         removes silent voters beyond ``2 * tolerated_losses + 1``.
+    :param initial_state: encoded state of the state machine before any command. A snapshot of
+        another state shows that the group has committed commands; if this is ``None``, every
+        snapshot does.
 
     :ivar term_: current term.
     :ivar role_: current :class:`Role`.
@@ -176,6 +180,7 @@
         trailing_entries=TRAILING_ENTRIES,
         tolerated_losses=DEFAULT_TOLERATED_LOSSES,
         automatic_membership=False,
+        initial_state=None,
     ):
         self.name = name
         self.identity = identity
@@ -199,6 +204,7 @@
         self.trailing_entries = trailing_entries
         self.tolerated_losses = tolerated_losses
         self.automatic_membership = automatic_membership
+        self.initial_state = initial_state
 
     def start(self, recovered, now):
         """Start from the state recovered from the data folder.
--- a/sassafrashook/consensus/_durability.py
+++ b/sassafrashook/consensus/_durability.py
@@ -14,7 +14,7 @@
 )
 from sassafrashook.consensus._log import EntryLog
 from sassafrashook.consensus._membership import decode_members
-from sassafrashook.consensus._messages import CONFIGURATION
+from sassafrashook.consensus._messages import COMMAND, CONFIGURATION
 
 __all__ = ["DurabilityMixin"]
 
@@ -51,6 +51,7 @@
         self.commit_index_ = self.snapshot_.index if self.snapshot_ else 0
         self.durable_index_ = self.log_.last_index
         self.snapshot_pending_ = False
+        self._command_committed = False
         self.bytes_since_snapshot_ = sum(len(entry.data) for entry in recovered.entries)
         self.restore_pending_ = False
         if self.snapshot_:
@@ -181,6 +182,7 @@
             )
         entries = tuple(self.log_.read(self.commit_index_ + 1, index))
         self.commit_index_ = index
+        self._command_committed |= any(entry.kind == COMMAND for entry in entries)
         self.bytes_since_snapshot_ += sum(len(entry.data) for entry in entries)
         self._actions.append(Apply(entries))
         self._request_snapshot_if_due()
--- a/sassafrashook/consensus/_loop.py
+++ b/sassafrashook/consensus/_loop.py
@@ -148,7 +148,12 @@
             return
         self._logged_members = members
         text = ",".join(f"{m.name}:{'voter' if m.voter else 'learner'}" for m in members)
-        logging.info("event=members_changed replica=%s members=%s", self.name, text)
+        logging.info(
+            "event=members_changed replica=%s members=%s required_voters=%d",
+            self.name,
+            text,
+            2 * self.tolerated_losses + 1,
+        )
 
     def _log_role(self, action):
         logging.info(
--- a/sassafrashook/consensus/_membership.py
+++ b/sassafrashook/consensus/_membership.py
@@ -172,6 +172,26 @@
         self._refresh_configuration()
         self._reset_election_deadline(now)
 
+    def _can_accept_commands(self):
+        """Return whether the group may commit commands.
+
+        The loss of ``tolerated_losses`` disks leaves a majority only of at least
+        ``2 * tolerated_losses + 1`` voters, so a new group accepts no command before the
+        configuration with that many is committed.
+        A group that has committed a command has had that many voters, or was founded by a version
+        without this rule. It continues with fewer while lost disks are replaced: removing the
+        identity of a lost disk doesn't lower the number of further losses that it tolerates.
+        """
+        snapshot = self.snapshot_
+        if self._command_committed or (snapshot and snapshot.data != self.initial_state):
+            return True
+        committed = self._get_configuration_at(self.commit_index_)
+        voter_counts = [
+            sum(member.voter for member in members)
+            for members in (self.configuration_, committed[1] if committed else ())
+        ]
+        return min(voter_counts) >= 2 * self.tolerated_losses + 1
+
     def _has_pending_change(self):
         """Return whether a further configuration change must wait."""
         own_term_committed = self.log_.get_term(self.commit_index_) == self.term_
--- a/sassafrashook/consensus/_message_validation.py
+++ b/sassafrashook/consensus/_message_validation.py
@@ -40,15 +40,24 @@
         if message.group != self.group:
             return "wrong_group"
         if message.recipient not in ("", self.identity):
+            self._record_if_removed(message, now)
             return "wrong_recipient"
         if message.identity == self.identity:
             return "duplicate_identity"
         if not self._is_known_sender(message):
-            if isinstance(message, VoteRequested):
-                self._record_removed_replica(message, now)
+            self._record_if_removed(message, now)
             return "unknown_identity"
         return self._check_boot(message, now)
 
+    def _record_if_removed(self, message, now):
+        """Take a vote request of an unknown identity as an announcement.
+
+        It may name an earlier identity of this host, since a replica that was removed doesn't learn
+        of disks that were replaced later.
+        """
+        if isinstance(message, VoteRequested) and not self._is_known_sender(message):
+            self._record_removed_replica(message, now)
+
     def _is_known_sender(self, message):
         if isinstance(message, IdentityAnnounced):
             return True
--- a/sassafrashook/consensus/_replica.py
+++ b/sassafrashook/consensus/_replica.py
@@ -225,6 +225,7 @@
             trailing_entries=self.trailing_entries,
             tolerated_losses=self.tolerated_losses,
             automatic_membership=self.automatic_membership,
+            initial_state=self.state_machine.save(),
         )
         self._execute_actions(self.core_.start(recovered, self.clock()))
 
--- a/sassafrashook/consensus/_replication.py
+++ b/sassafrashook/consensus/_replication.py
@@ -84,6 +84,9 @@
             return ProposalErrorReason.NOT_LEADER
         if self.transfer_target_ or not self._has_lease(now):
             return ProposalErrorReason.NOT_ACCEPTED
+        if not self._can_accept_commands():
+            self.rejection_counts_["too_few_voters"] += 1
+            return ProposalErrorReason.NOT_ACCEPTED
         return None
 
     def _send_entries_to_all(self, now):
