--- a/benchmarks/forwarding.py
+++ b/benchmarks/forwarding.py
@@ -53,7 +53,14 @@
     placement.set_registrations([registration], {"u0": 0.0}, 0.0)
     limits, pool = RetryLimits(0.2, 50, 10.0), ConnectionPool(1.0)
     gateway = Gateway(
-        PlatformHeaderCodec(), view, placement, pool, limits, Metrics("r1"), LocalStreamVersions()
+        "r1",
+        PlatformHeaderCodec(),
+        view,
+        placement,
+        pool,
+        limits,
+        Metrics("r1"),
+        LocalStreamVersions(),
     )
     server = GatewayServer(gateway, "127.0.0.1", 0)
     server.start()
