Rollouts: replicated orders, shares at routers, evidence and the leader's steps

An order moves a service's traffic to another software version by a deadline. Each router draws the version of a request against a leased share; the leader decides the steps from the answers that all routers count, and reverts a version that fails or is slow. Takes effect only where the settings state the bounds of rollouts.

--- a/sassafrashook/daemons/_controller.py
+++ b/sassafrashook/daemons/_controller.py
@@ -91,6 +91,7 @@
             FleetCache(cache_store),
             CACHE_VALID_HEARTBEATS * settings.heartbeat_ms / 1_000,
             settings.link_bytes_per_s,
+            settings.rollout_bounds,
         )
         self._application = make_application(self.fleet_, settings)
         self._server = None
--- a/sassafrashook/daemons/_router.py
+++ b/sassafrashook/daemons/_router.py
@@ -20,11 +20,14 @@
     FleetView,
     OtherLoads,
     RateLimitStated,
+    RolloutPolled,
+    RolloutReported,
 )
 from sassafrashook.gateway import Gateway, GatewayServer, RetryLimits, make_peer_pool_key
 from sassafrashook.http1 import ConnectionPool
 from sassafrashook.placement import Placement, SharedRateLimiter, StatedRateLimit
 from sassafrashook.registry import Registry
+from sassafrashook.rollouts import RouterRollouts
 from sassafrashook.tasks import spawn_task
 from sassafrashook.telemetry import Metrics, log_event, register_log_gauge
 from sassafrashook.transport import Mesh
@@ -72,7 +75,11 @@
             FLEET_MESSAGES,
             count=self.metrics_.count,
         )
-        self.view_ = FleetView(Registry(SILENT_TIMEOUT_S, settings.departure_grace_ms / 1_000))
+        self.rollouts_ = RouterRollouts(
+            settings.rollout_bounds is not None, boot=random.getrandbits(32)
+        )
+        registry = Registry(SILENT_TIMEOUT_S, settings.departure_grace_ms / 1_000)
+        self.view_ = FleetView(registry, rollouts=self.rollouts_)
         self.subscriber_ = FleetSubscriber(
             settings.name, self.mesh_, self.view_, settings.stream_port, True, self._apply_update
         )
@@ -113,6 +120,7 @@
         """
         self.mesh_.subscribe(self.subscriber_.handled_messages, self.subscriber_.deliver)
         self.mesh_.subscribe((OtherLoads,), self._apply_other_loads)
+        self.mesh_.subscribe((RolloutPolled,), self._report_rollout)
         self.mesh_.subscribe(self.streams_.handled_messages, self.streams_.deliver)
         self.mesh_.start()
         self.subscriber_.set_seeds(self.settings.seeds)
@@ -179,6 +187,7 @@
     def _update_upstreams(self, now):
         registry = self.view_.registry
         leaving = registry.list_leaving(now)
+        self.rollouts_.observe_versions(registry.list_usable(), now)
         gone = self.placement_.set_registrations(
             registry.list_usable(), registry.cold_until_, now, leaving
         )
@@ -226,6 +235,22 @@
                 ]
                 self.subscriber_.report_loads(controller, loads, cached_parts, crashes, rate_limits)
 
+    def _report_rollout(self, sender, message):
+        """Apply a record of the leader and its lease, and reply with this router's counts."""
+        now, rollouts, service = time.monotonic(), self.rollouts_, message.rollout.service
+        before = rollouts.rollouts_.get(service)
+        rollouts.renew(message.rollout, message.lease_ms / MS_PER_S, now)
+        current = rollouts.rollouts_[service]
+        if before is None or before.index != current.index:
+            self.metrics_.count("rollout_steps", current.state)
+            log_event(
+                "rollout_adopted", service=service, to=current.to, state=current.state,
+                share=round(current.share, 4), step=current.step.name.lower(), index=current.index,
+            )  # fmt: skip
+        order_index, index, *figures = rollouts.report(service, now)
+        report = RolloutReported(service, order_index, index, rollouts.boot, *figures)
+        self.mesh_.send(sender, report)
+
     def _close_expired_connections(self):
         """Close idle connections that have expired, forever."""
         while True:
--- a/sassafrashook/daemons/_settings.py
+++ b/sassafrashook/daemons/_settings.py
@@ -46,6 +46,8 @@
         fleet.
     :param metrics: pair of host and port of the metrics endpoint, ``None`` to disable it.
     :param link_bytes_per_s: bandwidth of the host's link, in bytes per second.
+    :param rollout_bounds: a :class:`~sassafrashook.rollouts.RolloutBounds`, ``None`` in a
+        deployment without rollouts.
     """
 
     name: str
@@ -68,3 +70,4 @@
     warmup_tolerance: float
     metrics: tuple | None = None
     link_bytes_per_s: float = DEFAULT_LINK_BYTES_PER_S
+    rollout_bounds: object = None
--- a/sassafrashook/fleet/__init__.py
+++ b/sassafrashook/fleet/__init__.py
@@ -21,6 +21,8 @@
     "OtherLoads",
     "Publisher",
     "RateLimitStated",
+    "RolloutPolled",
+    "RolloutReported",
 ]
 
 __getattr__ = make_lazy_getattr(
@@ -28,7 +30,13 @@
     {
         "_cache": ("FleetCache",),
         "_controller": ("FleetController", "OperatorCommandOutcome"),
-        "_messages": ("FLEET_MESSAGES", "OtherLoads", "RateLimitStated"),
+        "_messages": (
+            "FLEET_MESSAGES",
+            "OtherLoads",
+            "RateLimitStated",
+            "RolloutPolled",
+            "RolloutReported",
+        ),
         "_link": ("DEFAULT_LINK_BYTES_PER_S",),
         "_publisher": ("Publisher",),
         "_state": ("FleetState",),
--- a/sassafrashook/fleet/_controller.py
+++ b/sassafrashook/fleet/_controller.py
@@ -4,8 +4,6 @@
 import time
 import uuid
 import zlib
-from dataclasses import dataclass
-from enum import StrEnum
 
 import gevent
 import msgspec
@@ -19,6 +17,8 @@
     Publisher,
     StateVersions,
 )
+from sassafrashook.fleet._replies import OperatorCommandOutcome, OperatorCommandReply
+from sassafrashook.fleet._rollouts import FleetRollouts
 from sassafrashook.fleet._state import (
     PutConfiguration,
     SetZoneDrained,
@@ -45,31 +45,6 @@
 NAME_BYTES = 14  # approximate size of the name of a router
 
 
-class OperatorCommandOutcome(StrEnum):
-    """Outcome of an operator's command.
-
-    ``DONE``: it was committed, or the current configuration is of the same or a higher version;
-    ``NOT_LEADER``: this controller is not the leader; ``UNKNOWN``: it was not confirmed in time and
-    may or may not be applied.
-    """
-
-    DONE = "done"
-    NOT_LEADER = "elsewhere"
-    UNKNOWN = "unknown"
-
-
-@dataclass(slots=True, frozen=True)
-class OperatorCommandReply:
-    """Reply to an operator's command.
-
-    :param leader: name of the leader, to which the command must be sent instead if the outcome is
-        ``NOT_LEADER``.
-    """
-
-    outcome: OperatorCommandOutcome
-    leader: str = ""
-
-
 class FleetController:
     """Maintains the configuration and the registrations, and publishes them to all nodes.
 
@@ -86,7 +61,10 @@
     :param cache: a :class:`~sassafrashook.fleet.FleetCache`, ``None`` to save nothing.
     :param recalled_valid_s: how long recalled registrations are valid without a heartbeat, seconds.
     :param link_bytes_per_s: bandwidth of this controller's link, in bytes per second.
+    :param rollout_bounds: the :class:`~sassafrashook.rollouts.RolloutBounds`, ``None`` in a
+        deployment without rollouts.
 
+    :ivar rollouts_: the :class:`~sassafrashook.fleet._rollouts.FleetRollouts`, or ``None``.
     :ivar crashes_: the :class:`~sassafrashook.quarantine.CrashLedger` of the whole fleet.
     :ivar publisher_: the :class:`~sassafrashook.fleet.Publisher`.
     :ivar exchange_: the :class:`~sassafrashook.fleet._exchange.LoadExchange`.
@@ -105,6 +83,7 @@
         cache=None,
         recalled_valid_s=0.0,
         link_bytes_per_s=DEFAULT_LINK_BYTES_PER_S,
+        rollout_bounds=None,
     ):
         self.name = name
         self.replica = replica
@@ -120,6 +99,19 @@
             mesh, registry, self.crashes_, self.publisher_, link_bytes_per_s
         )
         self.streams_ = StreamRecords(mesh, registry, self.is_current)
+        self.rollouts_ = None
+        if rollout_bounds is not None:
+            self.rollouts_ = FleetRollouts(
+                name,
+                replica,
+                state,
+                registry,
+                mesh,
+                self.publisher_,
+                rollout_bounds,
+                link_bytes_per_s,
+                self.is_current,
+            )
         view = FleetView(registry, self.crashes_)
         self.subscriber_ = FleetSubscriber(
             name, mesh, view, port, False, self._add_announcement_targets
@@ -135,6 +127,9 @@
         if self.cache is not None:
             self.load_cache()
             tasks.append(self._save_cache)
+        if self.rollouts_ is not None:
+            self.mesh.subscribe(self.rollouts_.handled_messages, self.rollouts_.deliver)
+            tasks.append(self.rollouts_.run)
         self.mesh.subscribe((ViewRequested,), self._on_view_requested)
         self.mesh.subscribe(self.exchange_.handled_messages, self.exchange_.deliver)
         self.mesh.subscribe(self.streams_.handled_messages, self.streams_.deliver)
@@ -205,6 +200,7 @@
             state.version_,
             state.drain_index_,
             self.crashes_.revision_,
+            state.rollouts_.index_,
         )
 
     def _publish(self):
@@ -310,6 +306,7 @@
                 crash_records = list_crashes(held.crash_revision, now)
             name_changes = list_names(update.routers_revision)
             joined, left = name_changes or ((), ())
+            lacks_rollouts = held.rollout_index < state.rollouts_.index_
             message = ViewChanged(
                 self.publisher_.boot_id,
                 registry.revision_,
@@ -330,6 +327,8 @@
                 update.routers_revision,
                 joined,
                 left,
+                state.rollouts_.index_,
+                state.rollouts_.list_all() if lacks_rollouts else (),
             )
             self.mesh.send(name, message)
 
--- a/sassafrashook/fleet/_messages.py
+++ b/sassafrashook/fleet/_messages.py
@@ -5,6 +5,7 @@
 from sassafrashook.messages import Message
 from sassafrashook.quarantine import CrashRecord
 from sassafrashook.registry import Registration
+from sassafrashook.rollouts import AttemptTotals, Rollout
 
 __all__ = [
     "FLEET_MESSAGES",
@@ -15,6 +16,8 @@
     "OtherLoads",
     "PartCached",
     "RateLimitStated",
+    "RolloutPolled",
+    "RolloutReported",
     "StreamBegun",
     "StreamVersionReply",
     "StreamVersionRequested",
@@ -38,6 +41,7 @@
     :param wants_crashes: whether the controller should send the node records of crashes.
     :param routers_revision: latest revision of the controller's list of routers that the node
         holds; -1 if the node needs the whole list in each update.
+    :param rollout_index: log index of the last change of the rollouts that the node holds.
     """
 
     is_router: bool
@@ -48,6 +52,7 @@
     crash_revision: int = 0
     wants_crashes: bool = True
     routers_revision: int = -1
+    rollout_index: int = 0
 
 
 class ViewChanged(Message):
@@ -79,6 +84,8 @@
         change.
     :param joined_routers: names of the routers that were added to the list.
     :param left_routers: names of the routers that were removed from it.
+    :param rollout_index: log index of the last change of the controller's rollouts.
+    :param rollouts: all rollouts; empty if the node holds those of ``rollout_index`` or later.
     """
 
     boot_id: str
@@ -100,6 +107,8 @@
     base_routers_revision: int = 0
     joined_routers: list[str] = []
     left_routers: list[str] = []
+    rollout_index: int = 0
+    rollouts: list[Rollout] = []
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
@@ -229,6 +238,38 @@
     is_current: bool
 
 
+class RolloutPolled(Message):
+    """Sent by the leader to each router while a rollout is in progress.
+
+    :param rollout: the current record.
+    :param lease_ms: time for which the share holds, in milliseconds.
+    """
+
+    rollout: Rollout
+    lease_ms: float
+
+
+class RolloutReported(Message):
+    """Reply of a router to a :class:`RolloutPolled`.
+
+    :param service: name of the service.
+    :param order_index: log index of the order since which the totals count.
+    :param index: index of the record that the router follows.
+    :param boot: identifies one run of the router process.
+    :param running_old: number of the router's requests that run at upstreams of other versions.
+    :param longest_ms: longest of those that have ended since the order, in milliseconds.
+    :param totals: what the router has counted since the order.
+    """
+
+    service: str
+    order_index: int
+    index: int
+    boot: int
+    running_old: int
+    longest_ms: int
+    totals: list[AttemptTotals]
+
+
 FLEET_MESSAGES = (
     ViewRequested,
     ViewChanged,
@@ -239,4 +280,6 @@
     StreamsBegun,
     StreamVersionRequested,
     StreamVersionReply,
+    RolloutPolled,
+    RolloutReported,
 )
--- a/sassafrashook/fleet/_publisher.py
+++ b/sassafrashook/fleet/_publisher.py
@@ -98,12 +98,14 @@
     :param configuration_version: version of the configuration.
     :param drain_index: log index of the drained zones.
     :param crash_revision: revision of the crash ledger, counted by one controller.
+    :param rollout_index: log index of the rollouts.
     """
 
     revision: int
     configuration_version: int
     drain_index: int
     crash_revision: int = 0
+    rollout_index: int = 0
 
     def with_configuration_of(self, other):
         """Return these versions with the configuration version of others."""
@@ -120,6 +122,7 @@
             and self.configuration_version >= other.configuration_version
             and self.drain_index >= other.drain_index
             and self.crash_revision >= other.crash_revision
+            and self.rollout_index >= other.rollout_index
         )
 
 
@@ -216,6 +219,7 @@
             request.configuration_version,
             request.drain_index,
             request.crash_revision if is_same_boot else -1,
+            request.rollout_index,
         )
         subscriber = self.subscribers_.get(name)
         if subscriber is None:
--- a/sassafrashook/fleet/_state.py
+++ b/sassafrashook/fleet/_state.py
@@ -1,8 +1,16 @@
-"""Replicated state machine of the configuration and the drained availability zones."""
+"""Replicated state machine of the configuration, the drained zones and the rollouts."""
 
 import msgspec
 
 from sassafrashook.base import StateMachine
+from sassafrashook.rollouts import (
+    AdvanceRollout,
+    FinishRollout,
+    Rollout,
+    RolloutOutcome,
+    RolloutTable,
+    StartRollout,
+)
 
 __all__ = [
     "FleetState",
@@ -37,9 +45,13 @@
 
 
 class CommandOutcome(msgspec.Struct, frozen=True, array_like=True):
-    """Whether a command changed the state."""
+    """Whether a command changed the state.
+
+    :param rollout: a :class:`~sassafrashook.rollouts.RolloutOutcome`, ``None`` for other commands.
+    """
 
     changed: bool
+    rollout: RolloutOutcome | None = None
 
 
 class _Snapshot(msgspec.Struct, frozen=True, array_like=True):
@@ -48,9 +60,13 @@
     configuration: bytes
     drained_zones: list[str]
     drain_index: int
+    rollouts: list[Rollout] = []
 
 
-_COMMAND_DECODER = msgspec.msgpack.Decoder(PutConfiguration | SetZoneDrained)
+_ROLLOUT_COMMANDS = (StartRollout, AdvanceRollout, FinishRollout)
+_COMMAND_DECODER = msgspec.msgpack.Decoder(
+    PutConfiguration | SetZoneDrained | StartRollout | AdvanceRollout | FinishRollout
+)
 _OUTCOME_DECODER = msgspec.msgpack.Decoder(CommandOutcome)
 
 
@@ -74,6 +90,7 @@
     :ivar configuration_: the encoded configuration, compressed with zlib.
     :ivar drained_zones_: availability zones that are drained.
     :ivar drain_index_: log index of the last change of ``drained_zones_``.
+    :ivar rollouts_: the :class:`~sassafrashook.rollouts.RolloutTable`.
 
     >>> state = FleetState()
     >>> put = encode_command(PutConfiguration(7, b"document", b"configuration"))
@@ -87,6 +104,7 @@
         self.configuration_ = b""
         self.drained_zones_ = frozenset()
         self.drain_index_ = 0
+        self.rollouts_ = RolloutTable()
 
     def apply(self, index, command):
         """Apply one committed command.
@@ -96,6 +114,10 @@
         :returns: the encoded :class:`CommandOutcome`.
         """
         command = _COMMAND_DECODER.decode(command)
+        if isinstance(command, _ROLLOUT_COMMANDS):
+            outcome = self.rollouts_.apply(index, command)
+            changed = outcome is RolloutOutcome.CHANGED
+            return msgspec.msgpack.encode(CommandOutcome(changed, outcome))
         if isinstance(command, PutConfiguration):
             changed = self._put_configuration(command)
         else:
@@ -126,6 +148,7 @@
                 self.configuration_,
                 sorted(self.drained_zones_),
                 self.drain_index_,
+                self.rollouts_.list_all(),
             )
         )
 
@@ -137,3 +160,4 @@
         self.configuration_ = saved.configuration
         self.drained_zones_ = frozenset(saved.drained_zones)
         self.drain_index_ = saved.drain_index
+        self.rollouts_.restore(saved.rollouts)
--- a/sassafrashook/fleet/_subscriber.py
+++ b/sassafrashook/fleet/_subscriber.py
@@ -10,6 +10,7 @@
 from sassafrashook.fleet._messages import LoadReported, PartCached, ViewChanged, ViewRequested
 from sassafrashook.fleet._router_names import RouterNameLists
 from sassafrashook.quarantine import CrashLedger
+from sassafrashook.rollouts import RouterRollouts
 from sassafrashook.routes import RouteConfiguration, RouteTable
 from sassafrashook.tasks import spawn_task
 from sassafrashook.telemetry import log_event
@@ -31,6 +32,8 @@
 
     :param registry: the node's :class:`~sassafrashook.registry.Registry`.
     :param crashes: the node's :class:`~sassafrashook.quarantine.CrashLedger`; a new one if omitted.
+    :param rollouts: the node's :class:`~sassafrashook.rollouts.RouterRollouts`; a new one if
+        omitted.
 
     :ivar table_: the current :class:`~sassafrashook.routes.RouteTable`, or ``None``.
     :ivar configured_: event that is set once there is a route table.
@@ -43,8 +46,9 @@
         monotonic seconds.
     """
 
-    def __init__(self, registry, crashes=None):
+    def __init__(self, registry, crashes=None, rollouts=None):
         self.registry = registry
+        self.rollouts = rollouts if rollouts is not None else RouterRollouts()
         self.crashes = crashes if crashes is not None else CrashLedger()
         self.table_ = None
         self.configured_ = Event()
@@ -75,6 +79,7 @@
         :param now: monotonic seconds.
         :returns: the zones that the update put back into service.
         """
+        self.rollouts.merge(update.rollouts, update.rollout_index)
         for registration in update.registrations:
             self.registry.merge(registration, now)
         for record in update.crashes:
@@ -174,6 +179,7 @@
                 crash_revision,
                 self._wants_crashes(name),
                 self.view.router_lists_.get_revision(boot_id),
+                self.view.rollouts.index_,
             ),
         )
 
--- a/sassafrashook/gateway/_attempt.py
+++ b/sassafrashook/gateway/_attempt.py
@@ -20,6 +20,7 @@
 MAX_REFUSAL_BYTES = 65_536
 REFUSAL_TIMEOUT_S = 0.1
 MIN_CONNECT_TIMEOUT_S = 0.001  # with a timeout of 0 the socket would not wait at all
+STATUS_INTERNAL_ERROR = 500
 
 
 class FailureKind(StrEnum):
@@ -48,6 +49,11 @@
     CLIENT_DISCONNECTED = "client_gone"
 
 
+UPSTREAM_FAILURES = frozenset(
+    (FailureKind.BROKEN, FailureKind.SILENT, FailureKind.TIMEOUT, FailureKind.UNSIGNED)
+)
+
+
 class AttemptError(Exception):
     """Raised when an attempt fails.
 
@@ -64,6 +70,13 @@
         self.verdict = verdict
         self.response = response
 
+    @property
+    def is_upstream_failure(self):
+        """Whether the upstream failed; ``None`` if the attempt says nothing of that."""
+        if self.kind is FailureKind.UNSUCCESSFUL_STATUS:
+            return self.response.head.status >= STATUS_INTERNAL_ERROR
+        return True if self.kind in UPSTREAM_FAILURES else None
+
 
 @dataclass(slots=True, frozen=True)
 class UpstreamResponse:
--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -154,6 +154,8 @@
         self._splitter = EventSplitter()
         self._stream_head = None
         self._attempt = None
+        self._version_choice = None
+        self._rollout_attempt = None
         self._request_log = RequestLog(self)
 
     @property
@@ -240,8 +242,7 @@
                 retry_after_ms = round((quarantine.until - time.monotonic()) * 1_000)
                 self._reject(RefusalReason.QUARANTINED, retry_after_ms)
                 return
-            query = self._make_query()
-            result = self.gateway.placement.choose(query, time.monotonic())
+            query, result = self._place()
             if isinstance(result, Failure):
                 refusal = result.failure()
                 self._request_log.log_placement_refusal(refusal)
@@ -266,6 +267,28 @@
                 return
         self._log("client_left", "-", "-")
 
+    def _choose_version(self, now):
+        return self.gateway.view.rollouts.choose(
+            self.service.name, now, self.stream_version_, bool(self.attempted_keys_)
+        )
+
+    def _place(self):
+        """Choose an upstream, of the old version if a trial of a new one has no room.
+
+        :returns: the :class:`~sassafrashook.placement.PlacementQuery` and the result of
+            :meth:`~sassafrashook.placement.Placement.choose`.
+        """
+        now = time.monotonic()
+        self._version_choice = self._choose_version(now)
+        query = self._make_query()
+        result = self.gateway.placement.choose(query, now)
+        choice = self._version_choice
+        if isinstance(result, Failure) and choice is not None and choice.is_trial:
+            self._version_choice = choice.choose_old()
+            query = self._make_query()
+            result = self.gateway.placement.choose(query, now)
+        return query, result
+
     def _may_peers_serve(self, refusal):
         """Return whether upstreams are known that this router does not reach, but others may."""
         is_unreachable = refusal.candidates > 0 or self.unreachable_count_ > 0
@@ -281,7 +304,10 @@
         if self.is_from_peer or not refusal.is_local:
             return Failure(refusal)
         query = replace(
-            query, keeps_load_bound=False, uses_doubtful_paths=self.unreachable_count_ == 0
+            query,
+            keeps_load_bound=False,
+            uses_doubtful_paths=self.unreachable_count_ == 0,
+            version_choice=self._choose_version(time.monotonic()),
         )
         return self.gateway.placement.choose(query, time.monotonic())
 
@@ -382,6 +408,7 @@
             frozenset(self.attempted_keys_),
             self.stream_version_,
             keeps_load_bound=True,
+            version_choice=self._version_choice,
         )
 
     def _compute_session_part_hash(self):
@@ -407,12 +434,20 @@
         attempt = self._attempt = Attempt(self, upstream, prompt_source)
         self.attempted_keys_.add(upstream.key)
         upstream.running_ += 1
+        rollouts, is_bad = self.gateway.view.rollouts, None
+        self._rollout_attempt = rollouts.begin_attempt(
+            upstream.registration, self.route.name, not upstream.is_cold(now), now
+        )
         try:
             head = self._exchange(attempt)
+            is_bad = False
         except AttemptError as error:
             self._record_failure(upstream, error, now)
+            is_bad = error.is_upstream_failure
             return error
         finally:
+            rollouts.end_attempt(self._rollout_attempt, is_bad, time.monotonic())
+            self._rollout_attempt = None
             upstream.running_ -= 1
             self._attempt = None
             attempt.close()
@@ -433,6 +468,7 @@
         """
         head = attempt.start()
         if self.route.is_stream:
+            self.gateway.view.rollouts.record_reply(self._rollout_attempt, time.monotonic())
             self._relay_stream(attempt, head)
         else:
             self._relay_response(attempt, head)
--- a/sassafrashook/placement/_placement.py
+++ b/sassafrashook/placement/_placement.py
@@ -45,6 +45,8 @@
         out of reach, as another router may reach these.
     :param uses_doubtful_paths: whether an upstream may be chosen before the doubtful path to it has
         been probed.
+    :param version_choice: the :class:`~sassafrashook.rollouts.VersionChoice` of a service with a
+        rollout, else ``None``.
     """
 
     service: object
@@ -53,6 +55,7 @@
     software_version: str | None = None
     keeps_load_bound: bool = False
     uses_doubtful_paths: bool = False
+    version_choice: object = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -221,6 +224,8 @@
             :class:`PlacementRefusal`.
         """
         service_states = self._states_by_service.get(query.service.name, ())
+        if query.version_choice is not None:
+            service_states = query.version_choice.select(service_states, now)
         all_candidates = self._list_candidates(query, now)
         candidates = [state for state in all_candidates if now >= state.wait_until_]
         if not all_candidates:
@@ -256,7 +261,7 @@
 
     def _list_candidates(self, query, now):
         """Return the upstreams that may get a request, including suspended ones."""
-        return [
+        candidates = [
             state
             for state in self._states_by_service.get(query.service.name, ())
             if state.registration.availability_zone not in self.drained_zones_
@@ -266,6 +271,8 @@
             and not state.is_leaving_
             and not state.is_expired(now)
         ]
+        choice = query.version_choice
+        return candidates if choice is None else choice.select(candidates, now)
 
     def has_active_candidate(self, query, now):
         """Return whether an upstream that is not suspended may get a request.
--- a/sassafrashook/platform/_control.py
+++ b/sassafrashook/platform/_control.py
@@ -8,10 +8,12 @@
 from sassafrashook.fleet import OperatorCommandOutcome
 from sassafrashook.platform._configuration import decode_configuration
 from sassafrashook.platform._registrations import decode_heartbeat, is_upstream_id
+from sassafrashook.platform._rollouts import decode_rollout_order
 from sassafrashook.telemetry import log_event
 
 MAX_CONFIGURATION_BYTES = 16 * 1024 * 1024
 MAX_HEARTBEAT_BYTES = 65_536
+MAX_ROLLOUT_BYTES = 65_536
 MS_PER_S = 1_000
 
 
@@ -26,6 +28,10 @@
     application.add_route("/config", ConfigResource(fleet, port))
     application.add_route("/instances/{upstream_id}", InstanceResource(fleet))
     application.add_route("/evacuations/{zone}", EvacuationResource(fleet, port))
+    if fleet.rollouts_ is not None:
+        rollouts = RolloutResource(fleet.rollouts_, port)
+        application.add_route("/rollouts", rollouts)
+        application.add_route("/rollouts/{service}", rollouts, suffix="service")
     return application
 
 
@@ -82,6 +88,53 @@
         _send_reply(self.fleet.set_zone_drained(zone, False), request, response, self.port)
 
 
+class RolloutResource:
+    """The rollouts of the services.
+
+    :param rollouts: a :class:`~sassafrashook.fleet.FleetRollouts`.
+    :param port: port of the control plane of all controllers, for redirects.
+    """
+
+    def __init__(self, rollouts, port):
+        self.rollouts = rollouts
+        self.port = port
+
+    def on_post(self, request, response):
+        """Order a rollout. A repeated order changes nothing and is acknowledged again."""
+        decoded = decode_rollout_order(_read_body(request, MAX_ROLLOUT_BYTES))
+        if isinstance(decoded, Failure):
+            log_event("rollout_refused", reason=decoded.failure())
+            response.status = falcon.HTTP_400
+            response.media = {"error": decoded.failure()}
+            return
+        order = decoded.unwrap()
+        reply = self.rollouts.order(order.service, order.to, order.duration_s)
+        if reply.refusal is None:
+            _send_reply(reply, request, response, self.port)
+            return
+        response.status = falcon.HTTP_409 if reply.is_conflict else falcon.HTTP_422
+        response.media = {"error": reply.refusal}
+
+    def on_get_service(self, _request, response, service):
+        """Respond with the latest rollout of a service, or 503 if it can't be confirmed."""
+        is_confirmed, rollout = self.rollouts.read(service)
+        if not is_confirmed:
+            response.status = falcon.HTTP_503
+        elif rollout is None:
+            response.status = falcon.HTTP_404
+        else:
+            response.media = {"state": rollout.state, "to": rollout.to}
+
+    def on_delete_service(self, request, response, service):
+        """Revert the rollout of a service that is in progress."""
+        reply = self.rollouts.revert(service)
+        if reply.refusal is None:
+            _send_reply(reply, request, response, self.port)
+            return
+        response.status = falcon.HTTP_409
+        response.media = {"error": reply.refusal}
+
+
 class InstanceResource:
     """The registration of an engine.
 
--- a/sassafrashook/platform/_settings.py
+++ b/sassafrashook/platform/_settings.py
@@ -4,6 +4,7 @@
 from returns.result import Failure, Success
 
 from sassafrashook.daemons import NodeSettings, RouterAddresses
+from sassafrashook.rollouts import RolloutBounds
 
 DEFAULT_HEARTBEAT_MS = 1_000
 UNLIMITED_MBPS = 1_000.0  # bandwidth that is assumed if none is stated
@@ -39,6 +40,12 @@
 
 
 class _Bounds(msgspec.Struct, frozen=True):
+    """Bounds that the platform checks; those of rollouts are absent where there are none.
+
+    :param canary_share: part of a service's requests that a bad version may get.
+    :param canary_tolerance: number of requests that it may get in addition.
+    """
+
     drain_timeout_ms: float
     grace_period_s: float
     retry_budget_ratio: float
@@ -46,6 +53,9 @@
     budget_slack: float
     warmup_factor: float
     warmup_tolerance: float
+    canary_share: float | None = None
+    canary_tolerance: float | None = None
+    rollback_timeout_ms: float | None = None
 
 
 class _NodeFile(msgspec.Struct, frozen=True):
@@ -113,9 +123,15 @@
         warmup_tolerance=bounds.warmup_tolerance,
         metrics=(node.ip, METRICS_PORT),
         link_bytes_per_s=(node.limits.bandwidth_mbps or UNLIMITED_MBPS) * BYTES_PER_MBIT,
+        rollout_bounds=_convert_rollout_bounds(bounds),
     )
 
 
+def _convert_rollout_bounds(bounds):
+    values = (bounds.canary_share, bounds.canary_tolerance, bounds.rollback_timeout_ms)
+    return None if None in values else RolloutBounds(*values)
+
+
 def split_address(text):
     """Parse an address of the form ``IP:PORT``.
 
--- a/sassafrashook/platform/tests/test_processes.py
+++ b/sassafrashook/platform/tests/test_processes.py
@@ -56,11 +56,13 @@
     :param folder: directory for settings, data and logs.
 
     :ivar tree: directory with the sources of the processes that are started.
+    :ivar extra_bounds: further bounds in the settings of the processes.
     """
 
     def __init__(self, folder):
         self.folder = folder
         self.tree = ROOT
+        self.extra_bounds = {}
         self.processes = {}
         self.sequence = 0
 
@@ -68,7 +70,9 @@
         role = "core" if ip in CONTROLLER_IPS else "edge"
         data = str(self.folder / f"data-{ip}") if role == "core" else None
         path = self.folder / f"{ip}.json"
-        path.write_text(json.dumps(make_node_settings(role, ip, data, bootstrap)))
+        settings = make_node_settings(role, ip, data, bootstrap)
+        settings["bounds"] |= self.extra_bounds
+        path.write_text(json.dumps(settings))
         daemon = "controller" if role == "core" else "router"
         with open(self.folder / f"{ip}.log", "ab") as log:
             self.processes[ip] = subprocess.Popen(
