--- a/sassafrashook/rollouts/__init__.py
+++ b/sassafrashook/rollouts/__init__.py
@@ -21,6 +21,7 @@
     "RouterRollouts",
     "StartRollout",
     "judge",
+    "sum_totals",
 ]
 
 __getattr__ = make_lazy_getattr(
@@ -28,7 +29,7 @@
     {
         "_bounds": ("RolloutBounds",),
         "_counts": ("AttemptCounter", "AttemptTotals"),
-        "_evidence": ("judge",),
+        "_evidence": ("judge", "sum_totals"),
         "_leader": ("RolloutLeader", "RouterReport"),
         "_records": (
             "AdvanceRollout",
--- a/sassafrashook/rollouts/_evidence.py
+++ b/sassafrashook/rollouts/_evidence.py
@@ -4,7 +4,7 @@
 from collections import defaultdict
 from dataclasses import dataclass
 
-__all__ = ["Verdict", "judge"]
+__all__ = ["Verdict", "judge", "sum_totals"]
 
 # Rates of false alarms of one test, if the new version is as bad as the reference at most. Answers
 # are tested some 50 times in a rollout, but the counts of these tests share most of their answers.
@@ -54,6 +54,14 @@
         for bucket, count in totals.durations:
             self.durations[bucket] += count
 
+    def subtract(self, earlier):
+        """Return the answers since an earlier sample, and the attempts without a reply."""
+        recent = _Sample()
+        recent.bad = self.bad - earlier.bad
+        for bucket, count in self.durations.items():
+            recent.durations[bucket] = count - (earlier.durations[bucket] if bucket >= 0 else 0)
+        return recent
+
     @property
     def answers(self):
         """Number of the answers."""
@@ -70,23 +78,39 @@
         return slow, slow + quick
 
 
-def judge(totals):
-    """Compare the new version with the old one, on each route and over all routes.
+def sum_totals(totals):
+    """Return the sums of totals, as :func:`judge` takes them.
 
     :param totals: iterable of :class:`~sassafrashook.rollouts.AttemptTotals` of all routers.
-    :returns: a :class:`Verdict`.
+    :returns: samples of the old version by route, and of the new one by route and upstream.
     """
     old, new = defaultdict(_Sample), defaultdict(lambda: defaultdict(_Sample))
     for entry in totals:
         for route in (entry.route, ALL_ROUTES):
             sample = new[route][entry.upstream_id] if entry.is_new else old[route]
             sample.add(entry)
+    return old, new
+
+
+def judge(sums, earlier=None):
+    """Compare the new version with the old one, on each route and over all routes.
+
+    :param sums: result of :func:`sum_totals`.
+    :param earlier: an earlier result. The answers since then are tested too, as a version that
+        turns bad has good answers from before.
+    :returns: a :class:`Verdict`.
+    """
+    old, new = sums
     answers = sum(sample.answers for sample in new[ALL_ROUTES].values()) if new else 0
     tests = [
         test
         for route, samples in new.items()
         for test in _list_tests(route, old[route], list(samples.values()))
     ]
+    for route, samples in new.items() if earlier is not None else ():
+        before = earlier[1][route]
+        recent = [sample.subtract(before[name]) for name, sample in samples.items()]
+        tests += _list_tests(f"{route}:recent", old[route], recent)
     if not tests:
         return Verdict(False, False, answers, "-")
     likelihood, alarm, figures = min(tests, key=lambda test: test[0] / test[1])
--- a/sassafrashook/rollouts/_leader.py
+++ b/sassafrashook/rollouts/_leader.py
@@ -1,8 +1,9 @@
 """Decisions of the leading controller on a rollout."""
 
+from collections import deque
 from dataclasses import dataclass
 
-from sassafrashook.rollouts._evidence import judge
+from sassafrashook.rollouts._evidence import judge, sum_totals
 from sassafrashook.rollouts._records import AdvanceRollout, FinishRollout, RolloutState, RolloutStep
 
 __all__ = ["RolloutLeader", "RouterReport"]
@@ -12,16 +13,20 @@
 MIN_TRIAL_SHARE = 0.02
 THROTTLED_SHARE = 0.005  # once the trial has used its part
 HALF_WAY_SHARE = 0.4
-HALF_WAY_MS = 1_000
+HALF_WAY_MS = 800
 MIN_FINAL_MS = 600
 # Time for the switch of all traffic: the longest answer of the old version with a margin, two log
 # entries, and three reports.
-SWITCH_MARGIN_MS = 1_500
-LONGEST_FACTOR = 1.2
+SWITCH_MARGIN_MS = 2_000
+LONGEST_FACTOR = 1.1
 MAX_SWITCH_FRACTION = 0.5
 ANSWERS_NEEDED = 20
 ANSWERS_NEEDED_FRACTION = 0.25  # of the requests of the trial, where there are few
 IN_TOUCH_S = 2.0
+# The answers of the last 1.5 to 2 s are tested on their own too. A shorter time has too few answers
+# that take several times as long as usual.
+RECENT_INTERVAL_S = 0.5
+RECENT_INTERVALS = 4
 MIN_WARM_UPSTREAMS = 3
 MIN_WARM_FRACTION = 0.1
 MS_PER_S = 1_000
@@ -57,11 +62,13 @@
     def __init__(self, rollout, bounds):
         self.order_index = rollout.order_index
         self.bounds = bounds
-        self.verdict_ = judge(())
+        self.verdict_ = judge(sum_totals(()))
         self.sent_new_ = 0
         self.sent_ = 0
         self._reports = {}
         self._earlier_boots = {}
+        self._history = deque(maxlen=RECENT_INTERVALS)
+        self._history_at = float("-inf")
 
     def record(self, router, report):
         """Record the report of a router.
@@ -87,7 +94,11 @@
         totals += [entry for entries in self._earlier_boots.values() for entry in entries]
         self.sent_ = sum(entry.sent for entry in totals)
         self.sent_new_ = sum(entry.sent for entry in totals if entry.is_new)
-        self.verdict_ = judge(totals)
+        sums = sum_totals(totals)
+        self.verdict_ = judge(sums, self._history[0] if self._history else None)
+        if now >= self._history_at + RECENT_INTERVAL_S:
+            self._history.append(sums)
+            self._history_at = now
         if self.verdict_.is_bad:
             return self._finish(rollout, RolloutState.REVERTED, self.verdict_.figures, now_ms)
         if rollout.step >= RolloutStep.SWITCHED:
