--- a/sassafrashook/gateway/_attempt.py
+++ b/sassafrashook/gateway/_attempt.py
@@ -23,6 +23,7 @@
 # Data that is waited for at least this time had not arrived when the wait began.
 MIN_RECEIVE_WAIT_S = 0.005
 MIN_CONNECT_TIMEOUT_S = 0.001  # with a timeout of 0 the socket would not wait at all
+STATUS_INTERNAL_ERROR = 500
 
 
 class FailureKind(StrEnum):
@@ -51,6 +52,11 @@
     CLIENT_DISCONNECTED = "client_gone"
 
 
+UPSTREAM_FAILURES = frozenset(
+    (FailureKind.BROKEN, FailureKind.SILENT, FailureKind.TIMEOUT, FailureKind.UNSIGNED)
+)
+
+
 class AttemptError(Exception):
     """Raised when an attempt fails.
 
@@ -67,6 +73,13 @@
         self.verdict = verdict
         self.response = response
 
+    @property
+    def is_upstream_failure(self):
+        """Whether the upstream failed; ``None`` if the attempt says nothing of that."""
+        if self.kind is FailureKind.UNSUCCESSFUL_STATUS:
+            return self.response.head.status >= STATUS_INTERNAL_ERROR
+        return True if self.kind in UPSTREAM_FAILURES else None
+
 
 @dataclass(slots=True, frozen=True)
 class UpstreamResponse:
--- a/sassafrashook/placement/_placement.py
+++ b/sassafrashook/placement/_placement.py
@@ -48,6 +48,8 @@
         been probed.
     :param allows_trial: whether an ejected upstream may be tried with the request, which may then
         be retried at another one.
+    :param version_choice: the :class:`~sassafrashook.rollouts.VersionChoice` of a service with a
+        rollout, else ``None``.
     """
 
     service: object
@@ -57,6 +59,7 @@
     keeps_load_bound: bool = False
     uses_doubtful_paths: bool = False
     allows_trial: bool = False
+    version_choice: object = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -241,6 +244,8 @@
             :class:`PlacementRefusal`.
         """
         service_states = self._states_by_service.get(query.service.name, ())
+        if query.version_choice is not None:
+            service_states = query.version_choice.select(service_states, now)
         all_candidates = self._list_candidates(query, now)
         candidates = [state for state in all_candidates if now >= state.wait_until_]
         if not all_candidates:
@@ -296,7 +301,7 @@
 
     def _list_candidates(self, query, now):
         """Return the upstreams that may get a request, including suspended ones."""
-        return [
+        candidates = [
             state
             for state in self._states_by_service.get(query.service.name, ())
             if state.registration.availability_zone not in self.drained_zones_
@@ -306,6 +311,8 @@
             and not state.is_leaving_
             and not state.is_expired(now)
         ]
+        choice = query.version_choice
+        return candidates if choice is None else choice.select(candidates, now)
 
     def has_active_candidate(self, query, now):
         """Return whether an upstream that is not suspended may get a request.
