hedging: a second attempt for slow requests that may run more than once

A few responses take many times as long as most. Once the first attempt has taken longer than the 95th percentile of the service's recent responses, a second one begins at another upstream with room; the first whole response is sent, the other attempt is cancelled. Off by default; the operators' limit, the retry budget, the route's number of upstreams and the room of the service hold at the same time.

Not measured on a deployment yet.

--- a/sassafrashook/daemons/_router.py
+++ b/sassafrashook/daemons/_router.py
@@ -22,6 +22,7 @@
     RateLimitStated,
 )
 from sassafrashook.gateway import Gateway, GatewayServer, RetryLimits, make_peer_pool_key
+from sassafrashook.hedging import HedgingPolicy
 from sassafrashook.http1 import ConnectionPool
 from sassafrashook.placement import Placement, SharedRateLimiter, StatedRateLimit
 from sassafrashook.registry import Registry
@@ -97,6 +98,7 @@
             self.metrics_,
             self.streams_,
             settings.peer_port,
+            HedgingPolicy(settings.hedging.extra_share, settings.hedging.quantile),
         )
         self.server_ = GatewayServer(self.gateway_, *settings.router.clients)
         self.peer_server_ = GatewayServer(
--- a/sassafrashook/daemons/_settings.py
+++ b/sassafrashook/daemons/_settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from sassafrashook.fleet import DEFAULT_LINK_BYTES_PER_S
+from sassafrashook.hedging import HedgingLimits
 
 
 @dataclass(slots=True, frozen=True)
@@ -46,6 +47,7 @@
         fleet.
     :param metrics: pair of host and port of the metrics endpoint, ``None`` to disable it.
     :param link_bytes_per_s: bandwidth of the host's link, in bytes per second.
+    :param hedging: the :class:`~sassafrashook.hedging.HedgingLimits` of second attempts.
     """
 
     name: str
@@ -68,3 +70,4 @@
     warmup_tolerance: float
     metrics: tuple | None = None
     link_bytes_per_s: float = DEFAULT_LINK_BYTES_PER_S
+    hedging: HedgingLimits = HedgingLimits()
--- a/sassafrashook/gateway/_attempt.py
+++ b/sassafrashook/gateway/_attempt.py
@@ -394,6 +394,10 @@
         self.connection_.abort()
         return True
 
+    def abort_at(self, upstream):
+        """Abort the attempt if it is at an upstream; :returns: whether a connection was in use."""
+        return self.upstream is upstream and self.abort()
+
     def finish(self):
         """End the attempt after the response, and return its connection to the pool.
 
--- a/sassafrashook/gateway/_gateway.py
+++ b/sassafrashook/gateway/_gateway.py
@@ -7,6 +7,7 @@
 import gevent
 from gevent.event import Event
 
+from sassafrashook.hedging import HedgingPolicy
 from sassafrashook.paths import PeerSelector
 from sassafrashook.placement import RetryBudget
 from sassafrashook.quarantine import CrashDetector, compute_trial_delay_s, format_trait
@@ -53,6 +54,8 @@
     :param metrics: a :class:`~sassafrashook.telemetry.Metrics`.
     :param streams: a :class:`~sassafrashook.streams.StreamVersions`.
     :param peer_port: port on which every router accepts requests that other routers forward.
+    :param hedging: the :class:`~sassafrashook.hedging.HedgingPolicy`; without one, no request gets
+        a second attempt beside a running one.
 
     :ivar peers: the :class:`~sassafrashook.paths.PeerSelector`.
     :ivar active_handlers_: set of the :class:`~sassafrashook.gateway._request.RequestHandler` in
@@ -62,7 +65,17 @@
     """
 
     def __init__(
-        self, name, header_codec, view, placement, pool, limits, metrics, streams, peer_port=0
+        self,
+        name,
+        header_codec,
+        view,
+        placement,
+        pool,
+        limits,
+        metrics,
+        streams,
+        peer_port=0,
+        hedging=None,
     ):
         self.name = name
         self.header_codec = header_codec
@@ -73,6 +86,7 @@
         self.metrics = metrics
         self.streams = streams
         self.peer_port = peer_port
+        self.hedging = hedging if hedging is not None else HedgingPolicy()
         self.peers = PeerSelector(name, placement.rng)
         self.active_handlers_ = set()
         self.probe_requested_ = Event()
--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -7,6 +7,7 @@
 
 from sassafrashook.gateway._attempt import Attempt, AttemptError, FailureKind
 from sassafrashook.gateway._events import EventOrderError, EventSplitter
+from sassafrashook.gateway._hedged import HedgedExchange
 from sassafrashook.gateway._peers import PeerAttempt
 from sassafrashook.gateway._request_log import RequestLog
 from sassafrashook.gateway._responses import (
@@ -21,6 +22,7 @@
 from sassafrashook.paths import MAX_PEERS_PER_REQUEST
 from sassafrashook.placement import BUSY_RETRY_MS, PlacementQuery
 from sassafrashook.quarantine import compute_traits
+from sassafrashook.routes import Repeatability
 from sassafrashook.utils import hash_key
 
 MAX_UNREACHABLE = 4  # failed connection attempts after which the request is not retried
@@ -176,6 +178,7 @@
         """Attempt the request until a final response has been sent or the client disconnects."""
         if not self.is_from_peer:  # the other router has counted it
             self.gateway.record_request(self.service.name)
+            self.gateway.hedging.record_request(self.service.name)
         self.client.on_disconnect = self._cancel
         self.gateway.active_handlers_.add(self)
         try:
@@ -192,9 +195,9 @@
         :returns: whether an attempt was aborted.
         """
         attempt = self._attempt
-        if attempt is None or attempt.upstream is not upstream or not self.route.is_idempotent:
+        if attempt is None or not self.route.is_idempotent:
             return False
-        return attempt.abort()
+        return attempt.abort_at(upstream)
 
     def can_abandon_attempt(self):
         """Return whether an attempt that receives no data may be abandoned for a retry."""
@@ -404,25 +407,100 @@
         prompt_source = placement.find_prompt_source(query, upstream, now)
         self._request_log.log_placement(upstream, prompt_source, now)
         placement.record_placement(query, upstream, now)
+        delay_s = self._find_hedging_delay_s(now)
+        if delay_s is not None:
+            return self._run_hedged(upstream, delay_s)
         attempt = self._attempt = Attempt(self, upstream, prompt_source)
         self.attempted_keys_.add(upstream.key)
         upstream.running_ += 1
         try:
             head = self._exchange(attempt)
         except AttemptError as error:
-            self._record_failure(upstream, error, now)
+            self.record_failure(upstream, error, now)
             return error
         finally:
             upstream.running_ -= 1
             self._attempt = None
             attempt.close()
+        if not self.route.is_stream:
+            self.record_duration(now)
+        self._record_success(upstream, head)
+        return None
+
+    def _run_hedged(self, upstream, delay_s):
+        """Attempt the request at one upstream, and at a second one after a delay.
+
+        :param delay_s: the delay, in seconds.
+        :returns: ``None`` once the response has been sent, else the :class:`AttemptError`.
+        """
+        exchange = self._attempt = HedgedExchange(self, self._choose_second_upstream, delay_s)
+        try:
+            response = exchange.run(upstream)
+        except AttemptError as error:
+            return error
+        finally:
+            self._attempt = None
+        self._send_response(response.head, response.body)
+        self._record_success(response.upstream, response.head)
+        return None
+
+    def _record_success(self, upstream, head):
+        """Record and log that the response of an upstream has been sent."""
         upstream.record_response(True)
         self.gateway.record_completion(self.metadata.request_id, self.traits)
         self.execution_count_ += 1
         self.verdict_ = Verdict.RAN
         detail = f"{head.status}:close_delimited" if head.is_close_delimited else head.status
         self._log("answered", upstream.registration.upstream_id, detail)
-        return None
+
+    def _find_hedging_delay_s(self, now):
+        """Return after which time the request may get a second attempt, ``None`` if it may not.
+
+        Only requests that may run more than once, have not run yet and have crashed no upstream get
+        one, and only those of clients: another router counts those that it forwards.
+        """
+        is_eligible = (
+            self.gateway.hedging.is_enabled
+            and self.route.repeatability is Repeatability.IDEMPOTENT
+            and self.max_upstreams > 1
+            and self.execution_count_ == 0
+            and not self.is_from_peer
+            and not self.gateway.is_suspected(self.traits)
+        )
+        if not is_eligible:
+            return None
+        target_ms = self.route.latency_target_ms
+        return self.gateway.hedging.compute_delay_s(self.service.name, target_ms, now)
+
+    def _choose_second_upstream(self):
+        """Choose the upstream of a second attempt and consume what it costs.
+
+        :returns: an :class:`~sassafrashook.placement.UpstreamState`, ``None`` if there is none with
+            room or a limit is used up.
+        """
+        gateway, service, now = self.gateway, self.service.name, time.monotonic()
+        upstream = gateway.placement.choose_spare(self._make_query(), now)
+        if upstream is None:
+            outcome = "no_room"
+        elif not gateway.hedging.try_consume(service):
+            outcome = "limit"
+        elif not gateway.try_consume_retry(service):
+            outcome = "retry_budget"
+        else:
+            outcome = "started"
+        gateway.metrics.count("second_attempts", outcome)
+        self._request_log.log_second_attempt(upstream, outcome, self._compute_elapsed_ms())
+        return upstream if outcome == "started" else None
+
+    def make_attempt(self, upstream):
+        """Return an :class:`Attempt` of a request without a prompt at an upstream."""
+        self.attempted_keys_.add(upstream.key)
+        return Attempt(self, upstream, None)
+
+    def record_duration(self, began_at):
+        """Record how long an attempt has taken that began at a time, in monotonic seconds."""
+        now = time.monotonic()
+        self.gateway.hedging.record_duration(self.service.name, (now - began_at) * 1_000, now)
 
     def _exchange(self, attempt):
         """Send the request and pass the response on to the client.
@@ -438,7 +516,13 @@
             self._relay_response(attempt, head)
         return head
 
-    def _record_failure(self, upstream, error, began_at):
+    def record_failure(self, upstream, error, began_at):
+        """Record that an attempt at an upstream has failed.
+
+        :param upstream: the :class:`~sassafrashook.placement.UpstreamState`.
+        :param error: the :class:`AttemptError`.
+        :param began_at: when the attempt began, in monotonic seconds.
+        """
         if error.kind in (
             FailureKind.UNSUCCESSFUL_STATUS,
             FailureKind.BROKEN,
--- a/sassafrashook/gateway/_request_log.py
+++ b/sassafrashook/gateway/_request_log.py
@@ -63,6 +63,19 @@
             drained_zones=drained_zones, version=handler.table.version,
         )  # fmt: skip
 
+    def log_second_attempt(self, upstream, outcome, elapsed_ms):
+        """Log whether a second attempt begins beside the first.
+
+        :param upstream: its :class:`~sassafrashook.placement.UpstreamState`, ``None`` if no
+            upstream has room.
+        :param outcome: ``started``, or the limit that forbids it.
+        :param elapsed_ms: time since the request arrived, in milliseconds.
+        """
+        name = upstream.registration.upstream_id if upstream is not None else "-"
+        self._log_or_buffer(
+            "second_attempt", upstream=name, outcome=outcome, elapsed_ms=round(elapsed_ms)
+        )
+
     def log_stream_origin(self, origin):
         """Log at which software version the stream that the client resumes may go on.
 
--- a/sassafrashook/placement/_placement.py
+++ b/sassafrashook/placement/_placement.py
@@ -29,6 +29,9 @@
 # An upstream gets a request without a prompt only while its load is below this multiple of its
 # slots: such calls are short, so they may wait there for two rounds of its slots.
 PROMPTLESS_CAPACITY_FACTOR = 3.0
+# Share of a service's slots in use above which it gets no extra attempts: these would take the room
+# of first attempts.
+MAX_SPARE_UTILIZATION = 0.7
 
 
 @dataclass(slots=True, frozen=True)
@@ -254,6 +257,32 @@
             )
         )
 
+    def choose_spare(self, query, now):
+        """Choose an upstream with room for an extra attempt, while the service has enough of it.
+
+        :param query: a :class:`PlacementQuery` without a prompt.
+        :param now: monotonic seconds.
+        :returns: the :class:`UpstreamState` with the lowest load, or ``None``.
+        """
+        use_remote = now < self.loads_received_at_ + REMOTE_LOADS_TTL_S
+        states = self._states_by_service.get(query.service.name, ())
+        loads = {state.key: state.estimate_load(use_remote, now) for state in states}
+        slots = sum(self._count_slots(state, query) for state in states)
+        if sum(loads.values()) > MAX_SPARE_UTILIZATION * slots:
+            return None
+        active = [s for s in self._list_candidates(query, now) if self._is_active(s, query, now)]
+        spare = [
+            state
+            for state in active
+            if now >= state.wait_until_
+            and loads[state.key] < self._count_slots(state, query)
+            and not state.is_failing()
+            and not state.is_cold(now)
+            and not state.is_on_probation(now)
+            and state.get_rate_limit(now) is None
+        ]
+        return min(spare, key=lambda s: self._make_load_sort_key(s, loads[s.key]), default=None)
+
     def _list_candidates(self, query, now):
         """Return the upstreams that may get a request, including suspended ones."""
         return [
--- a/sassafrashook/platform/_settings.py
+++ b/sassafrashook/platform/_settings.py
@@ -1,9 +1,12 @@
 """Reading of the settings file that the platform writes for each process."""
 
+from typing import Annotated
+
 import msgspec
 from returns.result import Failure, Success
 
 from sassafrashook.daemons import NodeSettings, RouterAddresses
+from sassafrashook.hedging import HedgingLimits
 
 DEFAULT_HEARTBEAT_MS = 1_000
 UNLIMITED_MBPS = 1_000.0  # bandwidth that is assumed if none is stated
@@ -48,6 +51,13 @@
     warmup_tolerance: float
 
 
+class _Hedging(msgspec.Struct, frozen=True):
+    """This system's own setting of second attempts; see ``HedgingLimits`` for the fields."""
+
+    extra_share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
+    quantile: Annotated[float, msgspec.Meta(ge=0.5, le=0.999)] = 0.95
+
+
 class _NodeFile(msgspec.Struct, frozen=True):
     """Fields that are read; others are ignored.
 
@@ -67,6 +77,7 @@
     heartbeat_interval_ms: float = DEFAULT_HEARTBEAT_MS
     fault_tolerance: _Tolerance = _Tolerance()
     limits: _Limits = _Limits()
+    hedging: _Hedging = _Hedging()
 
 
 def load_node_settings(path):
@@ -113,6 +124,7 @@
         warmup_tolerance=bounds.warmup_tolerance,
         metrics=(node.ip, METRICS_PORT),
         link_bytes_per_s=(node.limits.bandwidth_mbps or UNLIMITED_MBPS) * BYTES_PER_MBIT,
+        hedging=HedgingLimits(node.hedging.extra_share, node.hedging.quantile),
     )
 
 
