--- a/sassafrashook/daemons/_router.py
+++ b/sassafrashook/daemons/_router.py
@@ -25,6 +25,7 @@
     RolloutReported,
 )
 from sassafrashook.gateway import Gateway, GatewayServer, RetryLimits, make_peer_pool_key
+from sassafrashook.hedging import HedgingPolicy
 from sassafrashook.http1 import ConnectionPool
 from sassafrashook.placement import Placement, SharedRateLimiter, StatedRateLimit
 from sassafrashook.registry import Registry
@@ -107,6 +108,7 @@
             self.metrics_,
             self.streams_,
             settings.peer_port,
+            HedgingPolicy(settings.hedging.extra_share, settings.hedging.quantile),
         )
         self.server_ = GatewayServer(self.gateway_, *settings.router.clients, listener=listener)
         self.peer_server_ = GatewayServer(
--- a/sassafrashook/daemons/_settings.py
+++ b/sassafrashook/daemons/_settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from sassafrashook.fleet import DEFAULT_LINK_BYTES_PER_S
+from sassafrashook.hedging import HedgingLimits
 
 
 @dataclass(slots=True, frozen=True)
@@ -48,6 +49,7 @@
     :param link_bytes_per_s: bandwidth of the host's link, in bytes per second.
     :param rollout_bounds: a :class:`~sassafrashook.rollouts.RolloutBounds`, ``None`` in a
         deployment without rollouts.
+    :param hedging: the :class:`~sassafrashook.hedging.HedgingLimits` of second attempts.
     """
 
     name: str
@@ -71,3 +73,4 @@
     metrics: tuple | None = None
     link_bytes_per_s: float = DEFAULT_LINK_BYTES_PER_S
     rollout_bounds: object = None
+    hedging: HedgingLimits = HedgingLimits()
--- a/sassafrashook/gateway/_gateway.py
+++ b/sassafrashook/gateway/_gateway.py
@@ -9,6 +9,7 @@
 
 from sassafrashook.gateway._results import ResultRecorder
 from sassafrashook.gateway._witness import UNFRAMED_RETENTION_S
+from sassafrashook.hedging import HedgingPolicy
 from sassafrashook.paths import PeerSelector
 from sassafrashook.placement import RetryBudget
 from sassafrashook.quarantine import CrashDetector, compute_trial_delay_s, format_trait
@@ -55,6 +56,8 @@
     :param metrics: a :class:`~sassafrashook.telemetry.Metrics`.
     :param streams: a :class:`~sassafrashook.streams.StreamVersions`.
     :param peer_port: port on which every router accepts requests that other routers forward.
+    :param hedging: the :class:`~sassafrashook.hedging.HedgingPolicy`; without one, no request gets
+        a second attempt beside a running one.
 
     :ivar peers: the :class:`~sassafrashook.paths.PeerSelector`.
     :ivar results: the :class:`~sassafrashook.gateway._results.ResultRecorder`.
@@ -65,7 +68,17 @@
     """
 
     def __init__(
-        self, name, header_codec, view, placement, pool, limits, metrics, streams, peer_port=0
+        self,
+        name,
+        header_codec,
+        view,
+        placement,
+        pool,
+        limits,
+        metrics,
+        streams,
+        peer_port=0,
+        hedging=None,
     ):
         self.name = name
         self.header_codec = header_codec
@@ -76,6 +89,7 @@
         self.metrics = metrics
         self.streams = streams
         self.peer_port = peer_port
+        self.hedging = hedging if hedging is not None else HedgingPolicy()
         self.peers = PeerSelector(name, placement.rng)
         self.results = ResultRecorder()
         self.active_handlers_ = set()
