transport, consensus, platform: large configuration documents on slow links

Heartbeats waited behind documents on a link, and entries were sent again while they were still being transmitted. A peer states in its pong that it reads parts; older builds are sent whole messages. Reads of the document are compressed where Accept-Encoding allows it and written at the pace of the link; a document that takes the link more than 2 s is refused with 413.

--- a/sassafrashook/consensus/_core.py
+++ b/sassafrashook/consensus/_core.py
@@ -1,5 +1,6 @@
 """Sans-I/O state machine of one replica of the replicated log."""
 
+import math
 from collections import Counter
 
 from sassafrashook.base import Core
@@ -99,6 +100,8 @@
     :param initial_state: encoded state of the state machine before any command. A snapshot of
         another state shows that the group has committed commands; if this is ``None``, every
         snapshot does.
+    :param link_bytes_per_s: bandwidth of this replica's link, in bytes per second. Large entries
+        are resent later on a slow link, where they take longer than heartbeats.
 
     :ivar term_: current term.
     :ivar role_: current :class:`Role`.
@@ -181,6 +184,7 @@
         tolerated_losses=DEFAULT_TOLERATED_LOSSES,
         automatic_membership=False,
         initial_state=None,
+        link_bytes_per_s=math.inf,
     ):
         self.name = name
         self.identity = identity
@@ -205,6 +209,7 @@
         self.tolerated_losses = tolerated_losses
         self.automatic_membership = automatic_membership
         self.initial_state = initial_state
+        self.link_bytes_per_s = link_bytes_per_s
 
     def start(self, recovered, now):
         """Start from the state recovered from the data folder.
--- a/sassafrashook/consensus/_messages.py
+++ b/sassafrashook/consensus/_messages.py
@@ -132,6 +132,11 @@
     round_number: int
     entries: list[Entry] = []
 
+    @property
+    def is_large(self):
+        """Whether it has entries; heartbeats must not wait behind these."""
+        return bool(self.entries)
+
 
 class AppendAnswered(ConsensusMessage):
     """Reply to :class:`AppendRequested`.
@@ -172,6 +177,11 @@
     round_number: int
     data: bytes
 
+    @property
+    def is_large(self):
+        """Whether it is a large message: yes."""
+        return True
+
 
 class SnapshotAnswered(ConsensusMessage):
     """Reply to :class:`SnapshotPiece`.
--- a/sassafrashook/consensus/_progress.py
+++ b/sassafrashook/consensus/_progress.py
@@ -85,6 +85,10 @@
         self.probing = True
         self.resend_timer_started_at = now
 
+    def get_piece_bytes(self, max_bytes):
+        """Return the size of the piece of a snapshot that is in flight, at most ``max_bytes``."""
+        return min(max_bytes, len(self.snapshot.data)) if self.snapshot is not None else 0
+
     def count_in_flight(self):
         """Return the number of entries in flight."""
         return sum(count for _, count, _ in self.in_flight)
--- a/sassafrashook/consensus/_replica.py
+++ b/sassafrashook/consensus/_replica.py
@@ -1,5 +1,6 @@
 """gevent driver of a replica core: event queue, storage and waiting callers."""
 
+import math
 import random
 import time
 import uuid
@@ -95,6 +96,7 @@
     :param tolerated_losses: number of disks that may be lost at the same time; see
         :class:`ReplicaCore`.
     :param automatic_membership: whether the leader adds and removes members automatically.
+    :param link_bytes_per_s: bandwidth of this host's link, in bytes per second.
     :param file_system: a :class:`~sassafrashook.storage.FileSystem`, or ``None`` for the local
         one.
     :param on_failure: called with the error that stopped the replica; the process must stop.
@@ -153,6 +155,7 @@
         trailing_entries=TRAILING_ENTRIES,
         tolerated_losses=DEFAULT_TOLERATED_LOSSES,
         automatic_membership=False,
+        link_bytes_per_s=math.inf,
         file_system=None,
         on_failure=None,
         on_write=None,
@@ -174,6 +177,7 @@
         self.trailing_entries = trailing_entries
         self.tolerated_losses = tolerated_losses
         self.automatic_membership = automatic_membership
+        self.link_bytes_per_s = link_bytes_per_s
         self.file_system = file_system
         self.on_failure = on_failure
         self.on_write = on_write
@@ -226,6 +230,7 @@
             tolerated_losses=self.tolerated_losses,
             automatic_membership=self.automatic_membership,
             initial_state=self.state_machine.save(),
+            link_bytes_per_s=self.link_bytes_per_s,
         )
         self._execute_actions(self.core_.start(recovered, self.clock()))
 
--- a/sassafrashook/consensus/_replication.py
+++ b/sassafrashook/consensus/_replication.py
@@ -13,6 +13,8 @@
 __all__ = ["ReplicationMixin"]
 
 RESEND_HEARTBEATS = 3
+# Entries have a part of the link only, and configurations for routers may be sent before them.
+TRANSMISSION_MARGIN = 2.5
 
 
 class ReplicationMixin:
@@ -56,13 +58,25 @@
         self._adjust_membership(now)
 
     def _resend_unacknowledged(self, now):
+        delay_s = self._compute_resend_delay_s()
         for progress in self.progress_.values():
-            is_overdue = (
-                now >= progress.resend_timer_started_at + RESEND_HEARTBEATS * self.heartbeat_s_
-            )
+            is_overdue = now >= progress.resend_timer_started_at + delay_s
             if is_overdue and progress.match_index < self.log_.last_index:
                 progress.restart_probing(progress.match_index + 1, now)
 
+    def _compute_resend_delay_s(self):
+        """Return how long after its transmission began an unacknowledged batch is sent again.
+
+        Entries to all members share the link. Entries that are resent while they are still being
+        transmitted would fill it with copies.
+        """
+        in_flight_bytes = sum(
+            progress.in_flight_bytes + progress.get_piece_bytes(self.snapshot_piece_bytes)
+            for progress in self.progress_.values()
+        )
+        transmission_s = TRANSMISSION_MARGIN * in_flight_bytes / self.link_bytes_per_s
+        return RESEND_HEARTBEATS * self.heartbeat_s_ + transmission_s
+
     def _on_proposals_submitted(self, event, now):
         failure = self._find_proposal_failure(now)
         for proposal in event.proposals:
--- a/sassafrashook/consensus/_snapshot_transfer.py
+++ b/sassafrashook/consensus/_snapshot_transfer.py
@@ -8,8 +8,6 @@
 
 __all__ = ["SnapshotTransferMixin"]
 
-RESEND_HEARTBEATS = 3
-
 
 class SnapshotTransferMixin:
     """Sends snapshots in pieces, one piece at a time, and installs received snapshots."""
@@ -30,7 +28,7 @@
             progress.snapshot_offset = 0
         elif now < progress.snapshot_resend_at:
             return
-        progress.snapshot_resend_at = now + RESEND_HEARTBEATS * self.heartbeat_s_
+        progress.snapshot_resend_at = now + self._compute_resend_delay_s()
         snapshot = progress.snapshot
         offset = progress.snapshot_offset
         piece = SnapshotPiece(
--- a/sassafrashook/daemons/_controller.py
+++ b/sassafrashook/daemons/_controller.py
@@ -57,6 +57,7 @@
             (),
             (*FLEET_MESSAGES, *CONSENSUS_MESSAGES),
             count=self.metrics_.count,
+            link_bytes_per_s=settings.link_bytes_per_s,
         )
         self.state_ = FleetState()
         self.replica_ = Replica(
@@ -73,6 +74,7 @@
             trailing_entries=TRAILING_ENTRIES,
             tolerated_losses=settings.tolerated_losses,
             automatic_membership=True,
+            link_bytes_per_s=settings.link_bytes_per_s,
             on_failure=self._handle_failure,
             on_write=lambda duration_ms: self.metrics_.record(
                 "disk_write_ms", "log", "done", duration_ms
--- a/sassafrashook/daemons/_router.py
+++ b/sassafrashook/daemons/_router.py
@@ -71,6 +71,7 @@
             (),
             FLEET_MESSAGES,
             count=self.metrics_.count,
+            link_bytes_per_s=settings.link_bytes_per_s,
         )
         self.view_ = FleetView(Registry(SILENT_TIMEOUT_S, settings.departure_grace_ms / 1_000))
         self.subscriber_ = FleetSubscriber(
--- a/sassafrashook/fleet/_controller.py
+++ b/sassafrashook/fleet/_controller.py
@@ -418,6 +418,11 @@
         )
         return False
 
+    @property
+    def pacer(self):
+        """The :class:`~sassafrashook.transport.LinkPacer` of this controller's link."""
+        return self.mesh.pacer_
+
     def put_configuration(self, configuration, document):
         """Commit a validated configuration.
 
@@ -462,13 +467,13 @@
             return OperatorCommandReply(OperatorCommandOutcome.NOT_LEADER, error.leader)
         return OperatorCommandReply(OperatorCommandOutcome.UNKNOWN)
 
-    def read_document(self):
+    def read_packed_document(self):
         """Return the operator's document of the current configuration with a linearizable read.
 
-        :returns: ``bytes``, empty if there is no configuration; ``None`` if the read could not be
-            confirmed in time.
+        :returns: ``bytes``, compressed with zlib, empty if there is no configuration; ``None`` if
+            the read could not be confirmed in time.
         """
         result = self.replica.confirm_read(time.monotonic() + COMMIT_TIMEOUT_S)
         if isinstance(result, Failure):
             return None
-        return zlib.decompress(self.state.document_) if self.state.document_ else b""
+        return self.state.document_
--- a/sassafrashook/fleet/_messages.py
+++ b/sassafrashook/fleet/_messages.py
@@ -101,6 +101,11 @@
     joined_routers: list[str] = []
     left_routers: list[str] = []
 
+    @property
+    def is_large(self):
+        """Whether it may hold a configuration; all updates to one node keep their order."""
+        return True
+
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
     """One heartbeat of an upstream."""
--- a/sassafrashook/messages/_message.py
+++ b/sassafrashook/messages/_message.py
@@ -8,3 +8,11 @@
 
     For compatibility between versions, fields may only be appended, with default values.
     """
+
+    @property
+    def is_large(self):
+        """Whether the message may be large, so that others to the same process pass it.
+
+        Such messages keep their order among those of their class only.
+        """
+        return False
--- a/sassafrashook/platform/_control.py
+++ b/sassafrashook/platform/_control.py
@@ -1,17 +1,25 @@
 """HTTP interface for operators and engines."""
 
 import time
+import zlib
 
 import falcon
+import gevent
 from returns.result import Failure
 
 from sassafrashook.fleet import OperatorCommandOutcome
 from sassafrashook.platform._configuration import decode_configuration
+from sassafrashook.platform._document_encoding import (
+    MAX_DOCUMENT_BYTES,
+    choose_encoding,
+    compute_max_document_bytes,
+    convert_to_gzip,
+)
 from sassafrashook.platform._registrations import decode_heartbeat, is_upstream_id
 from sassafrashook.telemetry import log_event
 
-MAX_CONFIGURATION_BYTES = 16 * 1024 * 1024
 MAX_HEARTBEAT_BYTES = 65_536
+RESPONSE_PIECE_BYTES = 16_384  # 22 ms of a link of 6 Mbit/s
 MS_PER_S = 1_000
 
 
@@ -23,7 +31,7 @@
     """
     port = settings.control[1]
     application = falcon.App()
-    application.add_route("/config", ConfigResource(fleet, port))
+    application.add_route("/config", ConfigResource(fleet, port, settings.link_bytes_per_s))
     application.add_route("/instances/{upstream_id}", InstanceResource(fleet))
     application.add_route("/evacuations/{zone}", EvacuationResource(fleet, port))
     return application
@@ -34,24 +42,62 @@
 
     :param fleet: a :class:`~sassafrashook.fleet.FleetController`.
     :param port: port of the control plane of all controllers, for redirects.
+    :param link_bytes_per_s: bandwidth of this controller's link, in bytes per second.
     """
 
-    def __init__(self, fleet, port):
+    def __init__(self, fleet, port, link_bytes_per_s):
         self.fleet = fleet
         self.port = port
+        self.link_bytes_per_s = link_bytes_per_s
+
+    def on_get(self, request, response):
+        """Respond with the latest document, or 503 if a linearizable read is not possible.
 
-    def on_get(self, _request, response):
-        """Respond with the latest document, or 503 if a linearizable read is not possible."""
-        document = self.fleet.read_document()
-        if not document:
+        The document is held compressed, and is sent so where the caller allows it.
+        """
+        packed = self.fleet.read_packed_document()
+        if not packed:
             response.status = falcon.HTTP_503
             return
         response.content_type = falcon.MEDIA_JSON
-        response.data = document
+        response.set_header("Vary", "Accept-Encoding")
+        encoding = choose_encoding(request.get_header("Accept-Encoding"))
+        if encoding:
+            response.set_header("Content-Encoding", encoding)
+        body = packed
+        if encoding != "deflate":
+            document = zlib.decompress(packed)
+            body = convert_to_gzip(packed, document) if encoding == "gzip" else document
+        response.content_length = len(body)
+        response.stream = self._write_paced(body)
+
+    def _write_paced(self, body):
+        """Yield a body in pieces, so that heartbeats of the group don't wait behind it.
+
+        The first piece is not delayed, since the caller waits for the head of the response.
+        """
+        pacer = self.fleet.pacer
+        for begin in range(0, len(body), RESPONSE_PIECE_BYTES):
+            piece = body[begin : begin + RESPONSE_PIECE_BYTES]
+            now = time.monotonic()
+            start = pacer.reserve(len(piece), now)
+            if begin > 0 and start > now:
+                gevent.sleep(start - now)
+            yield piece
 
     def on_put(self, request, response):
-        """Validate a document and replicate it."""
-        body = _read_body(request, MAX_CONFIGURATION_BYTES)
+        """Validate a document and replicate it.
+
+        A document that this controller could not return in time is refused.
+        """
+        body = _read_body(request, MAX_DOCUMENT_BYTES)
+        max_bytes = compute_max_document_bytes(self.link_bytes_per_s)
+        if len(body) > max_bytes:
+            reason = f"the document has {len(body)} bytes, the link allows at most {max_bytes}"
+            log_event("configuration_refused", reason="too_large", bytes=len(body), max=max_bytes)
+            response.status = falcon.HTTP_413
+            response.media = {"error": reason}
+            return
         decoded = decode_configuration(body)
         if isinstance(decoded, Failure):
             log_event("configuration_refused", reason=decoded.failure(), bytes=len(body))
--- a/sassafrashook/transport/_link.py
+++ b/sassafrashook/transport/_link.py
@@ -5,11 +5,19 @@
 
 import gevent
 from gevent import socket
-from gevent.queue import Empty, Full, Queue
+from gevent.event import Event
 
 from sassafrashook.tasks import spawn_task
 from sassafrashook.transport._codec import CodecError
-from sassafrashook.transport._control_messages import Hello, Ping, Pong
+from sassafrashook.transport._control_messages import (
+    PARTS_PROTOCOL_VERSION,
+    PROTOCOL_VERSION,
+    Hello,
+    MessagePart,
+    Ping,
+    Pong,
+)
+from sassafrashook.transport._outgoing import OutgoingMessages
 from sassafrashook.transport._tls import read_peer_common_name
 
 MAX_QUEUED_MESSAGES = 10_000
@@ -29,8 +37,9 @@
 class Link:
     """Sends queued messages to one peer and reconnects when the connection fails.
 
-    Pings are sent only after messages, so an idle connection sends no heartbeats. If a ping is not
-    answered within ``RESPONSE_TIMEOUT_MS``, the connection is replaced by a new one. Queued
+    Pings are sent at the start of a connection, when the response states whether the peer reads
+    messages in parts, and after messages, so an idle connection sends no heartbeats. If a ping is
+    not answered within ``RESPONSE_TIMEOUT_MS``, the connection is replaced by a new one. Queued
     messages are dropped when a connection fails or can't be opened. Messages written to a failed
     connection may or may not have arrived, so senders must match responses to requests and
     retransmit.
@@ -41,8 +50,9 @@
     :param codec: a :class:`Codec` that also knows the control messages.
     :param tls_context: TLS context for the connection, or ``None`` for plain TCP.
     :param count: callable that increments a counter, called with (metric, attribute, amount).
+    :param pacer: the :class:`~sassafrashook.transport._outgoing.LinkPacer` of the process.
 
-    :ivar send_queue_: messages that are not yet written.
+    :ivar outgoing_: messages that are not yet written.
     :ivar pong_deadline_: time by which the pending ping must be answered, in monotonic seconds;
         infinite if none is pending.
     :ivar next_ping_at_: earliest time of the next ping, in monotonic seconds.
@@ -50,14 +60,16 @@
     :ivar greenlet_: task that owns the connection, ``None`` before :meth:`start`.
     """
 
-    def __init__(self, name, peer, address, codec, tls_context, count):
+    def __init__(self, name, peer, address, codec, tls_context, count, pacer):
         self.name = name
         self.peer = peer
         self.address = address
         self.codec = codec
         self.tls_context = tls_context
         self.count = count
-        self.send_queue_ = Queue(MAX_QUEUED_MESSAGES)
+        self.pacer = pacer
+        self.outgoing_ = OutgoingMessages(self._encode, pacer)
+        self._has_messages = Event()
         self.pong_deadline_ = math.inf
         self.next_ping_at_ = 0.0
         self.idle_at_ = time.monotonic() + IDLE_TIMEOUT_MS / 1000
@@ -85,11 +97,11 @@
         :returns: whether it was queued; a full queue drops it and counts the drop.
         """
         self.idle_at_ = time.monotonic() + IDLE_TIMEOUT_MS / 1000
-        try:
-            self.send_queue_.put_nowait(message)
-        except Full:
+        if len(self.outgoing_) >= MAX_QUEUED_MESSAGES:
             self.count("messages_dropped", type(message).__name__, 1)
             return False
+        self.outgoing_.put(message)
+        self._has_messages.set()
         return True
 
     def flush(self, deadline):
@@ -97,7 +109,7 @@
 
         :param deadline: end of the wait in monotonic seconds.
         """
-        while not self.send_queue_.empty() and time.monotonic() < deadline:
+        while self.outgoing_ and time.monotonic() < deadline:
             gevent.sleep(0.01)
 
     def probe(self, deadline):
@@ -122,7 +134,7 @@
 
     def _run(self):
         while True:
-            self.send_queue_.peek()
+            self._has_messages.wait()
             connection = None
             reader = None
             try:
@@ -150,7 +162,7 @@
                 connection = self.tls_context.wrap_socket(connection)
                 if read_peer_common_name(connection) != self.peer:
                     raise LinkClosedError(f"certificate does not belong to {self.peer}")
-            connection.sendall(self.codec.encode(Hello(self.name, self.peer)))
+            connection.sendall(self.codec.encode(Hello(self.name, self.peer, PROTOCOL_VERSION)))
         except BaseException:
             connection.close()
             raise
@@ -173,13 +185,15 @@
             for message in self.codec.decode_chunk(unpacker, data):
                 if isinstance(message, Pong):
                     self.pong_deadline_ = math.inf
+                    self.outgoing_.reads_parts_ = message.version >= PARTS_PROTOCOL_VERSION
+                    self._has_messages.set()
         except CodecError:
             self.count("links_lost", "bad_message", 1)
             return False
         return True
 
     def _write(self, connection, reader):
-        has_messages_since_ping = False
+        has_messages_since_ping = True
         while not reader.ready():
             now = time.monotonic()
             if now >= self.pong_deadline_:
@@ -193,33 +207,22 @@
                 self.next_ping_at_ = now + PING_INTERVAL_MS / 1000
                 self.pong_deadline_ = now + RESPONSE_TIMEOUT_MS / 1000
                 has_messages_since_ping = False
-            data = self._encode_batch(now + PING_INTERVAL_MS / 1000)
+            self._has_messages.clear()
+            data, next_due = self.outgoing_.take(now, WRITE_BATCH_BYTES)
             if data:
                 connection.sendall(data)
                 has_messages_since_ping = True
+            wait_until = min(next_due, now + PING_INTERVAL_MS / 1000)
+            self._has_messages.wait(max(0.0, wait_until - time.monotonic()))
         raise LinkClosedError(f"the connection to {self.peer} ended")
 
-    def _encode_batch(self, until):
-        try:
-            message = self.send_queue_.get(timeout=max(0.0, until - time.monotonic()))
-        except Empty:
-            return b""
-        parts = [self._encode(message)]
-        size = len(parts[0])
-        while size < WRITE_BATCH_BYTES:
-            try:
-                parts.append(self._encode(self.send_queue_.get_nowait()))
-            except Empty:
-                break
-            size += len(parts[-1])
-        return b"".join(parts)
-
     def _encode(self, message):
         data = self.codec.encode(message)
-        self.count("sent_bytes", type(message).__name__, len(data))
+        if not isinstance(message, MessagePart):
+            self.count("sent_bytes", type(message).__name__, len(data))
         return data
 
     def _discard_queue(self):
-        while not self.send_queue_.empty():
-            message = self.send_queue_.get_nowait()
+        self._has_messages.clear()
+        for message in self.outgoing_.clear():
             self.count("messages_dropped", type(message).__name__, 1)
--- a/sassafrashook/transport/_mesh.py
+++ b/sassafrashook/transport/_mesh.py
@@ -10,11 +10,20 @@
 
 from sassafrashook.interfaces import Sender
 from sassafrashook.tasks import spawn_task
-from sassafrashook.transport._codec import Codec, CodecError
-from sassafrashook.transport._control_messages import CONTROL_MESSAGES, Hello, Ping, Pong
+from sassafrashook.transport._codec import Codec, CodecError, UnknownMessageError
+from sassafrashook.transport._control_messages import (
+    CONTROL_MESSAGES,
+    PROTOCOL_VERSION,
+    Hello,
+    MessagePart,
+    Ping,
+    Pong,
+)
 from sassafrashook.transport._link import IDLE_TIMEOUT_MS, RECEIVE_BYTES, Link
+from sassafrashook.transport._outgoing import LinkPacer, MessageAssembler
 from sassafrashook.transport._tls import is_tls_error, read_peer_common_name
 
+DEFAULT_LINK_BYTES_PER_S = 125_000_000.0  # 1 Gbit/s
 IDLE_CHECK_INTERVAL_MS = 5_000
 HELLO_TIMEOUT_MS = 2_000
 RECEIVE_TIMEOUT_MS = IDLE_TIMEOUT_MS + 2 * IDLE_CHECK_INTERVAL_MS
@@ -49,7 +58,9 @@
     :param server_context: TLS context for accepted connections, or ``None`` for plain TCP.
     :param client_context: TLS context for opened connections, or ``None`` for plain TCP.
     :param count: callable that increments a counter, called with (metric, attribute, amount).
+    :param link_bytes_per_s: bandwidth of the host's link, in bytes per second.
 
+    :ivar pacer_: the :class:`~sassafrashook.transport._outgoing.LinkPacer` of the process.
     :ivar addresses_: IP address and port by peer name.
     :ivar configured_peers_: names of the peers whose addresses come from the settings.
     :ivar handlers_: handler by message class.
@@ -78,6 +89,7 @@
         server_context=None,
         client_context=None,
         count=lambda metric, attribute, amount: None,
+        link_bytes_per_s=DEFAULT_LINK_BYTES_PER_S,
     ):
         self.name = name
         self.listen = listen
@@ -86,6 +98,8 @@
         self.server_context = server_context
         self.client_context = client_context
         self.count = count
+        self.link_bytes_per_s = link_bytes_per_s
+        self.pacer_ = LinkPacer(link_bytes_per_s)
         self.codec = Codec((*message_types, *CONTROL_MESSAGES))
         self.addresses_ = {peer.name: (peer.host, peer.port) for peer in peers}
         self.configured_peers_ = frozenset(self.addresses_)
@@ -164,7 +178,7 @@
             return False
         link = self.links_.get(peer)
         if link is None:
-            link = Link(self.name, peer, address, self.codec, self.client_context, self.count)
+            link = self._make_link(peer, address)
             self.links_[peer] = link
             link.start()
         return link.enqueue(message)
@@ -179,8 +193,12 @@
         address = self.addresses_.get(peer)
         if address is None:
             return False
-        link = Link(self.name, peer, address, self.codec, self.client_context, self.count)
-        return link.probe(deadline)
+        return self._make_link(peer, address).probe(deadline)
+
+    def _make_link(self, peer, address):
+        return Link(
+            self.name, peer, address, self.codec, self.client_context, self.count, self.pacer_
+        )
 
     def _dispatch(self, sender, message):
         handler = self.handlers_.get(type(message))
@@ -220,6 +238,7 @@
     def _receive_messages(self, connection):
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         unpacker = self.codec.make_unpacker()
+        assembler = MessageAssembler()
         sender = None
 
         def count_unknown(error):
@@ -236,10 +255,23 @@
                     sender = self._validate_hello(connection, message)
                     connection.settimeout(RECEIVE_TIMEOUT_MS / 1000)
                 elif isinstance(message, Ping):
-                    connection.sendall(self.codec.encode(Pong(message.sequence)))
+                    connection.sendall(self.codec.encode(Pong(message.sequence, PROTOCOL_VERSION)))
+                elif isinstance(message, MessagePart):
+                    self._dispatch_assembled(sender, assembler.add(message), count_unknown)
                 else:
                     self._dispatch(sender, message)
 
+    def _dispatch_assembled(self, sender, data, on_unknown):
+        """Dispatch the message that a part has completed, if any."""
+        if data is None:
+            return
+        try:
+            message = self.codec.decode(data)
+        except UnknownMessageError as error:
+            on_unknown(error)
+        else:
+            self._dispatch(sender, message)
+
     def _validate_hello(self, connection, message):
         if not isinstance(message, Hello):
             raise CodecError("the first message must be Hello")
