--- a/sassafrashook/daemons/_router.py
+++ b/sassafrashook/daemons/_router.py
@@ -77,6 +77,7 @@
             (),
             FLEET_MESSAGES,
             count=self.metrics_.count,
+            link_bytes_per_s=settings.link_bytes_per_s,
         )
         self.rollouts_ = RouterRollouts(
             settings.rollout_bounds is not None, boot=random.getrandbits(32)
--- a/sassafrashook/fleet/_messages.py
+++ b/sassafrashook/fleet/_messages.py
@@ -111,6 +111,11 @@
     rollout_index: int = 0
     rollouts: list[Rollout] = []
 
+    @property
+    def is_large(self):
+        """Whether it may hold a configuration; all updates to one node keep their order."""
+        return True
+
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
     """One heartbeat of an upstream."""
