http1: limits of what all clients use together, from limits.memory_mb and limits.max_fds

Bodies are kept in one buffer, chunks are decoded in slices, and pipelined bytes stay unparsed. The connections of clients, other routers, auxiliary pages and the control plane share one budget; the one that holds most for longest is refused with 503 memory_limit, or closed once the request has gone to an upstream. Deployments that state no limits have no budget.

--- a/sassafrashook/daemons/_controller.py
+++ b/sassafrashook/daemons/_controller.py
@@ -7,6 +7,7 @@
 from gevent.event import Event
 
 from sassafrashook.consensus import CONSENSUS_MESSAGES, Replica
+from sassafrashook.daemons._clients import make_client_budget
 from sassafrashook.daemons._endpoints import serve_application, serve_metrics
 from sassafrashook.fleet import FLEET_MESSAGES, FleetCache, FleetController, FleetState
 from sassafrashook.registry import Registry
@@ -92,6 +93,7 @@
             CACHE_VALID_HEARTBEATS * settings.heartbeat_ms / 1_000,
             settings.link_bytes_per_s,
         )
+        self.client_budget_ = make_client_budget(settings, self.metrics_)
         self._application = make_application(self.fleet_, settings)
         self._server = None
 
@@ -107,7 +109,9 @@
         self.fleet_.start()
         self.fleet_.set_seeds(self.settings.seeds)
         register_log_gauge(self.metrics_)
-        self._metrics_server = serve_metrics(self.settings.metrics, self.metrics_)
+        self._metrics_server = serve_metrics(
+            self.settings.metrics, self.metrics_, self.client_budget_
+        )
         self.metrics_.register_gauge("configuration_version", lambda: self.state_.version_)
         self.metrics_.register_gauge(
             "leading", lambda: int(self.replica_.get_leader() == self.settings.name)
@@ -120,7 +124,9 @@
         publisher, exchange = self.fleet_.publisher_, self.fleet_.exchange_
         self.metrics_.register_gauge("updates_postponed", lambda: publisher.postponed_)
         self.metrics_.register_gauge("parts_dropped", lambda: exchange.parts_dropped_)
-        self._server = serve_application(self.settings.control, self._application)
+        self._server = serve_application(
+            self.settings.control, self._application, self.client_budget_
+        )
 
     def _start_replica(self):
         """Start the replica; retry while the disk of the data folder is full."""
--- a/sassafrashook/daemons/_endpoints.py
+++ b/sassafrashook/daemons/_endpoints.py
@@ -19,17 +19,24 @@
 STATUS_UNAVAILABLE = 503
 
 
-def serve_application(address, application):
+def serve_application(address, application, budget=None):
     """Start a server for a WSGI application; :returns: the started server.
 
     :param address: pair of host and port.
     :param application: the WSGI application.
+    :param budget: the :class:`~sassafrashook.clients.ClientBudget` of its connections, ``None`` for
+        no limits. The application finds the connection's share under ``SHARE_KEY``.
     :raises OSError: if the address can't be bound.
     """
     # Imported here, because it loads many modules that a router doesn't need.
     from gevent.pywsgi import WSGIServer
 
-    server = WSGIServer(address, application, log=None, error_log=None)
+    if budget is None:
+        server = WSGIServer(address, application, log=None, error_log=None)
+    else:
+        from sassafrashook.daemons._limited_server import LimitedServer
+
+        server = LimitedServer(address, application, budget)
     server.environ["SERVER_NAME"] = address[0]
     server.start()
     return server
@@ -42,13 +49,16 @@
     :param path: path of the page.
     :param make_response: called without arguments; returns status code, content type and body, the
         latter as ``bytes``. If it raises an exception, the response is 500.
+    :param budget: the :class:`~sassafrashook.clients.ClientBudget` of its connections, ``None`` for
+        no limits.
 
     :ivar server_: the ``gevent.server.StreamServer`` once started.
 
     :raises OSError: from :meth:`start` if the address can't be bound.
     """
 
-    def __init__(self, address, path, make_response):
+    def __init__(self, address, path, make_response, budget=None):
+        self.budget = budget
         self.address = address
         self.path = path
         self.make_response = make_response
@@ -72,7 +82,10 @@
         # Imported with the first client, because a controller needs it for nothing else.
         from sassafrashook.http1 import ClientDisconnectedError, ServerConnection
 
-        client = ServerConnection(sock, MAX_HEADER_BYTES, SEND_TIMEOUT_S)
+        client = ServerConnection(sock, MAX_HEADER_BYTES, SEND_TIMEOUT_S, self.budget)
+        if not client.is_admitted_:
+            client.abort()
+            return
         try:
             self._serve_requests(client)
         except ClientDisconnectedError:
@@ -115,21 +128,23 @@
     client.send_response(status, [(b"Content-Type", content_type.encode())], body)
 
 
-def serve_page(address, path, make_response):
+def serve_page(address, path, make_response, budget=None):
     """Start a :class:`PageServer`; :returns: the started server.
 
     :raises OSError: if the address can't be bound.
     """
-    server = PageServer(address, path, make_response)
+    server = PageServer(address, path, make_response, budget)
     server.start()
     return server
 
 
-def serve_metrics(address, metrics):
+def serve_metrics(address, metrics, budget=None):
     """Serve metrics for scraping; :returns: the started server, or ``None`` without an address.
 
     :param address: pair of host and port, or ``None``.
     :param metrics: a :class:`~sassafrashook.telemetry.Metrics`.
+    :param budget: the :class:`~sassafrashook.clients.ClientBudget` of its connections, ``None`` for
+        no limits.
     :raises OSError: if the address can't be bound.
     """
     if address is None:
@@ -138,4 +153,4 @@
     def make_response():
         return STATUS_OK, SCRAPE_CONTENT_TYPE, metrics.render_page()
 
-    return serve_page(address, METRICS_PATH, make_response)
+    return serve_page(address, METRICS_PATH, make_response, budget)
--- a/sassafrashook/daemons/_router.py
+++ b/sassafrashook/daemons/_router.py
@@ -6,6 +6,7 @@
 import gevent
 from gevent.event import Event
 
+from sassafrashook.daemons._clients import make_client_budget
 from sassafrashook.daemons._endpoints import (
     STATUS_OK,
     STATUS_UNAVAILABLE,
@@ -87,6 +88,7 @@
         self.pool_ = ConnectionPool(CONNECT_TIMEOUT_S)
         limits = RetryLimits(settings.retry_ratio, settings.retry_slack, settings.retry_window_s)
         self.streams_ = FleetStreamVersions(self.mesh_, self.subscriber_)
+        self.client_budget_ = make_client_budget(settings, self.metrics_)
         self.gateway_ = Gateway(
             settings.name,
             header_codec,
@@ -97,6 +99,7 @@
             self.metrics_,
             self.streams_,
             settings.peer_port,
+            self.client_budget_,
         )
         self.server_ = GatewayServer(self.gateway_, *settings.router.clients)
         self.peer_server_ = GatewayServer(
@@ -121,10 +124,15 @@
         self.peer_server_.start()
         self.server_.start()
         self._readiness_server = serve_page(
-            self.settings.router.readiness, self.readiness_path, self._make_readiness_response
+            self.settings.router.readiness,
+            self.readiness_path,
+            self._make_readiness_response,
+            self.client_budget_,
         )
         register_log_gauge(self.metrics_)
-        self._metrics_server = serve_metrics(self.settings.metrics, self.metrics_)
+        self._metrics_server = serve_metrics(
+            self.settings.metrics, self.metrics_, self.client_budget_
+        )
         self.metrics_.register_gauge("requests_running", lambda: self.server_.active_request_count_)
         self.metrics_.register_gauge("configuration_version", lambda: self.view_.version)
         self.metrics_.register_gauge("controllers_heard", self.subscriber_.count_connected)
--- a/sassafrashook/daemons/_settings.py
+++ b/sassafrashook/daemons/_settings.py
@@ -46,6 +46,9 @@
         fleet.
     :param metrics: pair of host and port of the metrics endpoint, ``None`` to disable it.
     :param link_bytes_per_s: bandwidth of the host's link, in bytes per second.
+    :param client_memory_bytes: memory that all connections of clients may hold, in bytes, ``None``
+        for no limit.
+    :param max_client_connections: number of connections of clients, ``None`` for no limit.
     """
 
     name: str
@@ -68,3 +71,5 @@
     warmup_tolerance: float
     metrics: tuple | None = None
     link_bytes_per_s: float = DEFAULT_LINK_BYTES_PER_S
+    client_memory_bytes: int | None = None
+    max_client_connections: int | None = None
--- a/sassafrashook/gateway/_attempt.py
+++ b/sassafrashook/gateway/_attempt.py
@@ -312,16 +312,18 @@
     def read_body(self):
         """Read the whole body.
 
-        :returns: ``bytes``.
+        :returns: ``bytearray``.
         :raises AttemptError: if the response ends early or a timeout passes.
+        :raises ClientDisconnectedError: if the memory for clients is used up and this one holds
+            most.
         """
-        chunks, size = [], 0
+        body = bytearray()
         while (data := self.read_data()) is not None:
-            chunks.append(data)
-            size += len(data)
-            if size > MAX_BODY_BYTES:
+            body += data
+            if len(body) > MAX_BODY_BYTES:
                 raise self.close_wrong_response(f"body of more than {MAX_BODY_BYTES} bytes")
-        return b"".join(chunks)
+            self.handler.client.reserve_response(len(body))
+        return body
 
     def close_wrong_response(self, detail):
         """Close the connection in the middle of a response that is too long or not as expected.
--- a/sassafrashook/gateway/_gateway.py
+++ b/sassafrashook/gateway/_gateway.py
@@ -53,6 +53,8 @@
     :param metrics: a :class:`~sassafrashook.telemetry.Metrics`.
     :param streams: a :class:`~sassafrashook.streams.StreamVersions`.
     :param peer_port: port on which every router accepts requests that other routers forward.
+    :param client_budget: the :class:`~sassafrashook.clients.ClientBudget` of all connections of
+        clients and other routers, ``None`` for no limits.
 
     :ivar peers: the :class:`~sassafrashook.paths.PeerSelector`.
     :ivar active_handlers_: set of the :class:`~sassafrashook.gateway._request.RequestHandler` in
@@ -62,8 +64,9 @@
     """
 
     def __init__(
-        self, name, header_codec, view, placement, pool, limits, metrics, streams, peer_port=0
-    ):
+        self, name, header_codec, view, placement, pool, limits, metrics, streams, peer_port=0,
+        client_budget=None,
+    ):  # fmt: skip
         self.name = name
         self.header_codec = header_codec
         self.view = view
@@ -73,6 +76,7 @@
         self.metrics = metrics
         self.streams = streams
         self.peer_port = peer_port
+        self.client_budget = client_budget
         self.peers = PeerSelector(name, placement.rng)
         self.active_handlers_ = set()
         self.probe_requested_ = Event()
--- a/sassafrashook/gateway/_server.py
+++ b/sassafrashook/gateway/_server.py
@@ -10,11 +10,18 @@
 from sassafrashook.gateway._peers import take_max_upstreams
 from sassafrashook.gateway._request import RequestHandler
 from sassafrashook.gateway._responses import STATUS_UNAVAILABLE, send_text
-from sassafrashook.http1 import ClientDisconnectedError, InvalidRequestError, ServerConnection
+from sassafrashook.http1 import (
+    ClientDisconnectedError,
+    InvalidRequestError,
+    MemoryLimitError,
+    ServerConnection,
+)
 from sassafrashook.outcomes import RefusalReason, Verdict
 from sassafrashook.telemetry import log_event
 
 LISTEN_BACKLOG = 1_024
+# Connections that are accepted at once if their number is limited: the limit is checked after that.
+MAX_ACCEPT_LIMITED = 8
 SEND_TIMEOUT_S = 10.0  # a client that has not accepted a send by then counts as disconnected
 BODY_TIMEOUT_S = 10.0
 STOP_POLL_INTERVAL_S = 0.05
@@ -25,6 +32,8 @@
 # Bounds of the random retry delay while there is no configuration, or it may be outdated. A restart
 # of the whole fleet takes about 1 s; the range spreads the retries of the clients.
 NO_CONFIGURATION_RETRY_MS = (400, 800)
+# Bounds of the random retry delay of a request whose body did not fit into the memory for clients.
+MEMORY_LIMIT_RETRY_MS = (1_000, 3_000)
 # A request waits for the first configuration for this fraction of its deadline, but no longer than
 # the maximum. Once a controller has the configuration, a restarted router receives it within that
 # maximum.
@@ -67,6 +76,8 @@
         self.server_ = StreamServer(
             (self.host, self.port), self._handle_client, backlog=LISTEN_BACKLOG
         )
+        if self.gateway.client_budget is not None:
+            self.server_.max_accept = MAX_ACCEPT_LIMITED
         self.server_.start()
         self.port = self.server_.server_port
 
@@ -97,7 +108,11 @@
             sock.close()
             return
         limits = self.gateway.get_client_limits()
-        client = ServerConnection(sock, limits.max_header_bytes, SEND_TIMEOUT_S)
+        budget = self.gateway.client_budget
+        client = ServerConnection(sock, limits.max_header_bytes, SEND_TIMEOUT_S, budget)
+        if not client.is_admitted_:
+            client.abort()
+            return
         try:
             self._serve_requests(client)
         except ClientDisconnectedError:
@@ -134,6 +149,14 @@
                 return False
             started_at = time.monotonic()
             body = client.read_body(limits.max_body_bytes, started_at + BODY_TIMEOUT_S)
+        except MemoryLimitError:
+            client.should_close_ = True
+            self.gateway.metrics.count("refusals", RefusalReason.MEMORY_LIMIT)
+            retry_after_ms = round(self.gateway.placement.rng.uniform(*MEMORY_LIMIT_RETRY_MS))
+            self._send_rejection(
+                client, STATUS_UNAVAILABLE, RefusalReason.MEMORY_LIMIT, retry_after_ms
+            )
+            return False
         except InvalidRequestError as error:
             log_event("request_invalid", status=error.status, reason=error)
             self.gateway.metrics.count("bad_input", str(error.status))
--- a/sassafrashook/http1/_messages.py
+++ b/sassafrashook/http1/_messages.py
@@ -16,6 +16,7 @@
         b"upgrade",
     )
 )
+STATUS_UNAVAILABLE = 503
 
 
 class InvalidRequestError(Exception):
@@ -30,6 +31,13 @@
         self.status = status
 
 
+class MemoryLimitError(InvalidRequestError):
+    """Raised when the memory for clients is used up before the request has been read."""
+
+    def __init__(self, reason):
+        super().__init__(STATUS_UNAVAILABLE, reason)
+
+
 class UpstreamResponseError(OSError):
     """Raised when no complete and valid response can be read from an upstream."""
 
--- a/sassafrashook/http1/_server.py
+++ b/sassafrashook/http1/_server.py
@@ -1,25 +1,44 @@
 """HTTP/1.1 server side of a client's connection."""
 
+import re
 import socket
 import time
-from collections import deque
 
 import gevent
 import h11
 from gevent.event import Event
 
-from sassafrashook.http1._messages import Headers, InvalidRequestError, RequestHead
+from sassafrashook.clients import SCARCE_PAUSE_S, ClientPhase, EvictionReason
+from sassafrashook.http1._chunks import ChunkDecoder, ChunkError
+from sassafrashook.http1._messages import (
+    Headers,
+    InvalidRequestError,
+    MemoryLimitError,
+    RequestHead,
+)
 from sassafrashook.tasks import spawn_task
 
 RECEIVE_BYTES = 65_536
-MAX_UNPARSED_BYTES = 262_144  # the receiving task pauses while more bytes wait to be parsed
+MAX_UNPARSED_BYTES = 65_536  # the receiving task pauses while more bytes wait to be parsed
+# Other tasks run after each slice of a body. The parser takes 5 ms at most for 16 KiB of chunks of
+# alternating sizes.
+SLICE_BYTES = 16_384
+# Memory of one header field beyond its bytes: a tuple and two objects, in two lists and a table.
+FIELD_BYTES = 320
+MIN_RECORDED_BYTES = 16_384  # shorter events of a stream are not counted while they are sent
+MIN_SPLIT_BODY_BYTES = 65_536  # longer responses are sent without a copy
 # Before closing, unread bytes are discarded for up to this time or size, since closing a socket
 # with unread bytes resets the connection and the client may lose the last response.
 LINGER_S = 1.0
+MIN_TIMEOUT_S = 0.001  # with a timeout of 0 the socket would not wait at all
 MAX_LINGER_BYTES = 8 * 1024 * 1024
+BLANK_LINE = re.compile(rb"\n\r?\n")  # ends a head or the trailers, as h11 takes it
+BLANK_LINE_OVERLAP = 2  # bytes of a blank line that may have been parsed before its end arrives
 IDLE_POLL_INTERVAL_S = 0.25  # longest delay until an idle connection notices that the server stops
 STATUS_REQUEST_TIMEOUT = 408
 STATUS_CONTENT_TOO_LARGE = 413
+STATUS_HEADER_TOO_LARGE = 431
+STATUS_BAD_REQUEST = 400
 
 
 class ClientDisconnectedError(OSError):
@@ -35,13 +54,16 @@
     :param max_header_bytes: largest size of a request head, in bytes.
     :param send_timeout_s: longest time that one send may take before the client counts as
         disconnected, in seconds.
+    :param budget: the :class:`~sassafrashook.clients.ClientBudget` that the connection uses, or
+        ``None`` for no limits.
 
+    :ivar is_admitted_: whether the budget has room; otherwise the connection must be closed.
     :ivar is_disconnected_: whether the client has closed or reset the connection.
     :ivar should_close_: whether the connection closes after the current response.
     :ivar on_disconnect: called without arguments when the client disconnects, or ``None``.
     """
 
-    def __init__(self, sock, max_header_bytes, send_timeout_s):
+    def __init__(self, sock, max_header_bytes, send_timeout_s, budget=None):
         self.sock = sock
         self.max_header_bytes = max_header_bytes
         self.send_timeout_s = send_timeout_s
@@ -49,10 +71,22 @@
         self.should_close_ = False
         self.on_disconnect = None
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=max_header_bytes)
-        self._received = deque()
-        self._received_bytes = 0
+        self._unparsed = bytearray()
+        self._body = bytearray()
+        self._is_chunked = False
+        self._content_length = 0
+        self._parsed_head_bytes = 0
+        self._head_bytes = 0  # memory of the head of the current request
+        self._response_bytes = 0  # memory of the response that is being read or sent
+        self._is_refused = False  # evicted while a request was being read
+        self._is_discarding = False
         self._data_received = Event()
         self._data_consumed = Event()
+        self._share = None
+        self.is_admitted_ = True
+        if budget is not None:
+            self._share = budget.open_share(self._evict, time.monotonic())
+            self.is_admitted_ = self._share is not None
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._receiver = spawn_task(self._receive_until_closed)
 
@@ -64,10 +98,10 @@
                 data = b""
             if not data:
                 break
-            self._received.append(data)
-            self._received_bytes += len(data)
+            self._unparsed += data
+            self._record_held()
             self._data_received.set()
-            while self._received_bytes > MAX_UNPARSED_BYTES:
+            while len(self._unparsed) > MAX_UNPARSED_BYTES:
                 self._data_consumed.clear()
                 self._data_consumed.wait()
         self.is_disconnected_ = True
@@ -75,28 +109,88 @@
         if self.on_disconnect is not None:
             self.on_disconnect()
 
-    def _pop_received(self, deadline):
-        """Wait for received bytes and take them off the queue.
+    def _record_held(self):
+        """Record in the budget how much the connection holds.
+
+        :returns: whether the connection may go on; otherwise it has been evicted.
+        """
+        if self._share is None or self._is_discarding:
+            return True
+        held_bytes = len(self._unparsed) + len(self._body) + self._head_bytes
+        return self._share.hold(held_bytes + self._response_bytes, time.monotonic())
+
+    def begin_phase(self, phase):
+        """Record in the budget what the connection does.
+
+        :param phase: a :class:`~sassafrashook.clients.ClientPhase`.
+        """
+        if self._share is not None:
+            self._share.begin(phase, time.monotonic())
+
+    def reserve_response(self, size):
+        """Record in the budget how much of a response is held for the client.
+
+        :param size: bytes.
+        :raises ClientDisconnectedError: if the connection has been evicted.
+        """
+        if self._share is not None:
+            self._response_bytes = size
+            if not self._record_held():
+                raise ClientDisconnectedError("the connection was evicted")
+            if size and self._share.is_scarce():
+                gevent.sleep(SCARCE_PAUSE_S)
+
+    def _evict(self, reason):
+        """Release what the connection holds, and refuse its request or close the connection."""
+        is_reading = self._share is not None and self._share.phase_ is ClientPhase.READING
+        if is_reading and reason is EvictionReason.MEMORY:
+            self._is_refused = True
+            self._unparsed.clear()
+            self._body.clear()
+            self._data_received.set()
+            self._data_consumed.set()
+            return
+        try:
+            self.sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            self.is_disconnected_ = True  # the client has already closed it
+
+    def _check_refused(self):
+        """Raise an error if the budget has refused the request that is being read."""
+        if self._is_refused:
+            raise MemoryLimitError("the memory for clients is used up")
+
+    def _wait_for_data(self, deadline):
+        """Wait until bytes have been received that are not parsed yet.
 
         :param deadline: monotonic seconds.
-        :returns: ``bytes``, empty if the client has disconnected.
+        :returns: whether there are any; otherwise the client has disconnected.
         :raises TimeoutError: at the deadline.
         """
-        while not self._received:
+        return self._wait_for_more(0, deadline)
+
+    def _wait_for_more(self, size, deadline):
+        """Wait until more than ``size`` bytes wait to be parsed, as :meth:`_wait_for_data`."""
+        while len(self._unparsed) <= size:
+            self._check_refused()
             if self.is_disconnected_:
-                return b""
+                return False
             self._data_received.clear()
             remaining_s = deadline - time.monotonic()
             if remaining_s <= 0 or not self._data_received.wait(remaining_s):
                 raise TimeoutError("no data received before the deadline")
-        data = self._received.popleft()
-        self._received_bytes -= len(data)
+        return True
+
+    def _take_unparsed(self, size):
+        """Take bytes off the received ones and let the receiving task go on."""
+        data = bytes(self._unparsed[:size])
+        del self._unparsed[:size]
         self._data_consumed.set()
         return data
 
     def has_received_data(self):
         """Return whether a part of the next request has been received."""
-        return bool(self._received) or bool(self._http.trailing_data[0])
+        return bool(self._unparsed) or bool(self._http.trailing_data[0])
 
     def wait_for_request(self, deadline, is_stopping):
         """Wait for the first bytes of the next request.
@@ -110,7 +204,7 @@
             if self.is_disconnected_ or remaining_s <= 0 or is_stopping():
                 return False
             self._data_received.clear()
-            if not self._received and not self.is_disconnected_:
+            if not self._unparsed and not self.is_disconnected_:
                 self._data_received.wait(min(remaining_s, IDLE_POLL_INTERVAL_S))
         return True
 
@@ -122,11 +216,17 @@
             was complete.
         :raises InvalidRequestError: if it is malformed, too large or incomplete at the deadline.
         """
-        event = self._next_event(deadline)
+        self.begin_phase(ClientPhase.READING)
+        event = self._read_to_blank_line(deadline)
         if not isinstance(event, h11.Request):
             return None
         fields = [(bytes(name), bytes(value)) for name, value in event.headers.raw_items()]
         headers = Headers(fields)
+        self._head_bytes = FIELD_BYTES * len(fields) + 2 * self._parsed_head_bytes
+        self._is_chunked = b"transfer-encoding" in headers
+        self._content_length = 0 if self._is_chunked else int(headers.get(b"content-length", "0"))
+        self._record_held()
+        self._check_refused()
         if b"transfer-encoding" in headers and b"content-length" in headers:
             # RFC 9112 section 6.1: with ambiguous framing, whatever follows on the connection
             # could be a smuggled request.
@@ -140,44 +240,120 @@
 
         :param max_bytes: largest size of the body, in bytes.
         :param deadline: monotonic seconds.
-        :returns: ``bytes``.
+        :returns: ``bytearray``.
         :raises InvalidRequestError: if it is malformed, too large or incomplete at the deadline.
         :raises ClientDisconnectedError: if the client disconnects before the end of the body.
         """
+        if self._content_length > max_bytes:
+            raise InvalidRequestError(STATUS_CONTENT_TOO_LARGE, "the body is too large")
         if self._http.they_are_waiting_for_100_continue:
             self._send_event(h11.InformationalResponse(status_code=100, headers=[]))
-        chunks = []
-        size = 0
+        body = self._body = bytearray()
+        if self._is_chunked and not self._http.trailing_data[0]:
+            self._read_chunks(body, max_bytes, deadline)
         while True:
-            event = self._next_event(deadline)
+            event = self._next_body_event(deadline)
+            self._check_refused()
             if isinstance(event, h11.EndOfMessage):
-                return b"".join(chunks)
+                self.begin_phase(ClientPhase.RUNNING)
+                return body
             if not isinstance(event, h11.Data):
                 raise ClientDisconnectedError("disconnected before the end of the request")
-            chunks.append(bytes(event.data))
-            size += len(event.data)
-            if size > max_bytes:
-                raise InvalidRequestError(STATUS_CONTENT_TOO_LARGE, "the body is too large")
-
-    def _next_event(self, deadline):
+            body += event.data
+            self._check_body(body, max_bytes)
+
+    def _check_body(self, body, max_bytes):
+        """Raise an error if the body is too large or the budget has no room for it."""
+        if len(body) > max_bytes:
+            raise InvalidRequestError(STATUS_CONTENT_TOO_LARGE, "the body is too large")
+        self._record_held()
+        self._check_refused()
+
+    def _read_chunks(self, body, max_bytes, deadline):
+        """Read all chunks but the last one, whose trailers h11 parses."""
+        decoder = ChunkDecoder(body, self.max_header_bytes)
         while True:
             try:
-                event = self._http.next_event()
-            except h11.RemoteProtocolError as error:
-                status = error.error_status_hint
-                raise InvalidRequestError(status, str(error)) from error
-            if event is not h11.NEED_DATA:
-                return None if event is h11.PAUSED else event
+                has_decoded = decoder.decode(self._unparsed, SLICE_BYTES)
+            except ChunkError as error:
+                raise InvalidRequestError(STATUS_BAD_REQUEST, str(error)) from error
+            self._data_consumed.set()
+            self._check_body(body, max_bytes)
+            if decoder.is_at_end_:
+                return
             try:
-                data = self._pop_received(deadline)
+                if not has_decoded and not self._wait_for_more(len(self._unparsed), deadline):
+                    raise ClientDisconnectedError("disconnected before the end of the request")
             except TimeoutError as error:
-                raise InvalidRequestError(
-                    STATUS_REQUEST_TIMEOUT, "the request was not complete in time"
-                ) from error
-            if not data:
+                raise self._make_timeout_error() from error
+            if len(self._unparsed) > SLICE_BYTES:
+                gevent.sleep(0)
+                self._check_refused()
+                if time.monotonic() >= deadline:
+                    raise self._make_timeout_error()
+
+    def _next_body_event(self, deadline):
+        """Return h11's next event of the body; ``None`` if the client disconnects first."""
+        if self._is_chunked:
+            return self._read_to_blank_line(deadline)
+        while True:
+            missing = self._content_length - len(self._body)
+            if missing > 0:  # the parser holds nothing of the body yet
+                if not self._unparsed and not self._wait_until(deadline):
+                    return None
+                self._check_refused()
+                self._http.receive_data(self._take_unparsed(min(missing, RECEIVE_BYTES)))
+            event = self._parse_event()
+            if event is not h11.NEED_DATA:
+                return None if event is h11.PAUSED else event
+
+    def _read_to_blank_line(self, deadline):
+        """Return h11's next event, parsing no further than the blank line that ends a head.
+
+        :returns: the event, or ``None`` if the client disconnects first.
+        """
+        end = self._http.trailing_data[0][-BLANK_LINE_OVERLAP:]
+        self._parsed_head_bytes = 0
+        while True:
+            event = self._parse_event() if end else h11.NEED_DATA
+            if event is not h11.NEED_DATA:
+                if self._parsed_head_bytes > self.max_header_bytes:
+                    raise InvalidRequestError(STATUS_HEADER_TOO_LARGE, "the head is too large")
+                return None if event is h11.PAUSED else event
+            if not self._unparsed and not self._wait_until(deadline):
                 return None
+            self._check_refused()
+            received = end + self._unparsed[:SLICE_BYTES]
+            blank_line = BLANK_LINE.search(received)
+            if blank_line and blank_line.end() > len(end):
+                received = received[: blank_line.end()]
+            data = received[len(end) :]
+            del self._unparsed[: len(data)]
+            self._data_consumed.set()
+            end = received[-BLANK_LINE_OVERLAP:]
+            self._parsed_head_bytes += len(data)
             self._http.receive_data(data)
 
+    def _parse_event(self):
+        try:
+            return self._http.next_event()
+        except h11.RemoteProtocolError as error:
+            status = error.error_status_hint
+            raise InvalidRequestError(status, str(error)) from error
+
+    def _wait_until(self, deadline):
+        """Wait for bytes; :returns: false if the client has disconnected.
+
+        :raises InvalidRequestError: at the deadline.
+        """
+        try:
+            return self._wait_for_data(deadline)
+        except TimeoutError as error:
+            raise self._make_timeout_error() from error
+
+    def _make_timeout_error(self):
+        return InvalidRequestError(STATUS_REQUEST_TIMEOUT, "the request was not complete in time")
+
     def send_response(self, status, fields, body):
         """Send a complete response with a Content-Length.
 
@@ -188,10 +364,20 @@
         """
         framed_fields = [*fields, (b"Content-Length", str(len(body)).encode())]
         data = self._encode_head(status, framed_fields)
+        parts = []
         if body and self._http.our_state is h11.SEND_BODY:
-            data += self._http.send(h11.Data(data=body))
-        data += self._http.send(h11.EndOfMessage())
-        self._send_bytes(data)
+            parts = self._http.send_with_data_passthrough(h11.Data(data=body))
+        self._http.send(h11.EndOfMessage())
+        if len(body) < MIN_SPLIT_BODY_BYTES:
+            data, parts = b"".join((data, *parts)), ()
+        self._body = bytearray()  # the request has ended
+        self.begin_phase(ClientPhase.SENDING)
+        self._response_bytes = len(body)
+        self._record_held()
+        deadline = time.monotonic() + self.send_timeout_s
+        for part in (data, *parts):
+            self._send_bytes(part, deadline)
+        self._response_bytes = 0
 
     def start_response(self, status, fields):
         """Send the head of a chunked response.
@@ -213,7 +399,12 @@
         :param data: ``bytes``.
         :raises ClientDisconnectedError: if sending fails or exceeds the timeout.
         """
+        if len(data) < MIN_RECORDED_BYTES:
+            self._send_event(h11.Data(data=data))
+            return
+        self.reserve_response(len(data))
         self._send_event(h11.Data(data=data))
+        self.reserve_response(0)
 
     def finish_response(self):
         """Send the end of a chunked response.
@@ -225,9 +416,12 @@
     def _send_event(self, event):
         self._send_bytes(self._http.send(event))
 
-    def _send_bytes(self, data):
+    def _send_bytes(self, data, deadline=None):
+        timeout_s = self.send_timeout_s
+        if deadline is not None:
+            timeout_s = max(MIN_TIMEOUT_S, deadline - time.monotonic())
         try:
-            self.sock.settimeout(self.send_timeout_s)
+            self.sock.settimeout(timeout_s)
             self.sock.sendall(data)
         except OSError as error:
             raise ClientDisconnectedError(str(error)) from error
@@ -248,6 +442,10 @@
         if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
             return False
         self._http.start_next_cycle()
+        self._body = bytearray()
+        self._head_bytes = 0
+        self.begin_phase(ClientPhase.IDLE)
+        self._record_held()
         return True
 
     def close(self):
@@ -257,10 +455,15 @@
         """
         deadline = time.monotonic() + LINGER_S
         discarded_bytes = 0
+        self._is_refused, self._is_discarding = False, True
+        self._body = bytearray()
         try:
             self.sock.shutdown(socket.SHUT_WR)
             while not self.is_disconnected_ and discarded_bytes < MAX_LINGER_BYTES:
-                discarded_bytes += len(self._pop_received(deadline))
+                self._wait_for_data(deadline)
+                discarded_bytes += len(self._unparsed)
+                self._unparsed.clear()
+                self._data_consumed.set()
         except OSError:
             pass  # disconnected, or still sending at the deadline; the socket is closed either way
         self.abort()
@@ -270,3 +473,5 @@
         if self._receiver is not gevent.getcurrent():
             self._receiver.kill(block=False)
         self.sock.close()
+        if self._share is not None:
+            self._share.close()
--- a/sassafrashook/http1/_upstream.py
+++ b/sassafrashook/http1/_upstream.py
@@ -80,7 +80,7 @@
         :param method: request method, ``bytes``.
         :param target: path and query, ``bytes``.
         :param fields: header pairs of ``bytes``, without Content-Length and Transfer-Encoding.
-        :param body: the whole body, ``bytes``.
+        :param body: the whole body, ``bytes`` or ``bytearray``.
         :raises OSError: if the connection breaks; the upstream may have received a part.
         """
         framed_fields = [*fields, (b"Content-Length", str(len(body)).encode())]
@@ -88,31 +88,32 @@
             framed_fields = fields
         self._request = h11.Request(method=method, target=target, headers=framed_fields)
         self._body = body
-        data = self._start_exchange()
+        parts = self._start_exchange()
         self.sock.settimeout(None)
-        if len(data) <= MAX_INLINE_SEND_BYTES:
-            self.sock.sendall(data)
+        if sum(map(len, parts)) <= MAX_INLINE_SEND_BYTES:
+            self.sock.sendall(b"".join(parts))
         else:
-            self._writer = spawn_task(self._send_all, data)
+            self._writer = spawn_task(self._send_all, parts)
 
     def _start_exchange(self, unparsed=b""):
         """Create a new parser for a response to the current request.
 
         :param unparsed: received bytes that the previous parser has not consumed.
-        :returns: the encoded request.
+        :returns: list of the parts of the encoded request; the body is not copied.
         """
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
-        data = self._http.send(self._request)
+        parts = [self._http.send(self._request)]
         if self._body:
-            data += self._http.send(h11.Data(data=self._body))
-        data += self._http.send(h11.EndOfMessage())
+            parts += self._http.send_with_data_passthrough(h11.Data(data=self._body))
+        parts.append(self._http.send(h11.EndOfMessage()))
         if unparsed:
             self._http.receive_data(unparsed)
-        return data
+        return parts
 
-    def _send_all(self, data):
+    def _send_all(self, parts):
         try:
-            self.sock.sendall(data)
+            for part in parts:
+                self.sock.sendall(part)
         except OSError:
             self.is_broken_ = True  # the reading task detects the closed connection and reports it
 
--- a/sassafrashook/outcomes/_outcomes.py
+++ b/sassafrashook/outcomes/_outcomes.py
@@ -26,6 +26,8 @@
     DEADLINE_MISSING = "deadline_missing"
     DEADLINE_PASSED = "deadline_passed"
     KEY_MISSING = "key_missing"
+    # The memory for the requests of all clients is used up, and this client holds most of it.
+    MEMORY_LIMIT = "memory_limit"
     NO_CAPACITY = "no_capacity"
     NO_CONFIGURATION = "no_configuration"
     # No permit arrived in time from the controller that grants them.
--- a/sassafrashook/platform/_control.py
+++ b/sassafrashook/platform/_control.py
@@ -3,8 +3,10 @@
 import time
 
 import falcon
+import gevent
 from returns.result import Failure
 
+from sassafrashook.clients import SCARCE_PAUSE_S, SHARE_KEY, ClientPhase
 from sassafrashook.fleet import OperatorCommandOutcome
 from sassafrashook.platform._configuration import decode_configuration
 from sassafrashook.platform._registrations import decode_heartbeat, is_upstream_id
@@ -12,6 +14,7 @@
 
 MAX_CONFIGURATION_BYTES = 16 * 1024 * 1024
 MAX_HEARTBEAT_BYTES = 65_536
+READ_BYTES = 65_536
 MS_PER_S = 1_000
 
 
@@ -110,10 +113,24 @@
 
 
 def _read_body(request, limit):
-    body = request.bounded_stream.read(limit + 1)
-    if len(body) > limit:
+    """Read the body of a request.
+
+    :param limit: largest size, in bytes.
+    :returns: ``bytes``.
+    """
+    if (request.content_length or 0) > limit:
         raise falcon.HTTPContentTooLarge(title="the body is too large")
-    return body
+    share = request.env.get(SHARE_KEY)
+    body = bytearray()
+    while data := request.bounded_stream.read(READ_BYTES):
+        body += data
+        if share is not None and not share.hold(len(body), time.monotonic()):
+            raise falcon.HTTPServiceUnavailable(title="the memory for clients is used up")
+        if share is not None and share.is_scarce():
+            gevent.sleep(SCARCE_PAUSE_S)
+    if share is not None:
+        share.begin(ClientPhase.RUNNING, time.monotonic())
+    return bytes(body)
 
 
 def _send_acknowledgement(response, accepted):
--- a/sassafrashook/platform/_settings.py
+++ b/sassafrashook/platform/_settings.py
@@ -3,11 +3,13 @@
 import msgspec
 from returns.result import Failure, Success
 
+from sassafrashook.clients import compute_connection_limit, compute_memory_limit_bytes
 from sassafrashook.daemons import NodeSettings, RouterAddresses
 
 DEFAULT_HEARTBEAT_MS = 1_000
 UNLIMITED_MBPS = 1_000.0  # bandwidth that is assumed if none is stated
 BYTES_PER_MBIT = 1_000_000 / 8
+BYTES_PER_MB = 1_048_576
 MAX_PORT_DIGITS = 5
 METRICS_PORT = 9464  # as in deploy/system.toml; the settings file has no field for it
 
@@ -29,9 +31,19 @@
     """Limits of the host.
 
     :param bandwidth_mbps: bandwidth of its link, in Mbit/s; ``None`` or 0 if it is not limited.
+    :param memory_mb: memory of the process, in MiB; ``None`` or 0 if it is not limited.
+    :param max_fds: descriptors of the process; ``None`` or 0 if they are not limited.
+    :param client_memory_mb: part of the memory that connections of clients may hold, in MiB;
+        ``None`` to derive it from ``memory_mb``.
+    :param max_client_connections: number of connections of clients; ``None`` to derive it from
+        ``max_fds``.
     """
 
     bandwidth_mbps: float | None = None
+    memory_mb: float | None = None
+    max_fds: float | None = None
+    client_memory_mb: float | None = None
+    max_client_connections: int | None = None
 
 
 class _Tolerance(msgspec.Struct, frozen=True):
@@ -113,9 +125,19 @@
         warmup_tolerance=bounds.warmup_tolerance,
         metrics=(node.ip, METRICS_PORT),
         link_bytes_per_s=(node.limits.bandwidth_mbps or UNLIMITED_MBPS) * BYTES_PER_MBIT,
+        client_memory_bytes=_compute_client_memory_bytes(node.limits),
+        max_client_connections=(
+            node.limits.max_client_connections or compute_connection_limit(node.limits.max_fds)
+        ),
     )
 
 
+def _compute_client_memory_bytes(limits):
+    if limits.client_memory_mb:
+        return round(limits.client_memory_mb * BYTES_PER_MB)
+    return compute_memory_limit_bytes(limits.memory_mb)
+
+
 def split_address(text):
     """Parse an address of the form ``IP:PORT``.
 
