--- a/sassafrashook/http1/_server.py
+++ b/sassafrashook/http1/_server.py
@@ -317,13 +317,14 @@
         while True:
             event = self._parse_event() if end else h11.NEED_DATA
             if event is not h11.NEED_DATA:
-                if self._parsed_head_bytes > self.max_header_bytes:
+                is_limited = self._share is not None
+                if is_limited and self._parsed_head_bytes > self.max_header_bytes:
                     raise InvalidRequestError(STATUS_HEADER_TOO_LARGE, "the head is too large")
                 return None if event is h11.PAUSED else event
             if not self._unparsed and not self._wait_until(deadline):
                 return None
             self._check_refused()
-            received = end + self._unparsed[:SLICE_BYTES]
+            received = end + self._unparsed[:RECEIVE_BYTES]
             blank_line = BLANK_LINE.search(received)
             if blank_line and blank_line.end() > len(end):
                 received = received[: blank_line.end()]
