--- a/sassafrashook/daemons/_controller.py
+++ b/sassafrashook/daemons/_controller.py
@@ -7,6 +7,7 @@
 from gevent.event import Event
 
 from sassafrashook.consensus import CONSENSUS_MESSAGES, Replica
+from sassafrashook.daemons._clients import make_client_budget
 from sassafrashook.daemons._endpoints import serve_application, serve_metrics
 from sassafrashook.fleet import FLEET_MESSAGES, FleetCache, FleetController, FleetState
 from sassafrashook.registry import Registry
@@ -95,6 +96,7 @@
             settings.link_bytes_per_s,
             settings.rollout_bounds,
         )
+        self.client_budget_ = make_client_budget(settings, self.metrics_)
         self._application = make_application(self.fleet_, settings)
         self._server = None
 
@@ -110,7 +112,9 @@
         self.fleet_.start()
         self.fleet_.set_seeds(self.settings.seeds)
         register_log_gauge(self.metrics_)
-        self._metrics_server = serve_metrics(self.settings.metrics, self.metrics_)
+        self._metrics_server = serve_metrics(
+            self.settings.metrics, self.metrics_, self.client_budget_
+        )
         self.metrics_.register_gauge("configuration_version", lambda: self.state_.version_)
         self.metrics_.register_gauge(
             "leading", lambda: int(self.replica_.get_leader() == self.settings.name)
@@ -126,7 +130,9 @@
             "upstreams_ejected", lambda: len(exchange.outliers_.ejections_)
         )
         self.metrics_.register_gauge("parts_dropped", lambda: exchange.parts_dropped_)
-        self._server = serve_application(self.settings.control, self._application)
+        self._server = serve_application(
+            self.settings.control, self._application, self.client_budget_
+        )
 
     def _start_replica(self):
         """Start the replica; retry while the disk of the data folder is full."""
--- a/sassafrashook/daemons/_settings.py
+++ b/sassafrashook/daemons/_settings.py
@@ -50,6 +50,9 @@
     :param rollout_bounds: a :class:`~sassafrashook.rollouts.RolloutBounds`, ``None`` in a
         deployment without rollouts.
     :param hedging: the :class:`~sassafrashook.hedging.HedgingLimits` of second attempts.
+    :param client_memory_bytes: memory that all connections of clients may hold, in bytes, ``None``
+        for no limit.
+    :param max_client_connections: number of connections of clients, ``None`` for no limit.
     """
 
     name: str
@@ -74,3 +77,5 @@
     link_bytes_per_s: float = DEFAULT_LINK_BYTES_PER_S
     rollout_bounds: object = None
     hedging: HedgingLimits = HedgingLimits()
+    client_memory_bytes: int | None = None
+    max_client_connections: int | None = None
--- a/sassafrashook/gateway/_gateway.py
+++ b/sassafrashook/gateway/_gateway.py
@@ -58,6 +58,8 @@
     :param peer_port: port on which every router accepts requests that other routers forward.
     :param hedging: the :class:`~sassafrashook.hedging.HedgingPolicy`; without one, no request gets
         a second attempt beside a running one.
+    :param client_budget: the :class:`~sassafrashook.clients.ClientBudget` of all connections of
+        clients and other routers, ``None`` for no limits.
 
     :ivar peers: the :class:`~sassafrashook.paths.PeerSelector`.
     :ivar results: the :class:`~sassafrashook.gateway._results.ResultRecorder`.
@@ -79,6 +81,7 @@
         streams,
         peer_port=0,
         hedging=None,
+        client_budget=None,
     ):
         self.name = name
         self.header_codec = header_codec
@@ -90,6 +93,7 @@
         self.streams = streams
         self.peer_port = peer_port
         self.hedging = hedging if hedging is not None else HedgingPolicy()
+        self.client_budget = client_budget
         self.peers = PeerSelector(name, placement.rng)
         self.results = ResultRecorder()
         self.active_handlers_ = set()
