estimation: upstreams are chosen by when the first event is expected

How long work takes at an upstream's host, which it states in its load header, is kept with its age, and figures above the usual one are passed on with the loads.

--- a/sassafrashook/daemons/_router.py
+++ b/sassafrashook/daemons/_router.py
@@ -20,6 +20,7 @@
     FleetView,
     OtherLoads,
     RateLimitStated,
+    SlowdownStated,
 )
 from sassafrashook.gateway import Gateway, GatewayServer, RetryLimits, make_peer_pool_key
 from sassafrashook.http1 import ConnectionPool
@@ -33,6 +34,9 @@
 # delays a connection.
 CONNECT_TIMEOUT_S = 0.25
 LOAD_REPORT_INTERVAL_S = 0.2
+# Figures below this are not reported: others would not choose differently because of them.
+MIN_REPORTED_SLOWDOWN = 1.25
+PERCENT = 100
 PROBE_INTERVAL_S = 0.25  # between two connection probes of an upstream
 MAINTENANCE_INTERVAL_S = 1.0
 # Over this time, an upstream tolerates a multiple of the rate limit that it states, and some
@@ -136,6 +140,7 @@
         self.metrics_.register_gauge(
             "upstreams_ejected", lambda: len(ejections.list_current(time.monotonic()))
         )
+        self.metrics_.register_gauge("upstreams_slow", self._count_slow)
         self.metrics_.register_gauge("ejection_trials", lambda: ejections.trial_count_)
         tasks = (self._report_loads, self._close_expired_connections, self._probe_upstreams)
         self._tasks = [spawn_task(task) for task in tasks]
@@ -202,6 +207,14 @@
         now = time.monotonic()
         self.placement_.set_remote_loads(message.loads, now)
         self._apply_ejections(message.ejections, now)
+        self.placement_.record_remote_slowdowns(
+            (
+                (item.upstream_id, item.boot_ms),
+                item.percent / PERCENT,
+                now - item.age_ms / MS_PER_S,
+            )
+            for item in message.slowdowns
+        )
         cached_parts = [(cached.part, cached.upstream_id) for cached in message.cached_parts]
         self.placement_.record_remote_cached_parts(cached_parts, now)
         limits = [
@@ -236,6 +249,7 @@
             controller = self.subscriber_.select_load_controller()
             cached_parts = self.placement_.take_new_cached_parts()
             results = self.gateway_.results.take()
+            stated = self.gateway_.results.take_slowdowns()
             if controller is not None:
                 loads, now = self.placement_.list_local_loads(), time.monotonic()
                 crashes = self.view_.crashes.list_observed(now - CRASH_REPORT_S, now)
@@ -243,8 +257,13 @@
                     RateLimitStated(*limit.key, limit.rate, (now - limit.heard_at) * MS_PER_S)
                     for limit in self.placement_.take_new_rate_limits()
                 ]
+                slowdowns = [
+                    SlowdownStated(*key, round(slowdown * PERCENT), round((now - at) * MS_PER_S))
+                    for key, slowdown, at in stated
+                    if slowdown >= MIN_REPORTED_SLOWDOWN
+                ]
                 self.subscriber_.report_loads(
-                    controller, loads, cached_parts, crashes, rate_limits, results
+                    controller, loads, cached_parts, crashes, rate_limits, results, slowdowns
                 )
 
     def _close_expired_connections(self):
@@ -271,6 +290,14 @@
             if paths.needs_immediate_round():
                 self.gateway_.probe_requested_.set()
 
+    def _count_slow(self):
+        """Return the number of upstreams where work is expected to take longer than usual now."""
+        now = time.monotonic()
+        return sum(
+            state.slowdown_ is not None and state.speed_.compute(now) >= MIN_REPORTED_SLOWDOWN
+            for state in self.placement_.upstreams_.values()
+        )
+
     def _count_paths(self):
         """Return the number of known upstreams, and to how many there is no usable path."""
         return len(self.placement_.upstreams_), self.placement_.paths_.count_unusable()
--- a/sassafrashook/fleet/__init__.py
+++ b/sassafrashook/fleet/__init__.py
@@ -21,6 +21,7 @@
     "OtherLoads",
     "Publisher",
     "RateLimitStated",
+    "SlowdownStated",
 ]
 
 __getattr__ = make_lazy_getattr(
@@ -28,7 +29,7 @@
     {
         "_cache": ("FleetCache",),
         "_controller": ("FleetController", "OperatorCommandOutcome"),
-        "_messages": ("FLEET_MESSAGES", "OtherLoads", "RateLimitStated"),
+        "_messages": ("FLEET_MESSAGES", "OtherLoads", "RateLimitStated", "SlowdownStated"),
         "_link": ("DEFAULT_LINK_BYTES_PER_S",),
         "_publisher": ("Publisher",),
         "_state": ("FleetState",),
--- a/sassafrashook/fleet/_exchange.py
+++ b/sassafrashook/fleet/_exchange.py
@@ -16,6 +16,7 @@
     LoadShared,
     OtherLoads,
 )
+from sassafrashook.fleet._slowdowns import SlowdownQueue
 from sassafrashook.telemetry import log_event
 
 LOAD_INTERVAL_S = 0.2  # shortest time between two messages with loads to one node
@@ -27,6 +28,7 @@
 PART_LINK_SHARE = 0.1
 PART_BYTES = 24  # approximate size of a cached prompt part
 LOAD_BYTES = 16  # approximate size of the load of an upstream
+SLOWDOWN_BYTES = 28  # approximate size of a stated slowdown
 EJECTION_BYTES = 50  # approximate size of an ejection
 LOAD_MESSAGE_BYTES = 100  # approximate size of a message without loads, with its headers
 # Between two messages with results to the other controllers. Results come from many routers for
@@ -73,6 +75,7 @@
         self._rate_limits = deque(maxlen=MAX_RATE_LIMITS)
         self._heartbeats_sent_at = float("-inf")
         self._results_sent_at = float("-inf")
+        self._slowdowns = SlowdownQueue()
         self._loads_due_at = self._loads_sent_at = float("-inf")
         self._handlers = {
             HeartbeatsHeard: self._on_heartbeats_heard,
@@ -105,6 +108,7 @@
         self._cached_parts.extend((sender, cached) for cached in message.cached_parts)
         self._queue_rate_limits(sender, message.rate_limits)
         self.outliers_.record_router(sender, message.results, time.monotonic())
+        self._slowdowns.add(message.slowdowns, True, time.monotonic())
         for record in message.crashes:
             if self.crashes.merge(record, time.monotonic()):
                 log_event(
@@ -118,6 +122,7 @@
         self._cached_parts.extend(("", cached) for cached in message.cached_parts)
         self._queue_rate_limits("", message.rate_limits)
         self.outliers_.record_controller(sender, message.results, time.monotonic())
+        self._slowdowns.add(message.slowdowns, False, time.monotonic())
 
     def _queue_rate_limits(self, origin, rate_limits):
         received_at = time.monotonic()
@@ -155,6 +160,7 @@
         if now >= self._results_sent_at + RESULTS_INTERVAL_S:
             results = self.outliers_.take_shared()
             self._results_sent_at = now
+        slowdowns = self._slowdowns.take_own(now)
         parts, limits = [], []
         is_due_to_routers = now >= self._loads_due_at
         if is_due_to_routers:
@@ -163,7 +169,7 @@
         own_parts = [cached for origin, cached in parts if origin]
         own_limits = [limit for origin, limit in limits if origin]
         for name in controllers:
-            self.mesh.send(name, LoadShared(own_loads, own_parts, own_limits, results))
+            self.mesh.send(name, LoadShared(own_loads, own_parts, own_limits, results, slowdowns))
             if heartbeats:
                 self.mesh.send(name, HeartbeatsHeard(heartbeats))
         if is_due_to_routers:
@@ -173,15 +179,20 @@
         """Send each own router the loads, parts and rate limits of the others."""
         routers = self.loads_.list_routers(now)
         totals = self.loads_.sum_all(now)
-        ejections = self._update_ejections(now)
+        ejections, slowdowns = self._update_ejections(now), self._slowdowns.take_all(now)
         parts = self._thin_parts(parts, len(routers), now)
         for router in routers:
             other_parts = [cached for origin, cached in parts if origin != router]
             other_limits = [limit for origin, limit in limits if origin != router]
             other_loads = self.loads_.subtract_own(totals, router)
-            self.mesh.send(router, OtherLoads(other_loads, other_parts, other_limits, ejections))
+            self.mesh.send(
+                router, OtherLoads(other_loads, other_parts, other_limits, ejections, slowdowns)
+            )
         size = len(routers) * (
-            LOAD_MESSAGE_BYTES + LOAD_BYTES * len(totals) + EJECTION_BYTES * len(ejections)
+            LOAD_MESSAGE_BYTES
+            + LOAD_BYTES * len(totals)
+            + EJECTION_BYTES * len(ejections)
+            + SLOWDOWN_BYTES * len(slowdowns)
         )
         interval_s = size / (LOAD_LINK_SHARE * self.link_bytes_per_s)
         self._loads_sent_at = now
--- a/sassafrashook/fleet/_messages.py
+++ b/sassafrashook/fleet/_messages.py
@@ -16,6 +16,7 @@
     "OtherLoads",
     "PartCached",
     "RateLimitStated",
+    "SlowdownStated",
     "StreamBegun",
     "StreamVersionReply",
     "StreamVersionRequested",
@@ -141,6 +142,20 @@
     age_ms: float
 
 
+class SlowdownStated(msgspec.Struct, frozen=True, array_like=True):
+    """How long work takes at an upstream, as a response stated it.
+
+    :param boot_ms: boot of the upstream, in Unix milliseconds.
+    :param percent: time that work takes, in percent of the usual time.
+    :param age_ms: time since a router received the response, in milliseconds.
+    """
+
+    upstream_id: str
+    boot_ms: int
+    percent: int
+    age_ms: int
+
+
 class LoadReported(Message):
     """Load of one router, reported to the controller that it is assigned to.
 
@@ -149,6 +164,7 @@
     :param crashes: records of upstream crashes that the router observed recently.
     :param rate_limits: rate limits that upstreams stated to the router since its last report.
     :param results: results of upstreams since its last report.
+    :param slowdowns: slow upstreams that the router heard of since its last report.
     """
 
     loads: dict[str, int]
@@ -156,6 +172,7 @@
     crashes: list[CrashRecord] = []
     rate_limits: list[RateLimitStated] = []
     results: list[UpstreamResults] = []
+    slowdowns: list[SlowdownStated] = []
 
 
 class LoadShared(Message):
@@ -165,12 +182,14 @@
     :param cached_parts: prompt parts that upstreams cache, due to be announced.
     :param rate_limits: rate limits that upstreams stated to these routers.
     :param results: results of upstreams at these routers.
+    :param slowdowns: slow upstreams that these routers heard of.
     """
 
     loads: dict[str, int]
     cached_parts: list[PartCached] = []
     rate_limits: list[RateLimitStated] = []
     results: list[UpstreamResults] = []
+    slowdowns: list[SlowdownStated] = []
 
 
 class OtherLoads(Message):
@@ -180,12 +199,14 @@
     :param cached_parts: prompt parts that upstreams cache, due to be announced.
     :param rate_limits: rate limits that upstreams stated to other routers.
     :param ejections: the upstreams that are ejected now.
+    :param slowdowns: slow upstreams that any router heard of.
     """
 
     loads: dict[str, int]
     cached_parts: list[PartCached] = []
     rate_limits: list[RateLimitStated] = []
     ejections: list[Ejection] = []
+    slowdowns: list[SlowdownStated] = []
 
 
 class StreamBegun(msgspec.Struct, frozen=True, array_like=True):
--- a/sassafrashook/fleet/_subscriber.py
+++ b/sassafrashook/fleet/_subscriber.py
@@ -261,7 +261,16 @@
         connected = [name for name in self.controllers_ if self._is_connected(name, now)]
         return rank_nodes(hash_key(self.name), connected)[0] if connected else None
 
-    def report_loads(self, controller, loads, cached_parts, crashes=(), rate_limits=(), results=()):
+    def report_loads(
+        self,
+        controller,
+        loads,
+        cached_parts,
+        crashes=(),
+        rate_limits=(),
+        results=(),
+        slowdowns=(),
+    ):
         """Send this router's load to a controller.
 
         :param loads: number of running requests, by upstream.
@@ -269,9 +278,12 @@
         :param crashes: iterable of :class:`~sassafrashook.quarantine.CrashRecord`.
         :param rate_limits: iterable of :class:`RateLimitStated`.
         :param results: iterable of :class:`~sassafrashook.ejection.UpstreamResults`.
+        :param slowdowns: iterable of :class:`SlowdownStated`.
         """
         parts = [PartCached(part, name) for part, name in cached_parts]
         self.mesh.send(
             controller,
-            LoadReported(loads, parts, list(crashes), list(rate_limits), list(results)),
+            LoadReported(
+                loads, parts, list(crashes), list(rate_limits), list(results), list(slowdowns)
+            ),
         )
--- a/sassafrashook/gateway/_attempt.py
+++ b/sassafrashook/gateway/_attempt.py
@@ -139,7 +139,7 @@
         if metadata.load is not None:
             self.upstream.record_load_report(*metadata.load, time.monotonic())
         if metadata.slowdown is not None:
-            self.upstream.slowdown_ = metadata.slowdown
+            self.handler.gateway.results.record_slowdown(self.upstream, metadata.slowdown)
         handler = self.handler
         handler.gateway.record_rate_limit(
             self.upstream, metadata.rate_limit, handler.metadata.request_id
--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -424,6 +424,13 @@
             attempt.close()
         upstream.record_response(True)
         self.gateway.results.record_attempt(attempt, now)
+        if attempt.first_data_at_ is not None and not upstream.is_cold(now):
+            placement.first_events_.record(
+                upstream,
+                sum(part.tokens for part in self.metadata.parts),
+                prompt_source is None,
+                (attempt.first_data_at_ - now) * 1_000,
+            )
         self.gateway.record_completion(self.metadata.request_id, self.traits)
         self.execution_count_ += 1
         self.verdict_ = Verdict.RAN
--- a/sassafrashook/gateway/_request_log.py
+++ b/sassafrashook/gateway/_request_log.py
@@ -37,6 +37,9 @@
         """
         handler = self.handler
         loads_age_s = min(now - handler.gateway.placement.loads_received_at_, MAX_LOGGED_AGE_S)
+        extra = {}
+        if upstream.slowdown_ is not None:
+            extra["slowdown"] = round(upstream.speed_.compute(now), 2)
         self._log_or_buffer(
             "request_placed", route=handler.route.name, upstream=upstream.registration.upstream_id,
             source=prompt_source.registration.upstream_id if prompt_source is not None else "-",
@@ -45,7 +48,7 @@
             loads_age_ms=round(loads_age_s * 1_000), cold=upstream.is_cold(now),
             software=upstream.registration.version, after=handler.last_event_id_ or "-",
             resumes=handler.metadata.stream_request_id or "-",
-            version=handler.table.version, runs=handler.execution_count_,
+            version=handler.table.version, runs=handler.execution_count_, **extra,
         )  # fmt: skip
 
     def log_placement_refusal(self, refusal):
--- a/sassafrashook/gateway/_results.py
+++ b/sassafrashook/gateway/_results.py
@@ -20,6 +20,26 @@
 
     def __init__(self):
         self._counter = ResultCounter()
+        self._slowdowns = {}
+
+    def record_slowdown(self, upstream, slowdown):
+        """Record how long work takes at an upstream, as it stated.
+
+        :param upstream: an :class:`~sassafrashook.placement.UpstreamState`.
+        :param slowdown: the figure, as a multiple of the usual time.
+        """
+        now = time.monotonic()
+        upstream.slowdown_ = slowdown
+        upstream.speed_.record_stated(slowdown, now)
+        self._slowdowns[upstream.key] = (slowdown, now)
+
+    def take_slowdowns(self):
+        """Return and clear the latest figures since the last call, and when they were heard.
+
+        :returns: list of the boot's key, the figure, and the monotonic time.
+        """
+        slowdowns, self._slowdowns = self._slowdowns, {}
+        return [(key, slowdown, at) for key, (slowdown, at) in slowdowns.items()]
 
     def record_attempt(self, attempt, began_at, error=None):
         """Count the result of an attempt.
--- a/sassafrashook/placement/_placement.py
+++ b/sassafrashook/placement/_placement.py
@@ -7,6 +7,7 @@
 
 from sassafrashook.base import Parametrized
 from sassafrashook.ejection import EjectionView
+from sassafrashook.estimation import FirstEventModel
 from sassafrashook.outcomes import RefusalReason
 from sassafrashook.paths import PathMonitor
 from sassafrashook.placement._prompt_cache_index import PromptCacheIndex
@@ -124,6 +125,7 @@
         seconds.
     :ivar paths_: the :class:`~sassafrashook.paths.PathMonitor` of this router's paths.
     :ivar ejections_: the :class:`~sassafrashook.ejection.EjectionView` of this router.
+    :ivar first_events_: the :class:`~sassafrashook.estimation.FirstEventModel` of this router.
 
     See also :class:`~sassafrashook.placement.RetryBudget`.
     """
@@ -145,6 +147,7 @@
         self.loads_received_at_ = float("-inf")
         self.paths_ = PathMonitor(rng)
         self.ejections_ = EjectionView(rng)
+        self.first_events_ = FirstEventModel()
         self._states_by_service = {}
         self._prompt_cache = PromptCacheIndex()
         self._unannounced_holders = []
@@ -491,12 +494,14 @@
         available = [s for s in candidates if loads[s.key] < self._compute_capacity(s, query)]
         if query.session_part_hash is None:
             available.sort(key=lambda s: self._make_load_sort_key(s, loads[s.key]))
+            available = self._prefer_earliest(available, None, loads, query, now)
             return _split(available, lambda s: loads[s.key] < self._count_slots(s, query))
         mean = sum(loads.values()) / len(service_states)
         bound = self.load_factor * mean + self.load_slack
         available.sort(key=lambda s: self._compute_session_rank(query.session_part_hash, s))
-        self._prefer_holder(query.session_part_hash, available, now)
+        holder_keys = self._prefer_holder(query.session_part_hash, available, now)
         within_bound, over_bound = _split(available, lambda s: loads[s.key] + 1 <= bound)
+        within_bound = self._prefer_earliest(within_bound, holder_keys, loads, query, now)
         return within_bound, sorted(over_bound, key=lambda s: loads[s.key])
 
     def _prefer_holder(self, session_part_hash, ordered, now):
@@ -505,10 +510,30 @@
         A session that was moved once thus stays at its second upstream. A router that doesn't know
         the holder still finds the part among the first two upstreams of the order: it chooses one
         and copies from the other.
+
+        :returns: keys of the known holders.
         """
         holder_keys = self._prompt_cache.find_holders(session_part_hash, now)
         if len(ordered) > 1 and ordered[0].key not in holder_keys and ordered[1].key in holder_keys:
             ordered[0], ordered[1] = ordered[1], ordered[0]
+        return holder_keys
+
+    def _prefer_earliest(self, ordered, holder_keys, loads, query, now):
+        return self.first_events_.prefer_earliest(
+            ordered, holder_keys, loads, lambda state: self._count_slots(state, query), now
+        )
+
+    def record_remote_slowdowns(self, slowdowns):
+        """Record the figures that other routers heard of how long work takes at upstreams.
+
+        :param slowdowns: iterable of the boot's key, the figure, and when a router heard it, in
+            monotonic seconds.
+        """
+        for key, slowdown, heard_at in slowdowns:
+            state = self.upstreams_.get(key[0])
+            if state is not None and state.key == key:
+                state.slowdown_ = slowdown if state.slowdown_ is None else state.slowdown_
+                state.speed_.record_stated(slowdown, heard_at, is_own=False)
 
     def _make_load_sort_key(self, state, load):
         is_remote_zone = state.registration.availability_zone != self.zone
--- a/sassafrashook/placement/_upstreams.py
+++ b/sassafrashook/placement/_upstreams.py
@@ -1,5 +1,6 @@
 """One router's state for one boot of an upstream."""
 
+from sassafrashook.estimation import SpeedEstimate
 from sassafrashook.paths import Path
 from sassafrashook.registry import RegistrationState
 from sassafrashook.utils import hash_key
@@ -53,6 +54,7 @@
     :ivar wait_until_: until when it wants no requests from this router, in monotonic seconds.
     :ivar slowdown_: how long work takes at its host, as a multiple of the usual time, as last
         stated with a response; ``None`` if it has stated none.
+    :ivar speed_: the :class:`~sassafrashook.estimation.SpeedEstimate` of how long work takes now.
     :ivar presumed_cold_until_: until when it counts as cold because its zone was drained, in
         monotonic seconds.
     """
@@ -75,6 +77,7 @@
         "wait_until_",
         "presumed_cold_until_",
         "slowdown_",
+        "speed_",
         "rate_limit_",
         "rate_limit_heard_at_",
     )
@@ -97,6 +100,7 @@
         self.wait_until_ = float("-inf")
         self.presumed_cold_until_ = float("-inf")
         self.slowdown_ = None
+        self.speed_ = SpeedEstimate()
         self.rate_limit_ = None
         self.rate_limit_heard_at_ = float("-inf")
 
