--- a/sassafrashook/fleet/__init__.py
+++ b/sassafrashook/fleet/__init__.py
@@ -24,6 +24,7 @@
     "RateLimitStated",
     "RolloutPolled",
     "RolloutReported",
+    "SlowdownStated",
 ]
 
 __getattr__ = make_lazy_getattr(
@@ -38,6 +39,7 @@
             "RateLimitStated",
             "RolloutPolled",
             "RolloutReported",
+            "SlowdownStated",
         ),
         "_link": ("DEFAULT_LINK_BYTES_PER_S",),
         "_publisher": ("Publisher",),
--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -496,6 +496,13 @@
         upstream = attempt.upstream
         upstream.record_response(True)
         self.gateway.results.record_attempt(attempt, began_at)
+        if attempt.first_data_at_ is not None and not upstream.is_cold(began_at):
+            self.gateway.placement.first_events_.record(
+                upstream,
+                sum(part.tokens for part in self.metadata.parts),
+                attempt.prompt_source is None,
+                (attempt.first_data_at_ - began_at) * 1_000,
+            )
         self.gateway.record_completion(self.metadata.request_id, self.traits)
         self.execution_count_ += 1
         self.verdict_ = Verdict.RAN
