Gateway: the connection that proved an unframed response is pooled by its own state

It was kept as a fresh one, also if the upstream closes it with the answer to the health check, so that a request that runs at most once could be lost with it. A connection that its upstream has ended is no longer pooled either, and a HEAD request or a response without a body needs no proof.

--- a/sassafrashook/gateway/_attempt.py
+++ b/sassafrashook/gateway/_attempt.py
@@ -16,6 +16,7 @@
 # connection while the request is on its way, the request is lost and can't be sent again.
 MAX_IDLE_AT_MOST_ONCE_S = 0.5
 MIN_REMAINING_MS = 1
+BODILESS_STATUS = (204, 304)
 MAX_BODY_BYTES = 16_777_216  # of a response that is read before it is sent to the client
 # Bounds of the body of a refusal. A longer one is not worth waiting for to reuse the connection.
 MAX_REFUSAL_BYTES = 65_536
@@ -131,7 +132,7 @@
         self._prepare_witness()
         self._send()
         self.head_ = self._read_head()
-        if self._witness is not None and self.head_.is_close_delimited:
+        if self._witness is not None and self._is_unframed():
             self.handler.gateway.record_unframed_response(self.handler.service.name)
             self._witness.open(self._compute_remaining_s())
         self._check_head()
@@ -205,6 +206,11 @@
         if handler.client.is_disconnected_:
             raise AttemptError(FailureKind.CLIENT_DISCONNECTED, Verdict.NOT_RUN)
 
+    def _is_unframed(self):
+        """Return whether the response has a body that only the end of its connection ends."""
+        has_body = self.handler.head.method != b"HEAD" and self.head_.status not in BODILESS_STATUS
+        return has_body and self.head_.is_close_delimited
+
     def _prepare_witness(self):
         """Have a second connection if the response may be unframed and its end must be proved.
 
--- a/sassafrashook/gateway/_witness.py
+++ b/sassafrashook/gateway/_witness.py
@@ -54,6 +54,8 @@
                 self.connection_ = pool.open(upstream.registration.address, timeout_s)
             except OSError:
                 self.gateway.request_probe(upstream)
+            else:
+                self.connection_.mark_idle(time.monotonic())
 
     def proves(self, awaited_data_at):
         """Return whether the same process holds the witness and ran the request.
@@ -71,11 +73,13 @@
     def is_answered(self, health_path, deadline):
         """Ask for the upstream's health and return whether it answers, in whatever state it is.
 
+        The connection is then returned to the pool.
+
         :param health_path: path of the service's health checks.
         :param deadline: monotonic seconds.
         """
-        connection, codec = self.connection_, self.gateway.header_codec
-        upstream_id = self.upstream.registration.upstream_id
+        connection, self.connection_ = self.connection_, None
+        codec, upstream_id = self.gateway.header_codec, self.upstream.registration.upstream_id
         deadline = min(deadline, time.monotonic() + CONFIRMATION_TIMEOUT_S)
         size = 0
         try:
@@ -88,15 +92,15 @@
                     raise UpstreamResponseError("the answer to a health check is too long")
         except (OSError, ValueError):
             connection.close()
-            self.connection_ = None
             return False
+        self.gateway.pool.release(self.upstream.key, connection, head)
         metadata = codec.decode_response_head(head)
         if metadata.upstream_id is not None:
             return metadata.upstream_id == upstream_id
         return metadata.was_not_executed and not metadata.is_misdirected
 
     def release(self):
-        """Return the connection to the pool."""
+        """Return the connection to the pool if it has not been used."""
         connection, self.connection_ = self.connection_, None
         if connection is not None:
             self.gateway.pool.restore(self.upstream.key, connection)
--- a/sassafrashook/http1/_pool.py
+++ b/sassafrashook/http1/_pool.py
@@ -54,15 +54,11 @@
         return None
 
     def restore(self, key, connection):
-        """Return a connection of :meth:`take_oldest`, or a new one, to the pool.
+        """Return a connection to the pool that stayed idle, so that its idle time goes on.
 
         :param key: see :meth:`acquire`.
-        :param connection: the :class:`UpstreamConnection`; one that has carried requests is closed
-            if it is not reusable.
+        :param connection: the :class:`UpstreamConnection`, which has been marked as idle.
         """
-        if connection.idle_since_ == 0.0:
-            self.add_unused(key, connection)
-            return
         idle = self.idle_by_key_.setdefault(key, [])
         if len(idle) >= MAX_IDLE_PER_UPSTREAM or not connection.is_open_without_data():
             connection.close()
--- a/sassafrashook/http1/_upstream.py
+++ b/sassafrashook/http1/_upstream.py
@@ -208,7 +208,11 @@
 
     def is_reusable(self):
         """Return whether the exchange is complete and the connection can carry another one."""
-        if self.is_broken_ or (self._writer is not None and not self._writer.ready()):
+        if (
+            self.is_broken_
+            or self.is_ended_
+            or (self._writer is not None and not self._writer.ready())
+        ):
             return False
         http = self._http
         is_complete = http.our_state is h11.DONE and http.their_state is h11.DONE
--- a/sassafrashook/platform/tests/scripted_upstreams.py
+++ b/sassafrashook/platform/tests/scripted_upstreams.py
@@ -103,6 +103,7 @@
 
     :ivar requests: (head, body) of each request received.
     :ivar health_checks: number of health checks, which are answered with its name.
+    :ivar closes_after_health_check: whether it closes the connection of a health check.
     :ivar connections: number of accepted connections.
     :ivar closed: number of closed connections.
     """
@@ -112,6 +113,7 @@
         self.script = script
         self.requests = []
         self.health_checks = 0
+        self.closes_after_health_check = False
         self.connections = 0
         self.closed = 0
         self.open_socks = set()
@@ -135,8 +137,14 @@
                     self.health_checks += 1
                     sock.sendall(
                         b"HTTP/1.1 200 OK\r\nX-Sassafrashook-Instance-Id: %s\r\n"
-                        b"Content-Length: 0\r\n\r\n" % self.name.encode()
+                        b"Content-Length: 0\r\n%s\r\n"
+                        % (
+                            self.name.encode(),
+                            b"Connection: close\r\n" * self.closes_after_health_check,
+                        )
                     )
+                    if self.closes_after_health_check:
+                        return
                     continue
                 self.requests.append((head, body))
                 if not self.script(self, sock, head, body):
--- a/sassafrashook/platform/tests/test_unframed_responses.py
+++ b/sassafrashook/platform/tests/test_unframed_responses.py
@@ -132,6 +132,20 @@
         assert response[2:] == (make_event(1), b"")
 
 
+def test_connection_that_ends_after_its_proof_is_not_kept(start_harness):
+    """Guards against a request that runs at most once and is lost with that connection."""
+    harness = start_harness(make_script(), configuration=make_configuration())
+    harness.upstreams[0].closes_after_health_check = True
+    for number in range(6):
+        response = harness.send_request("/orders/7", request_id=f"a{number}")
+        assert response[2:] == (make_event(1), b"")
+        gevent.sleep(0.05)
+        idle = [
+            c for connections in harness.gateway.pool.idle_by_key_.values() for c in connections
+        ]
+        assert all(connection.is_open_without_data() for connection in idle)
+
+
 def test_framed_responses_need_no_health_check(start_harness):
     """Guards against health checks, which are priced, of responses that state their end."""
     harness = start_harness(respond_with_name, configuration=make_configuration())
