--- a/sassafrashook/daemons/_limited_server.py
+++ b/sassafrashook/daemons/_limited_server.py
@@ -7,6 +7,7 @@
 from gevent.pywsgi import Input, WSGIHandler, WSGIServer
 
 from sassafrashook.clients import SHARE_KEY, ClientPhase
+from sassafrashook.telemetry import log_event
 
 # Longest time without data or without an accepted send. Upstreams send a heartbeat every few
 # seconds, and clients open a new connection if theirs is closed.
@@ -52,6 +53,12 @@
         self.share.hold(0, time.monotonic())
         return super().read_requestline()
 
+    def _handle_client_error(self, ex):
+        """Close the connection without a traceback if it broke or was evicted within a head."""
+        if isinstance(ex, OSError):
+            return None
+        return super()._handle_client_error(ex)
+
     def get_environ(self):
         """Return the environment with the share and a bounded body."""
         environ = super().get_environ()
@@ -103,5 +110,7 @@
             handler = self.handler_class(sock, address, self)
             handler.share = share
             handler.handle()
+        except OSError as error:
+            log_event("control_connection_lost", address=address[0], reason=error)
         finally:
             share.close()
