--- a/sassafrashook/daemons/_router.py
+++ b/sassafrashook/daemons/_router.py
@@ -233,6 +233,10 @@
         """Apply the ejections of a controller, and log what has changed."""
         placement = self.placement_
         changes = placement.ejections_.update(ejections, placement.count_routers(), now)
+        for ejection in changes[1]:
+            state = placement.upstreams_.get(ejection.upstream_id)
+            if state is not None and state.key == ejection.key:
+                state.failure_rate_ = 0.0  # the results of all routers outweigh its own
         for event, changed in zip(("upstream_avoided", "upstream_restored"), changes, strict=True):
             for ejection in changed:
                 log_event(
--- a/sassafrashook/gateway/_results.py
+++ b/sassafrashook/gateway/_results.py
@@ -13,14 +13,18 @@
 
 
 class ResultRecorder:
-    """Counts the results of the attempts at upstreams that state how long work takes.
+    """Counts the results of attempts, once an upstream has stated how long work takes.
 
-    Other upstreams belong to deployments that don't call for ejection.
+    Deployments in which none states it don't call for ejection. A failed response may lack the
+    figure, so results of all upstreams count from then on.
+
+    :ivar is_enabled_: whether an upstream has stated how long work takes.
     """
 
     def __init__(self):
         self._counter = ResultCounter()
         self._slowdowns = {}
+        self.is_enabled_ = False
 
     def record_slowdown(self, upstream, slowdown):
         """Record how long work takes at an upstream, as it stated.
@@ -29,6 +33,7 @@
         :param slowdown: the figure, as a multiple of the usual time.
         """
         now = time.monotonic()
+        self.is_enabled_ = True
         upstream.slowdown_ = slowdown
         upstream.speed_.record_stated(slowdown, now)
         self._slowdowns[upstream.key] = (slowdown, now)
@@ -53,7 +58,7 @@
             attempt succeeded.
         """
         upstream, now = attempt.upstream, time.monotonic()
-        if upstream.slowdown_ is None:
+        if not self.is_enabled_:
             return
         succeeded, end = None, None
         if error is None:
--- a/sassafrashook/gateway/tests/test_results.py
+++ b/sassafrashook/gateway/tests/test_results.py
@@ -10,8 +10,8 @@
 from sassafrashook.outcomes import Verdict
 
 
-def make_attempt(slowdown=1.0, is_cold=False, first_data_at=None, is_aborted=False):
-    upstream = SimpleNamespace(key=("u", 1), slowdown_=slowdown, is_cold=lambda _now: is_cold)
+def make_attempt(is_cold=False, first_data_at=None, is_aborted=False):
+    upstream = SimpleNamespace(key=("u", 1), is_cold=lambda _now: is_cold)
     return SimpleNamespace(upstream=upstream, first_data_at_=first_data_at, is_aborted_=is_aborted)
 
 
@@ -22,8 +22,9 @@
     return AttemptError(kind, Verdict.RAN, "", response)
 
 
-def record(attempt, error=None):
+def record(attempt, error=None, is_enabled=True):
     recorder = ResultRecorder()
+    recorder.is_enabled_ = is_enabled
     recorder.record_attempt(attempt, time.monotonic() - 1.0, error)
     return [(r.succeeded, r.failed, r.timed) for r in recorder.take()]
 
@@ -54,7 +55,7 @@
 
 def test_upstreams_of_earlier_deployments_are_not_counted():
     """Guards against a change for deployments whose upstreams don't state the fourth figure."""
-    assert record(make_attempt(slowdown=None)) == []
+    assert record(make_attempt(), is_enabled=False) == []
 
 
 def test_attempts_that_this_router_aborted_do_not_count():
--- a/sassafrashook/platform/tests/test_results.py
+++ b/sassafrashook/platform/tests/test_results.py
@@ -46,3 +46,11 @@
     assert send_request(harness, "/counts/1") == 200
     assert harness.gateway.results.take() == []
     assert harness.gateway.results.take_slowdowns() == []
+
+
+def test_failed_responses_without_a_load_are_counted(start_harness):
+    """Guards against an upstream that fails everything, without the header, unnoticed."""
+    harness = start_harness(make_script("", "500 Internal Server Error"))
+    harness.gateway.results.is_enabled_ = True
+    assert send_request(harness, "/orders/1") == 500
+    assert [result.failed for result in harness.gateway.results.take()] == [1]
