--- a/sassafrashook/daemons/_controller.py
+++ b/sassafrashook/daemons/_controller.py
@@ -10,6 +10,7 @@
 from sassafrashook.daemons._endpoints import serve_application, serve_metrics
 from sassafrashook.fleet import FLEET_MESSAGES, FleetCache, FleetController, FleetState
 from sassafrashook.registry import Registry
+from sassafrashook.rollouts import RolloutState
 from sassafrashook.storage import (
     DiskFullError,
     LocalFileSystem,
@@ -121,8 +122,21 @@
         publisher, exchange = self.fleet_.publisher_, self.fleet_.exchange_
         self.metrics_.register_gauge("updates_postponed", lambda: publisher.postponed_)
         self.metrics_.register_gauge("parts_dropped", lambda: exchange.parts_dropped_)
+        if self.fleet_.rollouts_ is not None:
+            self._register_rollout_gauges()
         self._server = serve_application(self.settings.control, self._application)
 
+    def _register_rollout_gauges(self):
+        for state in RolloutState:
+            self.metrics_.register_gauge(
+                f"rollouts_{state.value}",
+                lambda state=state: sum(
+                    rollout.state is state for rollout in self.state_.rollouts_.list_all()
+                ),
+            )
+        decided = self.fleet_.rollouts_.decided_
+        self.metrics_.register_gauge("rollout_decisions", lambda: sum(decided.values()))
+
     def _start_replica(self):
         """Start the replica; retry while the disk of the data folder is full."""
         while True:
--- a/sassafrashook/operations/_cli.py
+++ b/sassafrashook/operations/_cli.py
@@ -20,6 +20,9 @@
 from sassafrashook.operations._output import print_response
 from sassafrashook.settings import ControllerSettings, RouterSettings
 
+# An order is repeated for as long as controllers take it for the same order.
+MAX_ORDER_TIMEOUT_MS = 5_000
+
 
 class ConfigCommands(ConfigurationUpdateCommands):
     """Validate, apply and show the configuration."""
@@ -204,6 +207,40 @@
         sys.exit(run_role(role, settings))
 
 
+class RolloutCommands(OperatorCommands):
+    """Move a service's traffic to another software version, on the platform.
+
+    The controllers are named by the addresses of their control plane.
+    """
+
+    def start(self, service, to, duration_s):
+        """Order a rollout; it is completed or reverted within the duration.
+
+        :param service: name of the service.
+        :param to: software version that the traffic is moved to.
+        :param duration_s: time within which it must end, in seconds.
+        """
+        self._timeout_ms = min(self._timeout_ms, MAX_ORDER_TIMEOUT_MS)
+        order = {"service": str(service), "to": str(to), "duration_s": duration_s}
+        self._request("POST", "/rollouts", order)
+        self._print({"service": str(service), "to": str(to), "outcome": "accepted"})
+
+    def status(self, service):
+        """Show the latest rollout of a service.
+
+        :param service: name of the service.
+        """
+        self._print(self._request("GET", f"/rollouts/{service}"))
+
+    def revert(self, service):
+        """Revert the rollout of a service that is in progress.
+
+        :param service: name of the service.
+        """
+        self._request("DELETE", f"/rollouts/{service}")
+        self._print({"service": str(service), "outcome": "reverted"})
+
+
 class RequestCommands:
     """Explain the outcome of requests.
 
@@ -269,6 +306,7 @@
             "member": MemberCommands,
             "platform": PlatformCommands,
             "request": RequestCommands,
+            "rollout": RolloutCommands,
             "router": RouterCommands,
             "status": StatusCommand,
             "upstream": UpstreamCommands,
--- a/sassafrashook/operations/_client.py
+++ b/sassafrashook/operations/_client.py
@@ -16,6 +16,7 @@
 CONNECT_TIMEOUT_MS = 1_000
 MIN_RESPONSE_TIMEOUT_MS = 1_000
 RETRY_DELAY_MS = 200
+STATUS_REDIRECTED = 307  # by a controller of the platform that doesn't lead
 STATUS_NOT_LEADER = 421
 STATUS_UNAVAILABLE = 503
 
@@ -169,11 +170,11 @@
 
     @property
     def is_final(self):
-        temporary = (STATUS_NOT_LEADER, STATUS_UNAVAILABLE)
+        temporary = (STATUS_REDIRECTED, STATUS_NOT_LEADER, STATUS_UNAVAILABLE)
         return self.response is not None and self.response.status not in temporary
 
 
 def _may_be_accepted(response):
-    if response.status == STATUS_NOT_LEADER:
+    if response.status in (STATUS_REDIRECTED, STATUS_NOT_LEADER):
         return False
     return response.body.get("verdict") != Verdict.NOT_RUN
--- a/sassafrashook/platform/tests/test_rollouts.py
+++ b/sassafrashook/platform/tests/test_rollouts.py
@@ -2,12 +2,20 @@
 
 import itertools
 import json
+import subprocess
+import sys
 import time
 
 import gevent
 import pytest
+from gevent.pool import Group
 
-from sassafrashook.platform.tests.documents import CONTROLLER_IPS, ROUTER_IPS, make_config
+from sassafrashook.platform.tests.documents import (
+    CONTROL_PORT,
+    CONTROLLER_IPS,
+    ROUTER_IPS,
+    make_config,
+)
 from sassafrashook.platform.tests.scripted_upstreams import (
     ScriptedUpstream,
     encode_response,
@@ -40,10 +48,11 @@
     add_upstreams(fleet, "v1", respond_with_name)
     for ip in ROUTER_IPS:
         assert wait_for(lambda ip=ip: fleet.send_request(ip, "/counts/1")[0] == 200, 10.0)
-    fleet.answers = []
-    tasks = [gevent.spawn(send_reports, fleet), gevent.spawn(send_requests, fleet)]
+    tasks = Group()
+    tasks.spawn(send_reports, fleet)
+    tasks.spawn(send_requests, fleet, tasks)
     yield fleet
-    gevent.killall(tasks)
+    tasks.kill()
     fleet.stop()
     for upstream, _ in fleet.upstreams:
         upstream.stop()
@@ -65,16 +74,11 @@
             fleet.send_report(upstream, version=version)
 
 
-def send_requests(fleet):
+def send_requests(fleet, tasks):
     """Send requests to both routers, forever."""
     for number in itertools.count():
         gevent.sleep(REQUEST_INTERVAL_S)
-        gevent.spawn(send_one, fleet, number)
-
-
-def send_one(fleet, number):
-    status, body = fleet.send_request(ROUTER_IPS[number % 2], "/counts/1", f"n{number}")
-    fleet.answers.append((time.monotonic(), status, body))
+        tasks.spawn(fleet.send_request, ROUTER_IPS[number % 2], "/counts/1", f"n{number}")
 
 
 def count_requests(fleet, version):
@@ -85,6 +89,18 @@
     return json.loads(fleet.request_until_accepted("GET", "/rollouts/s1"))
 
 
+def run_command(fleet, *words):
+    """Run a command of operators; :returns: its output."""
+    addresses = ",".join(f"{ip}:{CONTROL_PORT}" for ip in CONTROLLER_IPS)
+    command = [sys.executable, "-m", "sassafrashook", "rollout", *words]
+    process = subprocess.Popen(
+        [*command, f"--controllers={addresses}"], cwd=fleet.tree, stdout=subprocess.PIPE
+    )
+    output, _ = process.communicate(timeout=15)
+    assert process.returncode == 0
+    return output.decode()
+
+
 def find_leader(fleet):
     """Return the controller to which another one redirects an order that changes nothing."""
     order = {"service": "nothing", "to": "v2", "duration_s": 1}
@@ -125,8 +141,9 @@
     assert read_error(fleet, {**order, "to": "v9"})[0] == 422
     assert read_error(fleet, {**order, "duration_s": 0})[0] == 400
     assert read_error(fleet, {"service": "s1", "to": "v2"})[0] == 400
-    fleet.request_until_accepted("POST", "/rollouts", order)
+    run_command(fleet, "start", "s1", "v2", str(DURATION_S))
     assert wait_for(lambda: read_state(fleet)["state"] == "reverted", STATE_TIMEOUT_S)
+    assert "reverted" in run_command(fleet, "status", "s1")
     gevent.sleep(0.5)
     sent = count_requests(fleet, "v2")
     assert 0 < sent <= BOUNDS["canary_tolerance"]
@@ -135,6 +152,40 @@
     fleet.request_until_accepted("POST", "/rollouts", order)
 
 
+def test_acknowledged_rollout_survives_two_lost_disks_and_a_restart_of_all(fleet):
+    """Guards against an acknowledged order that is forgotten, and a step that is taken twice."""
+    add_upstreams(fleet, "v2", respond_with_name)
+    order = {"service": "s1", "to": "v2", "duration_s": 60}
+    leader = find_leader(fleet)
+    assert wait_for(lambda: count_voters(fleet) == len(CONTROLLER_IPS), 15.0)
+    fleet.request_until_accepted("POST", "/rollouts", order)
+    lost = [leader, next(ip for ip in CONTROLLER_IPS if ip != leader)]
+    for ip in CONTROLLER_IPS:
+        fleet.kill(ip)
+    for ip in lost:
+        fleet.delete_data(ip)
+    for ip in CONTROLLER_IPS:
+        fleet.start(ip, bootstrap=False)
+    assert read_state(fleet) == {"state": "in_progress", "to": "v2"}
+    run_command(fleet, "revert", "s1")
+    assert read_state(fleet) == {"state": "reverted", "to": "v2"}
+    gevent.sleep(0.5)
+    sent = count_requests(fleet, "v2")
+    gevent.sleep(1.0)
+    assert count_requests(fleet, "v2") == sent
+
+
+def count_voters(fleet):
+    """Return the number of voters that the last leader has logged."""
+    lines = [
+        line
+        for ip in CONTROLLER_IPS
+        for line in fleet.read_log(ip).splitlines()
+        if "event=members_changed" in line
+    ]
+    return max((line.count(":voter") for line in lines), default=0)
+
+
 def read_error(fleet, order):
     status, body, _ = fleet.call(find_leader(fleet), "POST", "/rollouts", order)
     return status, json.loads(body).get("error")
