--- a/sassafrashook/daemons/_controller.py
+++ b/sassafrashook/daemons/_controller.py
@@ -11,6 +11,7 @@
 from sassafrashook.daemons._endpoints import serve_application, serve_metrics
 from sassafrashook.fleet import FLEET_MESSAGES, FleetCache, FleetController, FleetState
 from sassafrashook.registry import Registry
+from sassafrashook.rollouts import RolloutState
 from sassafrashook.storage import (
     DiskFullError,
     LocalFileSystem,
@@ -130,10 +131,23 @@
             "upstreams_ejected", lambda: len(exchange.outliers_.ejections_)
         )
         self.metrics_.register_gauge("parts_dropped", lambda: exchange.parts_dropped_)
+        if self.fleet_.rollouts_ is not None:
+            self._register_rollout_gauges()
         self._server = serve_application(
             self.settings.control, self._application, self.client_budget_
         )
 
+    def _register_rollout_gauges(self):
+        for state in RolloutState:
+            self.metrics_.register_gauge(
+                f"rollouts_{state.value}",
+                lambda state=state: sum(
+                    rollout.state is state for rollout in self.state_.rollouts_.list_all()
+                ),
+            )
+        decided = self.fleet_.rollouts_.decided_
+        self.metrics_.register_gauge("rollout_decisions", lambda: sum(decided.values()))
+
     def _start_replica(self):
         """Start the replica; retry while the disk of the data folder is full."""
         while True:
