--- a/sassafrashook/gateway/_server.py
+++ b/sassafrashook/gateway/_server.py
@@ -36,10 +36,11 @@
 # Bounds of the random retry delay of a request whose body did not fit into the memory for clients.
 MEMORY_LIMIT_RETRY_MS = (1_000, 3_000)
 # A request waits for the first configuration for this fraction of its deadline, but no longer than
-# the maximum. Once a controller has the configuration, a restarted router receives it within that
-# maximum.
+# the maximum: after a restart of all hosts, a router on a slow host receives it within that time. A
+# client that repeats a request once has mostly lost its first attempt then, so a refusal after 0.5 s
+# cost a third of the requests their last one.
 CONFIGURATION_WAIT_FRACTION = 0.25
-MAX_CONFIGURATION_WAIT_S = 0.5
+MAX_CONFIGURATION_WAIT_S = 2.0
 STATUS_NOT_FOUND = 404
 STATUS_UNAUTHORIZED = 401
 MS_PER_S = 1_000
