--- a/sassafrashook/gateway/_server.py
+++ b/sassafrashook/gateway/_server.py
@@ -36,9 +36,9 @@
 # Bounds of the random retry delay of a request whose body did not fit into the memory for clients.
 MEMORY_LIMIT_RETRY_MS = (1_000, 3_000)
 # A request waits for the first configuration for this fraction of its deadline, but no longer than
-# the maximum: after a restart of all hosts, a router on a slow host receives it within that time. A
-# client that repeats a request once has mostly lost its first attempt then, so a refusal after 0.5 s
-# cost a third of the requests their last one.
+# the maximum: after a restart of all hosts, a router on a slow host receives it within that time.
+# Clients that repeat a request once have mostly lost their first attempt by then, so that a refusal
+# after 0.5 s ended a third of the requests of the two seconds after such a restart.
 CONFIGURATION_WAIT_FRACTION = 0.25
 MAX_CONFIGURATION_WAIT_S = 2.0
 STATUS_NOT_FOUND = 404
