--- a/sassafrashook/fleet/tests/simulated_fleet.py
+++ b/sassafrashook/fleet/tests/simulated_fleet.py
@@ -133,6 +133,7 @@
         self.schedule(REQUEST_INTERVAL_S, self.request_updates, name)
 
     def publish(self, name):
+        self.controllers[name]._update_majority(self.now)
         self.controllers[name].send_due_updates(self.now)
         self.schedule(PUBLISH_INTERVAL_S, self.publish, name)
 
--- /dev/null
+++ b/sassafrashook/platform/tests/test_outdated_configuration.py
@@ -0,0 +1,19 @@
+"""Tests of a gateway whose configuration has been replaced by one that it does not have."""
+
+import time
+
+import pytest
+
+from sassafrashook.platform.tests.scripted_upstreams import respond_with_name
+
+APPLY_S = 2.0  # until an acknowledged version has to be in force
+
+
+@pytest.mark.parametrize(("age_s", "status"), [(0.5 * APPLY_S, 200), (3 * APPLY_S, 503)])
+def test_request_by_a_route_that_a_newer_version_may_have_dropped(start_harness, age_s, status):
+    """A version that is known to be replaced is acted on for as long as callers were told."""
+    harness = start_harness(respond_with_name)
+    harness.gateway.view.newest_version_ = 2
+    harness.gateway.view.confirmed_at_ = time.monotonic() - age_s
+    assert harness.send_request("/orders/1")[0] == status
+    assert harness.count_requests() == (status == 200)
