fleet: a configuration is confirmed by when it was the newest one, not by when an update arrived

Cause: a router took the arrival of an update for the time at which the update was true, and an update of any controller that hears a majority for one of a controller that holds the newest version. The age of the controller's own knowledge, of the log in its lane and of the update in lanes and links was added to the 2.5 s for which a router believed it, and nothing bounded the sum by `config_apply_ms` (2,000 to 3,000 ms), which no code read.

Why this works: each controller makes a linearizable read every 0.3 s; an update carries the time, on the router's own clock, of the latest request that had arrived before that read began. All delays and freezes only make that time earlier. A router compares it plus `config_apply_ms` with its clock, which counts suspended time. Older builds state no time; a router that hears only these answers 503 instead of 404.

Ruled out: comparing clocks of hosts, an age without an echo, the leader's lease (docs/design/configuration-age.md). Costs 4 bytes a request and update, and up to 12 KB/s at the leader, whatever the number of routers.

--- a/sassafrashook/daemons/_router.py
+++ b/sassafrashook/daemons/_router.py
@@ -1,5 +1,6 @@
 """The router process: subscribes to the controllers and forwards client requests."""
 
+import math
 import random
 import time
 
@@ -35,6 +36,7 @@
 from sassafrashook.tasks import spawn_task
 from sassafrashook.telemetry import Metrics, log_event, register_log_gauge
 from sassafrashook.transport import Mesh
+from sassafrashook.utils import read_boot_time
 
 # Far above the latency of 1 ms to another zone, and far below the seconds by which a lost SYN
 # delays a connection.
@@ -88,7 +90,8 @@
             settings.rollout_bounds is not None, boot=random.getrandbits(32)
         )
         registry = Registry(SILENT_TIMEOUT_S, settings.departure_grace_ms / 1_000)
-        self.view_ = FleetView(registry, rollouts=self.rollouts_)
+        apply_s = settings.configuration_apply_ms / MS_PER_S
+        self.view_ = FleetView(registry, rollouts=self.rollouts_, apply_s=apply_s)
         self.subscriber_ = FleetSubscriber(
             settings.name, self.mesh_, self.view_, settings.stream_port, True, self._apply_update
         )
@@ -154,6 +157,7 @@
         )
         self.metrics_.register_gauge("requests_running", lambda: self.server_.active_request_count_)
         self.metrics_.register_gauge("configuration_version", lambda: self.view_.version)
+        self.metrics_.register_gauge("configuration_age_ms", self._measure_configuration_age_ms)
         self.metrics_.register_gauge("controllers_heard", self.subscriber_.count_connected)
         self.metrics_.register_gauge("view_age_ms", self.subscriber_.measure_age_ms)
         self.metrics_.register_gauge("upstreams_usable", lambda: len(self.placement_.upstreams_))
@@ -168,6 +172,12 @@
         tasks = (self._report_loads, self._close_expired_connections, self._probe_upstreams)
         self._tasks = [spawn_task(task) for task in tasks]
 
+    def _measure_configuration_age_ms(self):
+        """Return for how long nobody has confirmed the configuration; -1 if nobody ever has."""
+        confirmed_at = self.view_.age_.confirmed_at_
+        is_known = math.isfinite(confirmed_at)
+        return round((read_boot_time() - confirmed_at) * MS_PER_S) if is_known else -1
+
     def is_ready(self):
         """Return whether the router has a configuration and accepts connections."""
         return self.view_.table_ is not None and not self.server_.is_stopping_
--- a/sassafrashook/daemons/_settings.py
+++ b/sassafrashook/daemons/_settings.py
@@ -5,6 +5,8 @@
 from sassafrashook.fleet import DEFAULT_LINK_BYTES_PER_S
 from sassafrashook.hedging import HedgingLimits
 
+DEFAULT_APPLY_MS = 2_000
+
 
 @dataclass(slots=True, frozen=True)
 class RouterAddresses:
@@ -53,6 +55,8 @@
     :param client_memory_bytes: memory that all connections of clients may hold, in bytes, ``None``
         for no limit.
     :param max_client_connections: number of connections of clients, ``None`` for no limit.
+    :param configuration_apply_ms: time after its acknowledgement within which a configuration is in
+        force at every router.
     """
 
     name: str
@@ -79,3 +83,4 @@
     hedging: HedgingLimits = HedgingLimits()
     client_memory_bytes: int | None = None
     max_client_connections: int | None = None
+    configuration_apply_ms: float = DEFAULT_APPLY_MS
--- a/sassafrashook/fleet/__init__.py
+++ b/sassafrashook/fleet/__init__.py
@@ -45,6 +45,7 @@
         "_publisher": ("Publisher",),
         "_state": ("FleetState",),
         "_streams": ("FleetStreamVersions",),
-        "_subscriber": ("FleetSubscriber", "FleetView"),
+        "_subscriber": ("FleetSubscriber",),
+        "_view": ("FleetView",),
     },
 )
--- a/sassafrashook/fleet/_controller.py
+++ b/sassafrashook/fleet/_controller.py
@@ -26,7 +26,8 @@
     encode_command,
 )
 from sassafrashook.fleet._streams import StreamRecords
-from sassafrashook.fleet._subscriber import FleetSubscriber, FleetView
+from sassafrashook.fleet._subscriber import FleetSubscriber
+from sassafrashook.fleet._view import FleetView
 from sassafrashook.interfaces import ProposalErrorReason
 from sassafrashook.quarantine import CrashLedger
 from sassafrashook.tasks import spawn_task
@@ -39,6 +40,9 @@
 PROPAGATION_TIMEOUT_S = 0.8  # longest wait for a departure to reach the other nodes
 ROUTER_PROPAGATION_TIMEOUT_S = 0.5  # the part of it that lagging routers are waited for
 PROPAGATION_POLL_S = 0.01
+CONFIRM_INTERVAL_S = 0.3  # between reads that confirm the configuration as the newest one
+# A controller without a confirmed read for this time logs that routers may reject requests for now.
+CONFIRMATION_LOST_S = 1.5
 LINK_LOG_INTERVAL_S = 5.0  # between log lines about what the link had no room for
 CACHE_INTERVAL_S = 1.0  # between checks whether the fleet cache must be saved
 COMPRESSION_LEVEL = 6
@@ -65,6 +69,8 @@
     :param rollout_bounds: the :class:`~sassafrashook.rollouts.RolloutBounds`, ``None`` in a
         deployment without rollouts.
 
+    :ivar confirmed_at_: when the last read began that confirmed the configuration as the newest,
+        in monotonic seconds.
     :ivar rollouts_: the :class:`~sassafrashook.fleet._rollouts.FleetRollouts`, or ``None``.
     :ivar crashes_: the :class:`~sassafrashook.quarantine.CrashLedger` of the whole fleet.
     :ivar publisher_: the :class:`~sassafrashook.fleet.Publisher`.
@@ -120,13 +126,15 @@
             name, mesh, view, port, False, self._add_announcement_targets
         )
         self._had_majority = False
+        self.confirmed_at_ = float("-inf")
+        self._is_confirmed = False
         self._started_at = time.monotonic()
         self._link_logged_at = self._started_at
         self._link_totals = (0, 0)
 
     def start(self):
         """Start to subscribe to the other controllers and to publish updates."""
-        tasks = [self._publish, self.exchange_.run, self.streams_.run]
+        tasks = [self._publish, self._confirm, self.exchange_.run, self.streams_.run]
         if self.cache is not None:
             self.load_cache()
             tasks.append(self._save_cache)
@@ -216,6 +224,26 @@
             self.send_due_updates(now)
             gevent.sleep(PUBLISH_INTERVAL_S)
 
+    def _confirm(self):
+        """Confirm at intervals that the configuration is the newest one, forever."""
+        while True:
+            self.confirm_configuration()
+            gevent.sleep(CONFIRM_INTERVAL_S)
+
+    def confirm_configuration(self):
+        """Confirm with a linearizable read that the configuration is the newest one.
+
+        All versions that were acknowledged before the read began are applied once it returns.
+        """
+        began_at = time.monotonic()
+        if not isinstance(self.replica.confirm_read(began_at + COMMIT_TIMEOUT_S), Failure):
+            self.confirmed_at_ = began_at
+        is_confirmed = time.monotonic() < self.confirmed_at_ + CONFIRMATION_LOST_S
+        if is_confirmed != self._is_confirmed:
+            self._is_confirmed = is_confirmed
+            event = "configuration_confirmed" if is_confirmed else "configuration_unconfirmed"
+            log_event(event, version=self.state.version_, leader=self.replica.get_leader())
+
     def send_due_updates(self, now):
         """Send the updates that are due to the subscribers.
 
@@ -333,6 +361,7 @@
                 left,
                 state.rollouts_.index_,
                 state.rollouts_.list_all() if lacks_rollouts else (),
+                self.publisher_.find_confirmed_ms(name, self.confirmed_at_),
             )
             self.mesh.send(name, message)
 
--- a/sassafrashook/fleet/_messages.py
+++ b/sassafrashook/fleet/_messages.py
@@ -44,6 +44,8 @@
     :param routers_revision: latest revision of the controller's list of routers that the node
         holds; -1 if the node needs the whole list in each update.
     :param rollout_index: log index of the last change of the rollouts that the node holds.
+    :param sent_at_ms: when this was sent, in milliseconds on the node's clock; 0 from a build that
+        does not state it.
     """
 
     is_router: bool
@@ -55,6 +57,7 @@
     wants_crashes: bool = True
     routers_revision: int = -1
     rollout_index: int = 0
+    sent_at_ms: int = 0
 
 
 class ViewChanged(Message):
@@ -88,6 +91,8 @@
     :param left_routers: names of the routers that were removed from it.
     :param rollout_index: log index of the last change of the controller's rollouts.
     :param rollouts: all rollouts; empty if the node holds those of ``rollout_index`` or later.
+    :param confirmed_at_ms: a time, in milliseconds on the receiver's clock, at which no newer
+        version than ``newest_version`` was acknowledged; 0 if none is known.
     """
 
     boot_id: str
@@ -111,6 +116,7 @@
     left_routers: list[str] = []
     rollout_index: int = 0
     rollouts: list[Rollout] = []
+    confirmed_at_ms: int = 0
 
     @property
     def is_large(self):
--- a/sassafrashook/fleet/_publisher.py
+++ b/sassafrashook/fleet/_publisher.py
@@ -1,8 +1,9 @@
 """Tracks the subscribers of a controller and schedules the updates sent to them."""
 
 import math
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
+from sassafrashook.fleet._freshness import RequestTimes
 from sassafrashook.fleet._link import DEFAULT_LINK_BYTES_PER_S
 from sassafrashook.fleet._router_names import RouterNameHistory
 
@@ -59,6 +60,7 @@
     wants_crashes: bool = True
     crashes_sent_at: float = float("-inf")
     routers_revision: int = -1
+    request_times: RequestTimes = field(default_factory=RequestTimes)
 
     def is_awaited(self, now):
         """Return whether it may still acknowledge the last update, which then need not be resent.
@@ -224,7 +226,7 @@
         subscriber = self.subscribers_.get(name)
         if subscriber is None:
             nothing = StateVersions(-1, 0, 0, -1)
-            self.subscribers_[name] = Subscriber(
+            subscriber = self.subscribers_[name] = Subscriber(
                 request.is_router,
                 held,
                 nothing,
@@ -233,6 +235,7 @@
                 wants_crashes=request.wants_crashes,
                 routers_revision=request.routers_revision if is_same_boot else 0,
             )
+            subscriber.request_times.add(request.sent_at_ms, now)
             return
         if held.configuration_version > subscriber.held.configuration_version:
             subscriber.lagging_since = None
@@ -241,6 +244,7 @@
         subscriber.routers_revision = request.routers_revision if is_same_boot else 0
         subscriber.held = held
         subscriber.last_request_at = now
+        subscriber.request_times.add(request.sent_at_ms, now)
 
     def schedule_updates(
         self,
@@ -408,6 +412,14 @@
         routers = {n for n, s in self.subscribers_.items() if s.is_router}
         return sorted(routers.union(self._restored_routers))
 
+    def find_confirmed_ms(self, name, read_began_at):
+        """Return a time on a subscriber's clock at which what a read has shown was true.
+
+        :param read_began_at: when the read began, in monotonic seconds.
+        :returns: milliseconds, 0 if none is known.
+        """
+        return self.subscribers_[name].request_times.find_latest(read_began_at)
+
     def holds_revision(self, name, revision):
         """Return whether a subscriber has acknowledged a revision."""
         subscriber = self.subscribers_.get(name)
--- a/sassafrashook/fleet/_subscriber.py
+++ b/sassafrashook/fleet/_subscriber.py
@@ -1,110 +1,20 @@
 """Subscription of a node to the controllers' updates."""
 
 import time
-import zlib
 
 import gevent
-import msgspec
-from gevent.event import Event
 
 from sassafrashook.fleet._messages import LoadReported, PartCached, ViewChanged, ViewRequested
-from sassafrashook.fleet._router_names import RouterNameLists
-from sassafrashook.quarantine import CrashLedger
-from sassafrashook.rollouts import RouterRollouts
-from sassafrashook.routes import RouteConfiguration, RouteHistory, RouteTable
 from sassafrashook.tasks import spawn_task
 from sassafrashook.telemetry import log_event
 from sassafrashook.transport import PeerAddress
-from sassafrashook.utils import hash_key, rank_nodes
+from sassafrashook.utils import hash_key, rank_nodes, read_boot_time
 
 REQUEST_INTERVAL_S = 0.5  # between requests to a connected controller without updates
 CONNECT_INTERVAL_S = 0.1  # between requests to a controller that is not connected
 # A controller that sent an update within this time is connected; it sends one at least each second.
 CONTROLLER_TIMEOUT_S = 2.5
-# A configuration that no controller with a majority has confirmed for this time may be outdated.
-CONFIRMATION_TIMEOUT_S = 2.5
-
-
-class FleetView:
-    """A node's view of the fleet, merged from the updates of all controllers.
-
-    Older updates never replace newer ones.
-
-    :param registry: the node's :class:`~sassafrashook.registry.Registry`.
-    :param crashes: the node's :class:`~sassafrashook.quarantine.CrashLedger`; a new one if omitted.
-    :param rollouts: the node's :class:`~sassafrashook.rollouts.RouterRollouts`; a new one if
-        omitted.
-
-    :ivar table_: the current :class:`~sassafrashook.routes.RouteTable`, or ``None``.
-    :ivar route_history_: the :class:`~sassafrashook.routes.RouteHistory` of the configurations.
-    :ivar configured_: event that is set once there is a route table.
-    :ivar drained_zones_: availability zones that are drained.
-    :ivar drain_index_: log index of ``drained_zones_``.
-    :ivar routers_: names of all routers.
-    :ivar router_lists_: the :class:`~sassafrashook.fleet._router_names.RouterNameLists`.
-    :ivar newest_version_: highest version of a configuration that a controller has named.
-    :ivar confirmed_at_: when a controller that is connected to a majority last sent an update, in
-        monotonic seconds.
-    """
-
-    def __init__(self, registry, crashes=None, rollouts=None):
-        self.registry = registry
-        self.rollouts = rollouts if rollouts is not None else RouterRollouts()
-        self.crashes = crashes if crashes is not None else CrashLedger()
-        self.table_ = None
-        self.route_history_ = RouteHistory()
-        self.configured_ = Event()
-        self.drained_zones_ = frozenset()
-        self.drain_index_ = 0
-        self.routers_ = ()
-        self.router_lists_ = RouterNameLists()
-        self.newest_version_ = 0
-        self.confirmed_at_ = float("-inf")
-
-    @property
-    def version(self):
-        """Version of the configuration, 0 if there is none."""
-        return self.table_.version if self.table_ is not None else 0
-
-    def may_be_outdated(self, now):
-        """Return whether there is, or may be, a newer configuration than this node's.
-
-        :param now: monotonic seconds.
-        """
-        is_confirmed = now < self.confirmed_at_ + CONFIRMATION_TIMEOUT_S
-        return self.newest_version_ > self.version or not is_confirmed
-
-    def apply(self, update, now):
-        """Apply an update from a controller.
-
-        :param update: a :class:`~sassafrashook.fleet._messages.ViewChanged`.
-        :param now: monotonic seconds.
-        :returns: the zones that the update put back into service.
-        """
-        self.rollouts.merge(update.rollouts, update.rollout_index)
-        for registration in update.registrations:
-            self.registry.merge(registration, now)
-        for record in update.crashes:
-            self.crashes.merge(record, now)
-        if update.configuration_version > self.version:
-            configuration = msgspec.msgpack.decode(
-                zlib.decompress(update.configuration), type=RouteConfiguration
-            )
-            table = RouteTable(configuration)
-            self.route_history_.record_change(self.table_, table, now)
-            self.table_ = table
-            self.configured_.set()
-        self.newest_version_ = max(self.newest_version_, update.newest_version)
-        if update.is_connected:
-            self.confirmed_at_ = now
-        self.router_lists_.apply(update, now)
-        self.routers_ = self.router_lists_.names_
-        if update.drain_index <= self.drain_index_:
-            return frozenset()
-        undrained_zones = self.drained_zones_ - set(update.drained_zones)
-        self.drain_index_ = update.drain_index
-        self.drained_zones_ = frozenset(update.drained_zones)
-        return undrained_zones
+MS_PER_S = 1_000
 
 
 class FleetSubscriber:
@@ -112,7 +22,7 @@
 
     :param name: name of this node.
     :param mesh: a :class:`~sassafrashook.transport.Mesh`.
-    :param view: a :class:`FleetView`.
+    :param view: a :class:`~sassafrashook.fleet.FleetView`.
     :param port: port on which every node accepts streams of other nodes.
     :param is_router: whether this node is a router.
     :param on_update: called with each :class:`~sassafrashook.fleet._messages.ViewChanged` and
@@ -184,6 +94,7 @@
                 self._wants_crashes(name),
                 self.view.router_lists_.get_revision(boot_id),
                 self.view.rollouts.index_,
+                round(read_boot_time() * MS_PER_S),
             ),
         )
 
--- a/sassafrashook/fleet/tests/simulated_fleet.py
+++ b/sassafrashook/fleet/tests/simulated_fleet.py
@@ -6,9 +6,10 @@
 from types import SimpleNamespace
 
 import msgspec
+from returns.result import Success
 
 from sassafrashook.fleet import FleetController, FleetState, FleetSubscriber, FleetView
-from sassafrashook.fleet._controller import PUBLISH_INTERVAL_S
+from sassafrashook.fleet._controller import CONFIRM_INTERVAL_S, PUBLISH_INTERVAL_S
 from sassafrashook.fleet._exchange import LOAD_INTERVAL_S
 from sassafrashook.fleet._messages import OtherLoads, ViewChanged, ViewRequested
 from sassafrashook.fleet._publisher import DEFAULT_LINK_BYTES_PER_S
@@ -19,6 +20,7 @@
 PORT = 7_340
 LINK_BYTES_PER_S = 6_000_000 / 8
 LINK_DELAY_S = 0.02
+CLOCK_OFFSET_S = 1_000.0  # of the clocks of routers
 # Headers of TCP and IP, and the acknowledgements of a message in the other direction.
 MESSAGE_OVERHEAD_BYTES = 66
 CONTROLLERS = [f"c{n}" for n in range(5)]
@@ -80,6 +82,9 @@
         for module in ("_controller", "_subscriber", "_exchange"):
             clock = SimpleNamespace(monotonic=lambda: self.now)
             monkeypatch.setattr(f"sassafrashook.fleet.{module}.time", clock)
+        monkeypatch.setattr(
+            "sassafrashook.fleet._subscriber.read_boot_time", lambda: CLOCK_OFFSET_S + self.now
+        )
         router_names = [f"r{n}" for n in range(router_count)]
         names = (*CONTROLLERS, *router_names)
         self.meshes = {name: SimulatedMesh(self, name, link_bytes_per_s) for name in names}
@@ -89,12 +94,16 @@
             self.schedule(random.Random(name).uniform(0, 0.5), self.request_updates, name)
         for name in CONTROLLERS:
             self.schedule(0.0, self.publish, name)
+            self.schedule(0.05, self.confirm, name)
             self.schedule(0.1, self.exchange_loads, name)
 
     def make_controller(self, name):
         members = [SimpleNamespace(name=member, voter=True) for member in CONTROLLERS]
         replica = SimpleNamespace(
-            get_members=lambda: members, add_announcement_targets=lambda _names: None
+            get_members=lambda: members,
+            add_announcement_targets=lambda _names: None,
+            confirm_read=lambda _deadline: Success(1),
+            get_leader=lambda: "c0",
         )
         controller = FleetController(
             name,
@@ -132,6 +141,10 @@
             subscriber._request(controller)
         self.schedule(REQUEST_INTERVAL_S, self.request_updates, name)
 
+    def confirm(self, name):
+        self.controllers[name].confirm_configuration()
+        self.schedule(CONFIRM_INTERVAL_S, self.confirm, name)
+
     def publish(self, name):
         self.controllers[name]._update_majority(self.now)
         self.controllers[name].send_due_updates(self.now)
--- a/sassafrashook/fleet/tests/test_freshness.py
+++ b/sassafrashook/fleet/tests/test_freshness.py
@@ -3,7 +3,7 @@
 import pytest
 from returns.result import Failure, Success
 
-from sassafrashook.fleet.tests.simulated_fleet import CONTROLLERS, SimulatedFleet
+from sassafrashook.fleet.tests.simulated_fleet import CLOCK_OFFSET_S, CONTROLLERS, SimulatedFleet
 from sassafrashook.fleet.tests.test_large_fleet import make_configuration
 from sassafrashook.interfaces import ProposalError, ProposalErrorReason
 
@@ -51,10 +51,10 @@
     fleet = ChangedFleet(monkeypatch, rng, lagging=["c0"])
     fleet.unreachable = set(CONTROLLERS) - {"c0"}
     fleet.run_until(START_S)
-    assert not fleet.view.may_be_outdated(fleet.now)
+    assert not fleet.view.may_be_outdated(CLOCK_OFFSET_S + fleet.now)
     fleet.run_until(START_S + APPLY_S)
     assert fleet.view.version == 7
-    assert fleet.view.may_be_outdated(fleet.now)
+    assert fleet.view.may_be_outdated(CLOCK_OFFSET_S + fleet.now)
 
 
 @pytest.mark.parametrize("delay_s", [APPLY_S + 0.5, 3 * APPLY_S])
@@ -73,7 +73,7 @@
         delay_messages(fleet.meshes[name])
     fleet.run_until(START_S + delay_s)
     assert fleet.view.version == 7
-    assert fleet.view.may_be_outdated(fleet.now)
+    assert fleet.view.may_be_outdated(CLOCK_OFFSET_S + fleet.now)
 
 
 @pytest.mark.parametrize("lagging", [[], ["c0", "c1"]], ids=["all", "a majority"])
@@ -85,6 +85,6 @@
     for _ in range(40):
         fleet.run_until(fleet.now + 0.1)
         is_settled = fleet.now > 1.5 and not START_S <= fleet.now < START_S + 1.5
-        assert not (is_settled and fleet.view.may_be_outdated(fleet.now))
+        assert not (is_settled and fleet.view.may_be_outdated(CLOCK_OFFSET_S + fleet.now))
     fleet.run_until(START_S + APPLY_S)
     assert fleet.view.version == 8
--- a/sassafrashook/fleet/tests/test_publisher.py
+++ b/sassafrashook/fleet/tests/test_publisher.py
@@ -22,7 +22,7 @@
     decode_outcome,
     encode_command,
 )
-from sassafrashook.fleet._subscriber import CONFIRMATION_TIMEOUT_S
+from sassafrashook.fleet._view import DEFAULT_APPLY_S
 from sassafrashook.registry import Registry
 
 
@@ -218,12 +218,13 @@
     view = FleetView(Registry(10.0))
     update = make_update(0, [])
     assert view.may_be_outdated(0.0)
-    view.apply(msgspec.structs.replace(update, is_connected=False), 0.0)
+    view.apply(update, 0.0)
     assert view.may_be_outdated(0.0)
-    view.apply(update, 1.0)
-    assert not view.may_be_outdated(1.0)
-    assert view.may_be_outdated(1.0 + CONFIRMATION_TIMEOUT_S)
-    view.apply(msgspec.structs.replace(update, newest_version=7), 2.0)
+    update = msgspec.structs.replace(update, confirmed_at_ms=1_000)
+    view.apply(update, 1.5)
+    assert not view.may_be_outdated(1.5)
+    assert view.may_be_outdated(1.0 + DEFAULT_APPLY_S)
+    view.apply(msgspec.structs.replace(update, newest_version=7, confirmed_at_ms=2_000), 2.0)
     assert view.may_be_outdated(2.0)
 
 
--- a/sassafrashook/gateway/_server.py
+++ b/sassafrashook/gateway/_server.py
@@ -19,6 +19,7 @@
 )
 from sassafrashook.outcomes import RefusalReason, Verdict
 from sassafrashook.telemetry import log_event
+from sassafrashook.utils import read_boot_time
 
 LISTEN_BACKLOG = 1_024
 # Connections that are accepted at once if their number is limited: the limit is checked after that.
@@ -210,7 +211,7 @@
 
         Clients do not retry after such a rejection.
         """
-        if self.gateway.view.may_be_outdated(time.monotonic()):
+        if self.gateway.view.may_be_outdated(read_boot_time()):
             self._reject_for_now(client, metadata, head, RefusalReason.STALE_VIEW)
             return
         self._record_rejection(metadata, head, reason)
@@ -241,11 +242,11 @@
 
     def _record_rejection(self, metadata, head, reason):
         view = self.gateway.view
-        confirmed_s = time.monotonic() - view.confirmed_at_
+        confirmed_s = read_boot_time() - view.age_.confirmed_at_
         self.gateway.metrics.count("refusals", reason)
         log_event(
             "request_rejected", request=metadata.request_id, host=head.host, path=head.path,
-            reason=reason, version=view.version, newest=view.newest_version_,
+            reason=reason, version=view.version, newest=view.age_.newest_version_,
             confirmed_ms=round(confirmed_s * MS_PER_S) if math.isfinite(confirmed_s) else "-",
         )  # fmt: skip
 
--- a/sassafrashook/platform/_settings.py
+++ b/sassafrashook/platform/_settings.py
@@ -11,6 +11,7 @@
 from sassafrashook.rollouts import RolloutBounds
 
 DEFAULT_HEARTBEAT_MS = 1_000
+DEFAULT_APPLY_MS = 2_000
 UNLIMITED_MBPS = 1_000.0  # bandwidth that is assumed if none is stated
 BYTES_PER_MBIT = 1_000_000 / 8
 BYTES_PER_MB = 1_048_576
@@ -57,6 +58,7 @@
 class _Bounds(msgspec.Struct, frozen=True):
     """Bounds that the platform checks; those of rollouts are absent where there are none.
 
+    :param config_apply_ms: time after its acknowledgement within which a configuration is in force.
     :param canary_share: part of a service's requests that a bad version may get.
     :param canary_tolerance: number of requests that it may get in addition.
     """
@@ -68,6 +70,7 @@
     budget_slack: float
     warmup_factor: float
     warmup_tolerance: float
+    config_apply_ms: float = DEFAULT_APPLY_MS
     canary_share: float | None = None
     canary_tolerance: float | None = None
     rollback_timeout_ms: float | None = None
@@ -149,6 +152,7 @@
         rollout_bounds=_convert_rollout_bounds(bounds),
         hedging=HedgingLimits(node.hedging.extra_share, node.hedging.quantile),
         client_memory_bytes=_compute_client_memory_bytes(node.limits),
+        configuration_apply_ms=bounds.config_apply_ms,
         max_client_connections=(
             node.limits.max_client_connections or compute_connection_limit(node.limits.max_fds)
         ),
--- a/sassafrashook/platform/tests/isolated_fleet.py
+++ b/sassafrashook/platform/tests/isolated_fleet.py
@@ -95,7 +95,7 @@
         view = daemon.view_
         view.table_ = RouteTable(make_route_configuration())
         view.routers_ = tuple(self.names)
-        view.confirmed_at_ = float("inf")
+        view.age_.confirmed_at_ = float("inf")
         daemon.warmup_.set_routers(self.names)
         daemon.rate_limiter_.set_routers(self.names)
         registrations = [
--- a/sassafrashook/platform/tests/scripted_upstreams.py
+++ b/sassafrashook/platform/tests/scripted_upstreams.py
@@ -315,7 +315,7 @@
         view = FleetView(Registry(60.0))
         view.table_ = RouteTable(configuration or make_route_configuration())
         view.routers_ = ("r1",)
-        view.confirmed_at_ = float("inf")
+        view.age_.confirmed_at_ = float("inf")
         self.warmup = SharedRateLimiter("r1", 1.5, 5)
         self.rate_limiter = SharedRateLimiter("r1", 1.5, 5, 4.0)
         self.rate_limiter.set_routers(["r1"])
--- a/sassafrashook/platform/tests/test_forwarding.py
+++ b/sassafrashook/platform/tests/test_forwarding.py
@@ -155,7 +155,7 @@
 ):
     harness = start_harness(respond_with_name)
     for name, value in view_state.items():
-        setattr(harness.gateway.view, name, value)
+        setattr(harness.gateway.view.age_, name, value)
     sock = harness.connect()
     sock.sendall(encode_request(path).replace(KEY.encode(), key.encode()))
     head, _, _ = read_http_message(sock)
--- a/sassafrashook/platform/tests/test_outdated_configuration.py
+++ b/sassafrashook/platform/tests/test_outdated_configuration.py
@@ -1,10 +1,9 @@
 """Tests of a gateway whose configuration has been replaced by one that it does not have."""
 
-import time
-
 import pytest
 
 from sassafrashook.platform.tests.scripted_upstreams import respond_with_name
+from sassafrashook.utils import read_boot_time
 
 APPLY_S = 2.0  # until an acknowledged version has to be in force
 
@@ -13,7 +12,7 @@
 def test_request_by_a_route_that_a_newer_version_may_have_dropped(start_harness, age_s, status):
     """A version that is known to be replaced is acted on for as long as callers were told."""
     harness = start_harness(respond_with_name)
-    harness.gateway.view.newest_version_ = 2
-    harness.gateway.view.confirmed_at_ = time.monotonic() - age_s
+    harness.gateway.view.age_.newest_version_ = 2
+    harness.gateway.view.age_.confirmed_at_ = read_boot_time() - age_s
     assert harness.send_request("/orders/1")[0] == status
     assert harness.count_requests() == (status == 200)
--- a/sassafrashook/utils/__init__.py
+++ b/sassafrashook/utils/__init__.py
@@ -1,5 +1,6 @@
 """Parameter validation, hashing and comparison of hosts that all packages share."""
 
+from sassafrashook.utils._clocks import read_boot_time
 from sassafrashook.utils._hashing import hash_key, mix_hashes, rank_nodes
 from sassafrashook.utils._hosts import normalize_host
 from sassafrashook.utils._lazy_imports import make_lazy_getattr
@@ -15,4 +16,5 @@
     "mix_hashes",
     "normalize_host",
     "rank_nodes",
+    "read_boot_time",
 ]
