fleet: a version reaches routers as changes, from controllers that are heard

Cause: each router was sent the whole configuration. 22.8 KB to 39 routers take 1.2 s of a controller's link; a controller that is silent kept its 39 routers waiting for 0.8 s; the others then sent the whole again while it was merely on its way, up to three times the bytes.

Why this works: routers name the version that they hold; what they are sent is the merged steps since then. Wholes remain for routers that start, older builds, and steps that are not kept any more. The primary is one that was heard within 0.8 s, and the time after which others take over grows with what the primary has to transmit.

--- a/sassafrashook/fleet/_controller.py
+++ b/sassafrashook/fleet/_controller.py
@@ -10,6 +10,7 @@
 from returns.result import Failure
 
 from sassafrashook.fleet._cache import CachedFleet
+from sassafrashook.fleet._configurations import COMPRESSION_LEVEL, ConfigurationHistory, pack
 from sassafrashook.fleet._exchange import CONNECTED_TIMEOUT_S, LoadExchange
 from sassafrashook.fleet._heartbeats import HeartbeatLog
 from sassafrashook.fleet._messages import ViewChanged, ViewRequested
@@ -40,12 +41,13 @@
 PROPAGATION_TIMEOUT_S = 0.8  # longest wait for a departure to reach the other nodes
 ROUTER_PROPAGATION_TIMEOUT_S = 0.5  # the part of it that lagging routers are waited for
 PROPAGATION_POLL_S = 0.01
+# A controller without a request for this time is no router's primary; it sends one every 0.5 s.
+PRIMARY_TIMEOUT_S = 0.8
 CONFIRM_INTERVAL_S = 0.3  # between reads that confirm the configuration as the newest one
 # A controller without a confirmed read for this time logs that routers may reject requests for now.
 CONFIRMATION_LOST_S = 1.5
 LINK_LOG_INTERVAL_S = 5.0  # between log lines about what the link had no room for
 CACHE_INTERVAL_S = 1.0  # between checks whether the fleet cache must be saved
-COMPRESSION_LEVEL = 6
 UPDATE_BYTES = 200  # approximate size of an update without changes, with its headers
 NAME_BYTES = 14  # approximate size of the name of a router
 
@@ -72,6 +74,7 @@
     :ivar confirmed_at_: when the last read began that confirmed the configuration as the newest,
         in monotonic seconds.
     :ivar rollouts_: the :class:`~sassafrashook.fleet._rollouts.FleetRollouts`, or ``None``.
+    :ivar configurations_: the :class:`~sassafrashook.fleet._configurations.ConfigurationHistory`.
     :ivar crashes_: the :class:`~sassafrashook.quarantine.CrashLedger` of the whole fleet.
     :ivar publisher_: the :class:`~sassafrashook.fleet.Publisher`.
     :ivar exchange_: the :class:`~sassafrashook.fleet._exchange.LoadExchange`.
@@ -102,6 +105,7 @@
         self.cache = cache
         self.recalled_valid_s = recalled_valid_s
         self.publisher_ = Publisher(uuid.uuid4().hex[:16], link_bytes_per_s)
+        self.configurations_ = ConfigurationHistory()
         self.crashes_ = CrashLedger()
         self.exchange_ = LoadExchange(
             mesh, registry, self.crashes_, self.publisher_, link_bytes_per_s
@@ -249,13 +253,13 @@
 
         :param now: monotonic seconds.
         """
-        size = len(self.state.configuration_)
+        self.configurations_.update(self.state.version_, self.state.configuration_)
         self.publisher_.router_names_.update(self.publisher_.list_routers(now))
         due = self.publisher_.schedule_updates(
             self._get_versions(),
             now,
-            self._make_primary_test(),
-            size,
+            self._make_primary_test(now),
+            self._measure_configuration,
             self._measure_crashes,
             functools.cache(self._measure_update),
         )
@@ -284,6 +288,14 @@
         size = len(msgspec.msgpack.encode(registrations))
         return UPDATE_BYTES + size + name_count * NAME_BYTES
 
+    def _encode_configuration(self, held_version, reads_changes):
+        """Return the version that an update changes, 0 for a whole configuration, and its bytes."""
+        changes = self.configurations_.encode_changes(held_version) if reads_changes else None
+        return (0, self.state.configuration_) if changes is None else (held_version, changes)
+
+    def _measure_configuration(self, held_version, reads_changes):
+        return len(self._encode_configuration(held_version, reads_changes)[1])
+
     def _measure_crashes(self, revision):
         """Return the approximate size of the records of crashes that a router lacks, in bytes."""
         now = time.monotonic()
@@ -309,38 +321,51 @@
             event = "majority_connected" if has_majority else "majority_lost"
             log_event(event, heard=sorted(self.publisher_.list_connected(now, CONNECTED_TIMEOUT_S)))
 
-    def _make_primary_test(self):
+    def _make_primary_test(self, now):
         """Return a function of a router's name that tells whether this is its primary controller.
 
-        The primary controller is the one that sends a router new configurations.
+        The primary controller is the one that sends a router new configurations. It is one of the
+        voters that this controller hears.
+
+        :param now: monotonic seconds.
         """
         voters = self._list_voters()
-        return lambda router: not voters or rank_nodes(hash_key(router), voters)[0] == self.name
+        heard = voters & self.publisher_.list_connected(now, PRIMARY_TIMEOUT_S)
+        if self.name in voters:
+            heard.add(self.name)
+        return lambda router: not voters or rank_nodes(hash_key(router), heard)[:1] == [self.name]
 
     def _send_updates(self, due, now):
         """Send an update to each subscriber of :meth:`Publisher.schedule_updates`."""
         state, registry, crashes = self.state, self.registry, self.crashes_
-        router_names = self.publisher_.router_names_
+        publisher, router_names = self.publisher_, self.publisher_.router_names_
         members = sorted(member.name for member in self.replica.get_members())
         drained_zones = sorted(state.drained_zones_)
         list_registrations = functools.cache(lambda revision: registry.list_changes(revision, now))
         list_names = functools.cache(router_names.list_changes)
         for update in due:
             name, held = update.name, update.held
-            is_newer = update.with_configuration and state.version_ > held.configuration_version
+            subscriber, held_version = publisher.subscribers_[name], held.configuration_version
+            is_newer = update.with_configuration and state.version_ > held_version
+            base_version, configuration = 0, b""
+            if is_newer:
+                base_version, configuration = self._encode_configuration(
+                    held_version, subscriber.reads_changes
+                )
             crash_revision, crash_records = max(0, held.crash_revision), []
             if update.with_crashes:
                 crash_revision = crashes.revision_
-                is_router = self.publisher_.subscribers_[name].is_router
                 list_crashes = (
-                    crashes.list_changes_for_routers if is_router else crashes.list_changes
+                    crashes.list_changes_for_routers
+                    if subscriber.is_router
+                    else crashes.list_changes
                 )
                 crash_records = list_crashes(held.crash_revision, now)
             name_changes = list_names(update.routers_revision)
             joined, left = name_changes or ((), ())
             lacks_rollouts = held.rollout_index < state.rollouts_.index_
             message = ViewChanged(
-                self.publisher_.boot_id,
+                publisher.boot_id,
                 registry.revision_,
                 list_registrations(held.revision),
                 members,
@@ -348,7 +373,7 @@
                 state.drain_index_,
                 drained_zones,
                 state.version_ if is_newer else 0,
-                state.configuration_ if is_newer else b"",
+                configuration,
                 crash_revision,
                 crash_records,
                 held.revision,
@@ -361,7 +386,8 @@
                 left,
                 state.rollouts_.index_,
                 state.rollouts_.list_all() if lacks_rollouts else (),
-                self.publisher_.find_confirmed_ms(name, self.confirmed_at_),
+                publisher.find_confirmed_ms(name, self.confirmed_at_),
+                base_version,
             )
             self.mesh.send(name, message)
 
@@ -470,7 +496,7 @@
                 "configuration_not_newer", version=configuration.version, held=self.state.version_
             )
             return OperatorCommandReply(OperatorCommandOutcome.DONE)
-        encoded = zlib.compress(msgspec.msgpack.encode(configuration), COMPRESSION_LEVEL)
+        encoded = pack(configuration)
         packed = zlib.compress(document, COMPRESSION_LEVEL)
         reply = self._propose(PutConfiguration(configuration.version, packed, encoded))
         log_event(
--- a/sassafrashook/fleet/_messages.py
+++ b/sassafrashook/fleet/_messages.py
@@ -46,6 +46,7 @@
     :param rollout_index: log index of the last change of the rollouts that the node holds.
     :param sent_at_ms: when this was sent, in milliseconds on the node's clock; 0 from a build that
         does not state it.
+    :param reads_changes: whether the node can be sent changes of the configuration.
     """
 
     is_router: bool
@@ -58,6 +59,7 @@
     routers_revision: int = -1
     rollout_index: int = 0
     sent_at_ms: int = 0
+    reads_changes: bool = False
 
 
 class ViewChanged(Message):
@@ -74,7 +76,7 @@
     :param drain_index: log index of the last change of ``drained_zones``.
     :param drained_zones: availability zones that are drained.
     :param configuration_version: version of ``configuration``, 0 if it is omitted.
-    :param configuration: the encoded configuration, compressed with zlib.
+    :param configuration: the encoded configuration, or its changes, compressed with zlib.
     :param crash_revision: revision of the controller's crash ledger that includes ``crashes``.
     :param crashes: records of upstream crashes that changed.
     :param base_revision: revision since which ``registrations`` holds the changes. A node that does
@@ -93,6 +95,7 @@
     :param rollouts: all rollouts; empty if the node holds those of ``rollout_index`` or later.
     :param confirmed_at_ms: a time, in milliseconds on the receiver's clock, at which no newer
         version than ``newest_version`` was acknowledged; 0 if none is known.
+    :param base_version: version that ``configuration`` changes; 0 if it is whole.
     """
 
     boot_id: str
@@ -117,6 +120,7 @@
     rollout_index: int = 0
     rollouts: list[Rollout] = []
     confirmed_at_ms: int = 0
+    base_version: int = 0
 
     @property
     def is_large(self):
--- a/sassafrashook/fleet/_publisher.py
+++ b/sassafrashook/fleet/_publisher.py
@@ -9,8 +9,10 @@
 
 RESEND_DELAY_S = 0.4  # longer than a round trip on a busy link
 # A router is sent a configuration by its primary controller, and by the others too once it has made
-# no progress for this time.
+# no progress for this time, and for a multiple of the time that the primary controller's link needs
+# for all of its routers.
 FAILOVER_DELAY_S = 0.8
+TRANSMISSION_MARGIN = 1.5
 # Limit of configurations sent and not acknowledged: about 0.17 s of transmission on a slow link.
 MAX_UNACKNOWLEDGED_BYTES = 131_072
 # A router without a request for this time is sent no configuration; routers send one every 0.5 s.
@@ -42,6 +44,8 @@
     :ivar last_request_at: when its last request arrived, monotonic seconds.
     :ivar configuration_sent_at: when it was sent a configuration that it has not acknowledged yet,
         monotonic seconds; -inf if there is none.
+    :ivar configuration_bytes: size of that configuration, in bytes.
+    :ivar reads_changes: whether it can be sent changes of the configuration.
     :ivar lagging_since: since when it has made no progress towards the current configuration,
         monotonic seconds; ``None`` if it holds that.
     :ivar wants_crashes: whether this controller sends it records of crashes.
@@ -60,6 +64,8 @@
     wants_crashes: bool = True
     crashes_sent_at: float = float("-inf")
     routers_revision: int = -1
+    configuration_bytes: int = 0
+    reads_changes: bool = False
     request_times: RequestTimes = field(default_factory=RequestTimes)
 
     def is_awaited(self, now):
@@ -236,6 +242,7 @@
                 routers_revision=request.routers_revision if is_same_boot else 0,
             )
             subscriber.request_times.add(request.sent_at_ms, now)
+            subscriber.reads_changes = request.reads_changes
             return
         if held.configuration_version > subscriber.held.configuration_version:
             subscriber.lagging_since = None
@@ -243,6 +250,7 @@
         subscriber.wants_crashes = request.wants_crashes
         subscriber.routers_revision = request.routers_revision if is_same_boot else 0
         subscriber.held = held
+        subscriber.reads_changes = request.reads_changes
         subscriber.last_request_at = now
         subscriber.request_times.add(request.sent_at_ms, now)
 
@@ -251,7 +259,7 @@
         current,
         now,
         is_primary=lambda _name: True,
-        configuration_bytes=1,
+        measure_configuration=lambda _version, _reads_changes: 0,
         measure_crashes=lambda _revision: 0,
         measure_update=lambda _revision, _routers_revision: 0,
     ):
@@ -270,8 +278,9 @@
         :param is_primary: called with a router's name; returns whether this controller is the one
             that sends it new configurations. The other controllers do so only if the router has
             made no progress for ``FAILOVER_DELAY_S``.
-        :param configuration_bytes: size of the current configuration. It limits how many routers
-            are sent the configuration at once, so that a small link is not congested.
+        :param measure_configuration: called with the version that a router holds and whether it
+            can be sent changes; returns the size of what it is sent, in bytes. It limits how many
+            routers are sent the configuration at once, so that a small link is not congested.
         :param measure_crashes: called with the crash revision that a router holds; returns the size
             of the records that it lacks, in bytes. It limits how many routers are sent these.
         :param measure_update: called with the revisions of the registrations and of the list of
@@ -280,22 +289,25 @@
         :returns: list of :class:`DueUpdate`.
         """
         due = []
-        max_unacknowledged = max(1, MAX_UNACKNOWLEDGED_BYTES // max(1, configuration_bytes))
-        available = max_unacknowledged - self._count_unacknowledged(now)
+        unacknowledged = self._sum_unacknowledged(now)
         for name, subscriber in self._list_by_wait(is_primary):
             if now >= subscriber.last_request_at + SUBSCRIBER_TIMEOUT_S:
                 continue
             lag_s = subscriber.update_lag(current.configuration_version, now)
-            with_configuration = (
-                lag_s is not None
-                and available > 0
-                and subscriber.is_router
-                and subscriber.can_receive_configuration(now)
-                and self._sends_configuration_to(name, subscriber, lag_s, is_primary)
-            )
+            with_configuration = False
+            if lag_s is not None and subscriber.is_router:
+                size = measure_configuration(
+                    subscriber.held.configuration_version, subscriber.reads_changes
+                )
+                with_configuration = (
+                    self._sends_configuration_to(name, subscriber, size, lag_s, is_primary)
+                    and subscriber.can_receive_configuration(now)
+                    and (not unacknowledged or unacknowledged + size <= MAX_UNACKNOWLEDGED_BYTES)
+                )
             if with_configuration:
-                available -= 1
+                unacknowledged += size
                 subscriber.configuration_sent_at = now
+                subscriber.configuration_bytes = size
             elif subscriber.is_router and subscriber.is_awaited(now):
                 continue
             is_limited = subscriber.is_router and not with_configuration
@@ -369,22 +381,32 @@
         subscriber.crashes_sent_at = now
         return True
 
-    def _count_unacknowledged(self, now):
-        """Return the number of connected subscribers with an unacknowledged configuration."""
+    def _sum_unacknowledged(self, now):
+        """Return the size of the configurations that connected subscribers may still receive."""
         return sum(
-            now < s.configuration_sent_at + ACKNOWLEDGE_TIMEOUT_S
-            and now < s.last_request_at + ROUTER_CONNECTED_S
+            s.configuration_bytes
             for s in self.subscribers_.values()
+            if now < s.configuration_sent_at + ACKNOWLEDGE_TIMEOUT_S
+            and now < s.last_request_at + ROUTER_CONNECTED_S
         )
 
-    def _sends_configuration_to(self, name, subscriber, lag_s, is_primary):
+    def _sends_configuration_to(self, name, subscriber, size, lag_s, is_primary):
         """Return whether this controller may send a subscriber the configuration.
 
-        It may if the subscriber has none, lags behind by ``FAILOVER_DELAY_S`` or has this
-        controller as its primary.
+        It may if the subscriber has none, lags behind for long or has this controller as its
+        primary.
+
+        :param size: size of what the subscriber lacks, in bytes.
+        :param lag_s: time without progress, in seconds.
         """
-        is_unconfigured = subscriber.held.configuration_version == 0
-        return is_unconfigured or lag_s >= FAILOVER_DELAY_S or is_primary(name)
+        if subscriber.held.configuration_version == 0 or is_primary(name):
+            return True
+        if lag_s < FAILOVER_DELAY_S:
+            return False
+        routers = sum(other.is_router for other in self.subscribers_.values())
+        controllers = len(self.subscribers_) - routers + 1
+        transmission_s = size * routers / controllers / self.link_bytes_per_s
+        return lag_s >= FAILOVER_DELAY_S + TRANSMISSION_MARGIN * transmission_s
 
     def list_connected(self, now, within_s):
         """Return the set of names of subscribers with a request in the last ``within_s``."""
--- a/sassafrashook/fleet/_subscriber.py
+++ b/sassafrashook/fleet/_subscriber.py
@@ -95,6 +95,7 @@
                 self.view.router_lists_.get_revision(boot_id),
                 self.view.rollouts.index_,
                 round(read_boot_time() * MS_PER_S),
+                reads_changes=True,
             ),
         )
 
--- a/sassafrashook/fleet/_view.py
+++ b/sassafrashook/fleet/_view.py
@@ -1,16 +1,21 @@
 """A node's view of the fleet."""
 
 import math
-import zlib
 
-import msgspec
 from gevent.event import Event
 
+from sassafrashook.fleet._configurations import unpack
 from sassafrashook.fleet._freshness import ConfigurationAge
 from sassafrashook.fleet._router_names import RouterNameLists
 from sassafrashook.quarantine import CrashLedger
 from sassafrashook.rollouts import RouterRollouts
-from sassafrashook.routes import RouteConfiguration, RouteHistory, RouteTable
+from sassafrashook.routes import (
+    ConfigurationChanges,
+    RouteConfiguration,
+    RouteHistory,
+    RouteTable,
+    apply_changes,
+)
 
 DEFAULT_APPLY_S = 2.0
 MS_PER_S = 1_000
@@ -76,13 +81,7 @@
         for record in update.crashes:
             self.crashes.merge(record, now)
         if update.configuration_version > self.version:
-            configuration = msgspec.msgpack.decode(
-                zlib.decompress(update.configuration), type=RouteConfiguration
-            )
-            table = RouteTable(configuration)
-            self.route_history_.record_change(self.table_, table, now)
-            self.table_ = table
-            self.configured_.set()
+            self._adopt_configuration(update, now)
         confirmed_ms = update.confirmed_at_ms
         confirmed_at = confirmed_ms / MS_PER_S if confirmed_ms else -math.inf
         self.age_.record(self.version, update.newest_version, confirmed_at)
@@ -94,3 +93,19 @@
         self.drain_index_ = update.drain_index
         self.drained_zones_ = frozenset(update.drained_zones)
         return undrained_zones
+
+    def _adopt_configuration(self, update, now):
+        """Adopt the configuration of an update, unless it changes a version that is not held."""
+        changed_keys = None
+        if update.base_version == 0:
+            configuration = unpack(update.configuration, RouteConfiguration)
+        elif update.base_version == self.version:
+            changes = unpack(update.configuration, ConfigurationChanges)
+            configuration = apply_changes(self.table_.configuration, changes)
+            changed_keys = changes.list_route_keys()
+        else:
+            return
+        table = RouteTable(configuration)
+        self.route_history_.record_change(self.table_, table, now, changed_keys)
+        self.table_ = table
+        self.configured_.set()
--- a/sassafrashook/fleet/tests/test_publisher.py
+++ b/sassafrashook/fleet/tests/test_publisher.py
@@ -116,7 +116,7 @@
     waiting = set(names)
     for tick in range(8):
         now = 0.05 * tick
-        sent = send_configuration(publisher, now, configuration_bytes=size)
+        sent = send_configuration(publisher, now, measure_configuration=lambda *_: size)
         assert len(sent) == 2
         waiting -= set(sent)
         for name in sent:
@@ -128,14 +128,19 @@
     publisher = Publisher("b")
     acknowledge(publisher, "r1", 0.0, 1)
     acknowledge(publisher, "r2", 0.0, 1)
-    assert send_configuration(publisher, 0.1, configuration_bytes=MAX_UNACKNOWLEDGED_BYTES) == [
-        "r1"
-    ]
+    assert send_configuration(
+        publisher, 0.1, measure_configuration=lambda *_: MAX_UNACKNOWLEDGED_BYTES
+    ) == ["r1"]
     acknowledge(publisher, "r2", 0.5, 1)
-    assert send_configuration(publisher, 0.7, configuration_bytes=MAX_UNACKNOWLEDGED_BYTES) == []
-    assert send_configuration(publisher, 0.9, configuration_bytes=MAX_UNACKNOWLEDGED_BYTES) == [
-        "r2"
-    ]
+    assert (
+        send_configuration(
+            publisher, 0.7, measure_configuration=lambda *_: MAX_UNACKNOWLEDGED_BYTES
+        )
+        == []
+    )
+    assert send_configuration(
+        publisher, 0.9, measure_configuration=lambda *_: MAX_UNACKNOWLEDGED_BYTES
+    ) == ["r2"]
 
 
 def test_unconfigured_router_is_sent_configuration_by_any_controller():
--- a/sassafrashook/routes/__init__.py
+++ b/sassafrashook/routes/__init__.py
@@ -1,5 +1,11 @@
 """Configuration of routes, services and client accounts, and its lookup table."""
 
+from sassafrashook.routes._changes import (
+    ConfigurationChanges,
+    apply_changes,
+    compute_changes,
+    merge_changes,
+)
 from sassafrashook.routes._configuration import (
     Account,
     ClientLimits,
@@ -23,6 +29,7 @@
 __all__ = [
     "Account",
     "ClientLimits",
+    "ConfigurationChanges",
     "Finding",
     "FindingKind",
     "Repeatability",
@@ -32,8 +39,11 @@
     "RouteTable",
     "Service",
     "WeightedService",
+    "apply_changes",
     "compare_configurations",
+    "compute_changes",
     "find_configuration_error",
     "iterate_configuration_errors",
+    "merge_changes",
     "review_configuration",
 ]
--- a/sassafrashook/routes/_history.py
+++ b/sassafrashook/routes/_history.py
@@ -31,23 +31,25 @@
         """
         self.longest_wait_s_ = max(self.longest_wait_s_, min(wait_s, MAX_CLIENT_WAIT_S))
 
-    def record_change(self, previous, table, now):
+    def record_change(self, previous, table, now, changed_keys=None):
         """Record that a configuration replaces another one.
 
         :param previous: the :class:`RouteTable` that was in force, ``None`` if there was none.
         :param table: the new :class:`RouteTable`.
         :param now: monotonic seconds.
+        :param changed_keys: keys of the routes that were added, changed or dropped, ``None`` if
+            they are not known.
         """
         self._remove_expired(now)
         if previous is None:
             return
-        for key, route in previous.list_routes():
+        for key, route in _select_routes(previous, changed_keys):
             if route.is_stream:
                 current = table.get_route(*key)
                 kept = () if current is None else current.list_services()
                 dropped = [name for name in route.list_services() if name not in kept]
                 self._add(key, dict.fromkeys(dropped, (now, route.timeout_ms / MS_PER_S)))
-        for key, route in table.list_routes():
+        for key, route in _select_routes(table, changed_keys):
             if route.is_stream and previous.get_route(*key) is None:
                 self._add(key, self._collect_before(previous, key, now))
 
@@ -101,6 +103,14 @@
         return sorted(names)
 
 
+def _select_routes(table, keys):
+    """Return the pairs of key and route of a table, only those of some keys unless ``None``."""
+    if keys is None:
+        return table.list_routes()
+    routes = ((key, table.get_route(*key)) for key in keys)
+    return [(key, route) for key, route in routes if route is not None]
+
+
 def _merge(services, others):
     """Add services; of two changes of the same one, the later one counts."""
     for name, change in others.items():
