gateway: a router that lags refuses what a newer version changes, and serves the rest

Cause: a router that had been told of a newer version withheld only its final rejections and otherwise acted on what it held, without any bound. Updates did not say what the newer version changes.

Why this works: the age of a router's version is known, so it knows from when on a newer one may have to be in force; from then on, what an update named as changed is refused with 503 and a time to come back.

--- a/sassafrashook/fleet/_controller.py
+++ b/sassafrashook/fleet/_controller.py
@@ -347,11 +347,13 @@
             name, held = update.name, update.held
             subscriber, held_version = publisher.subscribers_[name], held.configuration_version
             is_newer = update.with_configuration and state.version_ > held_version
-            base_version, configuration = 0, b""
+            base_version, configuration, superseded = 0, b"", None
             if is_newer:
                 base_version, configuration = self._encode_configuration(
                     held_version, subscriber.reads_changes
                 )
+            elif subscriber.is_router and subscriber.reads_changes:
+                superseded = self.configurations_.list_superseded(held_version)
             crash_revision, crash_records = max(0, held.crash_revision), []
             if update.with_crashes:
                 crash_revision = crashes.revision_
@@ -388,6 +390,7 @@
                 state.rollouts_.list_all() if lacks_rollouts else (),
                 publisher.find_confirmed_ms(name, self.confirmed_at_),
                 base_version,
+                superseded,
             )
             self.mesh.send(name, message)
 
--- a/sassafrashook/fleet/_freshness.py
+++ b/sassafrashook/fleet/_freshness.py
@@ -57,28 +57,44 @@
 
     :ivar newest_version_: highest version that a controller has named.
     :ivar confirmed_at_: latest time at which no newer version than the node's was acknowledged.
+    :ivar named_version_: highest version of which the node knows what it changes.
+    :ivar named_at_: latest time at which no newer version than that was acknowledged.
 
     >>> age = ConfigurationAge(apply_s=2.0)
     >>> age.record(7, newest_version=7, confirmed_at=100.0)
     >>> age.may_be_outdated(7, 101.9), age.may_be_outdated(7, 102.0)
     (False, True)
+    >>> age.record(7, newest_version=8, confirmed_at=101.0, superseded=[11, 12])
+    >>> age.is_affected(7, {12}, 102.0), age.is_affected(7, {13}, 102.0)
+    (True, False)
     """
 
     def __init__(self, apply_s):
         self.apply_s = apply_s
         self.newest_version_ = 0
         self.confirmed_at_ = -math.inf
+        self.named_version_ = 0
+        self.named_at_ = -math.inf
+        self._superseded = frozenset()
 
-    def record(self, version, newest_version, confirmed_at):
+    def record(self, version, newest_version, confirmed_at, superseded=None):
         """Record what an update of a controller states.
 
         :param version: version that the node holds now.
         :param newest_version: version that the controller holds.
         :param confirmed_at: a time at which that was the newest one, -inf if none is known.
+        :param superseded: hashes of what must not be used of the node's version any more, ``None``
+            if that is not stated.
         """
         self.newest_version_ = max(self.newest_version_, newest_version)
         if newest_version <= version:
             self.confirmed_at_ = max(self.confirmed_at_, confirmed_at)
+        elif superseded is not None and newest_version > self.named_version_:
+            self.named_version_ = newest_version
+            self.named_at_ = confirmed_at
+            self._superseded = frozenset(superseded)
+        elif newest_version == self.named_version_:
+            self.named_at_ = max(self.named_at_, confirmed_at)
 
     def may_be_outdated(self, version, now):
         """Return whether there is, or may be, a newer version that has to be in force by now.
@@ -86,3 +102,21 @@
         A version that is known to be replaced counts as outdated at once.
         """
         return self.newest_version_ > version or now >= self.confirmed_at_ + self.apply_s
+
+    def is_overdue(self, version, now):
+        """Return whether a newer version is known that may have to be in force by now."""
+        return self.newest_version_ > version and now >= self.confirmed_at_ + self.apply_s
+
+    def is_affected(self, version, hashes, now):
+        """Return whether a version must not be used for a request any more.
+
+        That is so if a newer version may have to be in force by now, and it changes what the
+        request depends on, or what it changes is not known.
+
+        :param hashes: set of the hashes of the request's routes and API key.
+        """
+        if not self.is_overdue(version, now):
+            return False
+        if self.named_version_ <= version or not self._superseded.isdisjoint(hashes):
+            return True
+        return self.newest_version_ > self.named_version_ and now >= self.named_at_ + self.apply_s
--- a/sassafrashook/fleet/_messages.py
+++ b/sassafrashook/fleet/_messages.py
@@ -96,6 +96,8 @@
     :param confirmed_at_ms: a time, in milliseconds on the receiver's clock, at which no newer
         version than ``newest_version`` was acknowledged; 0 if none is known.
     :param base_version: version that ``configuration`` changes; 0 if it is whole.
+    :param superseded: hashes of the routes and API keys of the node's version that it must not act
+        on any more, because ``newest_version`` changes them; ``None`` if they are not stated.
     """
 
     boot_id: str
@@ -121,6 +123,7 @@
     rollouts: list[Rollout] = []
     confirmed_at_ms: int = 0
     base_version: int = 0
+    superseded: list[int] | None = None
 
     @property
     def is_large(self):
--- a/sassafrashook/fleet/_publisher.py
+++ b/sassafrashook/fleet/_publisher.py
@@ -46,6 +46,7 @@
         monotonic seconds; -inf if there is none.
     :ivar configuration_bytes: size of that configuration, in bytes.
     :ivar reads_changes: whether it can be sent changes of the configuration.
+    :ivar named_version: version of which it was told what its own must not be used for.
     :ivar lagging_since: since when it has made no progress towards the current configuration,
         monotonic seconds; ``None`` if it holds that.
     :ivar wants_crashes: whether this controller sends it records of crashes.
@@ -66,6 +67,7 @@
     routers_revision: int = -1
     configuration_bytes: int = 0
     reads_changes: bool = False
+    named_version: int = 0
     request_times: RequestTimes = field(default_factory=RequestTimes)
 
     def is_awaited(self, now):
@@ -294,13 +296,14 @@
             if now >= subscriber.last_request_at + SUBSCRIBER_TIMEOUT_S:
                 continue
             lag_s = subscriber.update_lag(current.configuration_version, now)
-            with_configuration = False
+            is_sender = with_configuration = False
             if lag_s is not None and subscriber.is_router:
                 size = measure_configuration(
                     subscriber.held.configuration_version, subscriber.reads_changes
                 )
+                is_sender = self._sends_configuration_to(name, subscriber, size, lag_s, is_primary)
                 with_configuration = (
-                    self._sends_configuration_to(name, subscriber, size, lag_s, is_primary)
+                    is_sender
                     and subscriber.can_receive_configuration(now)
                     and (not unacknowledged or unacknowledged + size <= MAX_UNACKNOWLEDGED_BYTES)
                 )
@@ -321,6 +324,9 @@
             if not with_crashes:
                 target = target.with_crashes_of(subscriber.held)
             is_new = with_configuration or with_crashes
+            if is_sender and not with_configuration and subscriber.reads_changes:
+                is_new = is_new or subscriber.named_version < current.configuration_version
+                subscriber.named_version = current.configuration_version
             if is_new or self._is_due(subscriber, target, now):
                 if subscriber.is_router:
                     size = measure_update(subscriber.held.revision, subscriber.routers_revision)
--- a/sassafrashook/fleet/_view.py
+++ b/sassafrashook/fleet/_view.py
@@ -4,7 +4,11 @@
 
 from gevent.event import Event
 
-from sassafrashook.fleet._configurations import unpack
+from sassafrashook.fleet._configurations import (
+    hash_api_key,
+    hash_route_key,
+    unpack,
+)
 from sassafrashook.fleet._freshness import ConfigurationAge
 from sassafrashook.fleet._router_names import RouterNameLists
 from sassafrashook.quarantine import CrashLedger
@@ -15,6 +19,7 @@
     RouteHistory,
     RouteTable,
     apply_changes,
+    iterate_prefixes,
 )
 
 DEFAULT_APPLY_S = 2.0
@@ -68,6 +73,24 @@
         """
         return self.age_.may_be_outdated(self.version, now)
 
+    def is_superseded(self, host, path, api_key, now):
+        """Return whether a request must not be served by this node's configuration any more.
+
+        That is so if a newer one is known that may have to be in force, and it changes the route or
+        the API key, or what it changes is not known.
+
+        :param host: normalized host of the request.
+        :param path: its path without the query.
+        :param api_key: its API key, ``None`` or empty if it has none.
+        :param now: time of :func:`~sassafrashook.utils.read_boot_time`.
+        """
+        if not self.age_.is_overdue(self.version, now):
+            return False
+        hashes = {hash_route_key(host, prefix) for prefix in iterate_prefixes(path)}
+        if api_key:
+            hashes.add(hash_api_key(api_key))
+        return self.age_.is_affected(self.version, hashes, now)
+
     def apply(self, update, now):
         """Apply an update from a controller.
 
@@ -84,7 +107,7 @@
             self._adopt_configuration(update, now)
         confirmed_ms = update.confirmed_at_ms
         confirmed_at = confirmed_ms / MS_PER_S if confirmed_ms else -math.inf
-        self.age_.record(self.version, update.newest_version, confirmed_at)
+        self.age_.record(self.version, update.newest_version, confirmed_at, update.superseded)
         self.router_lists_.apply(update, now)
         self.routers_ = self.router_lists_.names_
         if update.drain_index <= self.drain_index_:
--- a/sassafrashook/fleet/tests/test_configuration_changes.py
+++ b/sassafrashook/fleet/tests/test_configuration_changes.py
@@ -114,6 +114,28 @@
     assert fleet.sum_sent(since) > len(fleet.packed)
 
 
+def test_large_change_that_waits_for_the_link_is_not_named_to_the_routers(monkeypatch, rng):
+    """A router knows at once what it must not serve any more, and is sent the change later."""
+    fleet = ConfiguredFleet(monkeypatch, 195, rng)
+    routes = unpack(fleet.packed, RouteConfiguration).routes
+    dropped = [(route.host, route.path_prefix) for route in routes[:20]]
+    fleet.packed = add_routes(fleet.packed, 8, 3_000, rng)
+    configuration = unpack(fleet.packed, RouteConfiguration)
+    fleet.packed = pack(msgspec.structs.replace(configuration, routes=configuration.routes[20:]))
+    fleet.commit(8)
+    fleet.run_until(START_S + 1.0)
+    waiting = [r.view for r in fleet.routers.values() if r.view.version == 7]
+    assert len(waiting) > 50
+    for view in waiting:
+        overdue_at = view.age_.confirmed_at_ + view.age_.apply_s
+        refused = [
+            view.is_superseded(host, prefix + "1", "", overdue_at) for host, prefix in dropped
+        ]
+        kept = routes[30]
+        assert all(refused)
+        assert not view.is_superseded(kept.host, kept.path_prefix + "1", "", overdue_at)
+
+
 def test_history_forgets_nothing_that_a_router_needs():
     """Steps that are not kept any more lead to the whole document."""
     history, rng = ConfigurationHistory(), random.Random(3)
@@ -123,4 +145,6 @@
         packed = add_routes(packed, version, 2, rng)
         history.update(version, packed)
     assert history.encode_changes(1) is None
+    assert history.list_superseded(1) is None
     assert history.encode_changes(48) is not None
+    assert history.list_superseded(48) == []
--- a/sassafrashook/gateway/_server.py
+++ b/sassafrashook/gateway/_server.py
@@ -199,6 +199,12 @@
                 text = "unknown key"
                 self._reject_by_table(client, metadata, head, reason, STATUS_UNAUTHORIZED, text)
                 return
+        is_superseded = gateway.view.is_superseded(
+            head.host, head.path, metadata.api_key, read_boot_time()
+        )
+        if is_superseded:
+            self._reject_for_now(client, metadata, head, RefusalReason.STALE_VIEW)
+            return
         max_upstreams = None
         if self.is_for_peers:
             head, max_upstreams = take_max_upstreams(head)
--- a/sassafrashook/routes/__init__.py
+++ b/sassafrashook/routes/__init__.py
@@ -4,6 +4,7 @@
     ConfigurationChanges,
     apply_changes,
     compute_changes,
+    list_affected_keys,
     merge_changes,
 )
 from sassafrashook.routes._configuration import (
@@ -24,7 +25,7 @@
     compare_configurations,
     review_configuration,
 )
-from sassafrashook.routes._table import RouteTable
+from sassafrashook.routes._table import RouteTable, iterate_prefixes
 
 __all__ = [
     "Account",
@@ -44,6 +45,8 @@
     "compute_changes",
     "find_configuration_error",
     "iterate_configuration_errors",
+    "iterate_prefixes",
+    "list_affected_keys",
     "merge_changes",
     "review_configuration",
 ]
--- a/sassafrashook/routes/_changes.py
+++ b/sassafrashook/routes/_changes.py
@@ -4,11 +4,13 @@
 
 from sassafrashook.routes._configuration import Account, ClientLimits, Route, Service
 from sassafrashook.routes._keys import make_route_key
+from sassafrashook.routes._table import RouteTable
 
 __all__ = [
     "ConfigurationChanges",
     "apply_changes",
     "compute_changes",
+    "list_affected_keys",
     "merge_changes",
 ]
 
@@ -156,3 +158,25 @@
         limits=configuration.limits if changes.limits is None else changes.limits,
         accounts=accounts if changes.requires_keys else None,
     )
+
+
+def list_affected_keys(previous, changes):
+    """Return what requests must not be served by the previous version any more.
+
+    A route that was added affects requests that the previous version leads to a shorter prefix.
+
+    :param previous: the :class:`~sassafrashook.routes.RouteConfiguration` of the base version.
+    :param changes: a :class:`ConfigurationChanges`.
+    :returns: pair of the set of the keys of routes and the set of API keys.
+    """
+    table = RouteTable(previous)
+    route_keys = {key for key in changes.list_route_keys() if table.match(*key) is not None}
+    current = apply_changes(previous, changes)
+    owners = {key: account.name for account in current.accounts or () for key in account.keys}
+    api_keys = {
+        key
+        for account in previous.accounts or ()
+        for key in account.keys
+        if owners.get(key) != account.name
+    }
+    return route_keys, api_keys
--- a/sassafrashook/routes/tests/test_changes.py
+++ b/sassafrashook/routes/tests/test_changes.py
@@ -12,10 +12,12 @@
     Repeatability,
     Route,
     RouteConfiguration,
+    RouteTable,
     Service,
     WeightedService,
     apply_changes,
     compute_changes,
+    list_affected_keys,
     merge_changes,
 )
 
@@ -69,3 +71,31 @@
     encoded = msgspec.msgpack.encode(merged)
     decoded = msgspec.msgpack.decode(encoded, type=type(merged))
     assert normalize(apply_changes(versions[0], decoded)) == normalize(versions[-1])
+
+
+def find_service(table, host, path, key):
+    """Return the service of a request and its account, ``None`` if it is refused."""
+    route = table.match(host, path)
+    if route is None:
+        return None
+    account = table.find_account(key) if table.requires_keys else None
+    if table.requires_keys and account is None:
+        return None
+    return route, account and account.name
+
+
+@pytest.mark.parametrize("seed", range(300))
+def test_request_served_by_the_old_version_is_affected_and_not_named(seed):
+    rng = random.Random(seed)
+    previous, current = make_configuration(1, rng), make_configuration(2, rng)
+    if previous.accounts is None and current.accounts is not None:
+        return  # this affects all requests
+    route_keys, api_keys = list_affected_keys(previous, compute_changes(previous, current))
+    old, new = RouteTable(previous), RouteTable(current)
+    for host, prefix, key in itertools.product(["a.example", "b.example"], PREFIXES, KEYS):
+        path = f"{prefix}1"
+        served = find_service(old, host, path, key)
+        prefixes = [p for p in PREFIXES if path.startswith(p)]
+        is_named = key in api_keys or any((host, p) in route_keys for p in prefixes)
+        if served is not None and served != find_service(new, host, path, key):
+            assert is_named or (new.match(host, path) == served[0] and not new.requires_keys)
