gateway: endless responses are ended before they take the memory or the time of others

Cause: each response was held up to 16 MiB, counted after it had grown, and only where the settings state a limit of the memory; what counted was the client's whole connection, at an eighth of its size, so that ordinary clients were evicted first. Two attempts of one request counted as one. The traceback of a failed attempt kept its body during the retry. Data that arrives faster than it is parsed kept the task running: with chunks of 1 byte no other request was served.

Why this works: all responses of a router share a budget and reserve before they grow; the one that holds most is ended, which an ordinary one never is. Its request gets 502 or a retry; parsing lets others run every 2 ms.

--- a/sassafrashook/daemons/_router.py
+++ b/sassafrashook/daemons/_router.py
@@ -27,7 +27,13 @@
     RolloutReported,
     SlowdownStated,
 )
-from sassafrashook.gateway import Gateway, GatewayServer, RetryLimits, make_peer_pool_key
+from sassafrashook.gateway import (
+    Gateway,
+    GatewayServer,
+    RetryLimits,
+    compute_response_memory_bytes,
+    make_peer_pool_key,
+)
 from sassafrashook.hedging import HedgingPolicy
 from sassafrashook.http1 import ConnectionPool
 from sassafrashook.placement import Placement, SharedRateLimiter, StatedRateLimit
@@ -120,6 +126,7 @@
             settings.peer_port,
             HedgingPolicy(settings.hedging.extra_share, settings.hedging.quantile),
             self.client_budget_,
+            compute_response_memory_bytes(settings.client_memory_bytes),
         )
         self.server_ = GatewayServer(self.gateway_, *settings.router.clients, listener=listener)
         self.peer_server_ = GatewayServer(
@@ -155,6 +162,8 @@
         self._metrics_server = serve_metrics(
             self.settings.metrics, self.metrics_, self.client_budget_
         )
+        memory = self.gateway_.response_memory
+        self.metrics_.register_gauge("response_memory_bytes", lambda: memory.used_bytes_)
         self.metrics_.register_gauge("requests_running", lambda: self.server_.active_request_count_)
         self.metrics_.register_gauge("configuration_version", lambda: self.view_.version)
         self.metrics_.register_gauge("configuration_age_ms", self._measure_configuration_age_ms)
--- a/sassafrashook/gateway/__init__.py
+++ b/sassafrashook/gateway/__init__.py
@@ -11,6 +11,7 @@
     ResponseMetadata,
 )
 from sassafrashook.gateway._peers import make_peer_pool_key
+from sassafrashook.gateway._response_memory import compute_response_memory_bytes
 from sassafrashook.gateway._server import GatewayServer
 
 __all__ = [
@@ -24,5 +25,6 @@
     "PeerForwardingMetadata",
     "PromptPart",
     "RequestMetadata",
+    "compute_response_memory_bytes",
     "make_peer_pool_key",
 ]
--- a/sassafrashook/gateway/_attempt.py
+++ b/sassafrashook/gateway/_attempt.py
@@ -4,6 +4,9 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+import gevent
+
+from sassafrashook.clients import SCARCE_PAUSE_S
 from sassafrashook.gateway._header_codec import ForwardingMetadata
 from sassafrashook.gateway._witness import Witness
 from sassafrashook.http1 import UpstreamResponseError
@@ -124,6 +127,7 @@
         "_witness",
         "_awaited_data_at",
         "first_data_at_",
+        "_memory_share",
     )
 
     def __init__(self, handler, upstream, prompt_source):
@@ -138,6 +142,7 @@
         self._witness = None
         self._awaited_data_at = float("-inf")
         self.first_data_at_ = None
+        self._memory_share = handler.gateway.response_memory.open_share(self.abort)
 
     def start(self):
         """Connect, send the request and read the head of the response.
@@ -374,12 +379,32 @@
             most.
         """
         body = bytearray()
+        try:
+            self._read_into(body)
+        except BaseException:
+            body.clear()  # the traceback of the error refers to it while the request is retried
+            raise
+        return body
+
+    def _read_into(self, body):
         while (data := self.read_data()) is not None:
-            body += data
-            if len(body) > MAX_BODY_BYTES:
+            size = len(body) + len(data)
+            if size > MAX_BODY_BYTES:
                 raise self.close_wrong_response(f"body of more than {MAX_BODY_BYTES} bytes")
-            self.handler.client.reserve_response(len(body))
-        return body
+            self.hold_response(size)
+            self.handler.client.reserve_response(size)
+            body += data
+
+    def hold_response(self, size):
+        """Record how much of the response is held, before it is.
+
+        :param size: bytes.
+        :raises AttemptError: if the memory for responses is used up and this one holds most.
+        """
+        if not self._memory_share.hold(size):
+            raise self.close_wrong_response("the memory for responses is used up")
+        if self._memory_share.is_scarce():
+            gevent.sleep(SCARCE_PAUSE_S)  # responses that were ended release theirs
 
     def close_wrong_response(self, detail):
         """Close the connection in the middle of a response that is too long or not as expected.
@@ -410,7 +435,11 @@
             handler.gateway.record_interruption(
                 self.upstream, handler.metadata.request_id, handler.traits
             )
-        detail = "this router gave up the unresponsive host" if self.is_aborted_ else str(error)
+        detail = str(error)
+        if self._memory_share.is_ended_:
+            detail = "the memory for responses is used up"
+        elif self.is_aborted_:
+            detail = "this router gave up the unresponsive host"
         return self._close_with_error(FailureKind.BROKEN, detail)
 
     def _close_with_error(self, kind, detail):
@@ -502,6 +531,7 @@
         """Close the connection if it is still in use, and give the second one back."""
         if self._witness is not None:
             self._witness.release()
+        self._memory_share.close()
         connection, self.connection_ = self.connection_, None
         if connection is not None:
             connection.close()
--- a/sassafrashook/gateway/_gateway.py
+++ b/sassafrashook/gateway/_gateway.py
@@ -7,6 +7,7 @@
 import gevent
 from gevent.event import Event
 
+from sassafrashook.gateway._response_memory import DEFAULT_RESPONSE_MEMORY_BYTES, ResponseMemory
 from sassafrashook.gateway._results import ResultRecorder
 from sassafrashook.gateway._witness import UNFRAMED_RETENTION_S
 from sassafrashook.hedging import HedgingPolicy
@@ -60,7 +61,9 @@
         a second attempt beside a running one.
     :param client_budget: the :class:`~sassafrashook.clients.ClientBudget` of all connections of
         clients and other routers, ``None`` for no limits.
+    :param response_memory_bytes: memory that all responses may hold while they are read, in bytes.
 
+    :ivar response_memory: the :class:`~sassafrashook.gateway._response_memory.ResponseMemory`.
     :ivar peers: the :class:`~sassafrashook.paths.PeerSelector`.
     :ivar results: the :class:`~sassafrashook.gateway._results.ResultRecorder`.
     :ivar active_handlers_: set of the :class:`~sassafrashook.gateway._request.RequestHandler` in
@@ -82,6 +85,7 @@
         peer_port=0,
         hedging=None,
         client_budget=None,
+        response_memory_bytes=DEFAULT_RESPONSE_MEMORY_BYTES,
     ):
         self.name = name
         self.header_codec = header_codec
@@ -94,6 +98,7 @@
         self.peer_port = peer_port
         self.hedging = hedging if hedging is not None else HedgingPolicy()
         self.client_budget = client_budget
+        self.response_memory = ResponseMemory(response_memory_bytes, self._record_ended_response)
         self.peers = PeerSelector(name, placement.rng)
         self.results = ResultRecorder()
         self.active_handlers_ = set()
@@ -119,6 +124,14 @@
         """
         return sum(handler.abort_attempt_at(upstream) for handler in list(self.active_handlers_))
 
+    def _record_ended_response(self, share):
+        memory = self.response_memory
+        self.metrics.count("responses_ended", "memory")
+        log_event(
+            "response_ended", level="warning", reason="memory", held_bytes=share.held_bytes_,
+            used_bytes=memory.used_bytes_, max_bytes=memory.max_bytes,
+        )  # fmt: skip
+
     def record_rate_limit(self, upstream, rate, request_id):
         """Record the limit of its request rate that an upstream states in a response.
 
--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -628,8 +628,10 @@
                 events = splitter.feed(data)
             except EventOrderError as error:
                 raise attempt.close_wrong_response(str(error)) from error
-            if splitter.measure_incomplete() > MAX_EVENT_BYTES:
+            incomplete_bytes = splitter.measure_incomplete()
+            if incomplete_bytes > MAX_EVENT_BYTES:
                 raise attempt.close_wrong_response(f"event of more than {MAX_EVENT_BYTES} bytes")
+            attempt.hold_response(incomplete_bytes)
             if events:
                 now = time.monotonic()
                 longest_pause_s, sent_at = max(longest_pause_s, now - sent_at), now
--- a/sassafrashook/http1/_upstream.py
+++ b/sassafrashook/http1/_upstream.py
@@ -12,6 +12,9 @@
 from sassafrashook.tasks import spawn_task
 
 RECEIVE_BYTES = 65_536
+# Other tasks run after this time of parsing: data that has arrived is received without a wait.
+MAX_PARSING_S = 0.002
+MIN_BLOCKED_S = 0.0005  # other tasks ran during a receive that took this time
 MAX_INLINE_SEND_BYTES = 16_384  # a task sends longer requests while the response is being read
 MAX_HEAD_BYTES = 65_536
 MAX_INFORMATIONAL_RESPONSES = 16  # before the response to one request
@@ -54,6 +57,7 @@
         self.idle_deadline_ = 0.0
         self.idle_since_ = 0.0
         self._writer = None
+        self._yield_at = float("inf")
         try:
             self._set_socket_options()
             if source_host is not None:
@@ -172,6 +176,7 @@
         raise UpstreamResponseError("connection closed within the response")
 
     def _next_event(self, deadline):
+        self._yield_after_parsing()
         while True:
             is_before_head = self._http.their_state is h11.SEND_RESPONSE
             try:
@@ -190,13 +195,24 @@
             except RuntimeError as error:
                 raise UpstreamResponseError("connection closed within the response") from error
 
+    def _yield_after_parsing(self):
+        """Let other tasks run if this one has parsed for long."""
+        if time.monotonic() >= self._yield_at:
+            gevent.sleep(0)
+            self._yield_at = time.monotonic() + MAX_PARSING_S
+
     def _receive(self, deadline):
-        remaining_s = deadline - time.monotonic()
+        began_at = time.monotonic()
+        remaining_s = deadline - began_at
         if remaining_s <= 0:
             raise TimeoutError("the upstream did not respond before the deadline")
         self.sock.settimeout(max(remaining_s, MIN_TIMEOUT_S))
         try:
-            return self.sock.recv(RECEIVE_BYTES)
+            data = self.sock.recv(RECEIVE_BYTES)
+            now = time.monotonic()
+            if now >= began_at + MIN_BLOCKED_S:
+                self._yield_at = now + MAX_PARSING_S
+            return data
         except TimeoutError as error:
             # Before the deadline, the kernel reports a host that acknowledges no packets.
             if time.monotonic() >= deadline - MIN_TIMEOUT_S:
