gateway: a request that may outlast the grace of a planned stop is refused at once

A new connection 2.2 s after the SIGTERM or later is closed before its request arrives.

Cause: the only bound was when connections are accepted (3.5 s); deadlines of up to 10.7 s were never compared with the end of the process, and nothing was said to those that still ran then.

Why this works: after 2.5 s only what certainly ends in time is passed on; before, what nine of ten recent requests of its kind do. All others get 503, not run, `Connection: close` and a time to come back that ends when the load balancer has removed this router. What runs 0.15 s before the end gets 502.

Ruled out: refusing from the SIGTERM on whatever might outlast the grace. Streams with deadlines of 10 s end in a few seconds; refused, nearly all of them would be late.

--- a/sassafrashook/gateway/_gateway.py
+++ b/sassafrashook/gateway/_gateway.py
@@ -9,6 +9,7 @@
 
 from sassafrashook.gateway._response_memory import DEFAULT_RESPONSE_MEMORY_BYTES, ResponseMemory
 from sassafrashook.gateway._results import ResultRecorder
+from sassafrashook.gateway._stopping import RequestDurations
 from sassafrashook.gateway._witness import UNFRAMED_RETENTION_S
 from sassafrashook.hedging import HedgingPolicy
 from sassafrashook.paths import PeerSelector
@@ -66,6 +67,7 @@
     :ivar response_memory: the :class:`~sassafrashook.gateway._response_memory.ResponseMemory`.
     :ivar peers: the :class:`~sassafrashook.paths.PeerSelector`.
     :ivar results: the :class:`~sassafrashook.gateway._results.ResultRecorder`.
+    :ivar durations: the :class:`~sassafrashook.gateway._stopping.RequestDurations`.
     :ivar active_handlers_: set of the :class:`~sassafrashook.gateway._request.RequestHandler` in
         progress.
     :ivar probe_requested_: event that is set when an upstream needs a probe.
@@ -101,6 +103,7 @@
         self.response_memory = ResponseMemory(response_memory_bytes, self._record_ended_response)
         self.peers = PeerSelector(name, placement.rng)
         self.results = ResultRecorder()
+        self.durations = RequestDurations()
         self.active_handlers_ = set()
         self.probe_requested_ = Event()
         self.crash_observed_ = Event()
@@ -124,6 +127,16 @@
         """
         return sum(handler.abort_attempt_at(upstream) for handler in list(self.active_handlers_))
 
+    def end_requests(self):
+        """End all requests in progress, with an error response where none has been started.
+
+        :returns: number of requests.
+        """
+        handlers = list(self.active_handlers_)
+        for handler in handlers:
+            handler.end()
+        return len(handlers)
+
     def _record_ended_response(self, share):
         memory = self.response_memory
         self.metrics.count("responses_ended", "memory")
--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -159,6 +159,7 @@
         self._version_choice = None
         self._rollout_attempt = None
         self._request_log = RequestLog(self)
+        self._is_ended = False
 
     @property
     def traits(self):
@@ -213,6 +214,12 @@
             )
         )
 
+    def end(self):
+        """End the request, because this router stops."""
+        self._is_ended = True
+        if self._attempt is not None:
+            self._attempt.abort()
+
     def _cancel(self):
         """Abort the current attempt after the client has disconnected."""
         if self._attempt is not None:
@@ -240,6 +247,9 @@
     def _run_attempts(self):
         is_suspected = self.gateway.is_suspected(self.traits)
         while not self.client.is_disconnected_:
+            if self._is_ended:
+                self._reject(RefusalReason.STOPPING, 0)
+                return
             quarantine = self.gateway.find_quarantine(self.traits, self.execution_count_ > 0)
             if quarantine is not None:
                 self._request_log.log_quarantine(quarantine)
@@ -696,6 +706,8 @@
         """Return why the request must not be retried, or ``None``; the budget is not checked."""
         if error.kind is FailureKind.CLIENT_DISCONNECTED or self.client.is_disconnected_:
             return "client_left"
+        if self._is_ended:
+            return "stopping"
         if time.monotonic() >= self.deadline:
             return "deadline"
         if self.unreachable_count_ >= MAX_UNREACHABLE or self.refused_count_ >= MAX_REFUSED:
@@ -762,6 +774,8 @@
     def _log(self, outcome, upstream, detail):
         """Record the duration of the request and log its end."""
         elapsed_ms = self._compute_elapsed_ms()
+        if outcome == "answered":
+            self.gateway.durations.record(self.route.duration_kind, elapsed_ms / 1_000)
         self._record("request_ms", outcome, elapsed_ms)
         self._request_log.close(outcome, upstream, detail, elapsed_ms)
 
--- a/sassafrashook/gateway/_server.py
+++ b/sassafrashook/gateway/_server.py
@@ -9,8 +9,9 @@
 from gevent.server import StreamServer
 
 from sassafrashook.gateway._peers import take_max_upstreams
-from sassafrashook.gateway._request import RequestHandler
+from sassafrashook.gateway._request import DEFAULT_DEADLINE_MS, RequestHandler
 from sassafrashook.gateway._responses import STATUS_UNAVAILABLE, send_text
+from sassafrashook.gateway._stopping import GracefulStop
 from sassafrashook.http1 import (
     ClientDisconnectedError,
     InvalidRequestError,
@@ -31,6 +32,8 @@
 # removed the node: it checks readiness once a second and removes a node after two failed checks.
 CLOSE_IDLE_AFTER_S = 2.2
 STOP_ACCEPTING_AFTER_S = 3.5
+MIN_CONNECTION_S = 0.3  # a new connection is not closed as idle for this time
+STOPPING_RETRY_MS = (10, 100)  # bounds of the random retry delay once others get all connections
 # Bounds of the random retry delay while there is no configuration, or it may be outdated. A restart
 # of the whole fleet takes about 1 s; the range spreads the retries of the clients.
 NO_CONFIGURATION_RETRY_MS = (400, 800)
@@ -58,7 +61,8 @@
     :param listener: listening socket to use, ``None`` to open one at the start.
 
     :ivar active_request_count_: number of requests in progress.
-    :ivar is_stopping_: whether :meth:`stop` has been called.
+    :ivar stop_: the :class:`~sassafrashook.gateway._stopping.GracefulStop` once :meth:`stop` has
+        been called, else ``None``.
     :ivar server_: the ``gevent.server.StreamServer`` once started.
     """
 
@@ -69,10 +73,15 @@
         self.is_for_peers = is_for_peers
         self.listener = listener
         self.active_request_count_ = 0
-        self.is_stopping_ = False
         self.server_ = None
+        self.stop_ = None
         self._should_close_idle = False
 
+    @property
+    def is_stopping_(self):
+        """Whether :meth:`stop` has been called."""
+        return self.stop_ is not None
+
     def start(self):
         """Listen and start to serve clients.
 
@@ -93,23 +102,31 @@
         """Stop gracefully.
 
         Continues to serve until the load balancer has removed the node, then closes idle
-        connections, stops accepting new ones and waits for the requests in progress.
+        connections, stops accepting new ones and waits for the requests in progress. Those that
+        have not ended shortly before the deadline are ended with an error response.
 
         :param deadline: time at which the requests still in progress are no longer waited
             for, in monotonic seconds.
         :returns: number of requests still in progress.
         """
         started_at = time.monotonic()
-        self.is_stopping_ = True
-        _sleep_until(min(deadline, started_at + CLOSE_IDLE_AFTER_S))
+        self.stop_ = GracefulStop(started_at, deadline)
+        _sleep_until(min(self.stop_.end_at, started_at + CLOSE_IDLE_AFTER_S))
         self._should_close_idle = True
-        _sleep_until(min(deadline, started_at + STOP_ACCEPTING_AFTER_S))
+        _sleep_until(min(self.stop_.end_at, started_at + STOP_ACCEPTING_AFTER_S))
         self.server_.stop_accepting()
-        while self.active_request_count_ and time.monotonic() < deadline:
-            gevent.sleep(STOP_POLL_INTERVAL_S)
+        self._wait_for_requests(self.stop_.end_at)
+        if self.active_request_count_:
+            ended = self.gateway.end_requests()
+            log_event("requests_ended_at_stop", level="warning", count=ended)
+            self._wait_for_requests(deadline)
         self.server_.close()
         return self.active_request_count_
 
+    def _wait_for_requests(self, until):
+        while self.active_request_count_ and time.monotonic() < until:
+            gevent.sleep(STOP_POLL_INTERVAL_S)
+
     def _handle_client(self, sock, address):
         if self.is_for_peers and address[0] not in self.gateway.view.routers_:
             log_event("peer_rejected", level="warning", address=address[0])
@@ -132,10 +149,11 @@
             client.close()
 
     def _serve_requests(self, client):
+        keep_until = time.monotonic() + MIN_CONNECTION_S
         while True:
             limits = self.gateway.get_client_limits()
             idle_deadline = time.monotonic() + limits.idle_timeout_ms / 1_000
-            if not client.wait_for_request(idle_deadline, lambda: self._should_close_idle):
+            if not client.wait_for_request(idle_deadline, lambda: self._may_close_idle(keep_until)):
                 return
             self.active_request_count_ += 1
             try:
@@ -145,6 +163,13 @@
             if not keep_alive or not client.start_next_cycle():
                 return
 
+    def _may_close_idle(self, keep_until):
+        """Return whether an idle connection is closed.
+
+        :param keep_until: until when the client may send its first request, in monotonic seconds.
+        """
+        return self._should_close_idle and time.monotonic() >= keep_until
+
     def _serve_request(self, client, limits):
         """Read one request and send its response.
 
@@ -199,6 +224,9 @@
                 text = "unknown key"
                 self._reject_by_table(client, metadata, head, reason, STATUS_UNAUTHORIZED, text)
                 return
+        if self.is_stopping_ and not self._is_admitted_while_stopping(metadata, route, started_at):
+            self._reject_while_stopping(client, metadata, head)
+            return
         is_superseded = gateway.view.is_superseded(
             head.host, head.path, metadata.api_key, read_boot_time()
         )
@@ -212,6 +240,22 @@
             gateway, client, head, metadata, route, account, body, started_at, max_upstreams
         ).handle()
 
+    def _is_admitted_while_stopping(self, metadata, route, started_at):
+        """Return whether a request may still be passed on, as it ends before this process does."""
+        wait_ms = DEFAULT_DEADLINE_MS if metadata.deadline_ms is None else metadata.deadline_ms
+        deadline = started_at + min(wait_ms, route.timeout_ms) / MS_PER_S
+        duration_s = self.gateway.durations.estimate(route.duration_kind)
+        return self.stop_.admits(time.monotonic(), deadline, duration_s)
+
+    def _reject_while_stopping(self, client, metadata, head):
+        """Reject a request that another router can serve once the load balancer picks that."""
+        removed_at = self.stop_.started_at + CLOSE_IDLE_AFTER_S
+        wait_ms = max(0.0, removed_at - time.monotonic()) * MS_PER_S
+        spread_ms = self.gateway.placement.rng.uniform(*STOPPING_RETRY_MS)
+        self._reject_for_now(
+            client, metadata, head, RefusalReason.STOPPING, round(wait_ms + spread_ms)
+        )
+
     def _reject_by_table(self, client, metadata, head, reason, status, text):
         """Reject a request that the route table does not allow, unless the table may be outdated.
 
@@ -223,10 +267,15 @@
         self._record_rejection(metadata, head, reason)
         self._send_rejection(client, status, text)
 
-    def _reject_for_now(self, client, metadata, head, reason):
-        """Reject a request that this router may be able to handle later."""
+    def _reject_for_now(self, client, metadata, head, reason, retry_after_ms=None):
+        """Reject a request that this router or another one may be able to handle later.
+
+        :param retry_after_ms: delay after which the client may retry, in milliseconds; a random one
+            if omitted.
+        """
         self._record_rejection(metadata, head, reason)
-        retry_after_ms = round(self.gateway.placement.rng.uniform(*NO_CONFIGURATION_RETRY_MS))
+        if retry_after_ms is None:
+            retry_after_ms = round(self.gateway.placement.rng.uniform(*NO_CONFIGURATION_RETRY_MS))
         self._send_rejection(client, STATUS_UNAVAILABLE, reason, retry_after_ms)
 
     def _wait_for_table(self, metadata, started_at):
--- a/sassafrashook/platform/tests/test_forwarding.py
+++ b/sassafrashook/platform/tests/test_forwarding.py
@@ -6,6 +6,7 @@
 import gevent
 import pytest
 
+from sassafrashook.gateway._stopping import GracefulStop
 from sassafrashook.platform.tests.crashing_upstreams import (
     POISON_PART,
     crash_on_poison_part,
@@ -574,7 +575,7 @@
     harness = start_harness(respond_with_name)
     sock = harness.connect()
     harness.send_request("/counts/7", sock=sock)
-    harness.server.is_stopping_ = True
+    harness.server.stop_ = GracefulStop(time.monotonic(), time.monotonic() + 7.6)
     _, head, _, _ = harness.send_request("/counts/7", sock=sock, request_id="a2")
     assert find_header(head, "Connection") == "close"
 
--- a/sassafrashook/routes/_configuration.py
+++ b/sassafrashook/routes/_configuration.py
@@ -78,6 +78,11 @@
         """Whether requests may run more than once."""
         return self.repeatability in (Repeatability.IDEMPOTENT, Repeatability.RESUMABLE_STREAM)
 
+    @property
+    def duration_kind(self):
+        """Value that routes share whose requests take similar times."""
+        return self.services[0].service, self.repeatability, self.timeout_ms
+
     def list_services(self):
         """Return the names of the services that get requests of the route."""
         return [weighted.service for weighted in self.services if weighted.weight > 0]
