fleet: routers get upstreams of a new software version once a majority of controllers knows it

Cause: a router that resumes a stream of an unnamed request trusts the only version that a majority of the controllers names. But an upstream's registration went to the routers at the same time as to the other controllers: a controller that is cut off just then gives its routers a version that the majority does not know.

Why this works: a controller withholds the registrations of a version that is new to the service from routers until a majority holds its revision. No message changes; costs no bytes but the registrations of the first upstreams once more.

What remains: a controller that restarts takes the versions that it had saved for established.

--- a/sassafrashook/fleet/_controller.py
+++ b/sassafrashook/fleet/_controller.py
@@ -28,6 +28,7 @@
 )
 from sassafrashook.fleet._streams import StreamRecords
 from sassafrashook.fleet._subscriber import FleetSubscriber
+from sassafrashook.fleet._versions import EstablishedVersions
 from sassafrashook.fleet._view import FleetView
 from sassafrashook.interfaces import ProposalErrorReason
 from sassafrashook.quarantine import CrashLedger
@@ -79,6 +80,7 @@
     :ivar publisher_: the :class:`~sassafrashook.fleet.Publisher`.
     :ivar exchange_: the :class:`~sassafrashook.fleet._exchange.LoadExchange`.
     :ivar streams_: the :class:`~sassafrashook.fleet._streams.StreamRecords`.
+    :ivar versions_: the :class:`~sassafrashook.fleet._versions.EstablishedVersions`.
     :ivar heartbeats_: the :class:`~sassafrashook.fleet._heartbeats.HeartbeatLog`.
     :ivar subscriber_: the :class:`~sassafrashook.fleet.FleetSubscriber` to the other controllers.
     """
@@ -112,6 +114,7 @@
         )
         self.streams_ = StreamRecords(mesh, registry, self.is_current)
         self.heartbeats_ = HeartbeatLog(mesh)
+        self.versions_ = EstablishedVersions(registry)
         self.rollouts_ = None
         if rollout_bounds is not None:
             self.rollouts_ = FleetRollouts(
@@ -164,6 +167,7 @@
         self.registry.recall(cached.registrations, self.recalled_valid_s, now)
         for service, version in cached.software_versions:
             self.registry.record_software_version(service, version, now)
+        self.versions_.restore(map(tuple, cached.software_versions))
         self.publisher_.restore_routers(cached.routers, now)
         for record in cached.crashes:
             self.crashes_.merge(record, now)
@@ -254,6 +258,8 @@
         :param now: monotonic seconds.
         """
         self.configurations_.update(self.state.version_, self.state.configuration_)
+        for service, version in self.versions_.update(self._is_held_by_majority):
+            log_event("software_version_established", service=service, version=version)
         self.publisher_.router_names_.update(self.publisher_.list_routers(now))
         due = self.publisher_.schedule_updates(
             self._get_versions(),
@@ -342,6 +348,9 @@
         members = sorted(member.name for member in self.replica.get_members())
         drained_zones = sorted(state.drained_zones_)
         list_registrations = functools.cache(lambda revision: registry.list_changes(revision, now))
+        list_for_routers = functools.cache(
+            lambda revision: self.versions_.select_established(list_registrations(revision))
+        )
         list_names = functools.cache(router_names.list_changes)
         for update in due:
             name, held = update.name, update.held
@@ -369,7 +378,7 @@
             message = ViewChanged(
                 publisher.boot_id,
                 registry.revision_,
-                list_registrations(held.revision),
+                (list_for_routers if subscriber.is_router else list_registrations)(held.revision),
                 members,
                 router_names.names_ if name_changes is None else (),
                 state.drain_index_,
@@ -457,6 +466,15 @@
             log_event("upstream_left", upstream=upstream_id, revision=revision)
         return self._wait_for_propagation(self.registry.revision_)
 
+    def _list_holders(self, revision):
+        """Return the set of the voters that hold a revision of the registrations."""
+        voters = self._list_voters()
+        holders = {name for name in voters if self.publisher_.holds_revision(name, revision)}
+        return holders | ({self.name} & voters)
+
+    def _is_held_by_majority(self, revision):
+        return len(self._list_holders(revision)) * 2 > len(self._list_voters())
+
     def _wait_for_propagation(self, revision):
         """Wait until a majority of controllers holds a revision.
 
@@ -467,16 +485,16 @@
         """
         started = time.monotonic()
         while (now := time.monotonic()) < started + PROPAGATION_TIMEOUT_S:
-            voters = self._list_voters()
-            holders = {n for n in voters if self.publisher_.holds_revision(n, revision)}
-            holders |= {self.name} & voters
-            has_majority = len(holders) * 2 > len(voters)
+            has_majority = self._is_held_by_majority(revision)
             lagging = self.publisher_.has_lagging_router(revision, now, CONNECTED_TIMEOUT_S)
             if has_majority and (not lagging or now >= started + ROUTER_PROPAGATION_TIMEOUT_S):
                 return True
             gevent.sleep(PROPAGATION_POLL_S)
         log_event(
-            "propagation_incomplete", level="warning", revision=revision, holders=sorted(holders)
+            "propagation_incomplete",
+            level="warning",
+            revision=revision,
+            holders=sorted(self._list_holders(revision)),
         )
         return False
 
--- a/sassafrashook/platform/tests/test_resumed_streams.py
+++ b/sassafrashook/platform/tests/test_resumed_streams.py
@@ -88,7 +88,7 @@
             "b", 1, [], [], ["r1"], 0, [], version, encoded, newest_version=version
         )
         self.gateway.view.apply(update, time.monotonic())
-        self.gateway.view.confirmed_at_ = float("inf")
+        self.gateway.view.age_.confirmed_at_ = float("inf")
 
     def resume_all(self, path="/summaries/7"):
         """Resume streams under several ids; :returns: the responses."""
--- a/sassafrashook/registry/_registry.py
+++ b/sassafrashook/registry/_registry.py
@@ -63,6 +63,8 @@
         """
         known = self.registrations_.get(registration.upstream_id)
         if known is not None and registration.precedence <= known.precedence:
+            if registration.version != known.version:
+                self._past_versions.record(registration.service, registration.version, now)
             return False
         if known is None and len(self.registrations_) >= MAX_REGISTRATIONS:
             return False
@@ -80,10 +82,14 @@
         self.heard_at_[registration.upstream_id] = now
         self.cold_until_[registration.upstream_id] = cold_until
         if changed:
-            self.revision_ += 1
-            self._changed_revisions[registration.upstream_id] = self.revision_
+            self.mark_changed(registration.upstream_id)
         return changed
 
+    def mark_changed(self, upstream_id):
+        """Have a registration sent to other nodes again."""
+        self.revision_ += 1
+        self._changed_revisions[upstream_id] = self.revision_
+
     def _needs_propagation(self, known, registration, cold_until, now):
         if (
             known is None
