gateway: a stream of an unnamed request is not resumed by a configuration that may be outdated

A router that was cut off or suspended while a route was moved asks only for the versions of the services that it knows, and joins events of two versions (ORDER).

Evidence: platform/tests/test_resumed_streams.py, a router that knows of a newer configuration or has not been confirmed: both cases went on with 200 before, and get 503 with a time to come back now. Streams whose first request is named or on record are not affected.

--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -23,7 +23,8 @@
 from sassafrashook.placement import BUSY_RETRY_MS, PlacementQuery
 from sassafrashook.quarantine import compute_traits
 from sassafrashook.routes import Repeatability
-from sassafrashook.utils import hash_key
+from sassafrashook.streams import LookupSource
+from sassafrashook.utils import hash_key, read_boot_time
 
 MAX_UNREACHABLE = 4  # failed connection attempts after which the request is not retried
 MAX_REFUSED = 2  # attempts refused by upstreams after which the request is not retried
@@ -232,17 +233,21 @@
         """
         if self.last_event_id_ is None or not self.route.is_stream:
             return True
-        services = self.gateway.view.route_history_.list_services(
+        view = self.gateway.view
+        services = view.route_history_.list_services(
             self.table, self.head.host, self.head.path, time.monotonic()
         )
         origin = self.gateway.streams.find(self.metadata.stream_request_id, services, self.deadline)
         self.gateway.metrics.count("stream_lookups", origin.source)
         self._request_log.log_stream_origin(origin)
         self.stream_version_ = origin.version
-        if origin.version is None:
+        if origin.source is LookupSource.ONLY_VERSION and view.may_be_outdated(read_boot_time()):
+            # A newer configuration may have led the stream to a service of another version.
+            self.stream_version_ = None
+        if self.stream_version_ is None:
             retry_after_ms = round(self.gateway.placement.rng.uniform(*UNKNOWN_STREAM_RETRY_MS))
             self._reject(RefusalReason.STREAM_UNKNOWN, retry_after_ms)
-        return origin.version is not None
+        return self.stream_version_ is not None
 
     def _run_attempts(self):
         is_suspected = self.gateway.is_suspected(self.traits)
--- a/sassafrashook/platform/tests/test_resumed_streams.py
+++ b/sassafrashook/platform/tests/test_resumed_streams.py
@@ -163,3 +163,14 @@
     harness = start_split({"chat-a": 1.0})
     harness.apply(2, {"chat-a": 3.0})
     assert_goes_on(harness.resume_all(), "v1")
+
+
+@pytest.mark.parametrize(
+    "age", [{"newest_version_": 2}, {"confirmed_at_": float("-inf")}], ids=["newer", "old"]
+)
+def test_stream_goes_on_by_a_configuration_that_may_be_outdated(start_split, age):
+    """A newer one may have led the stream to another service and version."""
+    harness = start_split({"chat-a": 1.0})
+    for name, value in age.items():
+        setattr(harness.gateway.view.age_, name, value)
+    assert_rejected(harness.resume_all())
