fleet: the names of what a newer version changes hold for one version of the router only

A controller that had passed from 17 to 20 directly named what differs between these two; a router that held 17 and then took 19 from another controller applied the names to 19, and served what 19 alone had changed.

The update now states the version that the names refer to, and the router ignores them for any other: without names it refuses all once a newer version may have to be in force.

--- a/sassafrashook/fleet/_controller.py
+++ b/sassafrashook/fleet/_controller.py
@@ -362,6 +362,7 @@
                     held_version, subscriber.reads_changes
                 )
             elif subscriber.is_router and subscriber.reads_changes:
+                base_version = held_version
                 superseded = self.configurations_.list_superseded(held_version)
             crash_revision, crash_records = max(0, held.crash_revision), []
             if update.with_crashes:
--- a/sassafrashook/fleet/_freshness.py
+++ b/sassafrashook/fleet/_freshness.py
@@ -57,14 +57,15 @@
 
     :ivar newest_version_: highest version that a controller has named.
     :ivar confirmed_at_: latest time at which no newer version than the node's was acknowledged.
-    :ivar named_version_: highest version of which the node knows what it changes.
+    :ivar named_base_: version of the node for which it knows what a newer one changes.
+    :ivar named_version_: the newer version.
     :ivar named_at_: latest time at which no newer version than that was acknowledged.
 
     >>> age = ConfigurationAge(apply_s=2.0)
     >>> age.record(7, newest_version=7, confirmed_at=100.0)
     >>> age.may_be_outdated(7, 101.9), age.may_be_outdated(7, 102.0)
     (False, True)
-    >>> age.record(7, newest_version=8, confirmed_at=101.0, superseded=[11, 12])
+    >>> age.record(7, 8, confirmed_at=101.0, base_version=7, superseded=[11, 12])
     >>> age.is_affected(7, {12}, 102.0), age.is_affected(7, {13}, 102.0)
     (True, False)
     """
@@ -73,29 +74,36 @@
         self.apply_s = apply_s
         self.newest_version_ = 0
         self.confirmed_at_ = -math.inf
+        self.named_base_ = 0
         self.named_version_ = 0
         self.named_at_ = -math.inf
         self._superseded = frozenset()
 
-    def record(self, version, newest_version, confirmed_at, superseded=None):
+    def record(self, version, newest_version, confirmed_at, base_version=0, superseded=None):
         """Record what an update of a controller states.
 
         :param version: version that the node holds now.
         :param newest_version: version that the controller holds.
         :param confirmed_at: a time at which that was the newest one, -inf if none is known.
-        :param superseded: hashes of what must not be used of the node's version any more, ``None``
-            if that is not stated.
+        :param base_version: version that ``superseded`` refers to.
+        :param superseded: hashes of what must not be used of that version any more, ``None`` if
+            that is not stated.
         """
         self.newest_version_ = max(self.newest_version_, newest_version)
         if newest_version <= version:
             self.confirmed_at_ = max(self.confirmed_at_, confirmed_at)
-        elif superseded is not None and newest_version > self.named_version_:
+        elif superseded is not None and self._is_news(version, base_version, newest_version):
+            self.named_base_ = base_version
             self.named_version_ = newest_version
             self.named_at_ = confirmed_at
             self._superseded = frozenset(superseded)
         elif newest_version == self.named_version_:
             self.named_at_ = max(self.named_at_, confirmed_at)
 
+    def _is_news(self, version, base_version, newest_version):
+        is_better = self.named_base_ != version or newest_version > self.named_version_
+        return base_version == version and is_better
+
     def may_be_outdated(self, version, now):
         """Return whether there is, or may be, a newer version that has to be in force by now.
 
@@ -117,6 +125,6 @@
         """
         if not self.is_overdue(version, now):
             return False
-        if self.named_version_ <= version or not self._superseded.isdisjoint(hashes):
+        if self.named_base_ != version or not self._superseded.isdisjoint(hashes):
             return True
         return self.newest_version_ > self.named_version_ and now >= self.named_at_ + self.apply_s
--- a/sassafrashook/fleet/_messages.py
+++ b/sassafrashook/fleet/_messages.py
@@ -95,8 +95,9 @@
     :param rollouts: all rollouts; empty if the node holds those of ``rollout_index`` or later.
     :param confirmed_at_ms: a time, in milliseconds on the receiver's clock, at which no newer
         version than ``newest_version`` was acknowledged; 0 if none is known.
-    :param base_version: version that ``configuration`` changes; 0 if it is whole.
-    :param superseded: hashes of the routes and API keys of the node's version that it must not act
+    :param base_version: version that ``configuration`` changes, 0 if it is whole; or the version
+        that ``superseded`` refers to.
+    :param superseded: hashes of the routes and API keys that a node with that version must not act
         on any more, because ``newest_version`` changes them; ``None`` if they are not stated.
     """
 
--- a/sassafrashook/fleet/_view.py
+++ b/sassafrashook/fleet/_view.py
@@ -107,7 +107,13 @@
             self._adopt_configuration(update, now)
         confirmed_ms = update.confirmed_at_ms
         confirmed_at = confirmed_ms / MS_PER_S if confirmed_ms else -math.inf
-        self.age_.record(self.version, update.newest_version, confirmed_at, update.superseded)
+        self.age_.record(
+            self.version,
+            update.newest_version,
+            confirmed_at,
+            update.base_version,
+            update.superseded,
+        )
         self.router_lists_.apply(update, now)
         self.routers_ = self.router_lists_.names_
         if update.drain_index <= self.drain_index_:
--- a/sassafrashook/platform/tests/test_outdated_configuration.py
+++ b/sassafrashook/platform/tests/test_outdated_configuration.py
@@ -36,5 +36,5 @@
     now = read_boot_time()
     age = harness.gateway.view.age_
     age.confirmed_at_ = now - 3 * APPLY_S
-    age.record(1, newest_version=2, confirmed_at=now, superseded=superseded)
+    age.record(1, 2, confirmed_at=now, base_version=1, superseded=superseded)
     assert harness.send_request("/orders/1")[0] == status
