fleet: a controller that did not listen marks no upstream as silent

Cause, the same class: a controller took the time since it last heard of an upstream for the upstream's silence, also where it had itself stood still or been cut off.

Why this works: silence counts from when the controller has listened without a pause, with a majority. A crash in that time is found by the others, or 4.2 s after the end of the pause.

--- a/sassafrashook/fleet/_controller.py
+++ b/sassafrashook/fleet/_controller.py
@@ -47,6 +47,7 @@
 CONFIRM_INTERVAL_S = 0.3  # between reads that confirm the configuration as the newest one
 # A controller without a confirmed read for this time logs that routers may reject requests for now.
 CONFIRMATION_LOST_S = 1.5
+MAX_CHECK_GAP_S = 0.5  # between checks of heartbeats by a controller that reads them in time
 LINK_LOG_INTERVAL_S = 5.0  # between log lines about what the link had no room for
 CACHE_INTERVAL_S = 1.0  # between checks whether the fleet cache must be saved
 UPDATE_BYTES = 200  # approximate size of an update without changes, with its headers
@@ -136,6 +137,7 @@
         self.confirmed_at_ = float("-inf")
         self._is_confirmed = False
         self._started_at = time.monotonic()
+        self._checked_at = self._listening_since = self._started_at
         self._link_logged_at = self._started_at
         self._link_totals = (0, 0)
 
@@ -311,13 +313,16 @@
     def _expire_registrations(self, now):
         """Remove recalled registrations that were not renewed, and mark silent upstreams.
 
-        A controller that is not connected to a majority refuses heartbeats, so it marks no upstream
-        as silent.
+        A controller that is not connected to a majority refuses heartbeats, and one that stood
+        still has not read them, so both mark upstreams only after listening for long enough.
         """
         registry = self.registry
+        if not self._had_majority or now >= self._checked_at + MAX_CHECK_GAP_S:
+            self._listening_since = now
+        self._checked_at = now
         for name in registry.remove_expired_recalled(now):
             log_event("recalled_upstream_expired", upstream=name, valid_s=self.recalled_valid_s)
-        for name in registry.update_liveness(now) if self._had_majority else ():
+        for name in registry.update_liveness(now, self._listening_since):
             log_event("upstream_silent", upstream=name, silent_s=registry.silence_timeout_s)
 
     def _update_majority(self, now):
--- a/sassafrashook/registry/_registry.py
+++ b/sassafrashook/registry/_registry.py
@@ -169,10 +169,12 @@
         self.registrations_[upstream_id] = msgspec.structs.replace(known, sequence=sequence)
         self.heard_at_[upstream_id] = now
 
-    def update_liveness(self, now):
+    def update_liveness(self, now, listening_since=-math.inf):
         """Mark upstreams without recent heartbeats as silent, and remove those that left long ago.
 
         :param now: monotonic seconds.
+        :param listening_since: since when this node has received heartbeats without a pause, in
+            monotonic seconds.
         :returns: names of the upstreams that were marked as silent.
         """
         silent = []
@@ -183,7 +185,7 @@
                     self._remove(name, now)
             elif (
                 registration.state == RegistrationState.READY
-                and now >= heard_at + self.silence_timeout_s
+                and now >= max(heard_at, listening_since) + self.silence_timeout_s
             ):
                 self.merge(
                     msgspec.structs.replace(registration, state=RegistrationState.SILENT), now
