consensus: a confirmed read waits for its index instead of starting anew

Cause: an attempt of 0.3 s covered both the leader's answer and the wait until the follower has applied that index. A follower that applies entries of 35 KB 0.3 s late gave up, asked again, and was told a later index.

Evidence: consensus/tests/test_replica.py: three reads were started before (10 instead of 8), one now.

Why this works: 0.3 s remain for the answer, which a change of the leader may lose; a confirmed index only has to be applied.

--- a/sassafrashook/consensus/_replica.py
+++ b/sassafrashook/consensus/_replica.py
@@ -304,7 +304,7 @@
         self._inputs.put(ReadRequested(waiter.token))
         timeout = max(0.0, min(READ_ATTEMPT_TIMEOUT_MS / 1000, deadline - self.clock()))
         try:
-            is_applied = waiter.result.get(timeout=timeout)
+            is_applied = self._wait_for_read(waiter, timeout, deadline)
         except gevent.Timeout:
             return False
         finally:
@@ -313,6 +313,19 @@
             gevent.sleep(POLL_INTERVAL_MS / 1000)
         return is_applied
 
+    def _wait_for_read(self, waiter, timeout, deadline):
+        """Wait until a read is confirmed and applied.
+
+        A confirmed read waits for its index until the deadline: another one would have to wait for
+        a later index.
+        """
+        try:
+            return waiter.result.get(timeout=timeout)
+        except gevent.Timeout:
+            if not waiter.submitted:
+                raise
+        return waiter.result.get(timeout=max(0.0, deadline - self.clock()))
+
     def get_leader(self):
         """Return the name of the known leader, or an empty string."""
         return self.core_.leader_
--- a/sassafrashook/consensus/tests/test_replica.py
+++ b/sassafrashook/consensus/tests/test_replica.py
@@ -334,3 +334,27 @@
     assert skipped.result.get().failure().reason is ProposalErrorReason.UNKNOWN
     assert overwritten.result.get().failure().reason is ProposalErrorReason.NOT_ACCEPTED
     assert committed.result.get().unwrap() == b"reply"
+
+
+def test_read_is_started_anew_while_its_replica_applies_entries_late(tmp_path, monkeypatch):
+    """Each new read would have to wait for the entries that were committed meanwhile."""
+    replica = Replica(
+        "a", ("a",), str(tmp_path), DigestStateMachine(), None, bootstrap=True, heartbeat_ms=20,
+        election_min_ms=100, election_max_ms=200,
+    )  # fmt: skip
+    replica.start()
+    try:
+        assert isinstance(replica.confirm_read(time.monotonic() + WAIT_S), Success)
+        complete, applied_at = replica._complete_reads, time.monotonic() + 0.6
+
+        def complete_later():
+            if time.monotonic() >= applied_at:
+                complete()
+
+        monkeypatch.setattr(replica, "_complete_reads", complete_later)
+        gevent.spawn_later(0.65, complete)
+        token = replica._next_token
+        assert isinstance(replica.confirm_read(time.monotonic() + WAIT_S), Success)
+        assert replica._next_token == token + 1
+    finally:
+        replica.stop()
