--- a/sassafrashook/fleet/_freshness.py
+++ b/sassafrashook/fleet/_freshness.py
@@ -3,7 +3,7 @@
 import math
 from collections import deque
 
-MAX_REQUESTS = 64  # a subscriber sends at most 20 requests a second, and reads are more frequent
+MAX_REQUESTS = 64  # of one subscriber; it sends at most 20 a second, and reads take less than 3 s
 
 
 class RequestTimes:
--- a/sassafrashook/http1/_upstream.py
+++ b/sassafrashook/http1/_upstream.py
@@ -57,7 +57,7 @@
         self.idle_deadline_ = 0.0
         self.idle_since_ = 0.0
         self._writer = None
-        self._yield_at = float("inf")
+        self._yield_at = 0.0
         try:
             self._set_socket_options()
             if source_host is not None:
@@ -107,6 +107,7 @@
         :param unparsed: received bytes that the previous parser has not consumed.
         :returns: list of the parts of the encoded request; the body is not copied.
         """
+        self._yield_at = time.monotonic() + MAX_PARSING_S
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         parts = [self._http.send(self._request)]
         if self._body:
