--- a/sassafrashook/daemons/_settings.py
+++ b/sassafrashook/daemons/_settings.py
@@ -2,10 +2,10 @@
 
 from dataclasses import dataclass
 
-from sassafrashook.fleet import DEFAULT_LINK_BYTES_PER_S
+from sassafrashook.fleet import DEFAULT_APPLY_S, DEFAULT_LINK_BYTES_PER_S
 from sassafrashook.hedging import HedgingLimits
 
-DEFAULT_APPLY_MS = 2_000
+DEFAULT_APPLY_MS = DEFAULT_APPLY_S * 1_000
 
 
 @dataclass(slots=True, frozen=True)
--- a/sassafrashook/fleet/__init__.py
+++ b/sassafrashook/fleet/__init__.py
@@ -9,6 +9,7 @@
 from sassafrashook.utils import make_lazy_getattr
 
 __all__ = [
+    "DEFAULT_APPLY_S",
     "DEFAULT_LINK_BYTES_PER_S",
     "FLEET_MESSAGES",
     "FleetCache",
@@ -41,6 +42,7 @@
             "RolloutReported",
             "SlowdownStated",
         ),
+        "_freshness": ("DEFAULT_APPLY_S",),
         "_link": ("DEFAULT_LINK_BYTES_PER_S",),
         "_publisher": ("Publisher",),
         "_state": ("FleetState",),
--- a/sassafrashook/fleet/_configurations.py
+++ b/sassafrashook/fleet/_configurations.py
@@ -22,8 +22,7 @@
 ]
 
 COMPRESSION_LEVEL = 6
-# Steps that are kept: a storm of changes every 0.33 s for 10 s.
-MAX_STEPS = 32
+MAX_STEPS = 32  # between versions, that are kept
 MAX_CHANGED_ROUTES = 6_000  # in all steps together, about 2 MB in memory
 # Hashes of affected routes and keys that an update may name, of at most 5 bytes each.
 MAX_NAMED = 200
--- a/sassafrashook/fleet/_controller.py
+++ b/sassafrashook/fleet/_controller.py
@@ -11,6 +11,7 @@
 
 from sassafrashook.fleet._cache import CachedFleet
 from sassafrashook.fleet._configurations import COMPRESSION_LEVEL, ConfigurationHistory, pack
+from sassafrashook.fleet._confirmation import ConfigurationConfirmer
 from sassafrashook.fleet._exchange import CONNECTED_TIMEOUT_S, LoadExchange
 from sassafrashook.fleet._heartbeats import HeartbeatLog
 from sassafrashook.fleet._messages import ViewChanged, ViewRequested
@@ -44,9 +45,6 @@
 PROPAGATION_POLL_S = 0.01
 # A controller without a request for this time is no router's primary; it sends one every 0.5 s.
 PRIMARY_TIMEOUT_S = 0.8
-CONFIRM_INTERVAL_S = 0.3  # between reads that confirm the configuration as the newest one
-# A controller without a confirmed read for this time logs that routers may reject requests for now.
-CONFIRMATION_LOST_S = 1.5
 MAX_CHECK_GAP_S = 0.5  # between checks of heartbeats by a controller that reads them in time
 LINK_LOG_INTERVAL_S = 5.0  # between log lines about what the link had no room for
 CACHE_INTERVAL_S = 1.0  # between checks whether the fleet cache must be saved
@@ -73,8 +71,7 @@
     :param rollout_bounds: the :class:`~sassafrashook.rollouts.RolloutBounds`, ``None`` in a
         deployment without rollouts.
 
-    :ivar confirmed_at_: when the last read began that confirmed the configuration as the newest,
-        in monotonic seconds.
+    :ivar confirmer_: the :class:`~sassafrashook.fleet._confirmation.ConfigurationConfirmer`.
     :ivar rollouts_: the :class:`~sassafrashook.fleet._rollouts.FleetRollouts`, or ``None``.
     :ivar configurations_: the :class:`~sassafrashook.fleet._configurations.ConfigurationHistory`.
     :ivar crashes_: the :class:`~sassafrashook.quarantine.CrashLedger` of the whole fleet.
@@ -109,6 +106,7 @@
         self.recalled_valid_s = recalled_valid_s
         self.publisher_ = Publisher(uuid.uuid4().hex[:16], link_bytes_per_s)
         self.configurations_ = ConfigurationHistory()
+        self.confirmer_ = ConfigurationConfirmer(replica, state)
         self.crashes_ = CrashLedger()
         self.exchange_ = LoadExchange(
             mesh, registry, self.crashes_, self.publisher_, link_bytes_per_s
@@ -134,8 +132,6 @@
             name, mesh, view, port, False, self._add_announcement_targets
         )
         self._had_majority = False
-        self.confirmed_at_ = float("-inf")
-        self._is_confirmed = False
         self._started_at = time.monotonic()
         self._checked_at = self._listening_since = self._started_at
         self._link_logged_at = self._started_at
@@ -143,7 +139,7 @@
 
     def start(self):
         """Start to subscribe to the other controllers and to publish updates."""
-        tasks = [self._publish, self._confirm, self.exchange_.run, self.streams_.run]
+        tasks = [self._publish, self.confirmer_.run, self.exchange_.run, self.streams_.run]
         if self.cache is not None:
             self.load_cache()
             tasks.append(self._save_cache)
@@ -234,26 +230,6 @@
             self.send_due_updates(now)
             gevent.sleep(PUBLISH_INTERVAL_S)
 
-    def _confirm(self):
-        """Confirm at intervals that the configuration is the newest one, forever."""
-        while True:
-            self.confirm_configuration()
-            gevent.sleep(CONFIRM_INTERVAL_S)
-
-    def confirm_configuration(self):
-        """Confirm with a linearizable read that the configuration is the newest one.
-
-        All versions that were acknowledged before the read began are applied once it returns.
-        """
-        began_at = time.monotonic()
-        if not isinstance(self.replica.confirm_read(began_at + COMMIT_TIMEOUT_S), Failure):
-            self.confirmed_at_ = began_at
-        is_confirmed = time.monotonic() < self.confirmed_at_ + CONFIRMATION_LOST_S
-        if is_confirmed != self._is_confirmed:
-            self._is_confirmed = is_confirmed
-            event = "configuration_confirmed" if is_confirmed else "configuration_unconfirmed"
-            log_event(event, version=self.state.version_, leader=self.replica.get_leader())
-
     def send_due_updates(self, now):
         """Send the updates that are due to the subscribers.
 
@@ -403,7 +379,7 @@
                 left,
                 state.rollouts_.index_,
                 state.rollouts_.list_all() if lacks_rollouts else (),
-                publisher.find_confirmed_ms(name, self.confirmed_at_),
+                publisher.find_confirmed_ms(name, self.confirmer_.confirmed_at_),
                 base_version,
                 superseded,
             )
--- a/sassafrashook/fleet/_freshness.py
+++ b/sassafrashook/fleet/_freshness.py
@@ -3,7 +3,8 @@
 import math
 from collections import deque
 
-MAX_REQUESTS = 64  # of one subscriber; it sends at most 20 a second, and reads take less than 3 s
+DEFAULT_APPLY_S = 2.0  # in a deployment that does not state it
+MAX_REQUESTS = 64  # remembered of one subscriber
 
 
 class RequestTimes:
@@ -92,7 +93,7 @@
         self.newest_version_ = max(self.newest_version_, newest_version)
         if newest_version <= version:
             self.confirmed_at_ = max(self.confirmed_at_, confirmed_at)
-        elif superseded is not None and self._is_news(version, base_version, newest_version):
+        elif superseded is not None and self._replaces_names(version, base_version, newest_version):
             self.named_base_ = base_version
             self.named_version_ = newest_version
             self.named_at_ = confirmed_at
@@ -100,7 +101,7 @@
         elif newest_version == self.named_version_:
             self.named_at_ = max(self.named_at_, confirmed_at)
 
-    def _is_news(self, version, base_version, newest_version):
+    def _replaces_names(self, version, base_version, newest_version):
         is_better = self.named_base_ != version or newest_version > self.named_version_
         return base_version == version and is_better
 
--- a/sassafrashook/fleet/_messages.py
+++ b/sassafrashook/fleet/_messages.py
@@ -84,7 +84,7 @@
     :param base_crash_revision: the same for ``crashes``.
     :param newest_version: version of the configuration that the controller holds, also if it is
         omitted here.
-    :param is_connected: whether the controller is connected to a majority.
+    :param is_connected: whether the controller is connected to a majority; for older builds.
     :param routers_revision: revision of the controller's list of routers that includes these
         changes.
     :param base_routers_revision: revision of the list that ``joined_routers`` and ``left_routers``
--- a/sassafrashook/fleet/_view.py
+++ b/sassafrashook/fleet/_view.py
@@ -9,7 +9,7 @@
     hash_route_key,
     unpack,
 )
-from sassafrashook.fleet._freshness import ConfigurationAge
+from sassafrashook.fleet._freshness import DEFAULT_APPLY_S, ConfigurationAge
 from sassafrashook.fleet._router_names import RouterNameLists
 from sassafrashook.quarantine import CrashLedger
 from sassafrashook.rollouts import RouterRollouts
@@ -22,7 +22,6 @@
     iterate_prefixes,
 )
 
-DEFAULT_APPLY_S = 2.0
 MS_PER_S = 1_000
 
 
--- a/sassafrashook/fleet/tests/simulated_fleet.py
+++ b/sassafrashook/fleet/tests/simulated_fleet.py
@@ -9,7 +9,8 @@
 from returns.result import Success
 
 from sassafrashook.fleet import FleetController, FleetState, FleetSubscriber, FleetView
-from sassafrashook.fleet._controller import CONFIRM_INTERVAL_S, PUBLISH_INTERVAL_S
+from sassafrashook.fleet._confirmation import CONFIRM_INTERVAL_S
+from sassafrashook.fleet._controller import PUBLISH_INTERVAL_S
 from sassafrashook.fleet._exchange import LOAD_INTERVAL_S
 from sassafrashook.fleet._messages import OtherLoads, ViewChanged, ViewRequested
 from sassafrashook.fleet._publisher import DEFAULT_LINK_BYTES_PER_S
@@ -79,7 +80,7 @@
         self.events = []
         self.numbers = itertools.count()
         self.link_bytes_per_s = link_bytes_per_s
-        for module in ("_controller", "_subscriber", "_exchange"):
+        for module in ("_confirmation", "_controller", "_subscriber", "_exchange"):
             clock = SimpleNamespace(monotonic=lambda: self.now)
             monkeypatch.setattr(f"sassafrashook.fleet.{module}.time", clock)
         monkeypatch.setattr(
@@ -142,7 +143,7 @@
         self.schedule(REQUEST_INTERVAL_S, self.request_updates, name)
 
     def confirm(self, name):
-        self.controllers[name].confirm_configuration()
+        self.controllers[name].confirmer_.confirm()
         self.schedule(CONFIRM_INTERVAL_S, self.confirm, name)
 
     def publish(self, name):
--- a/sassafrashook/fleet/tests/test_configuration_changes.py
+++ b/sassafrashook/fleet/tests/test_configuration_changes.py
@@ -65,7 +65,7 @@
     ("router_count", "silent"), [(195, []), (195, ["c1", "c3"]), (300, [])], ids=str
 )
 def test_large_change_is_not_in_force_in_time(monkeypatch, rng, router_count, silent):
-    """880 routes more, as on the day that KNOWN-RED.txt named, with two controllers silent."""
+    """Some controllers may stop as the change is committed."""
     fleet = ConfiguredFleet(monkeypatch, router_count, rng)
     assert fleet.list_versions() == {7}
     fleet.silent = set(silent)
--- a/sassafrashook/fleet/tests/test_publisher.py
+++ b/sassafrashook/fleet/tests/test_publisher.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from sassafrashook.fleet import FleetState, FleetSubscriber, FleetView, Publisher
+from sassafrashook.fleet._freshness import DEFAULT_APPLY_S
 from sassafrashook.fleet._loads import LoadAggregator
 from sassafrashook.fleet._messages import ViewChanged, ViewRequested
 from sassafrashook.fleet._publisher import (
@@ -22,7 +23,6 @@
     decode_outcome,
     encode_command,
 )
-from sassafrashook.fleet._view import DEFAULT_APPLY_S
 from sassafrashook.registry import Registry
 
 
--- a/sassafrashook/fleet/tests/test_random_configurations.py
+++ b/sassafrashook/fleet/tests/test_random_configurations.py
@@ -11,7 +11,7 @@
 from returns.result import Failure, Success
 
 from sassafrashook.fleet._configurations import pack
-from sassafrashook.fleet._view import DEFAULT_APPLY_S
+from sassafrashook.fleet._freshness import DEFAULT_APPLY_S
 from sassafrashook.fleet.tests.simulated_fleet import CLOCK_OFFSET_S, CONTROLLERS, SimulatedFleet
 from sassafrashook.interfaces import ProposalError, ProposalErrorReason
 from sassafrashook.routes import (
--- a/sassafrashook/platform/_settings.py
+++ b/sassafrashook/platform/_settings.py
@@ -7,11 +7,12 @@
 
 from sassafrashook.clients import compute_connection_limit, compute_memory_limit_bytes
 from sassafrashook.daemons import NodeSettings, RouterAddresses
+from sassafrashook.fleet import DEFAULT_APPLY_S
 from sassafrashook.hedging import HedgingLimits
 from sassafrashook.rollouts import RolloutBounds
 
 DEFAULT_HEARTBEAT_MS = 1_000
-DEFAULT_APPLY_MS = 2_000
+DEFAULT_APPLY_MS = DEFAULT_APPLY_S * 1_000
 UNLIMITED_MBPS = 1_000.0  # bandwidth that is assumed if none is stated
 BYTES_PER_MBIT = 1_000_000 / 8
 BYTES_PER_MB = 1_048_576
