--- a/sassafrashook/gateway/_attempt.py
+++ b/sassafrashook/gateway/_attempt.py
@@ -438,6 +438,8 @@
         detail = str(error)
         if self._memory_share.is_ended_:
             detail = "the memory for responses is used up"
+        elif handler.is_ended_:
+            detail = "this router stops"
         elif self.is_aborted_:
             detail = "this router gave up the unresponsive host"
         return self._close_with_error(FailureKind.BROKEN, detail)
--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -102,6 +102,7 @@
     :ivar peer_count_: number of other routers that the request was forwarded to.
     :ivar refused_count_: number of attempts that upstreams refused without running the request.
     :ivar verdict_: :class:`~sassafrashook.outcomes.Verdict` on whether the request has run.
+    :ivar is_ended_: whether :meth:`end` has been called.
     """
 
     def __init__(
@@ -160,7 +161,7 @@
         self._version_choice = None
         self._rollout_attempt = None
         self._request_log = RequestLog(self)
-        self._is_ended = False
+        self.is_ended_ = False
 
     @property
     def traits(self):
@@ -217,7 +218,7 @@
 
     def end(self):
         """End the request, because this router stops."""
-        self._is_ended = True
+        self.is_ended_ = True
         if self._attempt is not None:
             self._attempt.abort()
 
@@ -252,7 +253,7 @@
     def _run_attempts(self):
         is_suspected = self.gateway.is_suspected(self.traits)
         while not self.client.is_disconnected_:
-            if self._is_ended:
+            if self.is_ended_:
                 self._reject(RefusalReason.STOPPING, 0)
                 return
             quarantine = self.gateway.find_quarantine(self.traits, self.execution_count_ > 0)
@@ -711,7 +712,7 @@
         """Return why the request must not be retried, or ``None``; the budget is not checked."""
         if error.kind is FailureKind.CLIENT_DISCONNECTED or self.client.is_disconnected_:
             return "client_left"
-        if self._is_ended:
+        if self.is_ended_:
             return "stopping"
         if time.monotonic() >= self.deadline:
             return "deadline"
