--- a/review/common-2/engines.py
+++ b/review/common-2/engines.py
@@ -127,7 +127,8 @@
         reader.read(int(fields.get("content-length", 0)))
         attempt = fields.get("x-sassafrashook-attempt-id", "")
         common = (
-            f"X-Sassafrashook-Instance-Id: {self.name}\r\nX-Sassafrashook-Instance-Load: 0,0,{SLOTS}\r\n"
+            f"X-Sassafrashook-Instance-Id: {self.name}\r\n"
+            f"X-Sassafrashook-Instance-Load: 0,0,{SLOTS}\r\n"
         )
         if b" /healthz " in request_line:
             channel.sendall(f"HTTP/1.1 200 OK\r\n{common}Content-Length: 0\r\n\r\n".encode())
