--- a/review/6/case.py
+++ b/review/6/case.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import os
 import signal
 import sys
 import time
@@ -9,12 +10,13 @@
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common-2"))
+# With TROUBLE=0 the case does the same without the disruption.
+IS_DISRUPTED = os.environ.get("TROUBLE", "1") != "0"
 
 from deployment import (  # noqa: E402
     BOUNDS,
     NotRun,
     Operator,
-    is_disrupted,
     make_desired_state,
     run_case,
 )
@@ -80,7 +82,7 @@
     if order(operator, NEWEST, rest, ACK_TIMEOUT_S) is None:
         raise NotRun("the third desired state was not acknowledged")
     lost = rest[:2]
-    if is_disrupted():
+    if IS_DISRUPTED:
         for node in lost:
             node.kill()
             node.lose_disk()
@@ -117,4 +119,4 @@
     ]
 
 
-run_case(FOLDER, run, 6, 0)
+run_case(FOLDER, run, IS_DISRUPTED, 6, 0)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import os
 import socket
 import sys
 import time
@@ -9,6 +10,8 @@
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common-2"))
+# With TROUBLE=0 the case does the same without the disruption.
+IS_DISRUPTED = os.environ.get("TROUBLE", "1") != "0"
 
 from deployment import (  # noqa: E402
     BOUNDS,
@@ -16,7 +19,6 @@
     NotRun,
     Operator,
     call,
-    is_disrupted,
     make_desired_state,
     run_case,
 )
@@ -109,7 +111,7 @@
         node.start(bootstrap=True)
     order(operator, 1, nodes)
     time.sleep(SETTLE_S)
-    if is_disrupted():
+    if IS_DISRUPTED:
         disrupt(operator, nodes, record)
     else:
         order(operator, 2, nodes)
@@ -133,4 +135,4 @@
     ]
 
 
-run_case(FOLDER, run, 5, 0)
+run_case(FOLDER, run, IS_DISRUPTED, 5, 0)
--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -58,11 +58,6 @@
             self._file.flush()
 
 
-def is_disrupted():
-    """Return whether the case runs with its disruption."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def find_free_port(hosts, low=20_000, high=29_000, count=1):
     """Return the first of ``count`` consecutive ports that are free on all the hosts."""
     for _ in range(200):
@@ -302,15 +297,16 @@
     return json.dumps(state).encode()
 
 
-def run_case(folder, function, *counts):
+def run_case(folder, function, is_disrupted, *counts):
     """Run a case, write its record, and end the process with the exit code of the case.
 
     :param function: called with the deployment and the record; returns the list of what broke
         the rule.
+    :param is_disrupted: whether it runs with its disruption, for the record.
     :param counts: numbers of core machines, edge machines and engines.
     """
     record = Record(pathlib.Path(folder) / "record.txt")
-    record.write(f"disruption: {'on' if is_disrupted() else 'off'}")
+    record.write(f"disruption: {'on' if is_disrupted else 'off'}")
     deployment = None
     try:
         deployment = Deployment(*counts)
