--- a/sassafrashook/platform/tests/test_clients_outside_limits.py
+++ b/sassafrashook/platform/tests/test_clients_outside_limits.py
@@ -50,14 +50,22 @@
 
 
 class LimitedFleet(Fleet):
-    """Three controllers and a router whose settings state limits."""
+    """Three controllers and a router whose settings state limits.
+
+    :param folder: directory for settings, data and logs.
+    :param limits: the limits.
+    """
+
+    def __init__(self, folder, limits=LIMITS):
+        super().__init__(folder)
+        self.limits = limits
 
     def start(self, ip, bootstrap=True):
         is_controller = ip in CONTROLLER_IPS
         role = "core" if is_controller else "edge"
         data = str(self.folder / f"data-{ip}") if is_controller else None
         settings = make_node_settings(role, ip, data, bootstrap)
-        settings |= {"limits": LIMITS, "fault_tolerance": {"machine_failures": 1, "zones": 0}}
+        settings |= {"limits": self.limits, "fault_tolerance": {"machine_failures": 1, "zones": 0}}
         path = self.folder / f"{ip}.json"
         path.write_text(json.dumps(settings))
         daemon = "controller" if is_controller else "router"
