daemons: the bodies of a large crowd don't leave gaps in the heap

What callers saw: nothing, until the process outgrew its host and was ended with all that it served. With 160 clients and 96 MB a router had 102 MB resident besides 29 MB unread (announced bodies), 900 clients took one to 668 MB.

Cause: buffers below 256 KiB lie in the heap, where a body that grows leaves a gap for each size that it had. The more clients share the memory, the smaller a body is when it is evicted: 24 MB over 160 are 150 KB, all below the threshold.

Change: the threshold is 32 KiB. So that an ordinary receive of 64 KiB doesn't get a mapping, all connections receive into one buffer of the process; no other task runs between the receive and the move to the connection.

Why it works: a mapping is returned to the system as a whole and is moved, not copied, when it grows.

--- a/sassafrashook/daemons/_clients.py
+++ b/sassafrashook/daemons/_clients.py
@@ -8,9 +8,10 @@
 MS_PER_S = 1_000
 # glibc raises its threshold for separate mappings when a large buffer is freed. Bodies then grow
 # within the heap, where they are copied and leave gaps: a controller with a budget of 24 MB reached
-# 172 MB. A fixed threshold keeps large buffers in mappings of their own.
+# 172 MB. A fixed threshold keeps large buffers in mappings of their own. With many clients a body
+# is small when it is evicted, so that the threshold has to be small, too.
 M_MMAP_THRESHOLD = -3
-MMAP_THRESHOLD_BYTES = 262_144
+MMAP_THRESHOLD_BYTES = 32_768
 
 
 def make_client_budget(settings, metrics):
--- a/sassafrashook/http1/_server.py
+++ b/sassafrashook/http1/_server.py
@@ -20,6 +20,8 @@
 from sassafrashook.utils import normalize_host
 
 RECEIVE_BYTES = 65_536
+# All connections receive into this buffer: the bytes are moved on before another task runs.
+RECEIVED = memoryview(bytearray(RECEIVE_BYTES))
 MAX_UNPARSED_BYTES = 65_536  # the receiving task pauses while more bytes wait to be parsed
 # Other tasks run after each slice of a body. The parser takes 5 ms at most for 16 KiB of chunks of
 # alternating sizes.
@@ -93,12 +95,12 @@
     def _receive_until_closed(self):
         while True:
             try:
-                data = self.sock.recv(RECEIVE_BYTES)
+                size = self.sock.recv_into(RECEIVED)
             except OSError:
-                data = b""
-            if not data:
+                size = 0
+            if not size:
                 break
-            self._unparsed += data
+            self._unparsed += RECEIVED[:size]
             self._record_held()
             self._data_received.set()
             while len(self._unparsed) > MAX_UNPARSED_BYTES:
