clients, http1: what the kernel and the parser hold for a connection is bounded and counted

What callers saw: nothing, until the process outgrew its host and was ended with all that it served.

Cause: memory that nobody counted. Besides, up to 128 KiB a connection waited for the parser.

Change: the listening sockets are set to a receive buffer of 8 KiB, which connections have from their handshake on (12 KB of data are held). A body that is longer gets 64 KiB while half of the memory for clients is free, and gives it back at its end. Both count in the budget, at the kernel's bound of twice the size. 16 KiB wait for the parser, or 1 KiB more than the largest head, since the header of a chunk is read as a whole.

Why it works: what a connection can hold anywhere has a bound, and the bound is in the sum by which connections are evicted.

--- a/sassafrashook/clients/__init__.py
+++ b/sassafrashook/clients/__init__.py
@@ -10,8 +10,19 @@
     compute_connection_limit,
     compute_memory_limit_bytes,
 )
+from sassafrashook.clients._listener import (
+    MAX_LARGE_UNREAD_BYTES,
+    MAX_UNREAD_BYTES,
+    RECEIVE_BUFFER_BYTES,
+    make_stream_server,
+    open_listener,
+    resize_receive_buffer,
+)
 
 __all__ = [
+    "MAX_LARGE_UNREAD_BYTES",
+    "MAX_UNREAD_BYTES",
+    "RECEIVE_BUFFER_BYTES",
     "SCARCE_PAUSE_S",
     "SHARE_KEY",
     "ClientBudget",
@@ -20,4 +31,7 @@
     "EvictionReason",
     "compute_connection_limit",
     "compute_memory_limit_bytes",
+    "make_stream_server",
+    "open_listener",
+    "resize_receive_buffer",
 ]
--- a/sassafrashook/clients/_budget.py
+++ b/sassafrashook/clients/_budget.py
@@ -3,6 +3,8 @@
 import math
 from enum import StrEnum
 
+from sassafrashook.clients._listener import MAX_UNREAD_BYTES
+
 SHARE_KEY = "sassafrashook.client_share"  # of a connection's share in the environment of WSGI
 BYTES_PER_MB = 1_048_576
 # A router and a controller have 34 to 45 MB resident when they have started. The rest is for
@@ -17,9 +19,11 @@
 CLIENT_DESCRIPTOR_FRACTION = 0.5
 RESERVED_DESCRIPTORS = 64  # of a process without clients: listeners, files, links to controllers
 MIN_CONNECTIONS = 16
-# Memory of a connection that holds no data: socket, parser, tasks and their stacks.
-CONNECTION_BYTES = 24_576
+# Memory of a connection that holds no data: socket, parser, tasks and their stacks, and what the
+# kernel may hold for it unread.
+CONNECTION_BYTES = 24_576 + MAX_UNREAD_BYTES
 SCARCE_FRACTION = 0.75  # of the memory for clients
+AMPLE_FRACTION = 0.5  # below it, connections that read a body may have large receive buffers
 # Pause between two pieces of a body while memory is scarce, in which evicted connections release
 # what they hold.
 SCARCE_PAUSE_S = 0.001
@@ -123,6 +127,10 @@
         """Return whether most of the memory for clients is used."""
         return self._budget.used_bytes_ > SCARCE_FRACTION * self._budget.max_bytes
 
+    def is_ample(self):
+        """Return whether much of the memory for clients is free."""
+        return self._budget.used_bytes_ < AMPLE_FRACTION * self._budget.max_bytes
+
     def close(self):
         """Return what the connection holds to the budget."""
         self._budget.remove(self)
--- a/sassafrashook/daemons/_endpoints.py
+++ b/sassafrashook/daemons/_endpoints.py
@@ -2,8 +2,7 @@
 
 import time
 
-from gevent.server import StreamServer
-
+from sassafrashook.clients import make_stream_server
 from sassafrashook.telemetry import SCRAPE_CONTENT_TYPE, log_event
 
 METRICS_PATH = "/metrics"
@@ -71,7 +70,7 @@
 
     def start(self):
         """Listen and start to serve the page."""
-        self.server_ = StreamServer(self.address, self._handle_client)
+        self.server_ = make_stream_server(self.address, self._handle_client, self.budget)
         self.server_.start()
 
     def stop(self):
--- a/sassafrashook/daemons/_limited_server.py
+++ b/sassafrashook/daemons/_limited_server.py
@@ -4,9 +4,10 @@
 import time
 
 import gevent
+from gevent import socket as gsocket
 from gevent.pywsgi import Input, WSGIHandler, WSGIServer
 
-from sassafrashook.clients import SHARE_KEY, ClientPhase
+from sassafrashook.clients import SHARE_KEY, ClientPhase, open_listener
 from sassafrashook.telemetry import log_event
 
 # Longest time without data or without an accepted send. Upstreams send a heartbeat every few
@@ -15,6 +16,7 @@
 # Bytes of a request body that are read after the response, so that the connection can be kept.
 MAX_DISCARDED_BYTES = 65_536
 DISCARD_SLICE_BYTES = 1_024  # pywsgi takes 1 ms for 1 KiB in chunks of one byte
+LISTEN_BACKLOG = 256
 MAX_ACCEPT = 8  # connections that are accepted at once; the limit is checked after that
 
 
@@ -86,8 +88,9 @@
     """
 
     def __init__(self, address, application, budget):
+        listener = gsocket.socket(fileno=open_listener(address, LISTEN_BACKLOG).detach())
         super().__init__(
-            address, application, log=None, error_log=None, handler_class=LimitedHandler
+            listener, application, log=None, error_log=None, handler_class=LimitedHandler
         )
         self.max_accept = MAX_ACCEPT
         self.budget = budget
--- a/sassafrashook/gateway/_server.py
+++ b/sassafrashook/gateway/_server.py
@@ -5,9 +5,8 @@
 
 import gevent
 from absl import logging
-from gevent import socket
-from gevent.server import StreamServer
 
+from sassafrashook.clients import make_stream_server
 from sassafrashook.gateway._peers import take_max_upstreams
 from sassafrashook.gateway._request import DEFAULT_DEADLINE_MS, RequestHandler
 from sassafrashook.gateway._responses import STATUS_UNAVAILABLE, send_text
@@ -23,8 +22,6 @@
 from sassafrashook.utils import read_boot_time
 
 LISTEN_BACKLOG = 1_024
-# Connections that are accepted at once if their number is limited: the limit is checked after that.
-MAX_ACCEPT_LIMITED = 8
 SEND_TIMEOUT_S = 10.0  # a client that has not accepted a send by then counts as disconnected
 BODY_TIMEOUT_S = 10.0
 STOP_POLL_INTERVAL_S = 0.05
@@ -87,14 +84,10 @@
 
         :raises OSError: if the address can't be used.
         """
-        if self.listener is not None:
-            listener = socket.socket(fileno=self.listener.detach())
-            self.server_ = StreamServer(listener, self._handle_client)
-        else:
-            address = (self.host, self.port)
-            self.server_ = StreamServer(address, self._handle_client, backlog=LISTEN_BACKLOG)
-        if self.gateway.client_budget is not None:
-            self.server_.max_accept = MAX_ACCEPT_LIMITED
+        self.server_ = make_stream_server(
+            (self.host, self.port), self._handle_client, self.gateway.client_budget,
+            LISTEN_BACKLOG, self.listener,
+        )  # fmt: skip
         self.server_.start()
         self.port = self.server_.server_port
 
--- a/sassafrashook/http1/_server.py
+++ b/sassafrashook/http1/_server.py
@@ -7,7 +7,15 @@
 import h11
 from gevent.event import Event
 
-from sassafrashook.clients import SCARCE_PAUSE_S, ClientPhase, EvictionReason
+from sassafrashook.clients import (
+    MAX_LARGE_UNREAD_BYTES,
+    MAX_UNREAD_BYTES,
+    RECEIVE_BUFFER_BYTES,
+    SCARCE_PAUSE_S,
+    ClientPhase,
+    EvictionReason,
+    resize_receive_buffer,
+)
 from sassafrashook.http1._chunks import ChunkDecoder, ChunkError
 from sassafrashook.http1._messages import (
     BLANK_LINE,
@@ -19,10 +27,11 @@
 from sassafrashook.tasks import spawn_task
 from sassafrashook.utils import normalize_host
 
-RECEIVE_BYTES = 65_536
+MAX_UNPARSED_BYTES = 16_384  # the receiving task pauses while as many bytes wait to be parsed
+# The header of a chunk is read as a whole, and may be as long as the head of a request.
+MIN_UNPARSED_BYTES_BEYOND_HEADER = 1_024
 # All connections receive into this buffer: the bytes are moved on before another task runs.
-RECEIVED = memoryview(bytearray(RECEIVE_BYTES))
-MAX_UNPARSED_BYTES = 65_536  # the receiving task pauses while more bytes wait to be parsed
+RECEIVED = memoryview(bytearray(MAX_UNPARSED_BYTES))
 # Other tasks run after each slice of a body. The parser takes 5 ms at most for 16 KiB of chunks of
 # alternating sizes.
 SLICE_BYTES = 16_384
@@ -81,6 +90,10 @@
         self._head_bytes = 0  # memory of the head of the current request
         self._response_bytes = 0  # memory of the response that is being read or sent
         self._is_refused = False  # evicted while a request was being read
+        self._max_unparsed_bytes = max(
+            MAX_UNPARSED_BYTES, max_header_bytes + MIN_UNPARSED_BYTES_BEYOND_HEADER
+        )
+        self._has_large_buffer = False
         self._is_discarding = False
         self._data_received = Event()
         self._data_consumed = Event()
@@ -94,8 +107,13 @@
 
     def _receive_until_closed(self):
         while True:
+            room = self._max_unparsed_bytes - len(self._unparsed)
+            if room <= 0:
+                self._data_consumed.clear()
+                self._data_consumed.wait()
+                continue
             try:
-                size = self.sock.recv_into(RECEIVED)
+                size = self.sock.recv_into(RECEIVED, min(room, len(RECEIVED)))
             except OSError:
                 size = 0
             if not size:
@@ -103,9 +121,6 @@
             self._unparsed += RECEIVED[:size]
             self._record_held()
             self._data_received.set()
-            while len(self._unparsed) > MAX_UNPARSED_BYTES:
-                self._data_consumed.clear()
-                self._data_consumed.wait()
         self.is_disconnected_ = True
         self._data_received.set()
         if self.on_disconnect is not None:
@@ -119,8 +134,19 @@
         if self._share is None or self._is_discarding:
             return True
         held_bytes = len(self._unparsed) + len(self._body) + self._head_bytes
+        if self._has_large_buffer:
+            held_bytes += MAX_LARGE_UNREAD_BYTES - MAX_UNREAD_BYTES
         return self._share.hold(held_bytes + self._response_bytes, time.monotonic())
 
+    def _resize_receive_buffer(self, is_large):
+        """Let the kernel hold more for a client that sends a body, where there is room for it."""
+        if self._share is None or is_large == self._has_large_buffer:
+            return
+        if is_large and not self._share.is_ample():
+            return
+        resize_receive_buffer(self.sock, is_large)
+        self._has_large_buffer = is_large
+
     def begin_phase(self, phase):
         """Record in the budget what the connection does.
 
@@ -149,6 +175,7 @@
             self._is_refused = True
             self._unparsed.clear()
             self._body.clear()
+            self._resize_receive_buffer(False)
             self._data_received.set()
             self._data_consumed.set()
             return
@@ -251,13 +278,17 @@
         if self._http.they_are_waiting_for_100_continue:
             self._send_event(h11.InformationalResponse(status_code=100, headers=[]))
         body = self._body = bytearray()
+        if self._content_length > RECEIVE_BUFFER_BYTES:
+            self._resize_receive_buffer(True)
         if self._is_chunked and not self._http.trailing_data[0]:
             self._read_chunks(body, max_bytes, deadline)
         while True:
             event = self._next_body_event(deadline)
             self._check_refused()
             if isinstance(event, h11.EndOfMessage):
+                self._resize_receive_buffer(False)
                 self.begin_phase(ClientPhase.RUNNING)
+                self._record_held()
                 return body
             if not isinstance(event, h11.Data):
                 raise ClientDisconnectedError("disconnected before the end of the request")
@@ -268,6 +299,8 @@
         """Raise an error if the body is too large or the budget has no room for it."""
         if len(body) > max_bytes:
             raise InvalidRequestError(STATUS_CONTENT_TOO_LARGE, "the body is too large")
+        if self._is_chunked and len(body) > RECEIVE_BUFFER_BYTES:
+            self._resize_receive_buffer(True)
         self._record_held()
         self._check_refused()
 
@@ -288,7 +321,7 @@
                     raise ClientDisconnectedError("disconnected before the end of the request")
             except TimeoutError as error:
                 raise self._make_timeout_error() from error
-            if len(self._unparsed) > SLICE_BYTES:
+            if has_decoded and self._unparsed:
                 gevent.sleep(0)
                 self._check_refused()
                 if time.monotonic() >= deadline:
@@ -304,7 +337,7 @@
                 if not self._unparsed and not self._wait_until(deadline):
                     return None
                 self._check_refused()
-                self._http.receive_data(self._take_unparsed(min(missing, RECEIVE_BYTES)))
+                self._http.receive_data(self._take_unparsed(missing))
             event = self._parse_event()
             if event is not h11.NEED_DATA:
                 return None if event is h11.PAUSED else event
@@ -326,7 +359,7 @@
             if not self._unparsed and not self._wait_until(deadline):
                 return None
             self._check_refused()
-            received = end + self._unparsed[:RECEIVE_BYTES]
+            received = end + self._unparsed
             blank_line = BLANK_LINE.search(received)
             if blank_line and blank_line.end() > len(end):
                 received = received[: blank_line.end()]
--- a/sassafrashook/platform/__main__.py
+++ b/sassafrashook/platform/__main__.py
@@ -13,6 +13,8 @@
 import socket
 import sys
 
+from sassafrashook.clients import open_listener
+
 SETTINGS_PATH_VARIABLE = "SASSAFRASHOOK_NODE_FILE"
 DEFAULT_SETTINGS_PATH = "/etc/sassafrashook/node.json"
 READINESS_PATH = "/readyz"
@@ -58,10 +60,14 @@
     """
     try:
         with open(path, encoding="utf-8") as file:
-            address = json.load(file)["listen_addresses"].get("frontend")
+            settings = json.load(file)
+        address = settings["listen_addresses"].get("frontend")
         if address is None:
             return None
         host, _, port = address.rpartition(":")
+        limits = settings.get("limits") or {}
+        if limits.get("memory_mb") or limits.get("client_memory_mb"):
+            return open_listener((host, int(port)), LISTEN_BACKLOG)
         return socket.create_server((host, int(port)), backlog=LISTEN_BACKLOG)
     except (OSError, ValueError, LookupError, TypeError, AttributeError, OverflowError):
         return None
