clients, http1: connections on their way out are counted until they are closed

What callers saw: nothing, until the process had no descriptors or outgrew its host. 900 clients that return as soon as their connection ends took a router with 600 descriptors to 1,129 of them and to 809 MB of 96.

Cause: an evicted connection left the budget at once, although it goes on for up to a second: it sends its refusal, and discards what the client still sends, so that the client can read it. As many new ones were accepted, and each of the old ones received up to 128 KiB again. Each eviction also compared all connections, for every part that was received.

Change: a connection counts until it is closed. What evicted ones have yet to release is not available to others, whose receiving tasks pause. Closing connections receive without keeping anything, let other tasks run after each receive, and take an eighth of memory and connections at most; the oldest one beyond that is cut. An eviction makes room for a sixteenth of the memory, so that all connections are compared once for that much.

The new tests of the budget at 5, 70, 300 and 2,000 clients and of the connection fail on the code before: it knows no closing connections.

Why it works: nothing that a process holds for a client is outside the sum any more; the number of connections between eviction and close is bounded by those accepted at once.

--- a/sassafrashook/clients/tests/test_budget.py
+++ b/sassafrashook/clients/tests/test_budget.py
@@ -1,14 +1,19 @@
 """Tests of the decision whose connection is closed when memory or descriptors run out."""
 
 import random
+from collections import Counter
+
+import pytest
 
 from sassafrashook.clients import (
     ClientBudget,
     ClientPhase,
+    ClientShare,
     EvictionReason,
     compute_connection_limit,
     compute_memory_limit_bytes,
 )
+from sassafrashook.clients._budget import CONNECTION_BYTES
 
 MIB = 1_048_576
 
@@ -85,3 +90,68 @@
     """Guards against a change for deployments that state no limits."""
     assert compute_memory_limit_bytes(None) is None
     assert compute_connection_limit(0) is None
+
+
+@pytest.mark.parametrize("count", [5, 70, 300, 2_000])
+def test_eviction_compares_all_connections_once_for_a_sixteenth_of_the_memory(count, monkeypatch):
+    """Guards against a crowd that keeps the process busy with the choice of whom to evict."""
+    comparisons = Counter()
+    measure = ClientShare.measure_claim
+
+    def measure_claim(share, now):
+        comparisons["shares"] += 1
+        return measure(share, now)
+
+    monkeypatch.setattr(ClientShare, "measure_claim", measure_claim)
+    budget = ClientBudget(128 * MIB, None)
+    clients = [Client(budget, 0.0) for _ in range(count)]
+    used_bytes, part_bytes = count * CONNECTION_BYTES, 16_384
+    while used_bytes < 1_024 * MIB:
+        for client in clients:
+            held_bytes = client.share.held_bytes_ - CONNECTION_BYTES
+            if client.reason is None and held_bytes < 4 * MIB:
+                client.read(held_bytes + part_bytes, 1.0, since=0.0)
+            elif client.reason is None:
+                client.read(0, 1.0, since=1.0)
+            else:
+                client.share.close()
+                client.reason, client.share = None, budget.open_share(client.evict, 1.0)
+                used_bytes += CONNECTION_BYTES
+            used_bytes += part_bytes
+    passes = used_bytes / (128 * MIB / 16)
+    assert comparisons["shares"] <= passes * count
+
+
+def test_what_an_evicted_connection_holds_is_used_until_it_is_closed():
+    """Guards against memory of connections on their way out that nobody counts."""
+    budget = ClientBudget(8 * MIB, None)
+    evicted, other = Client(budget, 0.0), Client(budget, 0.0)
+    evicted.read(6 * MIB, 1.0, since=0.0)
+    assert other.read(3 * MIB, 1.0, since=0.9)
+    assert evicted.reason is EvictionReason.MEMORY
+    assert other.share.is_exceeded()
+    evicted.share.close()
+    assert not other.share.is_exceeded()
+    assert budget.evicted_bytes_ == 0
+
+
+def test_closing_connections_take_an_eighth_and_the_oldest_ones_end():
+    """Guards against refused clients that keep others out while they read nothing."""
+    budget = ClientBudget(8 * MIB, 80)
+    clients = [Client(budget, 0.0) for _ in range(60)]
+    for number, client in enumerate(clients):
+        client.share.begin(ClientPhase.CLOSING, float(number))
+    assert [client.reason for client in clients] == [EvictionReason.CLOSING] * 50 + [None] * 10
+
+
+def test_refused_connection_that_closes_counts_as_open():
+    """Guards against refused clients that take descriptors beyond the limit."""
+    budget = ClientBudget(8 * MIB, 2)
+    refused, other = Client(budget, 0.0), Client(budget, 0.0)
+    refused.read(9 * MIB, 1.0, since=0.0)
+    assert refused.reason is EvictionReason.MEMORY
+    refused.share.hold(0, 1.0)
+    refused.share.begin(ClientPhase.CLOSING, 1.0)
+    assert len(budget.shares_) == 2
+    Client(budget, 2.0)
+    assert refused.reason is EvictionReason.DESCRIPTORS and other.reason is None
--- a/sassafrashook/http1/_server.py
+++ b/sassafrashook/http1/_server.py
@@ -95,6 +95,7 @@
         )
         self._has_large_buffer = False
         self._is_discarding = False
+        self._discarded_bytes = 0
         self._data_received = Event()
         self._data_consumed = Event()
         self._share = None
@@ -112,14 +113,20 @@
                 self._data_consumed.clear()
                 self._data_consumed.wait()
                 continue
+            if self._share is not None and self._share.is_exceeded():
+                gevent.sleep(SCARCE_PAUSE_S)
             try:
                 size = self.sock.recv_into(RECEIVED, min(room, len(RECEIVED)))
             except OSError:
                 size = 0
             if not size:
                 break
-            self._unparsed += RECEIVED[:size]
-            self._record_held()
+            if self._is_discarding:
+                self._discarded_bytes += size
+                gevent.sleep(0)
+            else:
+                self._unparsed += RECEIVED[:size]
+                self._record_held()
             self._data_received.set()
         self.is_disconnected_ = True
         self._data_received.set()
@@ -176,6 +183,7 @@
             self._unparsed.clear()
             self._body.clear()
             self._resize_receive_buffer(False)
+            self._record_held()
             self._data_received.set()
             self._data_consumed.set()
             return
@@ -490,20 +498,29 @@
         Bytes that the client still sends are discarded first; see ``LINGER_S``.
         """
         deadline = time.monotonic() + LINGER_S
-        discarded_bytes = 0
-        self._is_refused, self._is_discarding = False, True
-        self._body = bytearray()
+        self._is_refused = False
+        self._discard_received()
         try:
             self.sock.shutdown(socket.SHUT_WR)
-            while not self.is_disconnected_ and discarded_bytes < MAX_LINGER_BYTES:
-                self._wait_for_data(deadline)
-                discarded_bytes += len(self._unparsed)
-                self._unparsed.clear()
-                self._data_consumed.set()
+            while not self.is_disconnected_ and self._discarded_bytes < MAX_LINGER_BYTES:
+                self._data_received.clear()
+                remaining_s = deadline - time.monotonic()
+                if remaining_s <= 0 or not self._data_received.wait(remaining_s):
+                    break
         except OSError:
-            pass  # disconnected, or still sending at the deadline; the socket is closed either way
+            pass  # the client has disconnected; the socket is closed either way
         self.abort()
 
+    def _discard_received(self):
+        """Release what the connection holds; what it receives from now on is not kept."""
+        self._unparsed.clear()
+        self._body, self._head_bytes, self._response_bytes = bytearray(), 0, 0
+        self._resize_receive_buffer(False)
+        self._record_held()
+        self._is_discarding = True
+        self._data_consumed.set()
+        self.begin_phase(ClientPhase.CLOSING)
+
     def abort(self):
         """Close the connection at once; the client sees a partly sent response as incomplete."""
         if self._receiver is not gevent.getcurrent():
--- a/sassafrashook/http1/tests/test_server.py
+++ b/sassafrashook/http1/tests/test_server.py
@@ -1,12 +1,14 @@
 """Tests of the server side of connections whose clients share a budget."""
 
+import contextlib
 import random
+import socket as standard_socket
 import time
 
 import gevent.socket
 import pytest
 
-from sassafrashook.clients import ClientBudget, EvictionReason
+from sassafrashook.clients import MAX_UNREAD_BYTES, ClientBudget, EvictionReason, open_listener
 from sassafrashook.http1 import MemoryLimitError, ServerConnection
 
 MAX_HEADER_BYTES = 16_384
@@ -89,3 +91,46 @@
         connection.abort()
         client.close()
     assert not budget.shares_
+
+
+def test_client_that_never_stops_sending_lets_other_tasks_run_and_is_cut_off():
+    """Guards against a closing connection that discards without a pause."""
+    budget = ClientBudget(1_000_000, None)
+    connection, client = connect(budget)
+    turns = []
+
+    def count_turns():
+        while True:
+            turns.append(1)
+            gevent.sleep(0)
+
+    def send_forever():
+        with contextlib.suppress(OSError):
+            while True:
+                client.sendall(b"x" * 65_536)
+
+    tasks = [gevent.spawn(send_forever), gevent.spawn(count_turns)]
+    connection.close()
+    gevent.killall(tasks)
+    client.close()
+    assert len(turns) > 100
+    assert budget.used_bytes_ == 0 and not budget.shares_
+
+
+def test_kernel_holds_little_for_a_connection_that_is_not_accepted():
+    """Guards against bytes that arrive before a size of the receive buffer takes effect."""
+    listener = open_listener(("127.0.0.1", 0), 10)
+    client = gevent.socket.create_connection(listener.getsockname())
+    client.setblocking(False)
+    sent = 0
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            sent += client.send(b"x" * 65_536)
+    gevent.sleep(0.2)
+    sock, _ = listener.accept()
+    with sock:
+        unread = len(sock.recv(10 * MAX_UNREAD_BYTES, standard_socket.MSG_PEEK))
+    client.close()
+    listener.close()
+    assert sent > unread
+    assert unread <= MAX_UNREAD_BYTES
