daemons: the control plane reads requests by the same code and limits as the gateway

What callers saw: while 40 clients send trailers without an end behind a short body, a controller answers nobody: no request within 90 s, and it misses the heartbeats of its group.

Cause: the library's WSGI server reads trailers line by line, chunks one by one, and what the application has left of a body to its end. None of these loops waits while the client sends fast enough, so that no other task runs.

Change: a ConnectionHandler serves the requests of a connection on http1.ServerConnection, as the gateway does, and an ApplicationHandler runs a WSGI application on it. read_request_body hands the application a body that was read under the budget. An endpoint listens at once and imports its handler with the first client, so that a controller starts with less than before. A document that found no memory is answered 503 with Retry-After instead of a closed connection. 256 chunks or runs are decoded between two other tasks (16 KiB of alternating chunks took 5 ms). As before, Host may be missing there, and a short body that was not read is read after the response.

Why it works: every loop over received bytes ends after 16 KiB at most, since the receiving task stops there until it is given a turn; trailers and chunk headers are limited by the size of a head.

--- a/sassafrashook/clients/__init__.py
+++ b/sassafrashook/clients/__init__.py
@@ -2,7 +2,6 @@
 
 from sassafrashook.clients._budget import (
     SCARCE_PAUSE_S,
-    SHARE_KEY,
     ClientBudget,
     ClientPhase,
     ClientShare,
@@ -24,7 +23,6 @@
     "MAX_UNREAD_BYTES",
     "RECEIVE_BUFFER_BYTES",
     "SCARCE_PAUSE_S",
-    "SHARE_KEY",
     "ClientBudget",
     "ClientPhase",
     "ClientShare",
--- a/sassafrashook/clients/_budget.py
+++ b/sassafrashook/clients/_budget.py
@@ -6,7 +6,6 @@
 
 from sassafrashook.clients._listener import MAX_UNREAD_BYTES
 
-SHARE_KEY = "sassafrashook.client_share"  # of a connection's share in the environment of WSGI
 BYTES_PER_MB = 1_048_576
 # A router and a controller have 34 to 45 MB resident when they have started. The rest is for
 # registrations, routes, links and logs.
--- a/sassafrashook/daemons/_endpoints.py
+++ b/sassafrashook/daemons/_endpoints.py
@@ -1,53 +1,22 @@
-"""Auxiliary HTTP endpoints of a process, such as metrics and readiness."""
+"""HTTP endpoints of a process besides the gateway: applications, metrics and readiness."""
 
-import time
+from abc import ABC, abstractmethod
 
 from sassafrashook.clients import make_stream_server
 from sassafrashook.telemetry import SCRAPE_CONTENT_TYPE, log_event
 
 METRICS_PATH = "/metrics"
 TEXT_CONTENT_TYPE = "text/plain"
-MAX_HEADER_BYTES = 16_384
-MAX_BODY_BYTES = 0  # pages are read with GET
-IDLE_TIMEOUT_S = 30.0  # longer than common scrape intervals, so that scrapers keep connections
-REQUEST_TIMEOUT_S = 5.0
-SEND_TIMEOUT_S = 5.0
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
 STATUS_INTERNAL_ERROR = 500
 STATUS_UNAVAILABLE = 503
 
 
-def serve_application(address, application, budget=None):
-    """Start a server for a WSGI application; :returns: the started server.
-
-    :param address: pair of host and port.
-    :param application: the WSGI application.
-    :param budget: the :class:`~sassafrashook.clients.ClientBudget` of its connections, ``None`` for
-        no limits. The application finds the connection's share under ``SHARE_KEY``.
-    :raises OSError: if the address can't be bound.
-    """
-    # Imported here, because it loads many modules that a router doesn't need.
-    from gevent.pywsgi import WSGIServer
-
-    if budget is None:
-        server = WSGIServer(address, application, log=None, error_log=None)
-    else:
-        from sassafrashook.daemons._limited_server import LimitedServer
-
-        server = LimitedServer(address, application, budget)
-    server.environ["SERVER_NAME"] = address[0]
-    server.start()
-    return server
-
-
-class PageServer:
-    """Serves a single page over HTTP/1.1; other paths return 404.
+class HttpEndpoint(ABC):
+    """Listens for clients. What serves them is imported with the first one.
 
     :param address: pair of host and port to listen on; port 0 selects a free port.
-    :param path: path of the page.
-    :param make_response: called without arguments; returns status code, content type and body, the
-        latter as ``bytes``. If it raises an exception, the response is 500.
     :param budget: the :class:`~sassafrashook.clients.ClientBudget` of its connections, ``None`` for
         no limits.
 
@@ -56,61 +25,97 @@
     :raises OSError: from :meth:`start` if the address can't be bound.
     """
 
-    def __init__(self, address, path, make_response, budget=None):
+    def __init__(self, address, budget=None):
+        self.requested_address = address
         self.budget = budget
-        self.address = address
-        self.path = path
-        self.make_response = make_response
         self.server_ = None
+        self._handler = None
+
+    @abstractmethod
+    def make_handler(self):
+        """Return the :class:`~sassafrashook.http1.ConnectionHandler` of its connections."""
+
+    @property
+    def address(self):
+        """Pair of host and port on which the endpoint listens."""
+        return self.server_.address[:2]
 
     @property
     def port(self):
-        """Port on which the server listens."""
+        """Port on which the endpoint listens."""
         return self.server_.server_port
 
     def start(self):
-        """Listen and start to serve the page."""
-        self.server_ = make_stream_server(self.address, self._handle_client, self.budget)
+        """Listen and start to serve clients."""
+        self.server_ = make_stream_server(self.requested_address, self._handle_client, self.budget)
         self.server_.start()
 
-    def stop(self):
-        """Stop to listen; requests in progress are ended."""
-        self.server_.stop(timeout=0)
+    def stop_accepting(self):
+        """Accept no further connections; those that are open go on."""
+        self.server_.stop_accepting()
 
-    def _handle_client(self, sock, _address):
-        # Imported with the first client, because a controller needs it for nothing else.
-        from sassafrashook.http1 import ClientDisconnectedError, ServerConnection
+    def stop(self, timeout=0):
+        """Stop to listen; connections that are open go on.
 
-        client = ServerConnection(sock, MAX_HEADER_BYTES, SEND_TIMEOUT_S, self.budget)
-        if not client.is_admitted_:
-            client.abort()
-            return
-        try:
-            self._serve_requests(client)
-        except ClientDisconnectedError:
-            client.abort()
-        else:
-            client.close()
-
-    def _serve_requests(self, client):
-        from sassafrashook.http1 import InvalidRequestError
-
-        is_open = True
-        while is_open and client.wait_for_request(
-            time.monotonic() + IDLE_TIMEOUT_S, lambda: not self.server_.started
-        ):
-            deadline = time.monotonic() + REQUEST_TIMEOUT_S
-            try:
-                head = client.read_head(deadline)
-                if head is None:
-                    return
-                client.read_body(MAX_BODY_BYTES, deadline)
-            except InvalidRequestError as error:
-                client.should_close_ = True
-                _send_page(client, error.status, TEXT_CONTENT_TYPE, f"{error}\n".encode())
-                return
-            _send_page(client, *self._respond(head.path))
-            is_open = client.start_next_cycle()
+        :param timeout: longest time to wait for connections, in seconds.
+        """
+        self.server_.stop(timeout=timeout)
+
+    def _handle_client(self, sock, address):
+        if self._handler is None:
+            self._handler = self.make_handler()
+        self._handler.handle_client(sock, address)
+
+
+class ApplicationServer(HttpEndpoint):
+    """Serves a WSGI application.
+
+    :param address: see :class:`HttpEndpoint`.
+    :param application: the WSGI application; it reads bodies by
+        :func:`~sassafrashook.http1.read_request_body`.
+    :param budget: see :class:`HttpEndpoint`.
+    """
+
+    def __init__(self, address, application, budget=None):
+        super().__init__(address, budget)
+        self.application = application
+
+    def make_handler(self):
+        """Return the handler of the connections."""
+        from sassafrashook.http1 import ApplicationHandler, RequestTimeouts
+
+        # Upstreams send a heartbeat every few seconds, and clients open a new connection if theirs
+        # is closed.
+        timeouts = RequestTimeouts(idle_s=15.0, head_s=15.0, body_s=15.0, send_s=15.0)
+        return ApplicationHandler(self.application, timeouts, self.budget)
+
+
+class PageServer(HttpEndpoint):
+    """Serves a single page over HTTP/1.1; other paths return 404.
+
+    :param address: see :class:`HttpEndpoint`.
+    :param path: path of the page.
+    :param make_response: called without arguments; returns status code, content type and body, the
+        latter as ``bytes``. If it raises an exception, the response is 500.
+    :param budget: see :class:`HttpEndpoint`.
+    """
+
+    def __init__(self, address, path, make_response, budget=None):
+        super().__init__(address, budget)
+        self.path = path
+        self.make_response = make_response
+
+    def make_handler(self):
+        """Return the handler of the connections."""
+        from sassafrashook.daemons._pages import PageHandler
+
+        return PageHandler(self._respond, self.budget)
+
+    def stop(self, timeout=0):
+        """Stop to listen, and close connections that become idle."""
+        super().stop(timeout)
+        if self._handler is not None:
+            self._handler.closes_idle_ = True
 
     def _respond(self, path):
         """Return status code, content type and body for a path."""
@@ -123,8 +128,14 @@
             return STATUS_INTERNAL_ERROR, TEXT_CONTENT_TYPE, b""
 
 
-def _send_page(client, status, content_type, body):
-    client.send_response(status, [(b"Content-Type", content_type.encode())], body)
+def serve_application(address, application, budget=None):
+    """Start an :class:`ApplicationServer`; :returns: the started server.
+
+    :raises OSError: if the address can't be bound.
+    """
+    server = ApplicationServer(address, application, budget)
+    server.start()
+    return server
 
 
 def serve_page(address, path, make_response, budget=None):
--- a/sassafrashook/http1/_chunks.py
+++ b/sassafrashook/http1/_chunks.py
@@ -4,6 +4,7 @@
 4 MiB in chunks of one byte. This decoder takes runs of equal small chunks at once.
 """
 
+import math
 import re
 
 # Accepts the same chunk headers as h11, without backtracking over trailing spaces.
@@ -41,16 +42,17 @@
         self._remaining = 0  # bytes of the current chunk that are missing, its final CRLF included
         self._run_patterns = {}
 
-    def decode(self, received, max_bytes):
+    def decode(self, received, max_bytes, max_chunks=math.inf):
         """Decode chunks and remove them from the received bytes.
 
         :param received: ``bytearray`` of received bytes.
         :param max_bytes: number of bytes after which it returns, so that other tasks can run.
+        :param max_chunks: number of chunks, or of runs of equal ones, after which it returns.
         :returns: whether bytes have been removed; otherwise more of them are needed.
         :raises ChunkError: if the chunks are malformed.
         """
-        end, position = min(len(received), max_bytes), 0
-        while position < end:
+        end, position, count = min(len(received), max_bytes), 0, 0
+        while position < end and count < max_chunks:
             if self._remaining:
                 taken = self._take_data(received, position)
                 if not taken:
@@ -61,6 +63,7 @@
             if header is None:
                 self._check_incomplete_header(received, position)
                 break
+            count += 1
             size = int(header[1], 16)
             if size == 0:
                 self.is_at_end_ = True
--- a/sassafrashook/http1/_server.py
+++ b/sassafrashook/http1/_server.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 server side of a client's connection."""
 
+import re
 import socket
 import time
 
@@ -32,9 +33,9 @@
 MIN_UNPARSED_BYTES_BEYOND_HEADER = 1_024
 # All connections receive into this buffer: the bytes are moved on before another task runs.
 RECEIVED = memoryview(bytearray(MAX_UNPARSED_BYTES))
-# Other tasks run after each slice of a body. The parser takes 5 ms at most for 16 KiB of chunks of
-# alternating sizes.
+# Other tasks run after each slice of a body.
 SLICE_BYTES = 16_384
+SLICE_CHUNKS = 256
 # Memory of one header field beyond its bytes: a tuple and two objects, in two lists and a table.
 FIELD_BYTES = 320
 MIN_RECORDED_BYTES = 16_384  # shorter events of a stream are not counted while they are sent
@@ -44,6 +45,7 @@
 LINGER_S = 1.0
 MIN_TIMEOUT_S = 0.001  # with a timeout of 0 the socket would not wait at all
 MAX_LINGER_BYTES = 8 * 1024 * 1024
+HOST_FIELD = re.compile(rb"\nhost:", re.IGNORECASE)
 BLANK_LINE_OVERLAP = 2  # bytes of a blank line that may have been parsed before its end arrives
 IDLE_POLL_INTERVAL_S = 0.25  # longest delay until an idle connection notices that the server stops
 STATUS_REQUEST_TIMEOUT = 408
@@ -67,6 +69,8 @@
         disconnected, in seconds.
     :param budget: the :class:`~sassafrashook.clients.ClientBudget` that the connection uses, or
         ``None`` for no limits.
+    :param is_host_optional: whether a request may lack the Host field, as probes of simple load
+        balancers do.
 
     :ivar is_admitted_: whether the budget has room; otherwise the connection must be closed.
     :ivar is_disconnected_: whether the client has closed or reset the connection.
@@ -74,10 +78,11 @@
     :ivar on_disconnect: called without arguments when the client disconnects, or ``None``.
     """
 
-    def __init__(self, sock, max_header_bytes, send_timeout_s, budget=None):
+    def __init__(self, sock, max_header_bytes, send_timeout_s, budget=None, is_host_optional=False):
         self.sock = sock
         self.max_header_bytes = max_header_bytes
         self.send_timeout_s = send_timeout_s
+        self.is_host_optional = is_host_optional
         self.is_disconnected_ = False
         self.should_close_ = False
         self.on_disconnect = None
@@ -93,9 +98,9 @@
         self._max_unparsed_bytes = max(
             MAX_UNPARSED_BYTES, max_header_bytes + MIN_UNPARSED_BYTES_BEYOND_HEADER
         )
-        self._has_large_buffer = False
         self._is_discarding = False
         self._discarded_bytes = 0
+        self._has_large_buffer = False
         self._data_received = Event()
         self._data_consumed = Event()
         self._share = None
@@ -225,6 +230,34 @@
         self._data_consumed.set()
         return data
 
+    @property
+    def http_version(self):
+        """Version of HTTP that the client uses, such as ``1.1``."""
+        return (self._http.their_http_version or b"1.1").decode("ascii")
+
+    @property
+    def address(self):
+        """IP address of the client, empty if it has disconnected."""
+        try:
+            return self.sock.getpeername()[0]
+        except OSError:
+            return ""
+
+    @property
+    def local_address(self):
+        """Pair of host and port that the client has connected to."""
+        return self.sock.getsockname()[:2]
+
+    def has_body(self):
+        """Return whether a body follows the head that was read last."""
+        return self._is_chunked or self._content_length > 0
+
+    def expects_at_most(self, max_bytes):
+        """Return whether the client sends a body of a stated length, at most ``max_bytes``."""
+        if self._is_chunked or self._http.they_are_waiting_for_100_continue:
+            return False
+        return self._content_length <= max_bytes
+
     def has_received_data(self):
         """Return whether a part of the next request has been received."""
         return bool(self._unparsed) or bool(self._http.trailing_data[0])
@@ -254,6 +287,8 @@
         :raises InvalidRequestError: if it is malformed, too large or incomplete at the deadline.
         """
         self.begin_phase(ClientPhase.READING)
+        if self.is_host_optional:
+            self._add_missing_host(deadline)
         event = self._read_to_blank_line(deadline)
         if not isinstance(event, h11.Request):
             return None
@@ -272,6 +307,22 @@
         path = event.target.partition(b"?")[0].decode("latin-1")
         return RequestHead(bytes(event.method), bytes(event.target), headers, path, host)
 
+    def _add_missing_host(self, deadline):
+        """Wait for the whole head, and add an empty Host field if it has none."""
+        searched, blank_line = 0, None
+        while blank_line is None and searched <= self.max_header_bytes:
+            try:
+                if not self._wait_for_more(searched, deadline):
+                    return
+            except TimeoutError as error:
+                raise self._make_timeout_error() from error
+            begin = max(0, searched - BLANK_LINE_OVERLAP)
+            searched = len(self._unparsed)
+            blank_line = BLANK_LINE.search(self._unparsed, begin)
+        if blank_line and not HOST_FIELD.search(self._unparsed, 0, blank_line.end()):
+            position = blank_line.start() + 1
+            self._unparsed[position:position] = b"Host:\r\n"
+
     def read_body(self, max_bytes, deadline):
         """Read the whole body of a request.
 
@@ -303,6 +354,11 @@
             body += event.data
             self._check_body(body, max_bytes)
 
+    def convert_body(self):
+        """Return the body that was read, as ``bytes`` that take its place."""
+        self._body = bytes(self._body)
+        return self._body
+
     def _check_body(self, body, max_bytes):
         """Raise an error if the body is too large or the budget has no room for it."""
         if len(body) > max_bytes:
@@ -317,7 +373,7 @@
         decoder = ChunkDecoder(body, self.max_header_bytes)
         while True:
             try:
-                has_decoded = decoder.decode(self._unparsed, SLICE_BYTES)
+                has_decoded = decoder.decode(self._unparsed, SLICE_BYTES, SLICE_CHUNKS)
             except ChunkError as error:
                 raise InvalidRequestError(STATUS_BAD_REQUEST, str(error)) from error
             self._data_consumed.set()
@@ -398,16 +454,17 @@
     def _make_timeout_error(self):
         return InvalidRequestError(STATUS_REQUEST_TIMEOUT, "the request was not complete in time")
 
-    def send_response(self, status, fields, body):
+    def send_response(self, status, fields, body, reason=b""):
         """Send a complete response with a Content-Length.
 
         :param status: status code.
         :param fields: header pairs of ``bytes``, without Content-Length and Transfer-Encoding.
         :param body: ``bytes``.
+        :param reason: phrase behind the status code, ``bytes``.
         :raises ClientDisconnectedError: if sending fails or exceeds the timeout.
         """
         framed_fields = [*fields, (b"Content-Length", str(len(body)).encode())]
-        data = self._encode_head(status, framed_fields)
+        data = self._encode_head(status, framed_fields, reason)
         parts = []
         if body and self._http.our_state is h11.SEND_BODY:
             parts = self._http.send_with_data_passthrough(h11.Data(data=body))
@@ -423,19 +480,28 @@
             self._send_bytes(part, deadline)
         self._response_bytes = 0
 
-    def start_response(self, status, fields):
-        """Send the head of a chunked response.
+    def start_response(self, status, fields, length=None, data=b"", reason=b""):
+        """Send the head of a response whose body follows in parts.
 
         :param status: status code.
         :param fields: header pairs of ``bytes``, without Content-Length and Transfer-Encoding.
+        :param length: size of the body in bytes, ``None`` if it is not known: the body is chunked.
+        :param data: first part of the body, ``bytes``.
+        :param reason: phrase behind the status code, ``bytes``.
         :raises ClientDisconnectedError: if sending fails or exceeds the timeout.
         """
-        self._send_bytes(self._encode_head(status, [*fields, (b"Transfer-Encoding", b"chunked")]))
-
-    def _encode_head(self, status, fields):
+        framing = (b"Transfer-Encoding", b"chunked")
+        if length is not None:
+            framing = (b"Content-Length", b"%d" % length)
+        encoded = self._encode_head(status, [*fields, framing], reason)
+        if data:
+            encoded += self._http.send(h11.Data(data=data))
+        self._send_bytes(encoded)
+
+    def _encode_head(self, status, fields, reason):
         if self.should_close_:
             fields = [*fields, (b"Connection", b"close")]
-        return self._http.send(h11.Response(status_code=status, headers=fields))
+        return self._http.send(h11.Response(status_code=status, headers=fields, reason=reason))
 
     def send_data(self, data):
         """Send a part of the body of a chunked response.
@@ -457,6 +523,14 @@
         """
         self._send_event(h11.EndOfMessage())
 
+    def send_encoded(self, data):
+        """Send bytes of the body of a chunked response that are framed as chunks.
+
+        :param data: ``bytes``.
+        :raises ClientDisconnectedError: if sending fails or exceeds the timeout.
+        """
+        self._send_bytes(data)
+
     def _send_event(self, event):
         self._send_bytes(self._http.send(event))
 
--- a/sassafrashook/platform/_control.py
+++ b/sassafrashook/platform/_control.py
@@ -7,7 +7,6 @@
 import gevent
 from returns.result import Failure
 
-from sassafrashook.clients import SCARCE_PAUSE_S, SHARE_KEY, ClientPhase
 from sassafrashook.fleet import OperatorCommandOutcome
 from sassafrashook.platform._configuration import decode_configuration
 from sassafrashook.platform._document_encoding import (
@@ -23,8 +22,6 @@
 MAX_HEARTBEAT_BYTES = 65_536
 MAX_ROLLOUT_BYTES = 65_536
 RESPONSE_PIECE_BYTES = 16_384  # 22 ms of a link of 6 Mbit/s
-READ_BYTES = 65_536
-CHUNKED_READ_BYTES = 1_024  # takes 1 ms if each chunk has one byte
 MS_PER_S = 1_000
 
 
@@ -217,35 +214,20 @@
     :param limit: largest size, in bytes.
     :returns: ``bytes``.
     """
-    if (request.content_length or 0) > limit:
-        raise falcon.HTTPContentTooLarge(title="the body is too large")
-    share = request.env.get(SHARE_KEY)
-    body = bytearray()
-    for data in _iterate_body(request):
-        body += data
-        if len(body) > limit:
-            raise falcon.HTTPContentTooLarge(title="the body is too large")
-        if share is not None and not share.hold(len(body), time.monotonic()):
-            raise falcon.HTTPServiceUnavailable(title="the memory for clients is used up")
-        if share is not None and share.is_scarce():
-            gevent.sleep(SCARCE_PAUSE_S)
-    if share is not None:
-        share.begin(ClientPhase.RUNNING, time.monotonic())
-    return bytes(body)
-
-
-def _iterate_body(request):
-    """Iterate over the parts of a request's body, ``bytes``."""
-    if "chunked" not in (request.get_header("Transfer-Encoding") or "").lower():
-        yield from iter(lambda: request.bounded_stream.read(READ_BYTES), b"")
-        return
-    # The bounded stream of a body without a length is empty.
+    # Imported with the first request, because a controller needs it for nothing else.
+    from sassafrashook.http1 import (
+        InvalidRequestError,
+        MemoryLimitError,
+        choose_retry_after_s,
+        read_request_body,
+    )
+
     try:
-        while data := request.stream.read(CHUNKED_READ_BYTES):
-            yield data
-            gevent.sleep(0)
-    except OSError as error:
-        raise falcon.HTTPBadRequest(title="the body is not in valid chunks") from error
+        return bytes(read_request_body(request.env, limit))
+    except InvalidRequestError as error:
+        is_temporary = isinstance(error, MemoryLimitError)
+        headers = {"Retry-After": str(choose_retry_after_s())} if is_temporary else None
+        raise falcon.HTTPError(error.status, title=str(error), headers=headers) from error
 
 
 def _send_acknowledgement(response, accepted):
