http1: a client that sends requests ahead has one served at a time between other tasks

What callers saw: while 40 clients send heartbeats without waiting for the answers, a controller answers nobody: no request within 90 s.

Cause: a request that waits for nothing (an answer from memory, a page, a rejection) is served without giving other tasks a turn, and the next one has arrived already.

Change: a connection whose next request has arrived gives other tasks a turn before it is read.

Why it works: the turns are taken in order, so that a task waits for one request of each connection at most. A client that waits for its answers is not affected.

--- a/sassafrashook/http1/_server.py
+++ b/sassafrashook/http1/_server.py
@@ -269,6 +269,8 @@
         :param is_stopping: called without arguments; the wait ends once it returns true.
         :returns: whether bytes of a request have been received.
         """
+        if self.has_received_data():
+            gevent.sleep(0)  # the client sends requests without waiting for the responses
         while not self.has_received_data():
             remaining_s = deadline - time.monotonic()
             if self.is_disconnected_ or remaining_s <= 0 or is_stopping():
--- a/sassafrashook/http1/tests/test_server.py
+++ b/sassafrashook/http1/tests/test_server.py
@@ -134,3 +134,27 @@
     listener.close()
     assert sent > unread
     assert unread <= MAX_UNREAD_BYTES
+
+
+def test_requests_sent_ahead_are_served_between_other_tasks():
+    """Guards against a client whose pipelined requests keep all others waiting."""
+    connection, client = connect()
+    client.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n" * 50)
+    turns, done = [0], []
+
+    def count_turns():
+        while not done:
+            turns[0] += 1
+            gevent.sleep(0)
+
+    counter = gevent.spawn(count_turns)
+    for _ in range(50):
+        assert connection.wait_for_request(time.monotonic() + 5.0, lambda: False)
+        read_request(connection)
+        connection.send_response(200, [], b"")
+        connection.start_next_cycle()
+    done.append(1)
+    counter.join()
+    connection.abort()
+    client.close()
+    assert turns[0] >= 50
