proxy: the chat interface has the budget of all clients, and reads requests as the gateway does

What callers saw: nothing, until the process outgrew its host: 100 clients that announce 8 MB take a router of the chat interface to 812 MB. While 40 clients send chunks of one byte or trailers without an end, no chat is answered.

Cause: no limit on what all clients hold, 8 MiB a connection, 10,000 connections; and the loops of the library's server, as on the control plane.

A request that found no memory is refused with 503, memory_limit, not_run and Retry-After before anything ran. An incomplete head is still closed without an answer, and Host may still be missing.

Why it works: the sum over all connections is bounded, and a body is read in slices between other tasks. Delivered parts of streams that may be resumed (1 MiB a stream) are not in the sum yet.

--- a/sassafrashook/daemons/__init__.py
+++ b/sassafrashook/daemons/__init__.py
@@ -4,6 +4,7 @@
 own role.
 """
 
+from sassafrashook.daemons._clients import make_client_budget
 from sassafrashook.daemons._endpoints import serve_application, serve_metrics
 from sassafrashook.daemons._lifecycle import (
     EXIT_USAGE,
@@ -22,6 +23,7 @@
     "StartupError",
     "RouterDaemon",
     "RouterAddresses",
+    "make_client_budget",
     "run_daemon",
     "run_with_logging",
     "run_until_signal",
--- a/sassafrashook/daemons/_clients.py
+++ b/sassafrashook/daemons/_clients.py
@@ -14,13 +14,14 @@
 MMAP_THRESHOLD_BYTES = 32_768
 
 
-def make_client_budget(settings, metrics):
+def make_client_budget(max_bytes, max_connections, metrics):
     """Return the :class:`~sassafrashook.clients.ClientBudget` of a process, ``None`` if unlimited.
 
-    :param settings: a :class:`~sassafrashook.daemons.NodeSettings`.
+    :param max_bytes: memory that all connections of clients may hold, in bytes, ``None`` for no
+        limit.
+    :param max_connections: number of connections of clients, ``None`` for no limit.
     :param metrics: the :class:`~sassafrashook.telemetry.Metrics` that count evictions.
     """
-    max_bytes, max_connections = settings.client_memory_bytes, settings.max_client_connections
     if max_bytes is None and max_connections is None:
         return None
 
--- a/sassafrashook/daemons/_controller.py
+++ b/sassafrashook/daemons/_controller.py
@@ -54,6 +54,9 @@
         self.settings = settings
         self.failed_ = Event()
         self.metrics_ = Metrics(settings.name)
+        self.client_budget_ = make_client_budget(
+            settings.client_memory_bytes, settings.max_client_connections, self.metrics_
+        )
         self.mesh_ = Mesh(
             settings.name,
             (settings.name, settings.stream_port),
@@ -98,7 +101,6 @@
             settings.link_bytes_per_s,
             settings.rollout_bounds,
         )
-        self.client_budget_ = make_client_budget(settings, self.metrics_)
         self._application = make_application(self.fleet_, settings)
         self._server = None
 
--- a/sassafrashook/daemons/_router.py
+++ b/sassafrashook/daemons/_router.py
@@ -84,6 +84,9 @@
         self.readiness_path = readiness_path
         self.failed_ = Event()
         self.metrics_ = Metrics(settings.name)
+        self.client_budget_ = make_client_budget(
+            settings.client_memory_bytes, settings.max_client_connections, self.metrics_
+        )
         self.mesh_ = Mesh(
             settings.name,
             (settings.name, settings.stream_port),
@@ -113,7 +116,6 @@
         limits = RetryLimits(settings.retry_ratio, settings.retry_slack, settings.retry_window_s)
         self.streams_ = FleetStreamVersions(self.mesh_, self.subscriber_)
         self.heartbeats_ = HeartbeatRequester(self.mesh_, self.subscriber_, self.placement_)
-        self.client_budget_ = make_client_budget(settings, self.metrics_)
         self.gateway_ = Gateway(
             settings.name,
             header_codec,
--- a/sassafrashook/operations/_controller.py
+++ b/sassafrashook/operations/_controller.py
@@ -34,6 +34,7 @@
 from sassafrashook.telemetry import log_event
 
 TRANSFER_TIMEOUT_MS = 5_000
+MAX_BODY_BYTES = 1_048_576  # of a command
 
 
 class AnnouncedUpstreams(UpstreamDirectory):
@@ -114,7 +115,7 @@
     def __init__(self, settings):
         self.settings = settings
         self.failed_ = Event()
-        self.runtime_ = ProcessRuntime(settings, "controller")
+        self.runtime_ = ProcessRuntime(settings, "controller", MAX_BODY_BYTES)
         self.operator_keys_ = read_keys(settings.keys.operators)
         self.state_machine_ = FleetStateMachine()
         self.replica_ = self._make_replica()
@@ -176,6 +177,7 @@
         self.admin_application_ = AdminApplication(
             name, log, state, proposer, configuration, orders, upstreams, members,
             self.operator_keys_ if self.operator_keys_.are_required else None, clock, metrics,
+            max_body_bytes=MAX_BODY_BYTES,
         )  # fmt: skip
         clock_service = ClockService(proposer, state)
         self.services_ = [
--- a/sassafrashook/operations/_process.py
+++ b/sassafrashook/operations/_process.py
@@ -1,13 +1,21 @@
 """Runtime shared by router and controller: connections, membership, metrics and signals."""
 
 import random
+import resource
 import time
 import uuid
 
 from returns.pipeline import is_successful
 
+from sassafrashook.clients import compute_connection_limit, compute_memory_limit_bytes
 from sassafrashook.consensus import CONSENSUS_MESSAGES
-from sassafrashook.daemons import StartupError, run_until_signal, run_with_logging, serve_metrics
+from sassafrashook.daemons import (
+    StartupError,
+    make_client_budget,
+    run_until_signal,
+    run_with_logging,
+    serve_metrics,
+)
 from sassafrashook.membership import (
     MEMBERSHIP_MESSAGES,
     MembershipCore,
@@ -29,6 +37,8 @@
 PROBE_TIMEOUT_MS = 1_000
 FLUSH_TIMEOUT_MS = 1_000
 UPSTREAM_KEY_NAME = "upstreams"
+# A request with the largest body is served on any host.
+BODIES_IN_MEMORY = 2
 
 
 class ProcessRuntime:
@@ -36,10 +46,13 @@
 
     :param settings: a :class:`~sassafrashook.settings.ProcessSettings`.
     :param role: ``router`` or ``controller``.
+    :param max_body_bytes: largest body of a request that the process serves, in bytes.
 
     :ivar boot_id: identifies this start of the process.
     :ivar rng_: random number generator of the process.
     :ivar metrics_: a :class:`~sassafrashook.telemetry.Metrics`.
+    :ivar client_budget_: limits of the connections of all clients, a
+        :class:`~sassafrashook.clients.ClientBudget`.
     :ivar mesh_: connections to peers, a :class:`~sassafrashook.transport.Mesh`.
     :ivar membership_: known upstreams and peers, a
         :class:`~sassafrashook.membership.MembershipService`.
@@ -47,12 +60,14 @@
     :raises StartupError: if the certificates can't be loaded.
     """
 
-    def __init__(self, settings, role):
+    def __init__(self, settings, role, max_body_bytes):
         self.settings = settings
+        self.max_body_bytes = max_body_bytes
         self.role = role
         self.boot_id = uuid.uuid4().hex[:16]
         self.rng_ = random.Random()
         self.metrics_ = Metrics(settings.name)
+        self.client_budget_ = self._make_client_budget()
         self.mesh_ = self._make_mesh()
         self.membership_ = self._make_membership()
         self._metrics_server = None
@@ -65,7 +80,9 @@
         self.membership_.start()
         endpoint = self.settings.metrics_endpoint
         if endpoint is not None:
-            self._metrics_server = serve_metrics((endpoint.host, endpoint.port), self.metrics_)
+            self._metrics_server = serve_metrics(
+                (endpoint.host, endpoint.port), self.metrics_, self.client_budget_
+            )
 
     def stop(self):
         """Stop membership, write queued messages and close all connections."""
@@ -78,6 +95,14 @@
         """Return the names of all controllers."""
         return [peer.name for peer in self.settings.controllers]
 
+    def _make_client_budget(self):
+        limits = self.settings.limits
+        max_fds = limits.max_fds or resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        max_bytes = max(
+            compute_memory_limit_bytes(limits.memory_mb), BODIES_IN_MEMORY * self.max_body_bytes
+        )
+        return make_client_budget(max_bytes, compute_connection_limit(max_fds), self.metrics_)
+
     def _make_mesh(self):
         settings = self.settings
         server_context, client_context = self._make_contexts()
--- a/sassafrashook/operations/_router.py
+++ b/sassafrashook/operations/_router.py
@@ -41,7 +41,7 @@
         self.settings = settings
         self.failed_ = Event()
         self.owner_ = ""
-        self.runtime_ = ProcessRuntime(settings, "router")
+        self.runtime_ = ProcessRuntime(settings, "router", settings.max_body_bytes)
         self.caller_keys_ = read_keys(settings.keys.callers)
         self.upstream_keys_ = read_keys(settings.keys.upstreams, UPSTREAM_KEY_NAME)
         self._make_drivers()
@@ -106,7 +106,11 @@
         endpoint = settings.caller_endpoint
         # Connections are accepted until the load balancer has noticed the failing health check.
         self.caller_server_ = CallerServer(
-            application, endpoint.host, endpoint.port, drain_notice_ms=settings.balancer_interval_ms
+            application,
+            endpoint.host,
+            endpoint.port,
+            drain_notice_ms=settings.balancer_interval_ms,
+            budget=self.runtime_.client_budget_,
         )
 
     def _handle_session_accepted(self, controller, message):
--- a/sassafrashook/proxy/_admission.py
+++ b/sassafrashook/proxy/_admission.py
@@ -5,11 +5,11 @@
 from returns.result import Failure, Success
 
 from sassafrashook.configuration import Configuration, Service, WorkClass
+from sassafrashook.http1 import CLOSE_CONNECTION
 from sassafrashook.messages import UpstreamKind
 from sassafrashook.outcomes import Refusal, RefusalReason, Verdict
 from sassafrashook.proxy import _header_names as headers
 from sassafrashook.proxy._decoding import build_input_refusal, decode_deadline
-from sassafrashook.proxy._request_body import CLOSE_WITH_UNREAD_BODY
 
 __all__ = [
     "Admission",
@@ -57,7 +57,7 @@
     """
     admitted = _check_headers(context, accounts, request)
     if isinstance(admitted, Failure):
-        request.env[CLOSE_WITH_UNREAD_BODY] = True
+        request.env[CLOSE_CONNECTION] = True
     return admitted
 
 
--- a/sassafrashook/proxy/_request_body.py
+++ b/sassafrashook/proxy/_request_body.py
@@ -1,15 +1,20 @@
 """Reads request bodies with a size limit and a timeout."""
 
-import gevent
-from returns.result import Success
+from returns.result import Failure, Success
 
-from sassafrashook.outcomes import RefusalReason
-from sassafrashook.proxy._decoding import build_input_refusal
+from sassafrashook.http1 import (
+    InvalidRequestError,
+    MemoryLimitError,
+    choose_retry_after_s,
+    read_request_body,
+)
+from sassafrashook.outcomes import Refusal, RefusalReason, Verdict
 
-__all__ = ["read_body"]
+__all__ = ["READ_TIMEOUT_S", "make_read_refusal", "read_body"]
 
 READ_TIMEOUT_S = 15.0
-CLOSE_WITH_UNREAD_BODY = "sassafrashook.close_with_unread_body"
+STATUS_CONTENT_TOO_LARGE = 413
+MS_PER_S = 1_000
 
 
 def read_body(request, limit):
@@ -22,28 +27,21 @@
     :returns: ``Success`` of the body as ``bytes``, or ``Failure`` of a
         :class:`~sassafrashook.outcomes.Refusal`.
     """
-    length = request.content_length
-    if length is not None and length > limit:
-        return _refuse_body(
-            request,
-            f"request body of {length} bytes exceeds the limit of {limit} bytes",
-            too_large=True,
-        )
     try:
-        with gevent.Timeout(READ_TIMEOUT_S):
-            body = request.env["wsgi.input"].read(limit + 1)
-    except gevent.Timeout:
-        return _refuse_body(request, f"request body was not received within {READ_TIMEOUT_S:g} s")
-    except OSError as error:
-        return _refuse_body(request, f"request body could not be read: {error}")
-    if len(body) > limit:
-        return _refuse_body(
-            request, f"request body exceeds the limit of {limit} bytes", too_large=True
-        )
-    return Success(body)
-
-
-def _refuse_body(request, detail, too_large=False):
-    request.env[CLOSE_WITH_UNREAD_BODY] = True
-    reason = RefusalReason.BODY_TOO_LARGE if too_large else RefusalReason.BAD_REQUEST
-    return build_input_refusal(detail, reason)
+        return Success(read_request_body(request.env, limit))
+    except InvalidRequestError as error:
+        return Failure(make_read_refusal(error))
+
+
+def make_read_refusal(error):
+    """Return the refusal of a request that could not be read.
+
+    :param error: an :class:`~sassafrashook.http1.InvalidRequestError`.
+    """
+    reason, retry_after_ms = RefusalReason.BAD_REQUEST, 0
+    if isinstance(error, MemoryLimitError):
+        reason = RefusalReason.MEMORY_LIMIT
+        retry_after_ms = choose_retry_after_s() * MS_PER_S
+    elif error.status == STATUS_CONTENT_TOO_LARGE:
+        reason = RefusalReason.BODY_TOO_LARGE
+    return Refusal(Verdict.NOT_RUN, reason, retry_after_ms, f"request body: {error}")
--- a/sassafrashook/settings/_settings.py
+++ b/sassafrashook/settings/_settings.py
@@ -74,6 +74,17 @@
     authority: FilePath
 
 
+class Limits(Settings):
+    """Limits of what a process uses.
+
+    :param memory_mb: memory of the process, MiB.
+    :param max_fds: descriptors of the process; ``None`` for the limit that the system sets.
+    """
+
+    memory_mb: Annotated[int, Meta(ge=96, le=1_048_576)] = 512
+    max_fds: Annotated[int, Meta(ge=160, le=10_000_000)] | None = None
+
+
 class ProcessSettings(Settings, kw_only=True):
     """Settings that all roles share.
 
@@ -86,6 +97,7 @@
     :param routers: initially known routers; others are discovered.
     :param tls: files for mutual TLS between peers; ``None`` for unencrypted connections.
     :param keys: files with the keys of clients.
+    :param limits: limits of what the process uses.
     :param control_bytes_per_s: bandwidth limit for membership messages, bytes per second.
     :param log_level: ``debug``, ``info``, ``warning`` or ``error``.
     """
@@ -99,6 +111,7 @@
     routers: list[Peer] = []
     tls: TlsFiles | None = None
     keys: KeyFiles = KeyFiles()
+    limits: Limits = Limits()
     control_bytes_per_s: Annotated[int, Meta(ge=2_048, le=1_000_000)] = 4_096
     log_level: LogLevel = "info"
 
