transport: a connection counts as a client's until its first message shows a peer

What callers saw: nothing, until the process outgrew its host: 160 connections to the port of the streams between nodes that begin a message of 7 MB take a router to 1,153 MB and a controller to 1,162 MB.

Cause: up to 8 MiB of a message are held before it is known who sends it, the time for the first message began anew with each byte, and the number of such connections was not limited.

Change: at most 64 KiB are received before Hello, which has to arrive within 2 s in all. Until then a connection uses the budget of all clients, and is evicted as an idle one.

The three new tests of the mesh need the change.

Why it works: a peer's Hello is its first message and has some 100 bytes. What peers send after it is trusted as before: 8 MiB a message, and bytes that the kernel holds unread while the process is busy are not bounded there.

--- a/sassafrashook/daemons/_controller.py
+++ b/sassafrashook/daemons/_controller.py
@@ -64,6 +64,7 @@
             (*FLEET_MESSAGES, *CONSENSUS_MESSAGES),
             count=self.metrics_.count,
             link_bytes_per_s=settings.link_bytes_per_s,
+            budget=self.client_budget_,
         )
         self.state_ = FleetState()
         self.replica_ = Replica(
--- a/sassafrashook/daemons/_router.py
+++ b/sassafrashook/daemons/_router.py
@@ -94,6 +94,7 @@
             FLEET_MESSAGES,
             count=self.metrics_.count,
             link_bytes_per_s=settings.link_bytes_per_s,
+            budget=self.client_budget_,
         )
         self.rollouts_ = RouterRollouts(
             settings.rollout_bounds is not None, boot=random.getrandbits(32)
--- a/sassafrashook/operations/_process.py
+++ b/sassafrashook/operations/_process.py
@@ -116,6 +116,7 @@
             server_context,
             client_context,
             self.metrics_.count,
+            budget=self.client_budget_,
         )
 
     def _make_contexts(self):
--- a/sassafrashook/transport/_mesh.py
+++ b/sassafrashook/transport/_mesh.py
@@ -26,6 +26,7 @@
 DEFAULT_LINK_BYTES_PER_S = 125_000_000.0  # 1 Gbit/s
 IDLE_CHECK_INTERVAL_MS = 5_000
 HELLO_TIMEOUT_MS = 2_000
+MAX_BYTES_BEFORE_HELLO = RECEIVE_BYTES
 RECEIVE_TIMEOUT_MS = IDLE_TIMEOUT_MS + 2 * IDLE_CHECK_INTERVAL_MS
 
 
@@ -59,6 +60,8 @@
     :param client_context: TLS context for opened connections, or ``None`` for plain TCP.
     :param count: callable that increments a counter, called with (metric, attribute, amount).
     :param link_bytes_per_s: bandwidth of the host's link, in bytes per second.
+    :param budget: the :class:`~sassafrashook.clients.ClientBudget` that accepted connections use
+        until their first message shows that a peer has opened them, or ``None`` for no limits.
 
     :ivar pacer_: the :class:`~sassafrashook.transport._outgoing.LinkPacer` of the process.
     :ivar addresses_: IP address and port by peer name.
@@ -90,6 +93,7 @@
         client_context=None,
         count=lambda metric, attribute, amount: None,
         link_bytes_per_s=DEFAULT_LINK_BYTES_PER_S,
+        budget=None,
     ):
         self.name = name
         self.listen = listen
@@ -99,6 +103,7 @@
         self.client_context = client_context
         self.count = count
         self.link_bytes_per_s = link_bytes_per_s
+        self.budget = budget
         self.pacer_ = LinkPacer(link_bytes_per_s)
         self.codec = Codec((*message_types, *CONTROL_MESSAGES))
         self.addresses_ = {peer.name: (peer.host, peer.port) for peer in peers}
@@ -208,10 +213,14 @@
         handler(sender, message)
 
     def _handle_connection(self, connection, _address):
+        share = self._open_share() if self.budget is not None else None
+        if share is None and self.budget is not None:
+            connection.close()
+            return
         self.accepted_connections_.add(connection)
         try:
             connection = self._start_tls(connection)
-            self._receive_messages(connection)
+            self._receive_messages(connection, share)
         except CodecError:
             self.count("connections_refused", "bad_message", 1)
         except OSError as error:
@@ -225,6 +234,13 @@
         finally:
             self.accepted_connections_.discard(connection)
             connection.close()
+            if share is not None:
+                share.close()
+
+    def _open_share(self):
+        """Return what an accepted connection holds of the budget; ``None`` if nothing is left."""
+        task = gevent.getcurrent()
+        return self.budget.open_share(lambda _reason: task.kill(block=False), time.monotonic())
 
     def _start_tls(self, connection):
         connection.settimeout(HELLO_TIMEOUT_MS / 1000)
@@ -235,8 +251,10 @@
         self.accepted_connections_.add(connection)
         return connection
 
-    def _receive_messages(self, connection):
+    def _receive_messages(self, connection, share):
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        hello_deadline = time.monotonic() + HELLO_TIMEOUT_MS / 1000
+        received_bytes = 0
         unpacker = self.codec.make_unpacker()
         assembler = MessageAssembler()
         sender = None
@@ -250,16 +268,24 @@
             data = connection.recv(RECEIVE_BYTES)
             if not data:
                 return
+            received_bytes += len(data)
             for message in self.codec.decode_chunk(unpacker, data, count_unknown):
                 if sender is None:
                     sender = self._validate_hello(connection, message)
                     connection.settimeout(RECEIVE_TIMEOUT_MS / 1000)
+                    if share is not None:
+                        share.close()
                 elif isinstance(message, Ping):
                     connection.sendall(self.codec.encode(Pong(message.sequence, PROTOCOL_VERSION)))
                 elif isinstance(message, MessagePart):
                     self._dispatch_assembled(sender, assembler.add(message), count_unknown)
                 else:
                     self._dispatch(sender, message)
+            if sender is None:
+                remaining_s = hello_deadline - time.monotonic()
+                if remaining_s <= 0 or received_bytes >= MAX_BYTES_BEFORE_HELLO:
+                    raise CodecError("the connection does not begin with Hello")
+                connection.settimeout(remaining_s)
 
     def _dispatch_assembled(self, sender, data, on_unknown):
         """Dispatch the message that a part has completed, if any."""
--- a/sassafrashook/transport/tests/test_mesh.py
+++ b/sassafrashook/transport/tests/test_mesh.py
@@ -11,10 +11,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from sassafrashook.clients import ClientBudget
 from sassafrashook.messages import ROUTER_MESSAGES, PermitReleased, PermitWithdrawn
-from sassafrashook.transport import Codec, CodecError, Mesh, PeerAddress
+from sassafrashook.transport import Codec, CodecError, Mesh, PeerAddress, _mesh
 from sassafrashook.transport import _link as link_module
 from sassafrashook.transport._control_messages import Hello
+from sassafrashook.transport._mesh import MAX_BYTES_BEFORE_HELLO
 
 WAIT_S = 20
 MAX_RECOVERY_S = 0.6  # leaves room for other restart delays within a recovery target of 1 s
@@ -23,12 +25,13 @@
 class RecordingMesh:
     """A mesh that records its received messages and counter increments."""
 
-    def __init__(self, name, peers=(), listen=("127.0.0.1", 0)):
+    def __init__(self, name, peers=(), listen=("127.0.0.1", 0), budget=None):
         self.received = []
         self.counts = []
         self.mesh = Mesh(
-            name, listen, list(peers), (PermitWithdrawn,), count=lambda *c: self.counts.append(c)
-        )
+            name, listen, list(peers), (PermitWithdrawn,),
+            count=lambda *c: self.counts.append(c), budget=budget,
+        )  # fmt: skip
         self.mesh.subscribe((PermitWithdrawn,), lambda *pair: self.received.append(pair))
         self.mesh.start()
 
@@ -150,6 +153,50 @@
     assert receiver.received == []
 
 
+def open_connection(receiver, data):
+    client = socket.create_connection(("127.0.0.1", receiver.mesh.port_))
+    client.sendall(data)
+    return client
+
+
+def test_connection_that_sends_much_before_hello_is_closed(pair):
+    """Guards against programs that are no peers and fill the memory of a process."""
+    _, receiver = pair
+    client = open_connection(receiver, b"\xc6\x00\x6f\x00\x00" + b"y" * MAX_BYTES_BEFORE_HELLO)
+    wait_until(lambda: receiver.has_counted("connections_refused", "bad_message"))
+    client.close()
+
+
+def test_connection_that_sends_hello_slowly_is_closed(pair, monkeypatch):
+    """Guards against connections that stay open by a byte now and then."""
+    monkeypatch.setattr(_mesh, "HELLO_TIMEOUT_MS", 300)
+    _, receiver = pair
+    client = open_connection(receiver, b"\xc6\x00\x6f\x00\x00")
+    with gevent.Timeout(WAIT_S), contextlib.suppress(OSError):
+        while not receiver.has_counted("connections_refused", "bad_message"):
+            client.sendall(b"y")
+            gevent.sleep(0.05)
+    client.close()
+
+
+def test_connections_use_the_budget_until_hello():
+    """Guards against programs that are no peers and take the descriptors of a process."""
+    budget = ClientBudget(None, 2)
+    receiver = RecordingMesh("receiver", budget=budget)
+    sender = RecordingMesh("sender", [PeerAddress("receiver", "127.0.0.1", receiver.mesh.port_)])
+    clients = [open_connection(receiver, b"") for _ in range(3)]
+    with gevent.Timeout(WAIT_S):
+        assert clients[0].recv(1) == b""
+    sender.mesh.send("receiver", PermitWithdrawn(1))
+    wait_until(lambda: receiver.received)
+    assert len(budget.shares_) <= 1
+    for item in (sender.mesh, receiver.mesh):
+        item.stop()
+    for client in clients:
+        client.close()
+    wait_until(lambda: not budget.shares_)
+
+
 def test_truncated_message_is_not_delivered(pair):
     _, receiver = pair
     client = socket.create_connection(("127.0.0.1", receiver.mesh.port_))
