--- a/scripts/chaos.py
+++ b/scripts/chaos.py
@@ -15,7 +15,8 @@
 
 import gevent
 
-from fakes.fleet import EXIT_TIMEOUT_S, Fleet, FleetSize
+from fakes.crowds import Crowd, ProcessMeter, make_chunks, run_crowds
+from fakes.fleet import CALLER_KEYS, EXIT_TIMEOUT_S, OPERATOR_KEY, Fleet, FleetSize
 from fakes.load import LoadGenerator, sleep
 
 ENGINE_CAPACITY = 16
@@ -25,6 +26,15 @@
 # The configured `zone_deadline_ms`: a drained zone receives no new requests after this time.
 ZONE_DEADLINE_S = 3.0
 SETTLE_S = 5.0
+MEMORY_MB = 512  # of a process whose settings state no limit
+CROWD_SIZE = 60
+ENDLESS = 10**6  # pieces; a crowd stops long before
+CROWD_BODIES = (
+    (b"", make_chunks(64_000, 1)),
+    (b"", make_chunks(1, 10_000)),
+    (make_chunks(5, 1) + b"0\r\n", b"T: 1\r\n" * 4_096),
+    (b"1;", b"e" * 4_096),
+)
 
 
 class FaultInjector:
@@ -55,6 +65,7 @@
             self.drain_zone,
             self.freeze_connections,
             self.race_operators,
+            self.send_crowd,
         ]
 
     def run(self, deadline):
@@ -139,6 +150,29 @@
         gevent.sleep(1.0)
         self.release("zones", zone)
 
+    def send_crowd(self):
+        """Send requests outside the limits to a router or a controller, and check its memory."""
+        name = self.rng.choice([*self.fleet.routers, *self.fleet.controllers])
+        key = OPERATOR_KEY if name in self.fleet.controllers else next(iter(CALLER_KEYS.values()))
+        method, path = "POST", "/v1/chat/completions"
+        if name in self.fleet.controllers:
+            method, path = "PUT", "/v1/configuration"
+        head = (
+            f"{method} {path} HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {key}\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n"
+        ).encode()
+        opening, piece = self.rng.choice(CROWD_BODIES)
+        ports = self.fleet.ports[name]
+        meter = ProcessMeter(
+            self.fleet.processes_[name].popen.pid,
+            lambda _host, port: port in (ports.service, ports.peer, ports.metrics),
+        )
+        crowd = Crowd(CROWD_SIZE, head + opening, piece, ENDLESS, self.rng.random() < 0.5)
+        with run_crowds([crowd], ("127.0.0.1", ports.service), meter):
+            gevent.sleep(self.rng.uniform(1.0, 4.0))
+        if meter.peak_mb_ > MEMORY_MB:
+            self.violations_.append(f"{name} had {meter.peak_mb_:.0f} MB within a crowd")
+
     def race_operators(self):
         """Change the configuration twice at once, both with the same expected revision."""
         response = self.fleet.send_command("GET", "/v1/configuration").value_or(None)
