http1, transport: no receive allocates a buffer that gets a mapping, idle connections of applications don't poll

Cause: since the allocator's threshold is 32 KiB, each receive of 64 KiB from an upstream or a peer got a mapping of its own and gave it back, three system calls beside the receive. Idle connections of the control plane looked four times a second whether the server stops, which it never tells them. A client that left within its body was logged with a traceback.

Change: connections to upstreams receive into one buffer of the process, streams between nodes 16 KiB at a time; only pages look for the end of their server; a body that breaks off is an invalid request. SocketWatch loses the caller's deadline, which nothing sets any more.

--- a/sassafrashook/clients/_listener.py
+++ b/sassafrashook/clients/_listener.py
@@ -14,11 +14,11 @@
 LARGE_RECEIVE_BUFFER_BYTES = 65_536
 # The kernel holds up to twice the size that was set, including its own overhead.
 UNREAD_FACTOR = 2
+MAX_UNREAD_BYTES = UNREAD_FACTOR * RECEIVE_BUFFER_BYTES
+MAX_LARGE_UNREAD_BYTES = UNREAD_FACTOR * LARGE_RECEIVE_BUFFER_BYTES
 DEFAULT_BACKLOG = 256
 # Connections that are accepted at once if their number is limited: the limit is checked after that.
 MAX_ACCEPT_LIMITED = 8
-MAX_UNREAD_BYTES = UNREAD_FACTOR * RECEIVE_BUFFER_BYTES
-MAX_LARGE_UNREAD_BYTES = UNREAD_FACTOR * LARGE_RECEIVE_BUFFER_BYTES
 
 
 def make_stream_server(
--- a/sassafrashook/daemons/_endpoints.py
+++ b/sassafrashook/daemons/_endpoints.py
@@ -109,13 +109,7 @@
         """Return the handler of the connections."""
         from sassafrashook.daemons._pages import PageHandler
 
-        return PageHandler(self._respond, self.budget)
-
-    def stop(self, timeout=0):
-        """Stop to listen, and close connections that become idle."""
-        super().stop(timeout)
-        if self._handler is not None:
-            self._handler.closes_idle_ = True
+        return PageHandler(self._respond, self.budget, lambda: not self.server_.started)
 
     def _respond(self, path):
         """Return status code, content type and body for a path."""
--- a/sassafrashook/daemons/_pages.py
+++ b/sassafrashook/daemons/_pages.py
@@ -16,10 +16,11 @@
         ``bytes``.
     :param budget: the :class:`~sassafrashook.clients.ClientBudget` of the connections, ``None`` for
         no limits.
+    :param is_stopping: see :class:`~sassafrashook.http1.ConnectionHandler`.
     """
 
-    def __init__(self, respond, budget):
-        super().__init__(TIMEOUTS, budget)
+    def __init__(self, respond, budget, is_stopping):
+        super().__init__(TIMEOUTS, budget, is_stopping=is_stopping)
         self.respond = respond
 
     def serve_request(self, client, head):
--- a/sassafrashook/http1/_application_handler.py
+++ b/sassafrashook/http1/_application_handler.py
@@ -10,7 +10,11 @@
 from sassafrashook.clients import ClientPhase
 from sassafrashook.http1._connection_handler import DEFAULT_MAX_HEADER_BYTES, ConnectionHandler
 from sassafrashook.http1._messages import InvalidRequestError
-from sassafrashook.http1._server import STATUS_CONTENT_TOO_LARGE
+from sassafrashook.http1._server import (
+    STATUS_BAD_REQUEST,
+    STATUS_CONTENT_TOO_LARGE,
+    ClientDisconnectedError,
+)
 
 __all__ = [
     "CLOSE_CONNECTION",
@@ -39,9 +43,8 @@
     :param environ: the WSGI environment, of an :class:`ApplicationHandler` or any other server.
     :param max_bytes: largest size, in bytes.
     :returns: ``bytes``.
-    :raises InvalidRequestError: if the body is malformed, too large or not complete in time, or
-        the memory for clients is used up.
-    :raises ClientDisconnectedError: if the client disconnects before the end of the body.
+    :raises InvalidRequestError: if the body is malformed, too large or not complete in time, the
+        memory for clients is used up, or the client disconnects before the end.
     """
     source = environ[INPUT]
     if isinstance(source, RequestBody):
@@ -83,6 +86,9 @@
         except InvalidRequestError:
             self.client.should_close_ = True
             raise
+        except ClientDisconnectedError as error:
+            self.client.should_close_ = True
+            raise InvalidRequestError(STATUS_BAD_REQUEST, str(error)) from error
         return self.client.convert_body()
 
     def readable(self):
--- a/sassafrashook/http1/_connection_handler.py
+++ b/sassafrashook/http1/_connection_handler.py
@@ -48,19 +48,27 @@
         no limits.
     :param max_header_bytes: largest size of the head of a request, in bytes.
 
+    :param is_stopping: called without arguments; returns whether connections without a request are
+        closed. ``None`` if they are kept until the client closes them.
+
     :cvar is_host_optional: whether requests may lack the Host field.
     :ivar active_request_count_: number of requests that are being read or served.
-    :ivar closes_idle_: whether connections without a request are closed.
     """
 
     is_host_optional = False
 
-    def __init__(self, timeouts, budget=None, max_header_bytes=DEFAULT_MAX_HEADER_BYTES):
+    def __init__(
+        self,
+        timeouts,
+        budget=None,
+        max_header_bytes=DEFAULT_MAX_HEADER_BYTES,
+        is_stopping=None,
+    ):
         self.timeouts = timeouts
         self.budget = budget
         self.max_header_bytes = max_header_bytes
+        self.is_stopping = is_stopping
         self.active_request_count_ = 0
-        self.closes_idle_ = False
 
     @abstractmethod
     def serve_request(self, client, head):
@@ -112,7 +120,7 @@
         is_open = True
         while is_open:
             idle_deadline = time.monotonic() + self.timeouts.idle_s
-            if not client.wait_for_request(idle_deadline, lambda: self.closes_idle_):
+            if not client.wait_for_request(idle_deadline, self.is_stopping):
                 return
             self.active_request_count_ += 1
             try:
--- a/sassafrashook/http1/_server.py
+++ b/sassafrashook/http1/_server.py
@@ -266,18 +266,23 @@
         """Wait for the first bytes of the next request.
 
         :param deadline: time until which the connection may stay idle, in monotonic seconds.
-        :param is_stopping: called without arguments; the wait ends once it returns true.
+        :param is_stopping: called without arguments; the wait ends once it returns true. ``None``
+            to wait until the deadline.
         :returns: whether bytes of a request have been received.
         """
         if self.has_received_data():
             gevent.sleep(0)  # the client sends requests without waiting for the responses
         while not self.has_received_data():
             remaining_s = deadline - time.monotonic()
-            if self.is_disconnected_ or remaining_s <= 0 or is_stopping():
+            if self.is_disconnected_ or remaining_s <= 0:
                 return False
+            if is_stopping is not None:
+                if is_stopping():
+                    return False
+                remaining_s = min(remaining_s, IDLE_POLL_INTERVAL_S)
             self._data_received.clear()
             if not self._unparsed and not self.is_disconnected_:
-                self._data_received.wait(min(remaining_s, IDLE_POLL_INTERVAL_S))
+                self._data_received.wait(remaining_s)
         return True
 
     def read_head(self, deadline):
--- a/sassafrashook/http1/_upstream.py
+++ b/sassafrashook/http1/_upstream.py
@@ -20,6 +20,9 @@
 from sassafrashook.tasks import spawn_task
 
 RECEIVE_BYTES = 65_536
+# All connections receive into this buffer: the bytes are copied before another task runs. A new
+# buffer of this size for each receive would get a mapping of its own.
+RECEIVED = memoryview(bytearray(RECEIVE_BYTES))
 CONTINUATION_LINE = re.compile(rb"\n[ \t]")
 # Other tasks run after this time of parsing: data that has arrived is received without a wait.
 MAX_PARSING_S = 0.002
@@ -259,7 +262,7 @@
             raise TimeoutError("the upstream did not respond before the deadline")
         self.sock.settimeout(max(remaining_s, MIN_TIMEOUT_S))
         try:
-            data = self.sock.recv(RECEIVE_BYTES)
+            data = bytes(RECEIVED[: self.sock.recv_into(RECEIVED)])
             now = time.monotonic()
             if now >= began_at + MIN_BLOCKED_S:
                 self._yield_at = now + MAX_PARSING_S
--- a/sassafrashook/proxy/_monitor.py
+++ b/sassafrashook/proxy/_monitor.py
@@ -16,22 +16,17 @@
 
 
 class SocketWatch:
-    """Progress deadlines of the caller's and the upstream's socket of one request.
+    """Progress deadline of the upstream's socket of one request, and the caller's socket.
 
     :param caller_socket: the caller's socket, or ``None`` to ignore a disconnect of the caller.
     :ivar upstream_deadline: monotonic seconds by which the upstream must send bytes.
-    :ivar caller_deadline: monotonic seconds by which the caller must have sent a request head or
-        accepted a write.
     :ivar upstream_timed_out: whether the upstream's socket was shut down at its deadline.
-    :ivar caller_disconnected: whether the caller disconnected or was shut down at its deadline.
-    :ivar caller_timed_out: whether the caller's socket was shut down at its deadline.
+    :ivar caller_disconnected: whether the caller disconnected.
     """
 
     __slots__ = (
         "caller_socket",
-        "caller_deadline",
         "caller_disconnected",
-        "caller_timed_out",
         "upstream_timed_out",
         "upstream_socket",
         "upstream_deadline",
@@ -39,9 +34,7 @@
 
     def __init__(self, caller_socket=None):
         self.caller_socket = caller_socket
-        self.caller_deadline = math.inf
         self.caller_disconnected = False
-        self.caller_timed_out = False
         self.upstream_socket = None
         self.upstream_deadline = math.inf
         self.upstream_timed_out = False
@@ -67,17 +60,13 @@
         return not self.caller_disconnected
 
     def shut_down_expired(self, now):
-        """Shut down each socket that is past its deadline.
+        """Shut down the upstream's socket if it is past its deadline.
 
         :param now: monotonic seconds.
         """
         if now >= self.upstream_deadline and self.upstream_socket is not None:
             self.upstream_timed_out = True
             _shut_down(self.upstream_socket)
-        if now >= self.caller_deadline and self.caller_socket is not None:
-            self.caller_timed_out = True
-            self.caller_disconnected = True
-            _shut_down(self.caller_socket)
 
     def shut_down_if_caller_disconnected(self):
         """Shut down the upstream's socket if the caller has disconnected."""
--- a/sassafrashook/transport/_link.py
+++ b/sassafrashook/transport/_link.py
@@ -26,7 +26,7 @@
 CONNECT_TIMEOUT_MS = 250  # well above a round trip; a powered-off host never responds
 RECONNECT_DELAY_MS = 100
 IDLE_TIMEOUT_MS = 60_000
-RECEIVE_BYTES = 65_536
+RECEIVE_BYTES = 16_384  # larger buffers get mappings of their own, a system call for each receive
 WRITE_BATCH_BYTES = 262_144
 
 
