http1: an evicted connection is closed at once, whatever waits behind its request

What callers saw: nothing, until the process outgrew its host. Found while reading the change: a request in progress behind which 16 KiB wait was evicted, but went on at its upstream and kept its body.

Cause: an eviction shut the socket down and left the rest to the tasks of the connection. The receiving one doesn't see the end while it pauses, and reads what has arrived before; with a thousand tasks each turn comes late, and meanwhile new connections are accepted in the place of the evicted ones, whose bodies are still held.

Change: an eviction closes the socket itself and, while a request is read, releases the body.

A crowd with bytes behind requests in progress is new: 243 MB on, 64 MB now.

Why it works: what is evicted is released within the call, but for what a request in progress holds, which is cancelled.

--- a/sassafrashook/http1/_server.py
+++ b/sassafrashook/http1/_server.py
@@ -104,11 +104,11 @@
         self._data_received = Event()
         self._data_consumed = Event()
         self._share = None
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.is_admitted_ = True
         if budget is not None:
             self._share = budget.open_share(self._evict, time.monotonic())
             self.is_admitted_ = self._share is not None
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._receiver = spawn_task(self._receive_until_closed)
 
     def _receive_until_closed(self):
@@ -183,19 +183,20 @@
     def _evict(self, reason):
         """Release what the connection holds, and refuse its request or close the connection."""
         is_reading = self._share is not None and self._share.phase_ is ClientPhase.READING
+        self._unparsed.clear()
+        if is_reading:
+            self._body.clear()
         if is_reading and reason is EvictionReason.MEMORY:
             self._is_refused = True
-            self._unparsed.clear()
-            self._body.clear()
             self._resize_receive_buffer(False)
-            self._record_held()
-            self._data_received.set()
-            self._data_consumed.set()
-            return
-        try:
-            self.sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            self.is_disconnected_ = True  # the client has already closed it
+        else:
+            # Closed at once, not by the tasks of the connection, which may get their turn late.
+            # They find the socket closed, and the receiving one reports it.
+            self.is_disconnected_ = True
+            self.sock.close()
+        self._record_held()
+        self._data_received.set()
+        self._data_consumed.set()
 
     def _check_refused(self):
         """Raise an error if the budget has refused the request that is being read."""
@@ -245,8 +246,11 @@
 
     @property
     def local_address(self):
-        """Pair of host and port that the client has connected to."""
-        return self.sock.getsockname()[:2]
+        """Pair of host and port that the client has connected to, empty once it is closed."""
+        try:
+            return self.sock.getsockname()[:2]
+        except OSError:
+            return "", 0
 
     def has_body(self):
         """Return whether a body follows the head that was read last."""
--- a/sassafrashook/http1/tests/test_server.py
+++ b/sassafrashook/http1/tests/test_server.py
@@ -5,6 +5,7 @@
 import socket as standard_socket
 import time
 
+import gevent.event
 import gevent.socket
 import pytest
 
@@ -158,3 +159,24 @@
     connection.abort()
     client.close()
     assert turns[0] >= 50
+
+
+def test_eviction_ends_a_request_in_progress_behind_which_bytes_wait():
+    """Guards against an evicted request that goes on, since nothing is received meanwhile."""
+    budget = ClientBudget(500_000, None)
+    connection, client = connect(budget)
+    ended = gevent.event.Event()
+    connection.on_disconnect = ended.set
+    request = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 300000\r\n\r\n" + b"y" * 300_000
+    sender = gevent.spawn(client.sendall, request + b"x" * 200_000)
+    read_request(connection)
+    gevent.sleep(0.1)
+    other, other_client = connect(budget)
+    connection._share.since_ -= 10.0  # it has waited for its upstream
+    other.reserve_response(150_000)
+    assert ended.wait(5.0)
+    sender.kill()
+    for item in (connection, other):
+        item.abort()
+    for item in (client, other_client):
+        item.close()
--- a/sassafrashook/platform/tests/test_crowds.py
+++ b/sassafrashook/platform/tests/test_crowds.py
@@ -46,7 +46,7 @@
     fleet = LimitedFleet(tmp_path, LIMITS)
     for ip in (*CONTROLLER_IPS[:3], ROUTER):
         fleet.start(ip)
-    upstream = ScriptedUpstream("i-1", respond)
+    upstream = ScriptedUpstream("i-1", respond_unless_silent)
     reporter = None
     try:
         fleet.request_until_accepted("PUT", "/config", make_config())
@@ -61,6 +61,13 @@
             fleet.kill(ip)
 
 
+def respond_unless_silent(upstream, sock, head, body):
+    """Respond as usual, but never to ``/counts/silent``."""
+    if b"/counts/silent" in head:
+        gevent.sleep(HANG_TIMEOUT_S)
+    return respond(upstream, sock, head, body)
+
+
 def make_meter(fleet, ip):
     """Return a meter of a process, whose loopback address no other process has."""
     return ProcessMeter(fleet.processes[ip].pid, lambda host, _port: host == ip)
@@ -100,6 +107,12 @@
     "endless_chunks": [Crowd(160, CHUNKED_HEAD, make_chunks(64_000, 1), ENDLESS)],
     "one_chunk_of_a_gigabyte": [Crowd(160, CHUNKED_HEAD + b"40000000\r\n", b"y" * 65_536, 200)],
     "bytes_behind_a_request": [Crowd(160, encode_head("/counts/1"), b"GET / " * 10_000, ENDLESS)],
+    "bytes_behind_requests_in_progress": [
+        Crowd(
+            160, encode_head("/counts/silent", fields=encode_length(600_000)) + b"y" * 600_000,
+            b"GET / " * 10_000, ENDLESS,
+        )
+    ],
     "endless_extension": [Crowd(160, CHUNKED_HEAD + b"1;", b"e" * 4_096, ENDLESS)],
     "endless_trailers": [
         Crowd(160, CHUNKED_HEAD + make_chunks(5, 1) + b"0\r\n", b"T: 1\r\n" * 4_096, ENDLESS)
