proxy: a caller that leaves within its stream is no unexpected error

A failed send of the forwarder was logged with a traceback as a failure of the request handler, once for each caller that left. It ends the connection as any other disconnect does.

--- a/sassafrashook/proxy/_server.py
+++ b/sassafrashook/proxy/_server.py
@@ -5,7 +5,12 @@
 
 from sassafrashook.base import Parametrized
 from sassafrashook.clients import make_stream_server
-from sassafrashook.http1 import ApplicationHandler, InvalidRequestError, RequestTimeouts
+from sassafrashook.http1 import (
+    ApplicationHandler,
+    ClientDisconnectedError,
+    InvalidRequestError,
+    RequestTimeouts,
+)
 from sassafrashook.proxy import _request_body
 from sassafrashook.proxy._chats import ChatRelay
 from sassafrashook.proxy._errors import encode_error, get_status
@@ -64,7 +69,10 @@
                     response.status_, response.fields_, data=events, reason=response.reason_
                 )
                 is_started = True
-            unsent = relay.forward_events(send)
+            try:
+                unsent = relay.forward_events(send)
+            except OSError as error:
+                raise ClientDisconnectedError(str(error)) from error
             if unsent:
                 client.send_encoded(unsent)
         client.finish_response()
