--- a/scripts/build_dist.py
+++ b/scripts/build_dist.py
@@ -15,7 +15,7 @@
 DIST_FILE = ROOT / "dist" / "sassafrashook"
 # Packages whose modules are imported by name at run time, so that a process only loads those of its
 # own role. PyInstaller does not find such imports by itself.
-LAZY_PACKAGES = ("daemons", "fleet", "messages")
+LAZY_PACKAGES = ("daemons", "fleet", "http1", "messages")
 DIGEST_LENGTH = 16
 
 LAUNCHER = """\
