--- a/review/11/case.py
+++ b/review/11/case.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import json
+import os
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common-3"))
-from harness import call, has_trouble, make_config, run_case  # noqa: E402
+from harness import call, make_config, run_case  # noqa: E402
 
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SUCCESSOR_S = 10.0  # far beyond catch_up_s, 4
 REMOVAL_S, LOSS_S, DOWN_S = 0.05, 0.15, 1.0
 READ_S = 45.0  # recovery_s is 12
@@ -29,7 +31,7 @@
     record.write(f"PLATFORM removes the core machine {removed} for good, without SIGTERM")
     deployment.kill(removed)
     await asyncio.sleep(LOSS_S)
-    if has_trouble():
+    if HAS_TROUBLE:
         record.write(f"PLATFORM {lost} lose power and their disks")
         deployment.kill(*lost, wipes_disk=True)
         await asyncio.sleep(DOWN_S)
@@ -51,4 +53,4 @@
     return False
 
 
-run_case(Path(__file__).parent, play, controllers=6, routers=1, spares=1)
+run_case(Path(__file__).parent, play, HAS_TROUBLE, controllers=6, routers=1, spares=1)
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,12 +1,14 @@
 """One engine of eight fails part of its orders with 503 after it has run them."""
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common-3"))
-from harness import Channel, Engine, has_trouble, make_config, run_case  # noqa: E402
+from harness import Channel, Engine, make_config, run_case  # noqa: E402
 
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ENGINES = 8  # one of eight is a share of 0.125
 FAILED = (2, 5)  # two in five requests: a share of 0.4
 ORDERS = 120
@@ -24,7 +26,7 @@
     async def book_and_fail(engine, first, fields, body, writer):
         attempt = fields["x-sassafrashook-attempt-id"]
         count["grey"] += 1
-        if not has_trouble() or count["grey"] % FAILED[1] >= FAILED[0]:
+        if not HAS_TROUBLE or count["grey"] % FAILED[1] >= FAILED[0]:
             await book(engine, first, fields, body, writer)
             return
         booked.append((body.decode(), attempt))
@@ -71,4 +73,4 @@
     return not broken
 
 
-run_case(Path(__file__).parent, play)
+run_case(Path(__file__).parent, play, HAS_TROUBLE)
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,12 +1,14 @@
 """One engine of eight spoils the load field of at most 2 in 100 of its answers: a wrong number."""
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common-3"))
-from harness import Channel, Engine, has_trouble, make_config, run_case  # noqa: E402
+from harness import Channel, Engine, make_config, run_case  # noqa: E402
 
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 CLIENTS = 24
 ENGINES = 8
 SECONDS = 45.0
@@ -27,7 +29,7 @@
     async def spoil_some(engine, first, fields, body, writer):
         counts["answers"] += 1
         figure = USUAL
-        if has_trouble() and counts["answers"] % SPOILED_EVERY == 0:
+        if HAS_TROUBLE and counts["answers"] % SPOILED_EVERY == 0:
             counts["spoiled"] += 1
             figure = WRONG
             record.write(f"ENGINE {engine.name} states {engine.load_field(figure)} as its load")
@@ -74,4 +76,4 @@
     return len(lost) <= MAX_CUT
 
 
-run_case(Path(__file__).parent, play, edge_limits=EDGE_LIMITS, bounds=BOUNDS)
+run_case(Path(__file__).parent, play, HAS_TROUBLE, edge_limits=EDGE_LIMITS, bounds=BOUNDS)
--- a/review/common-3/harness.py
+++ b/review/common-3/harness.py
@@ -37,11 +37,6 @@
     """The case could not be set up."""
 
 
-def has_trouble():
-    """Return whether the disruption is part of this run."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 class Record:
     """Writes ``record.txt`` in the folder of the case."""
 
@@ -444,15 +439,16 @@
             self.writer = None
 
 
-def run_case(folder, play, limit_s=110.0, spares=0, **options):
+def run_case(folder, play, has_trouble, limit_s=110.0, spares=0, **options):
     """Play a case and exit with its result.
 
     :param play: coroutine function called with the deployment; returns whether the rule held.
+    :param has_trouble: whether the disruption is part of this run.
     :param spares: number of controllers that the case adds itself.
     :param options: parameters of :class:`Deployment`.
     """
     record = Record(Path(folder) / "record.txt")
-    record.write(f"TROUBLE={'1' if has_trouble() else '0'}")
+    record.write(f"TROUBLE={'1' if has_trouble else '0'}")
     deployment = Deployment(record, **options)
 
     async def main():
