consensus: a voter that is lost for good is left out of the quorum of an even group

Every read is answered 503 for good, and the acknowledged configuration never comes back.

Cause: a majority of six is four, and three of six voters are left. The hosts that come back with empty disks have new identities, which proves that the old ones will never vote, but nothing used that. The logs did not tell lost voters from unreachable ones: voters_lost, lost_voters in role_changed and the gauge group_lost_voters do.

Fix: a candidate of a group with an even number of voters asks the hosts for their identities, and counts k of the other 2k - 1 voters as a quorum as well. The lost voters are fixed when the candidacy starts; one class counts votes, commits, rounds and leases. Until a change is committed, the configuration before it counts too.

Such a set shares a voter with every majority, and two of them that leave out different voters would need two candidacies that each start before the other.

Ruled out: the lead's rule as it stands (the left-out voter is removed first, the latest configuration alone counts).

--- a/sassafrashook/consensus/_core.py
+++ b/sassafrashook/consensus/_core.py
@@ -17,6 +17,7 @@
 from sassafrashook.consensus._departure import DepartureMixin
 from sassafrashook.consensus._durability import DurabilityMixin
 from sassafrashook.consensus._elections import ElectionMixin
+from sassafrashook.consensus._lost_identities import LostIdentityMixin
 from sassafrashook.consensus._membership import MembershipMixin
 from sassafrashook.consensus._message_validation import MessageValidationMixin
 from sassafrashook.consensus._messages import (
@@ -26,6 +27,8 @@
     DepartureRequested,
     ElectionRequested,
     IdentityAnnounced,
+    IdentityConfirmed,
+    IdentityQueried,
     ReadAnswered,
     ReadForwarded,
     SnapshotAnswered,
@@ -61,6 +64,7 @@
     ReplicationMixin,
     SnapshotTransferMixin,
     MembershipMixin,
+    LostIdentityMixin,
     DepartureMixin,
     ReadMixin,
     DurabilityMixin,
@@ -153,6 +157,8 @@
         DepartureRequested: "_on_departure_requested",
         ElectionRequested: "_on_election_requested",
         IdentityAnnounced: "_on_identity_announced",
+        IdentityConfirmed: "_on_identity_confirmed",
+        IdentityQueried: "_on_identity_queried",
         LeaveGroup: "_on_leave_group",
         Persisted: "_on_persisted",
         ProposalsSubmitted: "_on_proposals_submitted",
@@ -239,6 +245,7 @@
         self._start_replication(now)
         self._start_snapshot_transfer()
         self._start_departure()
+        self._start_loss_detection()
         self._start_membership(recovered.bootstrap_state, now)
         self._start_reads()
         return self._finish(now)
--- a/sassafrashook/consensus/_elections.py
+++ b/sassafrashook/consensus/_elections.py
@@ -70,10 +70,12 @@
             self._announce_to_all()
             return
         self.role_ = Role.PRE_CANDIDATE
+        self._start_candidacy()
         self.votes_ = {self.identity}
         self._request_votes(self.term_ + 1, pre_vote=True, transfer=False)
         if self.automatic_membership:
             self._announce_to_nonvoters()
+        self._query_voters()
         self._count_votes(now)
 
     def _start_election(self, now, transfer):
@@ -82,12 +84,15 @@
         self.leader_ = ""
         self.leader_identity_ = ""
         self._set_term(self.term_ + 1, self.identity)
+        self._start_candidacy()
         self.votes_ = {self.identity}
         self._request_votes(self.term_, pre_vote=False, transfer=transfer)
 
     def _request_votes(self, term, pre_vote, transfer):
         log = self.log_
-        for member in self._list_other_members(voters_only=True):
+        for member in self._list_voters_in_force():
+            if member.identity == self.identity:
+                continue
             request = VoteRequested(
                 *self._header(member.identity),
                 term,
@@ -140,7 +145,7 @@
         """Advance the election once a quorum has granted its vote and the own vote is durable."""
         if self.role_ not in (Role.PRE_CANDIDATE, Role.CANDIDATE):
             return
-        if not self._has_quorum(self.votes_):
+        if not self._get_quorum().is_met_by(self.votes_):
             return
         if self.role_ is Role.PRE_CANDIDATE:
             self._start_election(now, transfer=False)
--- a/sassafrashook/consensus/_loop.py
+++ b/sassafrashook/consensus/_loop.py
@@ -90,6 +90,7 @@
             self._action_handlers[type(action)](self, action)
             changed = changed or isinstance(action, (Apply, Restore, RoleChanged))
         self._log_members()
+        self._log_lost_voters()
         if changed:
             self._complete_reads()
             for callback in self._callbacks:
@@ -157,12 +158,24 @@
 
     def _log_role(self, action):
         logging.info(
-            "event=role_changed group=%s replica=%s role=%s term=%d leader=%s",
+            "event=role_changed group=%s replica=%s role=%s term=%d leader=%s lost_voters=%d",
             self.group,
             self.name,
             action.role,
             action.term,
             action.leader or "-",
+            len(self.core_.candidacy_lost_identities_),
+        )
+
+    def _log_lost_voters(self):
+        """Log the identities that became known to be lost for good."""
+        lost = self.core_.lost_identities_
+        if lost == self._logged_lost_identities:
+            return
+        self._logged_lost_identities = lost
+        members = sorted(m.name for m in self.core_.configuration_ if m.identity in lost)
+        logging.warning(
+            "event=voters_lost replica=%s members=%s", self.name, ",".join(members) or "-"
         )
 
     def _fail(self, error):
--- a/sassafrashook/consensus/_membership.py
+++ b/sassafrashook/consensus/_membership.py
@@ -4,6 +4,7 @@
 
 from sassafrashook.consensus._actions import BootstrapState, Role
 from sassafrashook.consensus._messages import CONFIGURATION, Entry, IdentityAnnounced, Member
+from sassafrashook.consensus._quorums import Quorum
 
 __all__ = ["MembershipMixin", "decode_members", "encode_members"]
 
@@ -89,9 +90,35 @@
     def _is_voter(self, identity):
         return any(m.voter and m.identity == identity for m in self.configuration_)
 
-    def _has_quorum(self, identities):
-        voters = [m.identity for m in self.configuration_ if m.voter]
-        return sum(identity in identities for identity in voters) > len(voters) // 2
+    def _list_configurations_in_force(self):
+        """Return the latest configuration, after the one before it until the change is committed.
+
+        A change needs a quorum of both. A quorum that leaves out a lost voter need not share a
+        voter with a quorum of the next configuration alone: that voter may have been part of it.
+        """
+        count = 2 if self.configuration_index_ > self.commit_index_ else 1
+        return [members for _, members in self._configurations[-count:]]
+
+    def _list_members_in_force(self):
+        """Return the members of the configurations in force; the latest state of each identity."""
+        members = {}
+        for configuration in self._list_configurations_in_force():
+            members |= {member.identity: member for member in configuration}
+        return list(members.values())
+
+    def _list_other_members_in_force(self):
+        return [m for m in self._list_members_in_force() if m.identity != self.identity]
+
+    def _list_voters_in_force(self):
+        """Return all that are voters in a configuration in force."""
+        configurations = self._list_configurations_in_force()
+        voters = {m.identity: m for members in configurations for m in members if m.voter}
+        return list(voters.values())
+
+    def _get_quorum(self):
+        """Return the :class:`Quorum` that votes, commits and leases of this replica need."""
+        configurations = self._list_configurations_in_force()
+        return Quorum(configurations, self.candidacy_lost_identities_)
 
     def _find_member(self, identity):
         for member in self.configuration_:
@@ -301,7 +328,7 @@
             return False
         if members != [Member(name, new_identity)]:
             return False
-        return self._get_synced_index(members[0]) >= self.configuration_index_
+        return self._get_synced_index(new_identity) >= self.configuration_index_
 
     def _on_replace_member(self, event, now):
         if self.find_replacement_error(event.name, now):
@@ -345,8 +372,9 @@
         return now < last_contact_at + CONTACT_HEARTBEATS * self.heartbeat_s_
 
     def _adjust_membership(self, now):
-        """Add a replica that announced itself, or else remove a silent voter.
+        """Remove a lost voter, add a replica that announced itself, or else remove a silent voter.
 
+        A spare voter that is known to be lost is removed without waiting for its silence.
         Learners don't delay the addition of others: one that is gone would keep the group from
         replacing another disk until it is removed for its silence.
         A group of ``2 * tolerated_losses + 1`` voters keeps its silent voters, since a smaller
@@ -358,6 +386,8 @@
             or self._has_pending_change()
         ):
             return
+        if self._remove_lost_voter(now):
+            return
         for name in sorted(self.announced_identities_):
             if name != self.name and self._get_announced_identity(name, now) is not None:
                 self._propose_learner(name, now)
@@ -369,6 +399,17 @@
         voters = [member for member in self.configuration_ if member.voter]
         return len(voters) > 2 * self.tolerated_losses + 1
 
+    def _remove_lost_voter(self, now):
+        """Remove a voter that is known to be lost, if the group can do without it.
+
+        :returns: whether the change was proposed.
+        """
+        lost = [m for m in self.configuration_ if m.voter and m.identity in self.lost_identities_]
+        if not lost or not self._has_spare_voter():
+            return False
+        self._propose_members([m for m in self.configuration_ if m is not lost[0]], now)
+        return True
+
     def _remove_silent_voter(self, now):
         """Remove the voter that has been silent for longest, if the group can do without it.
 
--- a/sassafrashook/consensus/_message_validation.py
+++ b/sassafrashook/consensus/_message_validation.py
@@ -6,9 +6,14 @@
     ConsensusMessage,
     DepartureRequested,
     IdentityAnnounced,
+    IdentityConfirmed,
+    IdentityQueried,
     VoteRequested,
 )
 
+# Messages that replicas send before they are members, or after that.
+OUTSIDER_MESSAGES = (DepartureRequested, IdentityAnnounced, IdentityConfirmed, IdentityQueried)
+
 __all__ = ["MessageValidationMixin"]
 
 BOOT_SILENCE_HEARTBEATS = 3  # silence of a process start before a newer one is accepted
@@ -49,6 +54,8 @@
             return "wrong_recipient"
         if message.identity == self.identity:
             return "duplicate_identity"
+        if message.identity in self.lost_identities_:
+            return "lost_identity"
         if not self._is_known_sender(message):
             self._record_if_removed(message, now)
             return "unknown_identity"
@@ -64,9 +71,9 @@
             self._record_removed_replica(message, now)
 
     def _is_known_sender(self, message):
-        if isinstance(message, (DepartureRequested, IdentityAnnounced)):
+        if isinstance(message, OUTSIDER_MESSAGES):
             return True
-        if any(member.identity == message.identity for member in self.configuration_):
+        if any(member.identity == message.identity for member in self._list_members_in_force()):
             return True
         return message.configuration_index > self.configuration_index_
 
--- a/sassafrashook/consensus/_messages.py
+++ b/sassafrashook/consensus/_messages.py
@@ -12,6 +12,8 @@
     "ElectionRequested",
     "Entry",
     "IdentityAnnounced",
+    "IdentityConfirmed",
+    "IdentityQueried",
     "Member",
     "ReadAnswered",
     "ReadForwarded",
@@ -91,6 +93,24 @@
     completed: bool
 
 
+class IdentityQueried(ConsensusMessage):
+    """Asks the process that runs on the recipient's host for its identity.
+
+    :param query_id: unique id of the query.
+    """
+
+    query_id: str
+
+
+class IdentityConfirmed(ConsensusMessage):
+    """Reply to :class:`IdentityQueried`; its header contains the identity.
+
+    :param query_id: id of the query.
+    """
+
+    query_id: str
+
+
 class DepartureRequested(ConsensusMessage):
     """Asks the leader to remove the sender, which is about to stop, from the group."""
 
@@ -237,6 +257,8 @@
     DepartureRequested,
     ElectionRequested,
     IdentityAnnounced,
+    IdentityConfirmed,
+    IdentityQueried,
     ReadAnswered,
     ReadForwarded,
     SnapshotAnswered,
--- a/sassafrashook/consensus/_reads.py
+++ b/sassafrashook/consensus/_reads.py
@@ -67,14 +67,12 @@
         return self.role_ is Role.LEADER and now < self.get_lease_deadline()
 
     def _compute_quorum_round(self):
-        voters = [member for member in self.configuration_ if member.voter]
-        rounds = sorted(self._get_acknowledged_round(member) for member in voters)
-        return rounds[(len(rounds) - 1) // 2]
+        return self._get_quorum().find_value(self._get_acknowledged_round)
 
-    def _get_acknowledged_round(self, member):
-        if member.identity == self.identity:
+    def _get_acknowledged_round(self, identity):
+        if identity == self.identity:
             return self.round_
-        return self.progress_[member.identity].acknowledged_round
+        return self.progress_[identity].acknowledged_round
 
     def _get_quorum_sent_at(self):
         quorum_round = self._compute_quorum_round()
--- a/sassafrashook/consensus/_replica.py
+++ b/sassafrashook/consensus/_replica.py
@@ -198,6 +198,7 @@
         self._reads = {}
         self._next_token = 0
         self._logged_members = ()
+        self._logged_lost_identities = frozenset()
         self._folder = DataFolder(self.file_system or LocalFileSystem(), self.folder)
         self._folder.open()
         try:
@@ -416,6 +417,10 @@
         """Return the number of rejected messages by reason."""
         return dict(self.core_.rejection_counts_)
 
+    def count_lost_voters(self):
+        """Return the number of voters that the latest candidacy knew to be lost for good."""
+        return len(self.core_.candidacy_lost_identities_)
+
     def get_status(self):
         """Return a :class:`ReplicaStatus`."""
         core = self.core_
--- a/sassafrashook/consensus/_replication.py
+++ b/sassafrashook/consensus/_replication.py
@@ -40,8 +40,8 @@
         self.progress_ = {}
 
     def _update_progress_members(self, now):
-        """Keep one :class:`Progress` per other member of the latest configuration."""
-        others = {member.identity for member in self._list_other_members()}
+        """Keep one :class:`Progress` per other member of the configurations in force."""
+        others = {member.identity for member in self._list_other_members_in_force()}
         for identity in self.progress_.keys() - others:
             del self.progress_[identity]
         for identity in sorted(others - self.progress_.keys()):
@@ -112,11 +112,11 @@
         return None
 
     def _send_entries_to_all(self, now):
-        for member in self._list_other_members():
+        for member in self._list_other_members_in_force():
             self._send_entries(member, now)
 
     def _send_heartbeats(self, now):
-        for member in self._list_other_members():
+        for member in self._list_other_members_in_force():
             progress = self.progress_[member.identity]
             is_in_log = progress.match_index >= self.log_.base_index
             self._send_append(member, progress.match_index if is_in_log else 0, [])
@@ -186,34 +186,40 @@
             self._update_quorum_round(now)
 
     def _continue_sending(self, identity, now):
-        member = self._find_member(identity)
-        if member is not None and identity in self.progress_:
-            self._send_entries(member, now)
+        for member in self._list_other_members_in_force():
+            if member.identity == identity and identity in self.progress_:
+                self._send_entries(member, now)
 
     def _advance_commit(self, now):
         """Commit entries of the current term that are durable on this replica and enough voters.
 
-        Enough is a majority, and at least ``tolerated_losses + 1`` voters if there are as many.
-        A majority alone commits what precedes the first command: no one relies on it, and a new
+        Enough is a quorum, and at least ``tolerated_losses + 1`` voters if there are as many.
+        A quorum alone commits what precedes the first command: no one relies on it, and a new
         group of three voters could not grow with one of them lost otherwise.
+
+        A committed change may let further entries be committed, as one configuration less counts.
+        The others learn of it at once, because both count for them until then.
         """
-        if self.role_ is not Role.LEADER:
-            return
-        voters = [member for member in self.configuration_ if member.voter]
-        synced = sorted(self._get_synced_index(member) for member in voters)
-        required_copies = len(synced) // 2 + 1
-        if self._can_accept_commands():
-            required_copies = max(required_copies, min(self.tolerated_losses + 1, len(synced)))
-        index = min(synced[len(synced) - required_copies], self.durable_index_)
-        if index > self.commit_index_ and self.log_.get_term(index) == self.term_:
+        while self.role_ is Role.LEADER:
+            min_copies = self.tolerated_losses + 1 if self._can_accept_commands() else 1
+            synced_index = self._get_quorum().find_value(self._get_synced_index, min_copies)
+            index = min(synced_index, self.durable_index_)
+            if index <= self.commit_index_ or self.log_.get_term(index) != self.term_:
+                return
+            is_change = self.commit_index_ < self.configuration_index_ <= index
             self._commit_to(index)
+            if self.commit_index_ < index:
+                return  # a snapshot is being restored
+            self._update_progress_members(now)
             self._update_quorum_round(now)
+            if is_change:
+                self._start_round(now)
             self._advance_learners(now)
 
-    def _get_synced_index(self, member):
-        if member.identity == self.identity:
+    def _get_synced_index(self, identity):
+        if identity == self.identity:
             return self.durable_index_
-        return self.progress_[member.identity].match_index
+        return self.progress_[identity].match_index
 
     def _on_append_requested(self, message, now):
         if not self._accept_leader(message, now):
--- a/sassafrashook/consensus/_snapshot_transfer.py
+++ b/sassafrashook/consensus/_snapshot_transfer.py
@@ -62,7 +62,7 @@
         """
         waiting = [
             other
-            for other in self._list_other_members()
+            for other in self._list_other_members_in_force()
             if self._needs_snapshot(other) and self._is_connected(other, now)
         ]
         if not waiting:
--- a/sassafrashook/consensus/tests/test_lost_disks.py
+++ b/sassafrashook/consensus/tests/test_lost_disks.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from sassafrashook.consensus import Departure, LeaveGroup, TransferLeadership
+from sassafrashook.consensus import Departure, LeaveGroup, Role, TransferLeadership
+from sassafrashook.consensus._messages import IdentityConfirmed
 from sassafrashook.consensus.tests.harness import (
     PLANNED_STOP_TIMEOUT_S,
     FaultConfig,
@@ -17,7 +18,7 @@
 STEP_S = 0.01
 
 
-def start_group(seed, size=5, started=None):
+def start_group(seed, size=5, started=None, tolerated_losses=2):
     """Return a simulation without faults whose hosts have become voters.
 
     :param size: number of hosts.
@@ -25,7 +26,7 @@
     """
     faults = FaultConfig(
         initial_size=3,
-        parameters=PARAMETERS,
+        parameters={**PARAMETERS, "tolerated_losses": tolerated_losses},
         loss_probability=0.0,
         duplication_probability=0.0,
         slow_probability=0.0,
@@ -112,17 +113,28 @@
     return departures[0]
 
 
-def check_loss_of_two_disks(simulation, removed):
-    """Lose the disks of two hosts at once and check that the group goes on."""
-    lost = [host for host in simulation.hosts.values() if host is not removed][:2]
+def check_loss_of_disks(simulation, lost, killed=()):
+    """Lose the disks of some hosts at once and check that the group goes on.
+
+    :param lost: the hosts.
+    :param killed: hosts whose processes end at the same moment, and start with them.
+    """
     for host in lost:
         host.lose_disk()
+    for host in killed:
+        host.stop()
     simulation.run_until(simulation.now + 1.0)
-    for host in lost:
+    for host in (*lost, *killed):
         host.start()
     check_commit(simulation)
 
 
+def check_loss_of_two_disks(simulation, removed):
+    """Lose the disks of the first two hosts at once and check that the group goes on."""
+    lost = [host for host in simulation.hosts.values() if host is not removed][:2]
+    check_loss_of_disks(simulation, lost)
+
+
 def pick_host(simulation, is_leader):
     """Return the leader, or the first host that doesn't lead."""
     leader = find_leader(simulation)
@@ -140,12 +152,25 @@
     run_until(simulation, lambda: len(list_voters(simulation)) == 5)
 
 
-def remove_without_signal(seed, is_leader, delay_s):
-    """Remove one of six hosts without a signal, then lose two disks and check the group."""
-    simulation = start_group(seed, size=6)
+def start_group_and_remove(seed, is_leader, delay_s, size=6, **parameters):
+    """Remove one host without a signal after all others have run for ``CATCH_UP_S``.
+
+    A host that is removed counts as lost until its successor has run for that time.
+
+    :param delay_s: time that passes after the removal, seconds.
+    :returns: the simulation and the removed host.
+    """
+    simulation = start_group(seed, size, **parameters)
+    simulation.run_until(simulation.now + CATCH_UP_S)
     removed = pick_host(simulation, is_leader)
     removed.stop()
     simulation.run_until(simulation.now + delay_s)
+    return simulation, removed
+
+
+def remove_without_signal(seed, is_leader, delay_s):
+    """Remove one of six hosts without a signal, then lose two disks and check the group."""
+    simulation, removed = start_group_and_remove(seed, is_leader, delay_s)
     check_loss_of_two_disks(simulation, removed)
 
 
@@ -156,9 +181,126 @@
     remove_without_signal(seed, is_leader, delay_s)
 
 
-def test_two_disks_may_be_lost_at_once_with_a_host_that_is_removed_without_a_signal():
-    """Guards against a group that ends if both happen before the removal is noticed."""
-    remove_without_signal(1, is_leader=False, delay_s=0.0)
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("is_leader", [False, True])
+@pytest.mark.parametrize("delay_s", [0.0, 0.15, 0.5, 1.0])
+def test_two_disks_may_be_lost_at_once_with_a_host_that_is_removed_without_a_signal(
+    seed, is_leader, delay_s
+):
+    """Guards against a group that ends if both happen before the removal is noticed (review/11)."""
+    remove_without_signal(seed, is_leader, delay_s)
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("is_leader", [False, True])
+def test_group_of_four_that_tolerates_one_loss_keeps_its_state(seed, is_leader):
+    """Guards against the same end of a group with another number of voters."""
+    simulation, removed = start_group_and_remove(seed, is_leader, 0.1, 4, tolerated_losses=1)
+    lost = next(host for host in simulation.hosts.values() if host is not removed)
+    check_loss_of_disks(simulation, [lost])
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("is_leader", [False, True])
+def test_successor_may_be_one_of_the_lost_disks(seed, is_leader):
+    """Guards against a group that needs the vote of the host that joined last."""
+    simulation, removed = start_group_and_remove(seed, is_leader, 0.1)
+    hosts = [host for host in simulation.hosts.values() if host is not removed]
+    check_loss_of_disks(simulation, [hosts[0], hosts[-1]])
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("is_leader", [False, True])
+def test_all_others_may_lose_power_with_the_lost_disks(seed, is_leader):
+    """Guards against knowledge of lost disks that the processes of that moment alone have."""
+    simulation, removed = start_group_and_remove(seed, is_leader, 0.1)
+    hosts = [host for host in simulation.hosts.values() if host is not removed]
+    check_loss_of_disks(simulation, hosts[:2], killed=hosts[2:])
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_two_more_disks_may_be_lost_once_the_group_is_whole_again(seed):
+    """Guards against a leader that goes on without replacing the voter that it left out."""
+    simulation, removed = start_group_and_remove(seed, False, 0.1)
+    hosts = [host for host in simulation.hosts.values() if host is not removed]
+    check_loss_of_disks(simulation, hosts[:2])
+    simulation.run_until(simulation.now + CATCH_UP_S)
+    assert {member.name for member in list_voters(simulation)} == {host.name for host in hosts}
+    check_loss_of_disks(simulation, hosts[2:4])
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("joined_s", [0.0, 0.1, 0.3])
+def test_disks_may_be_lost_while_a_further_host_joins(seed, joined_s):
+    """Guards against a change that is under way when the voters are lost."""
+    simulation, removed = start_group_and_remove(seed, False, 0.0, 7, started=6)
+    simulation.hosts["g"].start()
+    simulation.run_until(simulation.now + joined_s)
+    check_loss_of_two_disks(simulation, removed)
+
+
+@pytest.mark.parametrize("has_disk", [False, True])
+def test_only_a_host_with_another_identity_is_known_to_be_lost(has_disk):
+    """Guards against a restart with the same disk that counts as a lost voter."""
+    simulation, removed = start_group_and_remove(1, False, 0.0)
+    first, second, *others = [h for h in simulation.hosts.values() if h is not removed]
+    identities = {host.core.identity for host in (first, second)}
+    for host in (first, second):
+        if has_disk:
+            host.stop()
+        else:
+            host.lose_disk()
+    simulation.run_until(simulation.now + 3.0)
+    assert not any(host.core.lost_identities_ for host in others)
+    first.start()
+    second.start()
+    simulation.run_until(simulation.now + 3.0)
+    known = set().union(*(host.core.lost_identities_ for host in others))
+    assert known == (set() if has_disk else identities)
+
+
+def make_candidate():
+    """Return a replica of a group of six that has asked all voters for their identities."""
+    simulation, removed = start_group_and_remove(1, False, 0.0)
+    first, second, third, *_ = [h for h in simulation.hosts.values() if h is not removed]
+    first.lose_disk()
+    second.lose_disk()
+    run_until(simulation, lambda: third.core.role_ is Role.PRE_CANDIDATE)
+    return third.core, second.name
+
+
+def confirm_identity(core, name, query_id, identity="x"):
+    """Pass the answer of another process of a host to a replica."""
+    header = (core.group, name, identity, core.identity, 1, "boot", 0, -1)
+    core.handle(IdentityConfirmed(*header, query_id), core.election_deadline_ - 0.01)
+
+
+def test_late_answer_proves_no_loss():
+    """Guards against an answer to an earlier query, older than the identity that is a voter now."""
+    core, name = make_candidate()
+    confirm_identity(core, name, "earlier")
+    assert not core.lost_identities_
+    assert core.rejection_counts_["stale_answer"] == 1
+    confirm_identity(core, name, core._query_id)
+    assert core.lost_identities_
+
+
+def test_candidacy_leaves_out_only_voters_that_were_lost_when_it_started():
+    """Guards against two leaders of one term that left out different voters."""
+    core, name = make_candidate()
+    confirm_identity(core, name, core._query_id)
+    assert core.lost_identities_ and not core.candidacy_lost_identities_
+    core.advance(core.election_deadline_)
+    assert core.candidacy_lost_identities_ == core.lost_identities_
+
+
+def test_identity_that_is_known_to_be_lost_is_not_heard_again():
+    """Guards against a data folder that is put back and votes beside a quorum without it."""
+    core, name = make_candidate()
+    (lost,) = [m.identity for m in core.configuration_ if m.name == name]
+    confirm_identity(core, name, core._query_id)
+    confirm_identity(core, name, core._query_id, lost)
+    assert core.rejection_counts_["lost_identity"] == 1
 
 
 def test_suspended_leader_removes_no_voter():
--- a/sassafrashook/daemons/_controller.py
+++ b/sassafrashook/daemons/_controller.py
@@ -126,6 +126,7 @@
         )
         self.metrics_.register_gauge("group_term", lambda: self.replica_.get_status().term)
         self.metrics_.register_gauge("group_members", lambda: len(self.replica_.get_members()))
+        self.metrics_.register_gauge("group_lost_voters", self.replica_.count_lost_voters)
         self.metrics_.register_gauge(
             "upstreams_known", lambda: len(self.fleet_.registry.registrations_)
         )
