gateway: no status promises that a request has not run which has run

Cause: an upstream's unsuccessful response was passed on whatever its status promises, although the verdict was known (detail=503 verdict=ran in the log).

Fix: outcomes.is_true_promise knows which statuses promise something. The log has both statuses (502:upstream_failed:503). The chat interface's whole chats bear X-Verdict.

Why it works: both places that send a status ask the same function with the verdict of all attempts, on every way: plain calls, streams, resumed streams, second attempts, other routers.

--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -18,7 +18,7 @@
     send_text,
 )
 from sassafrashook.http1 import remove_hop_by_hop_headers
-from sassafrashook.outcomes import RefusalReason, RetryReason, Verdict
+from sassafrashook.outcomes import RefusalReason, RetryReason, Verdict, is_true_promise
 from sassafrashook.paths import MAX_PEERS_PER_REQUEST
 from sassafrashook.placement import BUSY_RETRY_MS, PlacementQuery
 from sassafrashook.quarantine import compute_traits
@@ -736,8 +736,7 @@
             self._abort_stream(error.kind)
             return
         if error.response is not None:
-            self._log("failure_passed_on", "-", error.response.head.status)
-            self._send_response(error.response.head, error.response.body)
+            self._pass_failure_on(error.response)
             return
         if self.verdict_ is Verdict.NOT_RUN:
             retry_after_ms = round(self.gateway.placement.rng.uniform(*BUSY_RETRY_MS))
@@ -748,6 +747,23 @@
         reason = RefusalReason.UPSTREAM_SILENT if is_timeout else RefusalReason.UPSTREAM_BROKE
         self._send_error(status, reason)
 
+    def _pass_failure_on(self, response):
+        """Send an upstream's unsuccessful response, unless its status would promise wrongly.
+
+        An upstream that has run the request may use a status by which clients know that it has
+        not. The response of this router then lacks the upstream's signature and headers.
+
+        :param response: the :class:`~sassafrashook.gateway._attempt.UpstreamResponse`.
+        """
+        status = response.head.status
+        if is_true_promise(status, self.verdict_):
+            self._log("failure_passed_on", "-", status)
+            self._send_response(response.head, response.body)
+        else:
+            self._send_error(
+                STATUS_BAD_GATEWAY, RefusalReason.UPSTREAM_FAILED, replaced_status=status
+            )
+
     def _reject(self, reason, retry_after_ms):
         """End the request with 503 if certainly no upstream has run it, else with 502.
 
@@ -759,14 +775,21 @@
         """
         if self.client.has_started_response():
             self._abort_stream(reason)
-        elif self.verdict_ is Verdict.NOT_RUN:
+        elif is_true_promise(STATUS_UNAVAILABLE, self.verdict_):
             self._send_error(STATUS_UNAVAILABLE, reason, retry_after_ms)
         else:
             self._send_error(STATUS_BAD_GATEWAY, reason)
 
-    def _send_error(self, status, reason, retry_after_ms=None):
+    def _send_error(self, status, reason, retry_after_ms=None, replaced_status=None):
+        """Send a response of this router.
+
+        :param replaced_status: status of the upstream's response that is not sent, for the log.
+        """
         self.gateway.metrics.count("refusals", reason)
-        self._log("refused", "-", f"{status}:{reason}")
+        detail = f"{status}:{reason}"
+        if replaced_status is not None:
+            detail = f"{detail}:{replaced_status}"
+        self._log("refused", "-", detail)
         verdict = self.verdict_ if self.is_from_peer else None
         send_text(self.client, status, reason, retry_after_ms, verdict)
 
--- a/sassafrashook/outcomes/_outcomes.py
+++ b/sassafrashook/outcomes/_outcomes.py
@@ -46,6 +46,8 @@
     UNKNOWN_SERVICE = "unknown_service"
     # The attempt failed at the upstream, for example because the connection broke.
     UPSTREAM_BROKE = "upstream_broke"
+    # The upstream has run the request, and its status would promise that it has not.
+    UPSTREAM_FAILED = "upstream_failed"
     # All upstreams with free capacity limit their request rate, and the limits are used up.
     UPSTREAM_LIMIT = "upstream_limit"
     # The upstream did not respond in time.
--- a/sassafrashook/proxy/_resources.py
+++ b/sassafrashook/proxy/_resources.py
@@ -77,6 +77,7 @@
         if relay.body is None:
             response.stream = relay
         else:
+            response.set_header(headers.VERDICT, relay.execution.verdict)
             response.data = relay.body
 
     def _open_relay(self, request):
--- a/sassafrashook/proxy/tests/test_relay.py
+++ b/sassafrashook/proxy/tests/test_relay.py
@@ -36,8 +36,8 @@
 
 def test_unstreamed_chat_is_complete():
     with serve(("assistant", make_engine())) as router:
-        status, _, body = request(router, "POST", CHAT, encode_chat("plan", stream=False))
-        assert status == 200
+        status, headers, body = request(router, "POST", CHAT, encode_chat("plan", stream=False))
+        assert (status, headers["X-Verdict"]) == (200, "ran")
         completion = json.loads(body)
         assert completion["choices"][0]["message"]["content"] == expected_text("plan")
 
