utils, platform, http1, gateway: each number in a text from outside has a range

Cause: str.isdigit accepts digits that int refuses, int refuses more than 4,300 of them, and no number had a range, so that errors came up where nobody expects them.

Fix: utils.parse_integer and parse_decimal read ASCII digits within a stated range and raise nothing; all readers of header fields, event ids and numbers between routers use them. Numbers of a desired state are at most 2^53, else 400; reports that can't be sent on are refused with 400. A malformed load is counted (load_invalid) and logged.

Why it works: every number is within its range or absent before any arithmetic is done with it.

--- a/sassafrashook/gateway/_events.py
+++ b/sassafrashook/gateway/_events.py
@@ -1,7 +1,10 @@
 """Splits a server-sent event stream at event boundaries."""
 
+from sassafrashook.utils import parse_integer
+
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
+MAX_EVENT_NUMBER = 2**63 - 1  # larger ids are compared as texts
 
 
 class EventOrderError(ValueError):
@@ -58,8 +61,9 @@
 
     def _check_first_event(self, event):
         event_id, after = _find_event_id(event), self._resumed_after
-        is_numeric = event_id is not None and event_id.isdecimal() and after.isdecimal()
-        if event_id is None or (int(event_id) <= int(after) if is_numeric else event_id == after):
+        number, after_number = (parse_integer(t, MAX_EVENT_NUMBER) for t in (event_id, after))
+        is_numeric = number is not None and after_number is not None
+        if event_id is None or (number <= after_number if is_numeric else event_id == after):
             raise EventOrderError(f"event {event_id} does not go on after {after}")
 
     def _update_last_event_id(self, complete):
--- a/sassafrashook/gateway/_gateway.py
+++ b/sassafrashook/gateway/_gateway.py
@@ -164,13 +164,16 @@
             )  # fmt: skip
 
     def record_upstream_signals(self, upstream, metadata, request_id):
-        """Record whether an upstream says that it leaves, or asks for a wait.
+        """Record whether an upstream says that it leaves, asks for a wait, or misstates its load.
 
         :param upstream: an :class:`~sassafrashook.placement.UpstreamState`.
         :param metadata: the :class:`ResponseMetadata` of its response.
         :param request_id: identifier of the request.
         """
         name = upstream.registration.upstream_id
+        if metadata.is_load_invalid:
+            self.metrics.count("upstream_signals", "load_invalid")
+            log_event("upstream_load_invalid", level="warning", upstream=name, request=request_id)
         if metadata.is_leaving and not upstream.is_leaving_:
             upstream.is_leaving_ = True
             self.metrics.count("upstream_signals", "leaving")
--- a/sassafrashook/gateway/_header_codec.py
+++ b/sassafrashook/gateway/_header_codec.py
@@ -62,6 +62,7 @@
     :param upstream_id: name of the upstream that answered a health check, ``None`` if absent.
     :param slowdown: how long work takes at the upstream's host, as a multiple of the usual time;
         ``None`` if it states none.
+    :param is_load_invalid: whether what it states of its load is malformed, and ignored.
     :param is_contradictory: whether it names several requests, or states both that it was
         successful and that the request was not executed.
     """
@@ -77,6 +78,7 @@
     is_contradictory: bool = False
     upstream_id: str | None = None
     slowdown: float | None = None
+    is_load_invalid: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/sassafrashook/gateway/_peers.py
+++ b/sassafrashook/gateway/_peers.py
@@ -8,10 +8,13 @@
 from sassafrashook.gateway._responses import MS_PER_S, STATUS_GATEWAY_TIMEOUT, VERDICT_HEADER
 from sassafrashook.http1 import Headers, UpstreamResponseError
 from sassafrashook.outcomes import RefusalReason, Verdict
+from sassafrashook.utils import parse_decimal, parse_integer
 
 # Set by routers on the requests that they send each other: how many upstreams may run the request.
 MAX_UPSTREAMS_HEADER = b"sassafrashook-max-upstreams"
 MAX_REASON_BYTES = 64
+MAX_UPSTREAMS = 1_000
+MAX_RETRY_AFTER_S = 86_400
 
 
 def take_max_upstreams(head):
@@ -22,7 +25,7 @@
     """
     text = head.headers.get(MAX_UPSTREAMS_HEADER, "")
     fields = [pair for pair in head.headers.fields if pair[0].lower() != MAX_UPSTREAMS_HEADER]
-    return replace(head, headers=Headers(fields)), int(text) if text.isdigit() else 1
+    return replace(head, headers=Headers(fields)), parse_integer(text, MAX_UPSTREAMS) or 1
 
 
 def make_peer_pool_key(name):
@@ -114,10 +117,10 @@
         raise AttemptError(FailureKind.REFUSED, Verdict.NOT_RUN, f"{status} {text}")
 
     def _parse_retry_after_ms(self):
-        try:
-            return round(float(self.head_.headers.get(b"retry-after", "")) * MS_PER_S)
-        except ValueError:
-            return None
+        retry_after_s = parse_decimal(
+            self.head_.headers.get(b"retry-after"), MAX_RETRY_AFTER_S, is_capped=True
+        )
+        return round(retry_after_s * MS_PER_S) if retry_after_s is not None else None
 
     def _read_text(self):
         """Read the router's own response; :returns: its text, empty if it breaks off."""
--- a/sassafrashook/http1/_upstream.py
+++ b/sassafrashook/http1/_upstream.py
@@ -18,6 +18,7 @@
 )
 from sassafrashook.outcomes import is_response_status
 from sassafrashook.tasks import spawn_contained
+from sassafrashook.utils import parse_integer
 
 RECEIVE_BYTES = 65_536
 # All connections receive into this buffer: the bytes are copied before another task runs. A new
@@ -39,6 +40,7 @@
 # Only this fraction of the upstream's Keep-Alive timeout is used, because the value is rounded and
 # the upstream measures it by another clock.
 IDLE_TIMEOUT_FRACTION = 0.75
+MAX_IDLE_TIMEOUT_S = 86_400
 IDLE_TIMEOUT_MARGIN_S = 0.25  # allows for the time in which a request travels to the upstream
 # An upstream that states no Keep-Alive timeout may close a connection that was idle for any whole
 # number of seconds, so after 1 s at the earliest.
@@ -332,6 +334,7 @@
     """
     for parameter in keep_alive.split(","):
         name, _, value = parameter.strip().partition("=")
-        if name.lower() == "timeout" and value.strip().isdigit():
-            return max(0.0, int(value) * IDLE_TIMEOUT_FRACTION - IDLE_TIMEOUT_MARGIN_S)
+        timeout_s = parse_integer(value, MAX_IDLE_TIMEOUT_S, is_capped=True)
+        if name.lower() == "timeout" and timeout_s is not None:
+            return max(0.0, timeout_s * IDLE_TIMEOUT_FRACTION - IDLE_TIMEOUT_MARGIN_S)
     return DEFAULT_IDLE_TIMEOUT_S
--- a/sassafrashook/platform/_configuration.py
+++ b/sassafrashook/platform/_configuration.py
@@ -1,6 +1,7 @@
 """Decoding of the configuration document that operators send."""
 
 import re
+from typing import Annotated
 
 import msgspec
 from returns.result import Failure, Success
@@ -19,10 +20,15 @@
 # Visible ASCII characters, as in the target of a request. Another path is treated as unknown.
 HEALTH_PATH_PATTERN = re.compile(r"/[!-~]{0,255}", re.ASCII)
 
+# Numbers within this range are exact in all JSON implementations, and can be stored and sent.
+MAX_NUMBER = 2**53
+_Integer = Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+_Number = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+
 
 class _Split(msgspec.Struct, frozen=True):
     service: str
-    weight: float
+    weight: _Number
 
 
 class _Route(msgspec.Struct, frozen=True):
@@ -36,46 +42,46 @@
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: float
-    target_latency_ms: float = 0.0
-    priority: int = 0
+    timeout_ms: _Number
+    target_latency_ms: _Number = 0.0
+    priority: _Integer = 0
     service: str | None = None
     traffic_split: list[_Split] | None = None
-    max_attempts: int = 1
+    max_attempts: _Integer = 1
     anonymous: bool = False
     session_affinity: bool = False
     stream_resumption: bool = False
-    target_itl_ms: float = 0.0
+    target_itl_ms: _Number = 0.0
 
 
 class _Engine(msgspec.Struct, frozen=True):
     """Limits of the model engines of a service, an object in the platform's field ``engine_id``."""
 
-    slots: int = 0
+    slots: _Integer = 0
 
 
 class _Service(msgspec.Struct, frozen=True):
     name: str
-    warmup_per_s: float = 0.0
+    warmup_per_s: _Number = 0.0
     health_path: str = ""
     engine_id: _Engine | None = None
 
 
 class _Limits(msgspec.Struct, frozen=True):
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_ms: float
-    idle_timeout_ms: float
+    max_header_bytes: _Integer
+    max_body_bytes: _Integer
+    header_timeout_ms: _Number
+    idle_timeout_ms: _Number
 
 
 class _Tenant(msgspec.Struct, frozen=True):
     name: str
     api_keys: list[str]
-    priority: int | None = None
+    priority: _Integer | None = None
 
 
 class _Config(msgspec.Struct, frozen=True):
-    version: int
+    version: _Integer
     route_table: list[_Route]
     services: list[_Service]
     limits: _Limits
--- a/sassafrashook/platform/_header_codec.py
+++ b/sassafrashook/platform/_header_codec.py
@@ -4,6 +4,7 @@
 
 from sassafrashook.gateway import HeaderCodec, PromptPart, RequestMetadata, ResponseMetadata
 from sassafrashook.http1 import remove_hop_by_hop_headers
+from sassafrashook.utils import parse_decimal, parse_integer
 
 # The platform's attempt id is this system's request id.
 ATTEMPT_ID = b"x-sassafrashook-attempt-id"
@@ -34,6 +35,14 @@
 STATUS_UNAVAILABLE = 503
 LOWEST_PRIORITY = 9
 PERCENT = 100
+# Largest values that make sense. Larger ones are taken as these where that means the same, and are
+# ignored elsewhere.
+MAX_DEADLINE_MS = 86_400_000  # the time-out of the route is far shorter
+MAX_LOAD = 1_000_000  # running or waiting requests, or slots
+MAX_SLOWDOWN_PERCENT = 100_000
+MAX_PART_TOKENS = 1_000_000_000
+MAX_RATE_PER_S = 1_000_000_000
+MAX_WAIT_S = 86_400
 # Replaced in requests to another router; everything else goes on as the client sent it.
 PEER_HEADERS = frozenset((b"content-length", DEADLINE_MS, LAST_EVENT_ID, RESUMES))
 # The client's own: an engine whose weights have another version responds with status 421.
@@ -68,7 +77,7 @@
         """
         return RequestMetadata(
             headers.get(ATTEMPT_ID, ""),
-            _parse_number(headers.get(DEADLINE_MS)),
+            parse_integer(headers.get(DEADLINE_MS), MAX_DEADLINE_MS, is_capped=True),
             headers.get(CREDENTIAL),
             _parse_prompt_parts(headers.get(PREFIX_HASH, "")),
             headers.get(LAST_EVENT_ID),
@@ -83,7 +92,7 @@
         :returns: a :class:`~sassafrashook.gateway.ResponseMetadata`.
         """
         headers = head.headers
-        load = _parse_numbers(headers.get(INSTANCE_LOAD, ""))
+        load, slowdown, is_load_invalid = _parse_load(headers.get(INSTANCE_LOAD))
         request_ids = {value for name, value in headers.fields if name.lower() == ATTEMPT_ID}
         is_success = head.status < STATUS_BAD_REQUEST
         wait = headers.get(RETRY_AFTER) if head.status == STATUS_UNAVAILABLE else None
@@ -92,13 +101,14 @@
             RESPONSE_SIGNATURE in headers,
             NOT_EXECUTED in headers or head.status == STATUS_MISDIRECTED_REQUEST,
             head.status == STATUS_MISDIRECTED_REQUEST,
-            (load[0], load[1]) if len(load) in (3, 4) else None,
-            _parse_positive(headers.get(SERVER_LIMIT)),
+            load,
+            _parse_signal(headers.get(SERVER_LIMIT), MAX_RATE_PER_S, is_capped=False),
             headers.get(SERVER_LEAVING) == "1",
-            _parse_positive(wait),
+            _parse_signal(wait, MAX_WAIT_S, is_capped=True),
             len(request_ids) > 1 or (is_success and NOT_EXECUTED in headers),
             headers.get(INSTANCE_ID),
-            load[3] / PERCENT if len(load) == 4 and load[3] > 0 else None,
+            slowdown,
+            is_load_invalid,
         )
 
     def encode_forwarded_headers(self, headers, forwarding):
@@ -145,33 +155,37 @@
         return fields
 
 
-def _parse_number(text):
-    if text is None or not text.strip().isdigit():
-        return None
-    return float(text)
-
-
-def _parse_positive(text):
-    """Return a number; ``None`` without a text, NaN if it is malformed, negative or infinite."""
+def _parse_signal(text, maximum, is_capped):
+    """Return a number; ``None`` without a text, NaN if it is malformed or makes no sense."""
     if text is None:
         return None
-    try:
-        number = float(text)
-    except ValueError:
-        return math.nan
-    return number if 0 <= number < math.inf else math.nan
+    number = parse_decimal(text, maximum, is_capped)
+    return math.nan if number is None else number
 
 
-def _parse_numbers(text):
-    """Return the comma-separated integers of a text, or an empty list if one is malformed."""
-    parts = [part.strip() for part in text.split(",")]
-    return [int(part) for part in parts] if all(part.isdigit() for part in parts) else []
+def _parse_load(text):
+    """Decode what an engine states of its load.
+
+    :returns: the pair of running and waiting requests, how long work takes as a multiple of the
+        usual time, and whether the text is malformed. The first two are ``None`` if they are not
+        stated or the text is malformed.
+    """
+    if text is None:
+        return None, None, False
+    limits = (MAX_LOAD, MAX_LOAD, MAX_LOAD, MAX_SLOWDOWN_PERCENT)
+    parts = text.split(",")
+    numbers = [parse_integer(part, limit) for part, limit in zip(parts, limits, strict=False)]
+    if len(parts) not in (3, 4) or None in numbers:
+        return None, None, True
+    percent = numbers[3] if len(numbers) == 4 else 0
+    return (numbers[0], numbers[1]), (percent / PERCENT if percent else None), False
 
 
 def _parse_prompt_parts(text):
     parts = []
     for item in text.split(","):
-        part_id, _, tokens = item.strip().partition(":")
-        if part_id and tokens.isdigit():
-            parts.append(PromptPart(part_id, int(tokens)))
+        part_id, _, tokens_text = item.strip().partition(":")
+        tokens = parse_integer(tokens_text, MAX_PART_TOKENS)
+        if part_id and tokens is not None:
+            parts.append(PromptPart(part_id, tokens))
     return tuple(parts)
--- a/sassafrashook/proxy/_decoding.py
+++ b/sassafrashook/proxy/_decoding.py
@@ -112,13 +112,17 @@
 def decode_report(message, body):
     """Decode a report of an upstream from a JSON object.
 
+    A report that can't be sent to other nodes is refused, such as one with a number of more than 64
+    bits.
+
     :param message: message class to decode.
     :param body: request body, ``bytes``.
     :returns: ``Success`` of a ``message`` instance, or ``Failure`` of a refusal.
     """
     try:
         decoded = _REPORT_DECODERS[message](body)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        msgspec.msgpack.encode(decoded)
+    except (msgspec.MsgspecError, UnicodeError, OverflowError, RecursionError) as error:
         return build_input_refusal(f"body: {error}")
     return Success(message(**msgspec.structs.asdict(decoded)))
 
--- a/sassafrashook/proxy/tests/test_robustness.py
+++ b/sassafrashook/proxy/tests/test_robustness.py
@@ -31,6 +31,7 @@
     serve,
 )
 from sassafrashook.proxy.tests.test_relay import CHAT, make_engine
+from sassafrashook.transport import Codec
 
 FUZZ_SETTINGS = settings(max_examples=150, deadline=None, derandomize=True, database=None)
 
@@ -294,3 +295,13 @@
     if not noise:
         assert scanner.ended_
         assert scanner.position_ == count
+
+
+@pytest.mark.parametrize("number", [2**63, 2**64, 10**20, -(10**20), 10**4_000])
+def test_report_with_a_number_that_cannot_be_sent_on_is_refused(number):
+    """Guards against a router that ends because an upstream states a number of over 64 bits."""
+    report = {"upstream_id": "a", "boot_id": "b", "sequence": 1, "running": number, "waiting": 0}
+    decoded = decode_report(LoadReport, json.dumps(report).encode())
+    if isinstance(decoded, Success):
+        assert Codec((LoadReport,)).encode(decoded.unwrap())
+    assert isinstance(decoded, Failure) or number == 2**63
