gateway: a router that stops waits for the connections that it accepted last

Cause: the stop waits while a request is counted, and a connection counts from its first byte on.

Fix: the stop waits until no request may be read or served on any connection.

--- a/sassafrashook/gateway/_server.py
+++ b/sassafrashook/gateway/_server.py
@@ -58,6 +58,7 @@
     :param listener: listening socket to use, ``None`` to open one at the start.
 
     :ivar active_request_count_: number of requests in progress.
+    :ivar open_connection_count_: number of connections on which a request may be read or served.
     :ivar stop_: the :class:`~sassafrashook.gateway._stopping.GracefulStop` once :meth:`stop` has
         been called, else ``None``.
     :ivar server_: the ``gevent.server.StreamServer`` once started.
@@ -70,6 +71,7 @@
         self.is_for_peers = is_for_peers
         self.listener = listener
         self.active_request_count_ = 0
+        self.open_connection_count_ = 0
         self.server_ = None
         self.stop_ = None
         self._should_close_idle = False
@@ -95,8 +97,9 @@
         """Stop gracefully.
 
         Continues to serve until the load balancer has removed the node, then closes idle
-        connections, stops accepting new ones and waits for the requests in progress. Those that
-        have not ended shortly before the deadline are ended with an error response.
+        connections, stops accepting new ones and waits for the requests in progress, and for those
+        that may still come on connections that were accepted last. Those that have not ended
+        shortly before the deadline are ended with an error response.
 
         :param deadline: time at which the requests still in progress are no longer waited
             for, in monotonic seconds.
@@ -108,16 +111,17 @@
         self._should_close_idle = True
         _sleep_until(min(self.stop_.end_at, started_at + STOP_ACCEPTING_AFTER_S))
         self.server_.stop_accepting()
-        self._wait_for_requests(self.stop_.end_at)
+        gevent.sleep(0)  # the tasks of the connections that were accepted last begin
+        self._wait_for_connections(self.stop_.end_at)
         if self.active_request_count_:
             ended = self.gateway.end_requests()
             log_event("requests_ended_at_stop", level="warning", count=ended)
-            self._wait_for_requests(deadline)
+            self._wait_for_connections(deadline)
         self.server_.close()
         return self.active_request_count_
 
-    def _wait_for_requests(self, until):
-        while self.active_request_count_ and time.monotonic() < until:
+    def _wait_for_connections(self, until):
+        while self.open_connection_count_ and time.monotonic() < until:
             gevent.sleep(STOP_POLL_INTERVAL_S)
 
     def _handle_client(self, sock, address):
@@ -142,6 +146,14 @@
             client.close()
 
     def _serve_requests(self, client):
+        """Serve requests until none may be read on the connection any more."""
+        self.open_connection_count_ += 1
+        try:
+            self._serve_until_idle(client)
+        finally:
+            self.open_connection_count_ -= 1
+
+    def _serve_until_idle(self, client):
         keep_until = time.monotonic() + MIN_CONNECTION_S
         while True:
             limits = self.gateway.get_client_limits()
--- a/sassafrashook/platform/tests/test_forwarding.py
+++ b/sassafrashook/platform/tests/test_forwarding.py
@@ -6,6 +6,7 @@
 import gevent
 import pytest
 
+from sassafrashook.gateway import _server
 from sassafrashook.gateway._stopping import GracefulStop
 from sassafrashook.http1.tests.upstreams import close_with_reset
 from sassafrashook.platform.tests.crashing_upstreams import (
@@ -571,6 +572,35 @@
     assert pending.get(timeout=1)[3] == b""
 
 
+@pytest.mark.parametrize("delay_s", [0.0, 0.1, 0.2])
+def test_stop_waits_for_the_request_of_a_connection_that_was_accepted_last(
+    start_harness, monkeypatch, delay_s
+):
+    """Guards against a process that ends while a request is on its way (review/12)."""
+    monkeypatch.setattr(_server, "CLOSE_IDLE_AFTER_S", 0.1)
+    monkeypatch.setattr(_server, "STOP_ACCEPTING_AFTER_S", 0.3)
+    harness = start_harness(make_stream_script(last=5, pause_s=0.05))
+    stop = gevent.spawn(harness.server.stop, time.monotonic() + 5)
+    gevent.sleep(0.28)
+    sock = harness.connect()
+    gevent.sleep(delay_s)
+    pending = gevent.spawn(harness.send_request, "/plans/7", sock=sock)
+    assert stop.get(timeout=5) == 0
+    assert harness.server.active_request_count_ == 0
+    assert pending.get(timeout=0.1)[3] == b""
+
+
+def test_stop_does_not_wait_for_a_connection_without_a_request(start_harness, monkeypatch):
+    """Guards against idle connections that keep a process from stopping."""
+    monkeypatch.setattr(_server, "CLOSE_IDLE_AFTER_S", 0.1)
+    monkeypatch.setattr(_server, "STOP_ACCEPTING_AFTER_S", 0.3)
+    harness = start_harness(respond_with_name)
+    stop = gevent.spawn(harness.server.stop, time.monotonic() + 5)
+    gevent.sleep(0.28)
+    harness.connect()
+    assert stop.get(timeout=1.5) == 0
+
+
 def test_stop_announces_connection_close(start_harness):
     harness = start_harness(respond_with_name)
     sock = harness.connect()
