http1: a response to a HEAD request has no body

Cause: ServerConnection.send_response sends a body whatever the method; h11 raises LocalProtocolError, and the gateway closes the connection.

Fix: the connection knows the method of its request and leaves the body out in all ways of sending one. An upstream's Content-Length to HEAD is returned; it was replaced by 0.

--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -24,11 +24,12 @@
 from sassafrashook.quarantine import compute_traits
 from sassafrashook.routes import Repeatability
 from sassafrashook.streams import LookupSource
-from sassafrashook.utils import hash_key, read_boot_time
+from sassafrashook.utils import hash_key, parse_integer, read_boot_time
 
 MAX_UNREACHABLE = 4  # failed connection attempts after which the request is not retried
 MAX_REFUSED = 2  # attempts refused by upstreams after which the request is not retried
 MAX_EVENT_BYTES = 1_048_576
+MAX_CONTENT_LENGTH = 2**63 - 1
 # A client counts its deadline from when it sends its first attempt, which arrives later.
 RESUMPTION_MARGIN_S = 1.0
 DEFAULT_DEADLINE_MS = 30_000  # for requests without a deadline; the route's timeout applies too
@@ -621,9 +622,9 @@
         self._send_response(head, body)
 
     def _send_response(self, head, body):
-        self.client.send_response(
-            head.status, remove_hop_by_hop_headers(head.headers, REFRAMED_HEADERS), body
-        )
+        fields = remove_hop_by_hop_headers(head.headers, REFRAMED_HEADERS)
+        length = parse_integer(head.headers.get(b"content-length"), MAX_CONTENT_LENGTH)
+        self.client.send_response(head.status, fields, body, length=length)
 
     def _relay_stream(self, attempt, head):
         """Send each event of a stream to the client as soon as it is complete."""
@@ -654,7 +655,8 @@
                 self._record_stream_version(attempt.software_version)
                 client.send_data(events)
         # A stream without framing may have broken off wherever it ends.
-        may_be_empty = not (head.is_close_delimited or is_continued)
+        has_no_body = self.head.method == b"HEAD"
+        may_be_empty = has_no_body or not (head.is_close_delimited or is_continued)
         if splitter.take_incomplete() or not (splitter.has_events_ or may_be_empty):
             raise attempt.close_incomplete_stream()
         attempt.finish()
--- a/sassafrashook/http1/_server.py
+++ b/sassafrashook/http1/_server.py
@@ -94,6 +94,7 @@
         self._parsed_head_bytes = 0
         self._head_bytes = 0  # memory of the head of the current request
         self._response_bytes = 0  # memory of the response that is being read or sent
+        self._is_head = False  # whether the current request asks for a response without a body
         self._is_refused = False  # evicted while a request was being read
         self._max_unparsed_bytes = max(
             MAX_UNPARSED_BYTES, max_header_bytes + MIN_UNPARSED_BYTES_BEYOND_HEADER
@@ -302,6 +303,7 @@
         :raises InvalidRequestError: if it is malformed, too large or incomplete at the deadline.
         """
         self.begin_phase(ClientPhase.READING)
+        self._is_head = False
         if self.is_host_optional:
             self._add_missing_host(deadline)
         event = self._read_to_blank_line(deadline)
@@ -310,6 +312,7 @@
         fields = [(bytes(name), bytes(value)) for name, value in event.headers.raw_items()]
         headers = Headers(fields)
         self._head_bytes = FIELD_BYTES * len(fields) + 2 * self._parsed_head_bytes
+        self._is_head = event.method == b"HEAD"
         self._is_chunked = b"transfer-encoding" in headers
         self._content_length = 0 if self._is_chunked else int(headers.get(b"content-length", "0"))
         self._record_held()
@@ -469,17 +472,21 @@
     def _make_timeout_error(self):
         return InvalidRequestError(STATUS_REQUEST_TIMEOUT, "the request was not complete in time")
 
-    def send_response(self, status, fields, body, reason=b""):
-        """Send a complete response with a Content-Length.
+    def send_response(self, status, fields, body, reason=b"", length=None):
+        """Send a complete response with a Content-Length; without its body to a HEAD request.
 
         :param status: status code.
         :param fields: header pairs of ``bytes``, without Content-Length and Transfer-Encoding.
         :param body: ``bytes``.
         :param reason: phrase behind the status code, ``bytes``.
+        :param length: the Content-Length to a HEAD request whose body is not known; ``None`` for
+            the size of the body.
         :raises ClientDisconnectedError: if sending fails or exceeds the timeout.
         """
-        framed_fields = [*fields, (b"Content-Length", str(len(body)).encode())]
-        data = self._encode_head(status, framed_fields, reason)
+        length = len(body) if length is None or not self._is_head else length
+        data = self._encode_head(status, [*fields, (b"Content-Length", b"%d" % length)], reason)
+        if self._is_head:
+            body = b""
         parts = []
         if body and self._http.our_state is h11.SEND_BODY:
             parts = self._http.send_with_data_passthrough(h11.Data(data=body))
@@ -509,7 +516,7 @@
         if length is not None:
             framing = (b"Content-Length", b"%d" % length)
         encoded = self._encode_head(status, [*fields, framing], reason)
-        if data:
+        if data and not self._is_head:
             encoded += self._http.send(h11.Data(data=data))
         self._send_bytes(encoded)
 
@@ -519,11 +526,13 @@
         return self._http.send(h11.Response(status_code=status, headers=fields, reason=reason))
 
     def send_data(self, data):
-        """Send a part of the body of a chunked response.
+        """Send a part of the body of a chunked response, unless it is one to a HEAD request.
 
         :param data: ``bytes``.
         :raises ClientDisconnectedError: if sending fails or exceeds the timeout.
         """
+        if self._is_head:
+            return
         if len(data) < MIN_RECORDED_BYTES:
             self._send_event(h11.Data(data=data))
             return
