--- a/sassafrashook/gateway/_request.py
+++ b/sassafrashook/gateway/_request.py
@@ -652,7 +652,8 @@
             if events:
                 now = time.monotonic()
                 longest_pause_s, sent_at = max(longest_pause_s, now - sent_at), now
-                self._record_stream_version(attempt.software_version)
+                if splitter.has_events_:
+                    self._record_stream_version(attempt.software_version)
                 client.send_data(events)
         # A stream without framing may have broken off wherever it ends.
         has_no_body = self.head.method == b"HEAD"
