gateway, http1: the limits of a configuration hold on connections that are open already

Cause: a connection took its limit of heads when it was accepted, and the limit of a body before it waited for its next request.

Fix: the limits are read when the first bytes of a request are there. A parser keeps its limit, so that a connection whose limit has changed gets a new one between two requests.

Evidence: two of the four new cases of test_forwarding.py fail on the code before.

--- a/sassafrashook/gateway/_server.py
+++ b/sassafrashook/gateway/_server.py
@@ -160,6 +160,8 @@
             idle_deadline = time.monotonic() + limits.idle_timeout_ms / 1_000
             if not client.wait_for_request(idle_deadline, lambda: self._may_close_idle(keep_until)):
                 return
+            limits = self.gateway.get_client_limits()  # the configuration may have changed
+            client.limit_header(limits.max_header_bytes)
             self.active_request_count_ += 1
             try:
                 keep_alive = self._serve_request(client, limits)
--- a/sassafrashook/http1/_server.py
+++ b/sassafrashook/http1/_server.py
@@ -86,7 +86,7 @@
         self.is_disconnected_ = False
         self.should_close_ = False
         self.on_disconnect = None
-        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=max_header_bytes)
+        self._set_max_header_bytes(max_header_bytes)
         self._unparsed = bytearray()
         self._body = bytearray()
         self._is_chunked = False
@@ -96,9 +96,6 @@
         self._response_bytes = 0  # memory of the response that is being read or sent
         self._is_head = False  # whether the current request asks for a response without a body
         self._is_refused = False  # evicted while a request was being read
-        self._max_unparsed_bytes = max(
-            MAX_UNPARSED_BYTES, max_header_bytes + MIN_UNPARSED_BYTES_BEYOND_HEADER
-        )
         self._is_discarding = False
         self._discarded_bytes = 0
         self._has_large_buffer = False
@@ -112,6 +109,22 @@
             self.is_admitted_ = self._share is not None
         self._receiver = spawn_contained(self._record_end, self._receive_until_closed)
 
+    def limit_header(self, max_header_bytes):
+        """Change the largest size of a request head, between two requests.
+
+        :param max_header_bytes: the size, in bytes.
+        """
+        if max_header_bytes != self.max_header_bytes and not self._http.trailing_data[0]:
+            self._set_max_header_bytes(max_header_bytes)
+
+    def _set_max_header_bytes(self, max_header_bytes):
+        """Use a new parser, since a parser keeps its limit."""
+        self.max_header_bytes = max_header_bytes
+        self._max_unparsed_bytes = max(
+            MAX_UNPARSED_BYTES, max_header_bytes + MIN_UNPARSED_BYTES_BEYOND_HEADER
+        )
+        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=max_header_bytes)
+
     def _receive_until_closed(self):
         while True:
             room = self._max_unparsed_bytes - len(self._unparsed)
--- a/sassafrashook/platform/tests/test_forwarding.py
+++ b/sassafrashook/platform/tests/test_forwarding.py
@@ -4,6 +4,7 @@
 import time
 
 import gevent
+import msgspec
 import pytest
 
 from sassafrashook.gateway import _server
@@ -32,7 +33,7 @@
     respond_with_name,
     wait_for,
 )
-from sassafrashook.routes import Service, WeightedService
+from sassafrashook.routes import ClientLimits, RouteTable, Service, WeightedService
 from sassafrashook.utils import hash_key
 
 
@@ -184,6 +185,27 @@
     assert harness.count_requests() == 0
 
 
+@pytest.mark.parametrize("served_before", [0, 2])
+@pytest.mark.parametrize(("size", "expected"), [(20_000, 200), (400_000, 431)])
+def test_limits_of_a_new_configuration_hold_on_open_connections(
+    start_harness, served_before, size, expected
+):
+    """Guards against connections that keep the limits of the moment in which they were opened."""
+    harness = start_harness(respond_with_name)
+    sock = harness.connect()
+    for _ in range(served_before):
+        assert harness.send_request("/counts/7", sock=sock)[0] == 200
+    gevent.sleep(0.05)
+    configuration = make_route_configuration(version=2, max_body_bytes=200_000)
+    configuration = msgspec.structs.replace(
+        configuration, limits=ClientLimits(65_536, 200_000, 1_000, 2_000)
+    )
+    harness.gateway.view.table_ = RouteTable(configuration)
+    fields = (f"X-Long: {'x' * size}",)
+    body = bytes(150_000) if expected == 200 else b""
+    assert harness.send_request("/counts/7", body, fields=fields, sock=sock)[0] == expected
+
+
 def test_without_upstreams_response_is_503_with_retry_after(start_harness):
     harness = start_harness()
     status, head, _, _ = harness.send_request("/orders/7")
