--- a/sassafrashook/consensus/_durability.py
+++ b/sassafrashook/consensus/_durability.py
@@ -224,12 +224,12 @@
     def _find_compaction_index(self, now):
         """Return the index up to which the log is compacted.
 
-        Trailing entries are kept for lagging members, and the entries after a snapshot that is in
-        transfer, up to ``MAX_SNAPSHOT_INTERVALS`` snapshot intervals.
+        Trailing entries are kept for lagging members, and the entries that reachable members still
+        need, up to ``MAX_SNAPSHOT_INTERVALS`` snapshot intervals.
         """
         index = self.snapshot_.index - self.trailing_entries
-        transfer_index = self._find_transfer_index(now)
-        if transfer_index is None:
+        needed_index = self._find_needed_index(now)
+        if needed_index is None:
             return index
         max_entries = MAX_SNAPSHOT_INTERVALS * self.snapshot_entries
-        return min(index, max(transfer_index, self.snapshot_.index - max_entries))
+        return min(index, max(needed_index, self.snapshot_.index - max_entries))
--- a/sassafrashook/consensus/_snapshot_transfer.py
+++ b/sassafrashook/consensus/_snapshot_transfer.py
@@ -76,15 +76,18 @@
     def _needs_snapshot(self, member):
         return self.progress_[member.identity].next_index <= self.log_.base_index
 
-    def _find_transfer_index(self, now):
-        """Return the lowest index of the snapshots in transfer to reachable members.
+    def _find_needed_index(self, now):
+        """Return the lowest index behind which a reachable member still needs the entries.
+
+        That is the index of the snapshot in transfer, or else the last entry that the member is
+        known to have: after a transfer it would otherwise have to receive another snapshot.
 
         :returns: a log index, or ``None``.
         """
         reachable_since = now - self.election_max_s_
         reachable = [p for p in self.progress_.values() if p.last_contact_at >= reachable_since]
-        indexes = [p.snapshot.index for p in reachable if p.snapshot is not None]
-        return min(indexes, default=None)
+        indexes = [p.snapshot.index if p.snapshot is not None else p.match_index for p in reachable]
+        return min((index for index in indexes if index > 0), default=None)
 
     def _on_snapshot_answered(self, message, now):
         """Send the next piece, unless the one that the answer asks for is on its way.
--- a/sassafrashook/consensus/tests/test_core.py
+++ b/sassafrashook/consensus/tests/test_core.py
@@ -244,6 +244,27 @@
     assert core.log_.base_index == 10
 
 
+def test_member_needs_one_snapshot_although_others_are_saved_before_it_has_caught_up():
+    """Guards against members that receive one snapshot after the other and never vote."""
+    members = [Member(name, identity) for name, identity in COMPLETED_BOOTSTRAP.bindings.items()]
+    old = Snapshot(10, 1, 0, members, b"x")
+    recovered = RecoveredState(
+        bootstrap_state=COMPLETED_BOOTSTRAP, base_index=10, base_term=1, snapshot=old, term=1
+    )
+    core = make_core(recovered=recovered, snapshot_entries=1, trailing_entries=0)
+    elect_leader(core)
+    header = make_header("c", core.term_)
+    rejection = AppendAnswered(*header, False, 0, 0, core.round_)
+    assert filter_messages(core.handle(rejection, READY_AT_S), SnapshotPiece)
+    core.handle(AppendAnswered(*header, True, 10, 0, core.round_), READY_AT_S)
+    (due,) = commit_entries(core)
+    core.handle(SnapshotSaved(Snapshot(due.index, due.term, 0, members, b"y")), READY_AT_S)
+    actions = core.handle(AppendAnswered(*header, False, 0, 10, core.round_), READY_AT_S)
+    assert not filter_messages(actions, SnapshotPiece)
+    (request,) = filter_messages(actions, AppendRequested)
+    assert request.entries[0].index == 11
+
+
 def commit_entries(core):
     """Persist and commit all entries of a leader; return the snapshots that it requests."""
     event = ProposalsSubmitted((Proposal(1, b"x"),))
