proxy: bytes behind a response are not joined to it

What callers saw: an engine answers one request of the chat interface with two responses in one piece; the caller gets the status of the second and both bodies as one, and the connection is used again.

Cause: the base class of the parser takes bytes behind a whole response for another message and empties its record of the first one; the parts of the body stay in the list.

Why it works: a message that begins behind the final response fails the parser, which leaves the first one as it is; a failed parser's connection isn't reused.

--- a/sassafrashook/proxy/_connections.py
+++ b/sassafrashook/proxy/_connections.py
@@ -5,9 +5,10 @@
 
 from gevent import get_hub
 from gevent import socket as gsocket
-from geventhttpclient.response import HTTPResponse
+from geventhttpclient.response import HTTPParseError, HTTPProtocolViolationError, HTTPResponse
 
 from sassafrashook.base import Parametrized
+from sassafrashook.outcomes import is_informational_status
 from sassafrashook.utils import Interval
 
 __all__ = ["Connection", "ConnectionPools"]
@@ -22,15 +23,30 @@
 
     Chunks are appended by the parser itself, and ``feed`` is the base parser's method unless the
     request is ``HEAD``, which saves Python calls per received chunk.
+
+    The base class would parse bytes behind the response as another one, and put its status and
+    body in the place of the first. Here they fail the parser, and leave the response as it is.
+
+    :ivar is_final_complete_: whether the final response is complete.
     """
 
     def __init__(self, method):
         super().__init__(method)
+        self.is_final_complete_ = False
         self.parts = []
         self._on_body = self.parts.append
         if method != "HEAD":
             self.feed = super(HTTPResponse, self).feed
 
+    def _on_message_begin(self):
+        if self.is_final_complete_:
+            raise HTTPProtocolViolationError("bytes follow the response")
+        super()._on_message_begin()
+
+    def _on_message_complete(self):
+        super()._on_message_complete()
+        self.is_final_complete_ = not is_informational_status(self.status_code)
+
 
 class Connection:
     """One TCP connection to an upstream.
@@ -87,7 +103,11 @@
         :raises BlockingIOError: if no data is available.
         """
         data = self._raw.recv(RECEIVE_BYTES)
-        self.response.feed(data)
+        try:
+            self.response.feed(data)
+        except HTTPParseError:
+            if not self.response.is_final_complete_:
+                raise
         return len(data)
 
     def take_body(self):
--- a/sassafrashook/proxy/tests/test_responses.py
+++ b/sassafrashook/proxy/tests/test_responses.py
@@ -2,6 +2,7 @@
 
 import gevent
 import pytest
+from returns.result import Failure, Success
 
 from sassafrashook.http1.tests.upstreams import (
     INCOMPLETE_HEADS,
@@ -21,8 +22,11 @@
 FIELDS = b"X-Request-Id: a\r\nContent-Length: 1\r\n"
 
 
-def fetch(respond):
-    """Send a request; return the failure of its head and body, ``None`` if it is whole."""
+def receive_response(respond, method="POST"):
+    """Send a request.
+
+    :returns: ``Success`` of the body of a whole response, or ``Failure`` of an exchange failure.
+    """
     upstream = RawUpstream(respond)
     clock = SystemClock()
     monitor = SocketMonitor(clock, interval_ms=10)
@@ -34,15 +38,20 @@
     exchange = Exchange(connection, watch, TIMEOUT_S, clock, deadline)
     try:
         with gevent.Timeout(2 * TIMEOUT_S):
-            failure = exchange.send("POST", encode_request("POST", "/", {"Host": "a"}, b"b"))
+            failure = exchange.send(method, encode_request(method, "/", {"Host": "a"}, b"b"))
             failure = failure or exchange.receive_response_head(ATTEMPT_ID)
-            return failure or exchange.receive_body(1_000).swap().value_or(None)
+            return Failure(failure) if failure else exchange.receive_body(1_000)
     finally:
         exchange.close()
         monitor.stop()
         upstream.close()
 
 
+def fetch(respond):
+    """Send a request; return the failure of its head and body, ``None`` if it is whole."""
+    return receive_response(respond).swap().value_or(None)
+
+
 def test_whole_response_is_accepted():
     assert fetch(lambda sock: sock.sendall(b"HTTP/1.1 200 OK\r\n" + FIELDS + b"\r\na")) is None
 
@@ -73,3 +82,12 @@
             close_with_reset(sock)
 
     assert fetch(respond) is not None
+
+
+@pytest.mark.parametrize("second_status", [b"200", b"500", b"103"])
+def test_second_response_is_not_joined_to_the_first(second_status):
+    """Guards against two responses in one piece whose bodies are passed on as one."""
+    first = b"HTTP/1.1 200 OK\r\n" + FIELDS + b"\r\na"
+    second = b"HTTP/1.1 %s X\r\n" % second_status + FIELDS + b"\r\nb"
+    result = receive_response(lambda sock: sock.sendall(first + second))
+    assert result == Success(b"a")
