proxy: an informational response doesn't complete an exchange

What callers saw: a plain service answers HEAD with an informational response and closes; the router's task receives the end of the connection again and again, until the request's deadline at best.

Cause: the flag for a complete message is also set by informational responses, so that the end of the connection was no failure, and the head never came.

Why it works: only a complete final response makes the end of the connection harmless.

--- a/sassafrashook/proxy/_exchanges.py
+++ b/sassafrashook/proxy/_exchanges.py
@@ -135,7 +135,7 @@
             count = self.connection.receive()
         except (OSError, HTTPParseError) as error:
             return self.build_connection_failure(str(error))
-        if count == 0 and not self.response.message_complete:
+        if count == 0 and not self.response.is_final_complete_:
             return self.build_connection_failure("connection closed before the end of the response")
         return None
 
@@ -171,7 +171,7 @@
         :param limit: maximum size of the body in bytes.
         :returns: ``Success`` of the body, or ``Failure`` of an :class:`ExchangeFailure`.
         """
-        while not self.response.message_complete:
+        while not self.response.is_final_complete_:
             failure = self.receive()
             if failure is not None:
                 return Failure(failure)
--- a/sassafrashook/proxy/tests/test_responses.py
+++ b/sassafrashook/proxy/tests/test_responses.py
@@ -91,3 +91,9 @@
     second = b"HTTP/1.1 %s X\r\n" % second_status + FIELDS + b"\r\nb"
     result = receive_response(lambda sock: sock.sendall(first + second))
     assert result == Success(b"a")
+
+
+def test_informational_response_is_not_the_end_of_a_response_without_a_body():
+    """Guards against a task that receives the end of a connection again and again."""
+    result = receive_response(lambda sock: sock.sendall(b"HTTP/1.1 103 X\r\n\r\n"), "HEAD")
+    assert "closed before the end" in result.failure().detail
