fuzzing: generated responses at both readers of upstreams, with a reference reader

Streams come from a grammar with mutations, in pieces and with four kinds of ends; a reference written apart from the readers says what each holds.

--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,9 @@
 BIN := $(VENV)/bin
 SEED ?= 1
 SOAK ?= 200
+SECONDS ?= 60
 
-.PHONY: demo test lint format bench bench-routing bench-membership bench-relay bench-forwarding bench-delay bench-logging bench-stalls soak chaos dist
+.PHONY: demo test lint format bench bench-routing bench-membership bench-relay bench-forwarding bench-delay bench-logging bench-stalls soak chaos dist fuzz fuzz-known-faults
 
 $(VENV)/.installed: requirements.txt requirements-dev.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -58,3 +59,9 @@
 
 bench-stalls: $(VENV)/.installed
 	$(BIN)/python -m benchmarks.stalls
+
+fuzz: $(VENV)/.installed
+	$(BIN)/python -m sassafrashook.fuzzing search --seed=$(SEED) --seconds=$(SECONDS)
+
+fuzz-known-faults: $(VENV)/.installed
+	$(BIN)/python -m sassafrashook.fuzzing find-known-faults --seed=$(SEED)
--- /dev/null
+++ b/sassafrashook/fuzzing/_known_faults.py
@@ -0,0 +1,94 @@
+"""Faults that the readers once had, to show that the generated streams find them again."""
+
+import contextlib
+from dataclasses import dataclass
+from unittest import mock
+
+from geventhttpclient.response import HTTPResponse
+
+from sassafrashook.fuzzing._readers import ChatReader, GatewayReader, ResponseReader
+from sassafrashook.http1 import UpstreamConnection
+from sassafrashook.http1 import _upstream as upstream_module
+from sassafrashook.proxy import _exchanges as exchanges_module
+from sassafrashook.proxy._connections import UpstreamResponse
+
+__all__ = ["KNOWN_FAULTS", "KnownFault"]
+
+
+@dataclass(slots=True, frozen=True)
+class KnownFault:
+    """A fault that can be put back.
+
+    :param name: what a caller saw.
+    :param reader: the :class:`ResponseReader` that had it.
+    :param patches: triples of an object, the name of its attribute and the faulty value.
+    """
+
+    name: str
+    reader: ResponseReader
+    patches: tuple[tuple[object, str, object], ...]
+
+    @contextlib.contextmanager
+    def put_back(self):
+        """Return a context manager that puts the fault back while it is entered."""
+        with contextlib.ExitStack() as stack:
+            for target, attribute, value in self.patches:
+                stack.enter_context(mock.patch.object(target, attribute, value))
+            yield
+
+
+def _has_length_or_chunks(exchange):
+    """Return whether a response states its end, as it was decided before the fault was fixed."""
+    encoding = exchange.response.get("transfer-encoding") or ""
+    return exchange.response.content_length is not None or "chunked" in encoding
+
+
+def _set_any_complete(response):
+    """Take informational responses for final ones."""
+    HTTPResponse._on_message_complete(response)
+    response.is_final_complete_ = True
+
+
+def _begin_any_message(response):
+    """Parse bytes behind the response as another one."""
+    response.is_final_complete_ = False
+    HTTPResponse._on_message_begin(response)
+
+
+KNOWN_FAULTS = (
+    KnownFault(
+        "a reset that only the sending task is told of ends a response",
+        GatewayReader(),
+        ((UpstreamConnection, "_check_end", lambda _connection: None),),
+    ),
+    KnownFault(
+        "a folded line hides a length",
+        GatewayReader(),
+        ((UpstreamConnection, "_check_head_lines", lambda _connection: None),),
+    ),
+    KnownFault(
+        "status 000 is passed on by the gateway",
+        GatewayReader(),
+        ((upstream_module, "is_response_status", lambda _status: True),),
+    ),
+    KnownFault(
+        "status 000 is passed on by the chat interface",
+        ChatReader(),
+        ((exchanges_module, "is_response_status", lambda _status: True),),
+    ),
+    KnownFault(
+        "two responses are joined",
+        ChatReader(),
+        ((UpstreamResponse, "_on_message_begin", _begin_any_message),),
+    ),
+    KnownFault(
+        "an informational response completes an exchange",
+        ChatReader(),
+        ((UpstreamResponse, "_on_message_complete", _set_any_complete),),
+    ),
+    KnownFault(
+        "an unknown coding is taken for chunks",
+        ChatReader(),
+        ((exchanges_module.Exchange, "_has_delimited_body", _has_length_or_chunks),),
+    ),
+)
