--- a/sassafrashook/fuzzing/__init__.py
+++ b/sassafrashook/fuzzing/__init__.py
@@ -3,7 +3,7 @@
 It needs ``hypothesis``, which only the development requirements declare.
 """
 
-from sassafrashook.fuzzing._checks import Discrepancy, check_stream
+from sassafrashook.fuzzing._checks import DiscrepancyError, check_stream
 from sassafrashook.fuzzing._grammar import generate_streams
 from sassafrashook.fuzzing._known_faults import KNOWN_FAULTS, KnownFault
 from sassafrashook.fuzzing._readers import ChatReader, GatewayReader, ResponseReader
@@ -14,7 +14,7 @@
 __all__ = [
     "KNOWN_FAULTS",
     "ChatReader",
-    "Discrepancy",
+    "DiscrepancyError",
     "Finding",
     "GatewayReader",
     "KnownFault",
--- a/sassafrashook/fuzzing/_reference.py
+++ b/sassafrashook/fuzzing/_reference.py
@@ -68,14 +68,14 @@
 
 
 class _Cursor:
-    """Position in a stream, and the liberties that a reader has taken up to it."""
+    """Position in a stream, and how it deviates up to there from what a sender may send."""
 
-    __slots__ = ("data", "position", "liberties")
+    __slots__ = ("data", "position", "deviations")
 
     def __init__(self, data):
         self.data = data
         self.position = 0
-        self.liberties = []
+        self.deviations = []
 
     def take(self, size):
         part = self.data[self.position : self.position + size]
@@ -102,11 +102,11 @@
         part = self.take(match.end())
         lines = part.split(b"\n")[:-2]
         if not all(line.endswith(b"\r") for line in part.split(b"\n")[:-1]):
-            self.liberties.append("a line ends with LF")
+            self.deviations.append("a line ends with LF")
         if is_head and part.startswith((b"\r", b"\n")):
             raise UndefinedError("a line end before the head")
         if len(part) > MAX_HEAD_BYTES:
-            self.liberties.append("a large head")
+            self.deviations.append("a large head")
         return [line.removesuffix(b"\r") for line in lines]
 
 
@@ -124,8 +124,8 @@
         return Reading(Wholeness.DAMAGED, str(error))
     except UndefinedError as error:
         return Reading(Wholeness.EITHER, str(error))
-    wholeness = Wholeness.EITHER if cursor.liberties else Wholeness.WHOLE
-    reason = ", ".join(cursor.liberties)
+    wholeness = Wholeness.EITHER if cursor.deviations else Wholeness.WHOLE
+    reason = ", ".join(cursor.deviations)
     return Reading(wholeness, reason, status, body, cursor.position, is_delimited, tuple(fields))
 
 
@@ -140,11 +140,11 @@
         if match is None:
             raise DamagedError("the status line is malformed")
         if match[1] not in (b"1.0", b"1.1"):
-            cursor.liberties.append("another version")
+            cursor.deviations.append("another version")
         if match[3] is None:
-            cursor.liberties.append("no blank after the status")
+            cursor.deviations.append("no blank after the status")
         elif not STRICT_VALUE.fullmatch(match[3]):
-            cursor.liberties.append("a control byte in the reason, which clients should ignore")
+            cursor.deviations.append("a control byte in the reason, which clients should ignore")
         status = int(match[2])
         fields = _read_fields(cursor, lines)
         if not 100 <= status <= 599:
@@ -168,7 +168,7 @@
         if b"\0" in value or b"\r" in value:
             raise DamagedError("a field holds NUL or CR")
         if not STRICT_VALUE.fullmatch(value):
-            cursor.liberties.append("a field holds a control byte")
+            cursor.deviations.append("a field holds a control byte")
         fields.append((name.lower(), value))
     return fields
 
@@ -190,13 +190,13 @@
         if codings or not all(DECIMAL.fullmatch(length) for length in lengths):
             raise UndefinedError("the framing of a response without a body")
         if lengths and (status == 204 or len(lengths) > 1):
-            cursor.liberties.append("the length of a response without a body")
+            cursor.deviations.append("the length of a response without a body")
         return b"", True
     if codings:
         if codings != [b"chunked"]:
             raise DamagedError("the transfer coding is unknown")
         if version == b"1.0" or lengths:
-            cursor.liberties.append("chunked in HTTP/1.0 or beside a length")
+            cursor.deviations.append("chunked in HTTP/1.0 or beside a length")
         return _read_chunks(cursor), True
     if lengths:
         if not all(DECIMAL.fullmatch(length) for length in lengths):
@@ -204,7 +204,7 @@
         if len({int(length) for length in lengths}) > 1:
             raise DamagedError("the lengths differ")
         if len(lengths) > 1:
-            cursor.liberties.append("a repeated length")
+            cursor.deviations.append("a repeated length")
         return cursor.take(int(lengths[0])), True
     if stream.end is not StreamEnd.CLOSED:
         raise DamagedError("the end of the connection isn't the end of the response")
@@ -220,9 +220,9 @@
             match = LENIENT_CHUNK_LINE.fullmatch(line)
             if match is None:
                 raise DamagedError("the line of a chunk is malformed")
-            cursor.liberties.append("the line of a chunk")
+            cursor.deviations.append("the line of a chunk")
         if len(line) > MAX_HEAD_BYTES:
-            cursor.liberties.append("a large line of a chunk")
+            cursor.deviations.append("a large line of a chunk")
         size = int(match[1], 16)
         if size == 0:
             _read_trailers(cursor)
@@ -233,10 +233,10 @@
 
 
 def _read_trailers(cursor):
-    """Read the trailers; they are not passed on, so that folded lines in them are harmless."""
+    """Check the trailers, which are not passed on: folded lines in them are harmless."""
     lines = cursor.take_lines(is_head=False)
     if any(line.startswith((b" ", b"\t")) for line in lines):
         raise UndefinedError("a folded trailer")
     names = {name for name, _ in _read_fields(cursor, lines)}
     if names & {b"content-length", b"transfer-encoding"}:
-        cursor.liberties.append("a trailer that states the framing")
+        cursor.deviations.append("a trailer that states the framing")
--- a/sassafrashook/fuzzing/_runs.py
+++ b/sassafrashook/fuzzing/_runs.py
@@ -5,7 +5,7 @@
 
 from hypothesis import HealthCheck, Phase, given, seed, settings
 
-from sassafrashook.fuzzing._checks import READERS, Discrepancy, check_stream
+from sassafrashook.fuzzing._checks import READERS, DiscrepancyError, check_stream
 from sassafrashook.fuzzing._grammar import generate_streams
 from sassafrashook.fuzzing._streams import ResponseStream
 
@@ -41,7 +41,7 @@
         self.count += 1
         try:
             check_stream(stream, self.readers)
-        except Discrepancy:
+        except DiscrepancyError:
             self.found_at = self.found_at or self.count
             self.stream = stream
             raise
@@ -88,6 +88,6 @@
 
     try:
         check_generated()
-    except Discrepancy as error:
+    except DiscrepancyError as error:
         return Finding(state.found_at, state.stream, str(error))
     return Finding(state.count)
--- a/sassafrashook/proxy/_connections.py
+++ b/sassafrashook/proxy/_connections.py
@@ -28,13 +28,11 @@
     The base class would parse bytes behind the response as another one, and put its status and
     body in the place of the first. Here they fail the parser, and leave the response as it is.
 
-    :ivar is_final_complete_: whether the final response is complete.
     :ivar field_bytes_: size of the names and values of all fields so far.
     """
 
     def __init__(self, method):
         super().__init__(method)
-        self.is_final_complete_ = False
         self.field_bytes_ = 0
         self.parts = []
         self._on_body = self.parts.append
@@ -59,9 +57,10 @@
         if self.field_bytes_ > MAX_FIELD_BYTES:
             raise HTTPProtocolViolationError("the header fields are too large")
 
-    def _on_message_complete(self):
-        super()._on_message_complete()
-        self.is_final_complete_ = not is_informational_status(self.status_code)
+    @property
+    def is_final_complete_(self):
+        """Whether the final response is complete."""
+        return self.message_complete and not is_informational_status(self.status_code)
 
 
 class Connection:
--- a/sassafrashook/transport/_link.py
+++ b/sassafrashook/transport/_link.py
@@ -42,9 +42,8 @@
     messages in parts, and after messages, so an idle connection sends no heartbeats. If a ping is
     not answered within ``RESPONSE_TIMEOUT_MS``, the connection is replaced by a new one. Queued
     messages are dropped when a connection fails or can't be opened. A message that can't be encoded
-    is dropped alone. Messages written to a failed
-    connection may or may not have arrived, so senders must match responses to requests and
-    retransmit.
+    is dropped alone. Messages written to a failed connection may or may not have arrived, so
+    senders must match responses to requests and retransmit.
 
     :param name: name of this process.
     :param peer: name of the peer.
