proxy: an informational response doesn't hide a damaged head

An engine answers HEAD with an informational response and then with a head that is damaged, such as a field line with a bare CR; the chat interface passes on the status and the fields before the damage as a whole response.

Cause: the base class of the parser notes at each head in response to HEAD that the message has ended, at informational ones too. From then on it takes every error of the parser for bytes behind the response and declares the message complete.

Six cases show that bytes behind a sound head are ignored as before.

Why it works: the parser is fed without the base class's step, so that its errors are seen, and they are ignored only behind a complete final response, as for the other methods. The end of the connection is reported by the callers, as it was.

--- a/sassafrashook/proxy/_connections.py
+++ b/sassafrashook/proxy/_connections.py
@@ -22,11 +22,13 @@
 class UpstreamResponse(HTTPResponse):
     """Parser of one response that stores body chunks in a list until they are taken.
 
-    Chunks are appended by the parser itself, and ``feed`` is the base parser's method unless the
-    request is ``HEAD``, which saves Python calls per received chunk.
+    Chunks are appended by the parser itself, and ``feed`` is the base parser's method, which saves
+    Python calls per received chunk.
 
     The base class would parse bytes behind the response as another one, and put its status and
-    body in the place of the first. Here they fail the parser, and leave the response as it is.
+    body in the place of the first. Here they fail the parser, and leave the response as it is. The
+    base class also ignores errors of the parser behind any head in response to ``HEAD``, even if
+    that head was informational and the final one is damaged. Here ``feed`` raises them.
 
     :ivar field_bytes_: size of the names and values of all fields so far.
     """
@@ -36,8 +38,7 @@
         self.field_bytes_ = 0
         self.parts = []
         self._on_body = self.parts.append
-        if method != "HEAD":
-            self.feed = super(HTTPResponse, self).feed
+        self.feed = super(HTTPResponse, self).feed
 
     def _on_message_begin(self):
         if self.is_final_complete_:
@@ -121,7 +122,8 @@
         try:
             self.response.feed(data)
         except HTTPParseError:
-            if not self.response.is_final_complete_:
+            # Callers decide what the end of the connection means.
+            if data and not self.response.is_final_complete_:
                 raise
         return len(data)
 
--- a/sassafrashook/proxy/tests/test_responses.py
+++ b/sassafrashook/proxy/tests/test_responses.py
@@ -99,6 +99,24 @@
     assert "closed before the end" in result.failure().detail
 
 
+@pytest.mark.parametrize("line", [b"A: b\rC: d", b"A : b", b"A\0: b"])
+def test_head_that_is_damaged_behind_an_informational_response_is_refused(line):
+    """Guards against a part of a head that is passed on as a whole response to HEAD."""
+    informational = b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+    head = b"HTTP/1.1 200 OK\r\n" + FIELDS + line + b"\r\n\r\n"
+    result = receive_response(lambda sock: sock.sendall(informational + head), "HEAD")
+    assert isinstance(result, Failure), result
+
+
+@pytest.mark.parametrize("data", [b"x", b"x" * 100, b"HTTP/1.1 200 OK\r\n\r\n"])
+@pytest.mark.parametrize("informational", [b"", b"HTTP/1.1 103 X\r\n\r\n"])
+def test_bytes_behind_the_head_of_a_response_without_a_body_are_ignored(informational, data):
+    """Guards against a sound response to HEAD that is refused for what follows it."""
+    head = b"HTTP/1.1 200 OK\r\n" + FIELDS + b"\r\n"
+    result = receive_response(lambda sock: sock.sendall(informational + head + data), "HEAD")
+    assert result == Success(b"")
+
+
 @pytest.mark.parametrize(
     "codings",
     [
