fuzzing: a seed gives the same streams in each commit and each set of tests

The grammar has field lines with blanks behind their values and a bare CR in the extension of a chunk. The last is left to the reader, as RFC 9112, 2.2, lets a recipient read it as a blank.

--- a/sassafrashook/fuzzing/_grammar.py
+++ b/sassafrashook/fuzzing/_grammar.py
@@ -69,7 +69,13 @@
     b"Transfer-Encoding: chunked, chunked",
     b"Transfer-Encoding: \x0bchunked",
 )
-CHUNK_EXTENSIONS = (b"", b";a=b", b';a="b"', b' ;a="b"', b";", b" ", b";a\nb")
+CHUNKED_LINES = (
+    b"Transfer-Encoding: chunked",
+    b"Transfer-Encoding: chunked",
+    b"transfer-encoding:\tChunked ",
+    b"Transfer-Encoding: chunked\t",
+)
+CHUNK_EXTENSIONS = (b"", b";a=b", b';a="b"', b' ;a="b"', b";", b" ", b";a\nb", b";a\rb")
 ODD_CHUNK_SIZES = (b"", b"0x3", b"+3", b"-3", b"ffffffffffffffff", b"10000000000000003", b"g")
 TRAILERS = (b"", b"A: b\r\n", b"Content-Length: 3\r\n", b"A: b\r\n c\r\n", b"A : b\r\n", b"A\r\n")
 INSERTED = (CRLF, b"\n", b"\r", b" ", b"\t", b"\0", b":", b";", b"0", b"3", b"\x0b", b"\x80", b",")
@@ -106,7 +112,7 @@
     if framing == "about":
         return [b"Content-Length: %d" % (len(body) + draw(st.integers(-2, 2)))], body
     if framing == "chunks":
-        return [b"Transfer-Encoding: chunked"], draw(_generate_chunks(body))
+        return [draw(st.sampled_from(CHUNKED_LINES))], draw(_generate_chunks(body))
     return [], body
 
 
--- a/sassafrashook/fuzzing/_known_faults.py
+++ b/sassafrashook/fuzzing/_known_faults.py
@@ -9,6 +9,7 @@
 from sassafrashook.fuzzing._readers import ChatReader, GatewayReader, ResponseReader
 from sassafrashook.http1 import UpstreamConnection
 from sassafrashook.http1 import _upstream as upstream_module
+from sassafrashook.proxy import _connections as connections_module
 from sassafrashook.proxy import _exchanges as exchanges_module
 from sassafrashook.proxy._connections import UpstreamResponse
 
@@ -37,12 +38,32 @@
             yield
 
 
+has_delimited_body = exchanges_module.Exchange._has_delimited_body
+
+
 def _has_length_or_chunks(exchange):
     """Return whether a response states its end, as it was decided before the fault was fixed."""
     encoding = exchange.response.get("transfer-encoding") or ""
     return exchange.response.content_length is not None or "chunked" in encoding
 
 
+def _has_chunks_behind_any_blank(exchange):
+    """Return whether a response states its end, where a tab behind ``chunked`` was ignored."""
+    coding = exchange.response.get("transfer-encoding")
+    if isinstance(coding, str) and coding.strip() == "chunked":
+        return True
+    return has_delimited_body(exchange)
+
+
+class _HeadLenientResponse(UpstreamResponse):
+    """Parser that ignores damage behind any head in response to ``HEAD``."""
+
+    def __init__(self, method):
+        super().__init__(method)
+        if method == "HEAD":
+            self.feed = super(UpstreamResponse, self).feed
+
+
 KNOWN_FAULTS = (
     KnownFault(
         "a reset that only the sending task is told of ends a response",
@@ -79,4 +100,14 @@
         ChatReader(),
         ((exchanges_module.Exchange, "_has_delimited_body", _has_length_or_chunks),),
     ),
+    KnownFault(
+        "a tab behind the coding chunked is ignored",
+        ChatReader(),
+        ((exchanges_module.Exchange, "_has_delimited_body", _has_chunks_behind_any_blank),),
+    ),
+    KnownFault(
+        "an informational response hides a damaged head",
+        ChatReader(),
+        ((connections_module, "UpstreamResponse", _HeadLenientResponse),),
+    ),
 )
--- a/sassafrashook/fuzzing/_reference.py
+++ b/sassafrashook/fuzzing/_reference.py
@@ -12,11 +12,11 @@
 __all__ = ["Reading", "Wholeness", "read_response"]
 
 STATUS_LINE = re.compile(rb"HTTP/([0-9]\.[0-9]) ([0-9]{3})( .*)?", re.DOTALL)
-FIELD_LINE = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*(.*?)[ \t]*", re.DOTALL)
+FIELD_LINE = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*(.*)", re.DOTALL)
 STRICT_VALUE = re.compile(rb"[\t\x20-\x7e\x80-\xff]*")
 DECIMAL = re.compile(rb"[0-9]{1,18}")
 CHUNK_LINE = re.compile(rb'([0-9A-Fa-f]{1,16})(?:;[a-z]+(?:=(?:[a-z]+|"[a-z]*"))?)*')
-LENIENT_CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]+)([ \t]*|[ \t]*;[^\r\n]*)")
+LENIENT_CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]+)([ \t]*|[ \t]*;[^\n]*)")
 BLANK_LINE = re.compile(rb"(?:^|\n)\r?\n")
 CRLF = b"\r\n"
 MAX_HEAD_BYTES = 65_536
@@ -47,7 +47,7 @@
     :param body: its body, ``None`` if it is damaged or not defined.
     :param size: number of bytes of the stream up to the end of the response.
     :param is_delimited: whether the response states where it ends.
-    :param fields: pairs of names in lower case and values of its head.
+    :param fields: pairs of names in lower case and values, with trailing blanks, of its head.
     """
 
     wholeness: Wholeness
--- a/sassafrashook/fuzzing/_runs.py
+++ b/sassafrashook/fuzzing/_runs.py
@@ -2,8 +2,10 @@
 
 import time
 from dataclasses import dataclass
+from unittest import mock
 
 from hypothesis import HealthCheck, Phase, given, seed, settings
+from hypothesis.internal.conjecture.providers import HypothesisProvider
 
 from sassafrashook.fuzzing._checks import READERS, DiscrepancyError, check_stream
 from sassafrashook.fuzzing._grammar import generate_streams
@@ -50,6 +52,8 @@
 def find_discrepancy(first_seed, max_streams=None, deadline=None, readers=READERS, shrinks=True):
     """Generate streams until a reader treats one as it must not.
 
+    A seed gives the same streams whatever other modules are loaded.
+
     :param first_seed: seed of the first round; each round adds one to it.
     :param max_streams: number of streams after which the run ends, ``None`` for no limit.
     :param deadline: monotonic seconds after which no round begins, ``None`` for no limit.
@@ -70,6 +74,18 @@
         round_seed += 1
 
 
+def _draw_no_constants():
+    """Return a context manager in which Hypothesis draws no constants of the loaded modules.
+
+    Else a seed would give other streams when a number in an unrelated source changes.
+    """
+    return mock.patch.object(HypothesisProvider, "_maybe_draw_constant", _draw_no_constant)
+
+
+def _draw_no_constant(_provider, _choice_type, _constraints, *, p=0.0):
+    return None
+
+
 def _run_round(round_seed, size, readers, shrinks):
     state = _Round(readers)
 
@@ -87,7 +103,8 @@
         state.check(stream)
 
     try:
-        check_generated()
+        with _draw_no_constants():
+            check_generated()
     except DiscrepancyError as error:
         return Finding(state.found_at, state.stream, str(error))
     return Finding(state.count)
--- a/sassafrashook/fuzzing/tests/test_fuzzing.py
+++ b/sassafrashook/fuzzing/tests/test_fuzzing.py
@@ -34,6 +34,19 @@
     ("POST", (b"HTTP/1.1 200 OK\r\n\r\npart",), StreamEnd.RESET_WHILE_SENDING),
     ("GET", (b"HTTP/1.1 000 X\r\nX-Request-Id: a\r\nContent-Length: 0\r\n\r\n",), StreamEnd.CLOSED),
     ("GET", (b"HTTP/1.1 200 OK\r\nA: " + 200_000 * b"b",), StreamEnd.SILENT),
+    (
+        "HEAD",
+        (b"HTTP/1.1 103 X\r\n\r\n", OK.removesuffix(b"\r\n") + b"A: b\rc\r\n\r\n"),
+        StreamEnd.CLOSED,
+    ),
+    (
+        "GET",
+        (
+            b"HTTP/1.0 200 OK\r\nX-Request-Id: a\r\nTransfer-Encoding: chunked\t\r\n\r\n",
+            b"2\r\nok\r\n0\r\n\r\n",
+        ),
+        StreamEnd.CLOSED,
+    ),
 ]
 
 
