--- a/sassafrashook/fuzzing/__init__.py
+++ b/sassafrashook/fuzzing/__init__.py
@@ -6,7 +6,7 @@
 from sassafrashook.fuzzing._checks import DiscrepancyError, check_stream
 from sassafrashook.fuzzing._grammar import generate_streams
 from sassafrashook.fuzzing._known_faults import KNOWN_FAULTS, KnownFault
-from sassafrashook.fuzzing._readers import ChatReader, GatewayReader, ResponseReader
+from sassafrashook.fuzzing._readers import ChatReader, GatewayReader, Outcome, ResponseReader
 from sassafrashook.fuzzing._reference import Reading, Wholeness, read_response
 from sassafrashook.fuzzing._runs import Finding, find_discrepancy
 from sassafrashook.fuzzing._streams import ResponseStream, StreamEnd
@@ -18,6 +18,7 @@
     "Finding",
     "GatewayReader",
     "KnownFault",
+    "Outcome",
     "Reading",
     "ResponseReader",
     "ResponseStream",
--- a/sassafrashook/fuzzing/tests/test_fuzzing.py
+++ b/sassafrashook/fuzzing/tests/test_fuzzing.py
@@ -3,6 +3,7 @@
 The environment variable ``SEED`` sets the seed, ``FUZZ_STREAMS`` the number of streams.
 """
 
+import importlib
 import os
 
 import pytest
@@ -12,6 +13,8 @@
     ChatReader,
     DiscrepancyError,
     GatewayReader,
+    Outcome,
+    ResponseReader,
     ResponseStream,
     StreamEnd,
     check_stream,
@@ -50,6 +53,23 @@
 ]
 
 
+class RecordingReader(ResponseReader):
+    """Reader that refuses every stream and keeps it."""
+
+    def __init__(self):
+        self.streams = []
+
+    def read(self, stream):
+        self.streams.append(stream)
+        return Outcome(None, None, "refused", False, 0)
+
+    def accepts(self, _reading):
+        return False
+
+    def _read(self, stream, sock):
+        raise NotImplementedError
+
+
 @pytest.mark.parametrize("reader", [GatewayReader(), ChatReader()], ids=["gateway", "chat"])
 def test_generated_responses_are_read_as_the_reference_allows(reader):
     """Guards against damaged responses that are passed on, and sound ones that are refused."""
@@ -75,3 +95,16 @@
     with fault.put_back(), pytest.raises(DiscrepancyError):
         check_stream(finding.stream, [fault.reader])
     check_stream(finding.stream, [fault.reader])
+
+
+def test_seed_gives_the_same_streams_beside_other_modules(tmp_path, monkeypatch):
+    """Guards against a seed whose streams change with constants in unrelated sources."""
+    first, second = RecordingReader(), RecordingReader()
+    find_discrepancy(SEED, max_streams=STREAMS, readers=[first])
+    lines = [f"INTEGER_{i}, BYTES_{i} = {i}, b'{i}'" for i in range(100)]
+    (tmp_path / "fuzzing_constants.py").write_text("\n".join(lines))
+    monkeypatch.syspath_prepend(tmp_path)
+    importlib.import_module("fuzzing_constants")
+    find_discrepancy(SEED, max_streams=STREAMS, readers=[second])
+    assert len(first.streams) >= STREAMS
+    assert second.streams == first.streams
