--- a/sassafrashook/fuzzing/_known_faults.py
+++ b/sassafrashook/fuzzing/_known_faults.py
@@ -38,21 +38,21 @@
             yield
 
 
-_has_delimited_body = exchanges_module.Exchange._has_delimited_body  # without any fault
+has_delimited_body = exchanges_module.Exchange._has_delimited_body
 
 
 def _has_length_or_chunks(exchange):
-    """Return whether a response states its end, where any ``chunked`` in the coding counted."""
+    """Return whether a response states its end, as it was decided before the fault was fixed."""
     encoding = exchange.response.get("transfer-encoding") or ""
     return exchange.response.content_length is not None or "chunked" in encoding
 
 
-def _ignores_tab_behind_chunked(exchange):
+def _has_chunks_behind_any_blank(exchange):
     """Return whether a response states its end, where a tab behind ``chunked`` was ignored."""
     coding = exchange.response.get("transfer-encoding")
     if isinstance(coding, str) and coding.strip() == "chunked":
         return True
-    return _has_delimited_body(exchange)
+    return has_delimited_body(exchange)
 
 
 class _HeadLenientResponse(UpstreamResponse):
@@ -103,7 +103,7 @@
     KnownFault(
         "a tab behind the coding chunked is ignored",
         ChatReader(),
-        ((exchanges_module.Exchange, "_has_delimited_body", _ignores_tab_behind_chunked),),
+        ((exchanges_module.Exchange, "_has_delimited_body", _has_chunks_behind_any_blank),),
     ),
     KnownFault(
         "an informational response hides a damaged head",
